--- /dev/null
+++ b/cmd/adapter/main.go
@@ -0,0 +1,75 @@
+// Command adapter runs instances of the decision module on the bench's wire.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+
+	"example.org/silverscale"
+	"example.org/silverscale/internal/wire"
+)
+
+func main() {
+	if err := run(os.Stdin, os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, "adapter:", err)
+		os.Exit(1)
+	}
+}
+
+// run answers batches until the input ends.
+func run(in io.Reader, out io.Writer) error {
+	r, w := wire.NewReader(in), wire.NewWriter(out)
+	limiters := map[int]*silverscale.Limiter{}
+	for {
+		now, items, err := r.Batch()
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		for _, it := range items {
+			if err := handle(limiters, w, now, it); err != nil {
+				w.Fault(it.Instance, err.Error())
+				delete(limiters, it.Instance)
+			}
+		}
+		if err := w.Yield(); err != nil {
+			return fmt.Errorf("writing a reply: %w", err)
+		}
+	}
+}
+
+// handle gives one item to its instance; a panic of the module is an error.
+func handle(limiters map[int]*silverscale.Limiter, w *wire.Writer, now float64, it wire.Item) (err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			err = fmt.Errorf("panic: %v", p)
+		}
+	}()
+	switch it.Kind {
+	case wire.Begin:
+		if it.Err != nil {
+			return it.Err
+		}
+		l, err := silverscale.New(it.Settings, it.Seed)
+		if err != nil {
+			return err
+		}
+		limiters[it.Instance] = l
+		return nil
+	case wire.Retire:
+		delete(limiters, it.Instance)
+		return nil
+	}
+	l := limiters[it.Instance]
+	if l == nil || it.Event == nil {
+		return nil
+	}
+	for _, a := range l.Handle(now, it.Event) {
+		w.Action(it.Instance, a)
+	}
+	return nil
+}
--- /dev/null
+++ b/limiter_test.go
@@ -0,0 +1,675 @@
+package silverscale
+
+import (
+	"fmt"
+	"math"
+	"strings"
+	"testing"
+)
+
+// testSettings has one class of each kind and a plan with and one without a
+// ceiling.
+func testSettings() Settings {
+	return Settings{
+		Balancers: 2, PeerInPerS: 40,
+		Classes: []Class{
+			{Repeat: Safe, AimMs: 500, DeadlineMs: 2000, Worth: 1, WindowMs: 1000},
+			{Repeat: Keyed, Group: GroupCell, AimMs: 500, DeadlineMs: 2000, Worth: 1, WindowMs: 1000},
+			{Repeat: Unsafe, AimMs: 500, DeadlineMs: 2000, Worth: 1},
+			{Repeat: Keyed, Group: GroupAll, AimMs: 500, DeadlineMs: 2000, Worth: 1, WindowMs: 1000},
+		},
+		Plans: []Plan{
+			{Rate: 10, Burst: 20, Price: 1},
+			{Rate: 10, Burst: 20, Price: 1, CeilingRate: 20, CeilingBurst: 40},
+			{Rate: 10, Burst: 20, Price: 1, AtOnce: 2},
+			{Price: 1},
+		},
+		Caps: Caps{Attempts: 4, Cancel: true, Peers: true, Probes: true, RetryAfter: true,
+			MaxWaitMs: 1000, ConnectMs: 250},
+		Rules: Rules{ColdShare: 0.2, ColdMs: 10000, OverloadFactor: 2, FallMs: 1000},
+	}
+}
+
+// script drives one Limiter by hand.
+type script struct {
+	t   *testing.T
+	l   *Limiter
+	now float64
+	n   int
+}
+
+func newScript(t *testing.T, s Settings, servers ...ServerInfo) *script {
+	t.Helper()
+	l, err := New(s, 7)
+	if err != nil {
+		t.Fatal(err)
+	}
+	sc := &script{t: t, l: l, now: 1000}
+	sc.do(Endpoints{Scope: Persisted, Servers: servers})
+	return sc
+}
+
+func fleet(n int) (s []ServerInfo) {
+	for i := range n {
+		s = append(s, ServerInfo{ID: uint64(i + 1), Cell: i % 2, Zone: i % 2, Weight: 1})
+	}
+	return s
+}
+
+func (s *script) do(e Event) []Action { return append([]Action(nil), s.l.Handle(s.now, e)...) }
+
+// submit hands in a request and returns its id and the answer.
+func (s *script) submit(e Submit) (string, Action) {
+	s.n++
+	e.ID = fmt.Sprint("r", s.n)
+	if e.ExpiresMs == 0 {
+		e.ExpiresMs = 1500
+	}
+	if e.Spread == 0 {
+		e.Spread = 1
+	}
+	if e.Units == 0 {
+		e.Units = 1
+	}
+	return e.ID, s.answer(s.do(e))
+}
+
+// answer returns the one action among acts that concerns a request.
+func (s *script) answer(acts []Action) (got Action) {
+	s.t.Helper()
+	for _, a := range acts {
+		switch a.(type) {
+		case PassOn, Refuse, Fail:
+			if got != nil {
+				s.t.Fatalf("two answers: %v and %v", got, a)
+			}
+			got = a
+		}
+	}
+	return got
+}
+
+func (s *script) outcome(id string, try int, server uint64, r Result) Action {
+	s.t.Helper()
+	return s.answer(s.do(Outcome{ID: id, Try: try, Server: server, Result: r, SpentMs: 20, Done: r == Pass,
+		Load: Load{Busy: -1, Pending: -1, ServiceMs: -1}}))
+}
+
+// pass serves a request that must have been passed on.
+func (s *script) pass(id string, a Action) {
+	s.t.Helper()
+	p, ok := a.(PassOn)
+	if !ok {
+		s.t.Fatalf("%s: got %#v, want a PassOn", id, a)
+	}
+	s.outcome(id, 0, p.Server, Pass)
+}
+
+// admit counts how many of n requests pass, each served at once.
+func (s *script) admit(n int, e Submit) (passed int) {
+	for range n {
+		if id, a := s.submit(e); a != nil {
+			if _, ok := a.(PassOn); ok {
+				passed++
+				s.pass(id, a)
+			}
+		}
+	}
+	return passed
+}
+
+func TestBadSettings(t *testing.T) {
+	for name, change := range map[string]func(*Settings){
+		"balancers":       func(s *Settings) { s.Balancers = 0 },
+		"position":        func(s *Settings) { s.Position = 2 },
+		"request_classes": func(s *Settings) { s.Classes = nil },
+		"packages":        func(s *Settings) { s.Plans = nil },
+		"cold_share":      func(s *Settings) { s.Rules.ColdShare = 2 },
+		"promise_ms":      func(s *Settings) { s.Classes[0].AimMs = 0 },
+		"burst":           func(s *Settings) { s.Plans[0].Burst = 0 },
+		"packages.1":      func(s *Settings) { s.Plans[1].CeilingRate = -1 },
+	} {
+		s := testSettings()
+		change(&s)
+		if _, err := New(s, 1); err == nil || !strings.Contains(err.Error(), name) {
+			t.Errorf("%s: error %v does not name it", name, err)
+		}
+	}
+}
+
+func TestBucket(t *testing.T) {
+	s := newScript(t, testSettings(), fleet(4)...)
+	if got := s.admit(40, Submit{}); got != 20 {
+		t.Errorf("a full bucket of 20 let %d through", got)
+	}
+	_, a := s.submit(Submit{})
+	if r, ok := a.(Refuse); !ok || math.Abs(r.WaitMs-100) > 1 {
+		t.Errorf("short of one unit at 10/s: got %#v, want a refusal for 100 ms", a)
+	}
+	s.now += 1000
+	if got := s.admit(40, Submit{}); got != 10 {
+		t.Errorf("after a second at 10/s %d passed", got)
+	}
+	s.now += 60000
+	if got := s.admit(40, Submit{}); got != 20 {
+		t.Errorf("the store holds 20, %d passed", got)
+	}
+	if got := s.admit(100, Submit{Plan: 3, Customer: 9}); got != 100 {
+		t.Errorf("a plan without a quota let %d of 100 through", got)
+	}
+}
+
+// peer encodes what a peer of this age says of customer 0.
+func peerSays(ageMs float64, seq, spentUnits uint64, flags byte, level float64) PeerMessage {
+	m := peerMsg{flags: flags, mark: 77, seq: seq, ageMs: uint64(ageMs)}
+	m.entries = []peerEntry{{spread: 2, spent: spentUnits * unitScale, level: int64(level * unitScale)}}
+	data, _ := m.encode()
+	return PeerMessage{From: 1, Data: data}
+}
+
+// peerAnswers encodes the answer of a peer of this age: levels below full.
+func peerAnswers(ageMs float64, levels ...float64) PeerMessage {
+	m := peerMsg{flags: flagNews | flagLevels, ageMs: uint64(ageMs)}
+	for _, level := range levels {
+		m.entries = append(m.entries, peerEntry{level: int64(level * unitScale)})
+	}
+	data, _ := m.encode()
+	return PeerMessage{From: 1, Data: data}
+}
+
+func TestPeerSpending(t *testing.T) {
+	both := Submit{Spread: 2}
+	s := newScript(t, testSettings(), fleet(4)...)
+	s.now += 5000 // the burst has filled meanwhile
+	s.admit(1, both)
+	s.do(peerSays(5000, 1, 30, 0, 0))
+	if got := s.admit(30, both); got != 0 {
+		t.Errorf("balance 20-1-30 let %d through", got)
+	}
+	s.do(peerSays(5000, 1, 30, 0, 0)) // repeated
+	s.do(peerSays(5000, 3, 31, 0, 0)) // one lost before it
+	s.do(peerSays(5000, 2, 29, 0, 0)) // late
+	s.now += 1700                     // refill repays the debt of 12, 5 are left
+	if got := s.admit(30, both); got != 5 {
+		t.Errorf("after the debt was repaid %d passed, want 5", got)
+	}
+	before := s.l.customers[0].balance
+	for _, bad := range [][]byte{nil, {1, 2}, []byte("foreign message, quite long"), {peerMagic, 9, 0, 1, 1, 1, 1, 1, 1}} {
+		s.do(PeerMessage{From: 1, Data: bad})
+	}
+	s.do(PeerMessage{From: 9, Data: peerSays(0, 9, 50, 0, 0).Data})
+	if s.l.customers[0].balance != before {
+		t.Error("a message that is not sound changed the balance")
+	}
+}
+
+// An unseen customer starts with the burst split over its gateways; the rest
+// is released when the peers have answered, and only what they have not told
+// of. Found as a loss of the cheap plans: the held part never came back.
+func TestUnseenCustomer(t *testing.T) {
+	both := Submit{Spread: 2}
+	s := newScript(t, testSettings(), fleet(4)...)
+	if got := s.admit(40, both); got != 10 {
+		t.Errorf("split of 20 over two let %d through", got)
+	}
+	s.do(peerAnswers(1)) // an answer that tells of nobody
+	if got := s.admit(40, both); got != 10 {
+		t.Errorf("after the peer's answer %d more passed, want 10", got)
+	}
+	s = newScript(t, testSettings(), fleet(4)...)
+	s.do(peerAnswers(90000, 3)) // an older peer knows the level
+	if got := s.admit(40, both); got != 3 {
+		t.Errorf("told a level of 3, %d passed", got)
+	}
+}
+
+func TestRestartedGatewayAsks(t *testing.T) {
+	s := newScript(t, testSettings(), fleet(4)...)
+	var asked bool
+	for _, a := range s.do(Alarm{Handle: "tick"}) {
+		if tell, ok := a.(Tell); ok {
+			m, ok := decodePeer(tell.Data)
+			asked = ok && m.flags&flagAsking != 0
+		}
+	}
+	if !asked {
+		t.Error("a starting gateway did not ask its peer")
+	}
+	s.admit(4, Submit{Spread: 2})
+	ask := peerMsg{flags: flagAsking, mark: 5, seq: 1}
+	data, _ := ask.encode()
+	var levels []peerEntry
+	for _, a := range s.do(PeerMessage{From: 1, Data: data}) {
+		if tell, ok := a.(Tell); ok {
+			if m, ok := decodePeer(tell.Data); ok && m.flags&flagLevels != 0 {
+				levels = m.entries
+			}
+		}
+	}
+	if len(levels) != 1 || levels[0].level != 16*unitScale {
+		t.Errorf("the answer tells %v, want one level of 16", levels)
+	}
+}
+
+func TestAtOnce(t *testing.T) {
+	s := newScript(t, testSettings(), fleet(4)...)
+	id, a := s.submit(Submit{Plan: 2})
+	s.submit(Submit{Plan: 2})
+	if _, c := s.submit(Submit{Plan: 2}); c == nil {
+		t.Fatal("no answer")
+	} else if _, ok := c.(Refuse); !ok {
+		t.Errorf("a third attempt out where two are allowed: %#v", c)
+	}
+	s.pass(id, a)
+	if _, c := s.submit(Submit{Plan: 2}); c != nil {
+		if _, ok := c.(PassOn); !ok {
+			t.Errorf("one came back, the next is refused: %#v", c)
+		}
+	}
+}
+
+func TestTrueUp(t *testing.T) {
+	cfg := testSettings()
+	cfg.TrueUp = true
+	s := newScript(t, cfg, fleet(4)...)
+	id, a := s.submit(Submit{})
+	s.do(Outcome{ID: id, Server: a.(PassOn).Server, Result: Pass, SpentMs: 10, Done: true, Cost: 25})
+	if got := s.l.customers[0].balance; math.Abs(got+5) > 1e-9 {
+		t.Errorf("balance %g after true units of 25 of 20, want -5", got)
+	}
+}
+
+// Rule 2 and the final answers, as a table of outcome and class.
+func TestFurtherAttempts(t *testing.T) {
+	const again, refuse, fail = "again", "refuse", "fail"
+	for _, c := range []struct {
+		class  int
+		result Result
+		want   string
+	}{
+		{0, Fault, again}, {0, TooSlow, again}, {0, NoRoom, again}, {0, NoRoute, again}, {0, Undone, again},
+		{1, Fault, again}, {1, Cut, again}, {1, NoRoom, again}, {1, StaleSend, again},
+		{2, Fault, fail}, {2, Cut, fail}, {2, TooSlow, fail}, {2, Undone, fail},
+		{2, NoRoom, again}, {2, NoRoute, again}, {2, StaleSend, again},
+		{3, Fault, again},
+	} {
+		s := newScript(t, testSettings(), fleet(4)...)
+		id, a := s.submit(Submit{Class: c.class})
+		first := a.(PassOn).Server
+		got := s.outcome(id, 0, first, c.result)
+		name := fmt.Sprintf("class %d, result %d", c.class, c.result)
+		switch g := got.(type) {
+		case PassOn:
+			if c.want != again {
+				t.Errorf("%s: sent again, want %s", name, c.want)
+			}
+			if g.Server == first {
+				t.Errorf("%s: sent to the same server", name)
+			}
+			if c.class == 1 && !provesUnrun(c.result) && (g.Server-first)%2 != 0 {
+				t.Errorf("%s: a keyed request left its cell", name)
+			}
+		case Refuse:
+			if c.want != refuse {
+				t.Errorf("%s: refused, want %s", name, c.want)
+			}
+		case Fail:
+			if c.want != fail {
+				t.Errorf("%s: failed, want %s", name, c.want)
+			}
+		default:
+			t.Errorf("%s: no answer", name)
+		}
+	}
+}
+
+func TestKeyedWindowAndGroup(t *testing.T) {
+	s := newScript(t, testSettings(), fleet(4)...)
+	id, a := s.submit(Submit{Class: 1, ExpiresMs: 1900})
+	s.now += 1001 // past the window
+	if got, ok := s.outcome(id, 0, a.(PassOn).Server, Fault).(Fail); !ok {
+		t.Errorf("a keyed request past its window: %#v, want Fail", got)
+	}
+	s = newScript(t, testSettings(), fleet(2)...) // one server a cell
+	id, a = s.submit(Submit{Class: 1})
+	if got, ok := s.outcome(id, 0, a.(PassOn).Server, Fault).(Fail); !ok {
+		t.Errorf("no other server in the cell: %#v, want Fail", got)
+	}
+	id, a = s.submit(Submit{Class: 3, ExpiresMs: 1900})
+	s.now += 1500
+	if got, ok := s.outcome(id, 0, a.(PassOn).Server, Fault).(Refuse); !ok {
+		t.Errorf("keyed for all: %#v, want Refuse", got)
+	}
+}
+
+func TestDeadline(t *testing.T) {
+	s := newScript(t, testSettings(), fleet(4)...)
+	id, a := s.submit(Submit{ExpiresMs: 300})
+	s.now += 300
+	if got, ok := s.outcome(id, 0, a.(PassOn).Server, TooSlow).(Fail); !ok {
+		t.Errorf("time-out at the deadline: %#v, want Fail", got)
+	}
+	if len(s.l.requests) != 0 {
+		t.Error("a finished request is still held")
+	}
+}
+
+func TestDrain(t *testing.T) {
+	s := newScript(t, testSettings(), fleet(2)...)
+	s.do(Endpoints{Scope: Partial, Servers: []ServerInfo{{ID: 1, Phase: Draining}}})
+	for range 10 {
+		if id, a := s.submit(Submit{Plan: 3}); a.(PassOn).Server != 2 {
+			t.Fatal("sent to a draining server")
+		} else {
+			s.pass(id, a)
+		}
+	}
+	s.do(Endpoints{Scope: Complete, Servers: []ServerInfo{{ID: 3}}})
+	for range 10 {
+		if id, a := s.submit(Submit{Plan: 3}); a.(PassOn).Server != 3 {
+			t.Fatal("sent to a server missing from the whole list")
+		} else {
+			s.pass(id, a)
+		}
+	}
+	s.do(Endpoints{Scope: Failed})
+	if _, a := s.submit(Submit{Plan: 3}); a.(PassOn).Server != 3 {
+		t.Error("a failed list call changed the list")
+	}
+	s.do(Endpoints{Scope: Complete})
+	if _, a := s.submit(Submit{Plan: 3}); a != (Refuse{ID: "r22", WaitMs: fullMs}) {
+		t.Errorf("with no server: %#v", a)
+	}
+}
+
+// A cold server gets no more than its warmth times what a warm one gets, and
+// one request a window where there is none to compare with.
+func TestColdServer(t *testing.T) {
+	f := fleet(4)
+	f[0].ReadyAt = 999
+	s := newScript(t, testSettings(), f...)
+	sent := map[uint64]int{}
+	for range 50 {
+		s.now += 20
+		out := map[string]Action{}
+		for range 12 {
+			if id, a := s.submit(Submit{Plan: 3}); a != nil {
+				if p, ok := a.(PassOn); ok {
+					out[id] = a
+					sent[p.Server]++
+				}
+			}
+		}
+		for id, a := range out {
+			s.pass(id, a)
+		}
+	}
+	if sent[1] == 0 || sent[1] > sent[2]/3 {
+		t.Errorf("cold server got %d, warm ones %d %d %d", sent[1], sent[2], sent[3], sent[4])
+	}
+	s = newScript(t, testSettings(), f[0])
+	if n := s.admit(200, Submit{Plan: 3}); n > 2 {
+		t.Errorf("the only server is cold and got %d requests at once", n)
+	}
+}
+
+// The gateways' shares of a ceiling never exceed it, whatever is lost.
+func TestCeilingShare(t *testing.T) {
+	s := newScript(t, testSettings(), fleet(4)...)
+	plan := testSettings().Plans[1]
+	start := s.now
+	s.now += 1e6
+	spent := 0
+	begin := s.now
+	s.l.customerOf(s.now, 0, 1, 2).balance = 1e9
+	s.l.cfg.Plans[1].Burst, s.l.cfg.Plans[1].Rate = 1e9, 1e9
+	for range 500 {
+		s.now += 10
+		spent += s.admit(3, Submit{Plan: 1, Spread: 2})
+	}
+	if most := (plan.CeilingBurst + plan.CeilingRate*(s.now-begin)/1000) / 2; float64(spent) > most {
+		t.Errorf("passed %d, this gateway's half is %g", spent, most)
+	}
+	s = newScript(t, testSettings(), fleet(4)...)
+	if n := s.admit(10, Submit{Plan: 1, Spread: 2}); n != 0 || s.now != start {
+		t.Errorf("a gateway that just started passed %d of an empty share", n)
+	}
+}
+
+func TestIgnoresWhatIsOver(t *testing.T) {
+	s := newScript(t, testSettings(), fleet(2)...)
+	id, a := s.submit(Submit{})
+	s.pass(id, a)
+	for _, e := range []Event{
+		Outcome{ID: id, Server: 1}, Outcome{ID: "no", Server: 1, Try: 3}, Aborted{ID: id}, Aborted{ID: "no"},
+		FirstByte{ID: "no"}, Alarm{Handle: "no"}, Probed{Server: 99}, Submit{ID: "x", Class: 99}, nil,
+		PeerMessage{From: -1}, PeerMessage{From: 0},
+	} {
+		for _, act := range s.do(e) {
+			if _, ok := act.(PassOn); ok {
+				t.Errorf("%#v led to %#v", e, act)
+			}
+		}
+	}
+}
+
+// A report of a server's load, however high, keeps no server out of use. Found
+// on an overloaded day, when reports that were believed left one server in ten
+// in use, and again when leaving them out served a twentieth more.
+func TestReportsShutNoServerOut(t *testing.T) {
+	s := newScript(t, testSettings(), fleet(4)...)
+	used := map[uint64]int{}
+	for range 100 {
+		id, a := s.submit(Submit{Plan: 3})
+		p, ok := a.(PassOn)
+		if !ok {
+			t.Fatalf("refused beside idle servers: %#v", a)
+		}
+		used[p.Server]++
+		s.do(Outcome{ID: id, Server: p.Server, Result: Pass, SpentMs: 60, Done: true, Load: Load{Busy: 200 * float64(p.Server)}})
+		s.now += 20
+	}
+	for id := uint64(1); id <= 4; id++ {
+		if used[id] < 10 {
+			t.Errorf("server %d got %d of 100", id, used[id])
+		}
+	}
+}
+
+// A gateway that has been refusing for lack of servers tries them again.
+func TestTriesAgainAfterPressure(t *testing.T) {
+	s := newScript(t, testSettings(), fleet(2)...)
+	for range 50 {
+		id, a := s.submit(Submit{Plan: 3})
+		s.do(Outcome{ID: id, Server: a.(PassOn).Server, Result: Pass, SpentMs: 400, Done: true})
+		s.now += 20
+	}
+	s.submit(Submit{Plan: 3})
+	s.submit(Submit{Plan: 3})
+	if _, c := s.submit(Submit{Plan: 3}); c != nil {
+		if _, ok := c.(Refuse); !ok {
+			t.Fatalf("400 ms an answer, aim 500, one in hand at each server: %#v, want Refuse", c)
+		}
+	}
+	for id := range s.l.requests {
+		r := s.l.requests[id]
+		s.outcome(id, 0, r.attempts[0].server.info.ID, Pass)
+		break
+	}
+	if _, a := s.submit(Submit{Plan: 3}); a != nil {
+		if _, ok := a.(PassOn); !ok {
+			t.Errorf("a server has nothing in hand: %#v, want PassOn", a)
+		}
+	}
+}
+
+// Where many gateways stand before few servers, one request of each at every
+// idle server is too much: servers that were overdriven never recovered.
+func TestManyGatewaysTryLess(t *testing.T) {
+	for balancers, want := range map[int]int{2: 8, 16: 3} {
+		cfg := testSettings()
+		cfg.Balancers = balancers
+		s := newScript(t, cfg, fleet(8)...)
+		for range 50 {
+			id, a := s.submit(Submit{Plan: 3})
+			s.do(Outcome{ID: id, Server: a.(PassOn).Server, Result: Pass, SpentMs: 400, Done: true})
+		}
+		out := 0
+		for range 40 {
+			if _, a := s.submit(Submit{Plan: 3}); a != nil {
+				if _, ok := a.(PassOn); ok {
+					out++
+				}
+			}
+		}
+		if out != want {
+			t.Errorf("%d gateways, 8 slow servers: %d out, want %d", balancers, out, want)
+		}
+	}
+}
+
+// Tries whose remaining time shows that their aim is over are refused and
+// spend nothing; a last try with more time than usual and time to spare passes.
+func TestLateTry(t *testing.T) {
+	s := newScript(t, testSettings(), fleet(4)...)
+	for range 5 {
+		id, a := s.submit(Submit{ExpiresMs: 1000})
+		s.pass(id, a)
+	}
+	before := s.l.customers[0].balance
+	if _, a := s.submit(Submit{ExpiresMs: 1400}); a != (Refuse{ID: "r6", WaitMs: 1000}) {
+		t.Errorf("600 ms after the client began, aim 500: %#v", a)
+	}
+	if s.l.customers[0].balance != before {
+		t.Error("a refused try spent units")
+	}
+	if _, a := s.submit(Submit{ExpiresMs: 1800}); a != nil {
+		if _, ok := a.(PassOn); !ok {
+			t.Errorf("200 ms after the client began: %#v", a)
+		}
+	}
+}
+
+// A server that fails fast is ejected although it looks idle, and is tried
+// again, gently, with requests that may be repeated.
+func TestFailingServerKeptOff(t *testing.T) {
+	s := newScript(t, testSettings(), fleet(4)...)
+	serve := func() (bad int) {
+		id, a := s.submit(Submit{Plan: 3})
+		for try := 0; ; try++ {
+			p, ok := a.(PassOn)
+			if !ok {
+				return bad
+			}
+			r := Pass
+			if p.Server == 1 {
+				r, bad = Fault, bad+1
+			}
+			a = s.outcome(id, try, p.Server, r)
+		}
+	}
+	for range 200 {
+		serve()
+	}
+	bad := 0
+	for range 200 {
+		bad += serve()
+	}
+	if bad != 0 {
+		t.Errorf("a server that failed twice got %d of 200", bad)
+	}
+	s.now += 20000
+	for range 200 {
+		bad += serve()
+	}
+	if bad < illAfter || bad > 2*illAfter {
+		t.Errorf("tried anew it got %d of 200, want a few", bad)
+	}
+}
+
+func TestSilentServerIsProbedAndLeft(t *testing.T) {
+	s := newScript(t, testSettings(), fleet(2)...)
+	ids := map[string]uint64{}
+	for range 4 {
+		id, a := s.submit(Submit{Plan: 3})
+		ids[id] = a.(PassOn).Server
+	}
+	for id, server := range ids {
+		if server == 2 {
+			s.outcome(id, 0, 2, Pass)
+		}
+	}
+	s.now += 600
+	probed := false
+	for _, a := range s.do(Alarm{Handle: "tick"}) {
+		if p, ok := a.(Probe); ok && p.Server == 1 {
+			probed = true
+		}
+	}
+	if !probed {
+		t.Fatal("a server silent for long was not probed")
+	}
+	aborted := 0
+	for _, a := range s.do(Probed{Server: 1, Result: TooSlow}) {
+		if _, ok := a.(AbortAttempt); ok {
+			aborted++
+		}
+	}
+	if aborted == 0 {
+		t.Error("nothing was called off at a server found down")
+	}
+	for range 20 {
+		if id, a := s.submit(Submit{Plan: 3}); a.(PassOn).Server != 2 {
+			t.Fatal("sent to a server that is down")
+		} else {
+			s.pass(id, a)
+		}
+	}
+	s.do(Probed{Server: 1, Result: Pass})
+	if s.l.servers[1].down {
+		t.Error("a server that answers is still held down")
+	}
+}
+
+// Under pressure the request worth least for its work gives way first.
+func TestWorthUnderPressure(t *testing.T) {
+	cfg := testSettings()
+	cfg.Plans[0].Price, cfg.Plans[3].Price = 5, 0.2
+	s := newScript(t, cfg, fleet(2)...)
+	for range 60 {
+		for _, plan := range []int{0, 3} {
+			id, a := s.submit(Submit{Plan: plan, Customer: uint64(s.n)})
+			if p, ok := a.(PassOn); ok {
+				s.do(Outcome{ID: id, Server: p.Server, Result: Pass, SpentMs: 60, Done: true, Load: Load{Busy: -1}})
+			}
+		}
+	}
+	passed := map[int]int{}
+	for i := range 200 {
+		plan := []int{0, 3}[i%2]
+		if _, a := s.submit(Submit{Plan: plan, Customer: uint64(s.n)}); a != nil {
+			if _, ok := a.(PassOn); ok {
+				passed[plan]++
+			}
+		}
+	}
+	if passed[0] <= passed[3] {
+		t.Errorf("dear plan %d, cheap plan %d of 100 each", passed[0], passed[3])
+	}
+}
+
+// Idle customers are forgotten, and come back with a full bucket they earned.
+func TestForgetsIdleCustomers(t *testing.T) {
+	s := newScript(t, testSettings(), fleet(4)...)
+	for c := range 500 {
+		s.admit(1, Submit{Customer: uint64(c)})
+	}
+	s.now += 2 * forgetMs
+	s.do(Alarm{Handle: "tick"})
+	if len(s.l.customers) != 0 || len(s.l.listed) != 0 || len(s.l.requests) != 0 {
+		t.Errorf("%d customers, %d listed, %d requests are still held", len(s.l.customers), len(s.l.listed), len(s.l.requests))
+	}
+	if got := s.admit(40, Submit{Customer: 3}); got != 20 {
+		t.Errorf("a forgotten customer got %d, want its burst of 20", got)
+	}
+}
--- /dev/null
+++ b/property_test.go
@@ -0,0 +1,441 @@
+package silverscale
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+)
+
+// chaos drives several limiters with random legal events and checks the five
+// rules on what they do. It has no notion of load or speed: outcomes, delays,
+// losses, restarts and list changes are drawn blindly.
+type chaos struct {
+	t        *testing.T
+	rng      *rand.Rand
+	now      float64
+	cfg      Settings
+	limiters []*Limiter
+	servers  map[uint64]ServerInfo
+	told     []map[uint64]ServerInfo // what each limiter was last told
+	open     []map[string]*chaosReq
+	timers   []chaosTimer
+	store    []float64              // true store of the ceiling of each customer
+	sends    []map[uint64][]float64 // by gateway and server: when it was sent to
+	ids      int
+	mail     []chaosMail
+	done     int
+}
+
+type chaosReq struct {
+	id       string
+	submit   Submit
+	deadline float64
+	live     map[int]PassOn
+	sent     []PassOn
+	sentAt   []float64
+	ran      []int // attempts that may have run
+	over     bool
+}
+
+type chaosTimer struct {
+	at   float64
+	who  int
+	name string
+	l    *Limiter
+}
+
+type chaosMail struct {
+	to   int
+	at   float64
+	msg  PeerMessage
+	from *Limiter
+}
+
+const chaosGateways = 3
+
+func (c *chaos) start(i int) {
+	cfg := c.cfg
+	cfg.Position = i
+	l, err := New(cfg, c.rng.Uint64())
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	c.limiters[i], c.open[i], c.told[i] = l, map[string]*chaosReq{}, map[uint64]ServerInfo{}
+	c.sends[i] = map[uint64][]float64{}
+	c.tellList(i, Persisted)
+}
+
+func (c *chaos) list() (s []ServerInfo) {
+	for _, info := range c.servers {
+		s = append(s, info)
+	}
+	slices.SortFunc(s, func(a, b ServerInfo) int { return int(a.ID) - int(b.ID) })
+	return s
+}
+
+func (c *chaos) tellList(i int, scope Scope) {
+	if scope != Partial {
+		c.told[i] = map[uint64]ServerInfo{}
+	}
+	for _, s := range c.list() {
+		c.told[i][s.ID] = s
+	}
+	c.event(i, Endpoints{Scope: scope, Servers: c.list()})
+}
+
+func (c *chaos) event(i int, e Event) {
+	for _, a := range c.limiters[i].Handle(c.now, e) {
+		c.action(i, a)
+	}
+}
+
+func (c *chaos) action(i int, a Action) {
+	t := c.t
+	switch a := a.(type) {
+	case PassOn:
+		r := c.open[i][a.ID]
+		if r == nil || r.over {
+			t.Fatalf("sent %s, which is over", a.ID)
+		}
+		info, ok := c.told[i][a.Server]
+		if !ok || info.Phase != Up {
+			t.Fatalf("sent to server %d, which drains, is gone or was never listed", a.Server)
+		}
+		class := c.cfg.Classes[r.submit.Class]
+		if len(r.live) > 0 && !c.cfg.Caps.SecondCopies {
+			t.Fatal("two attempts out at once")
+		}
+		if len(r.sent) >= c.cfg.Caps.Attempts {
+			t.Fatal("more attempts than allowed")
+		}
+		for _, k := range r.ran {
+			before := c.told[i][r.sent[k].Server]
+			switch {
+			case class.Repeat == Unsafe:
+				t.Fatal("an unsafe request that may have run was sent again")
+			case class.Repeat == Keyed && class.Group == GroupCell && before.Cell != info.Cell:
+				t.Fatal("a keyed request left its cell")
+			case class.Repeat == Keyed && c.now >= r.sentAt[k]+class.WindowMs:
+				t.Fatal("a keyed request was sent again after its window")
+			}
+		}
+		if len(r.sent) == 0 {
+			c.spendCeiling(r.submit)
+		}
+		c.sends[i][a.Server] = append(c.sends[i][a.Server], c.now)
+		c.checkCold(i, info)
+		r.live[len(r.sent)] = a
+		r.sent = append(r.sent, a)
+		r.sentAt = append(r.sentAt, c.now)
+	case Refuse:
+		r := c.open[i][a.ID]
+		if r == nil || r.over {
+			return
+		}
+		class := c.cfg.Classes[r.submit.Class]
+		harmless := class.Repeat == Safe || class.Repeat == Keyed && class.Group == GroupAll
+		if !harmless && (len(r.ran) > 0 || len(r.live) > 0) {
+			t.Fatalf("refused a request of class %d that may have run", r.submit.Class)
+		}
+		c.finish(i, r)
+	case Fail:
+		if r := c.open[i][a.ID]; r != nil && !r.over {
+			c.finish(i, r)
+		}
+	case AbortAttempt:
+		if r := c.open[i][a.ID]; r != nil && a.Try >= len(r.sent) {
+			t.Fatal("called off an attempt never made")
+		}
+	case Timer:
+		c.timers = append(c.timers, chaosTimer{a.At, i, a.Handle, c.limiters[i]})
+	case Tell:
+		if len(a.Data) > maxPeerBytes || a.To == i {
+			t.Fatalf("bad message of %d bytes to %d", len(a.Data), a.To)
+		}
+		if c.rng.Float64() < 0.9 {
+			c.mail = append(c.mail, chaosMail{a.To, c.now + 40*c.rng.Float64(), PeerMessage{From: i, Data: a.Data}, nil})
+		}
+	}
+}
+
+// warmth is what rule 4 lets a server of that age be counted for.
+func (c *chaos) warmth(info ServerInfo) float64 {
+	if info.ReadyAt <= 0 {
+		return 1
+	}
+	r := c.cfg.Rules
+	return min(1, r.ColdShare+(1-r.ColdShare)*(c.now-info.ReadyAt)/r.ColdMs)
+}
+
+// checkCold holds a gateway to its part of a cold server's budget: the rule's
+// multiple of its warmth times what the gateway sends to the busiest warm
+// server in the same window, and a few for chance and for works of other sizes.
+func (c *chaos) checkCold(i int, info ServerInfo) {
+	w := c.warmth(info)
+	if w >= 1 {
+		return
+	}
+	since := func(id uint64, from float64) (n float64) {
+		for _, at := range c.sends[i][id] {
+			if at > from {
+				n++
+			}
+		}
+		return n
+	}
+	most := 0.0 // what was sent to a server while it was warm still counts
+	for id := range c.told[i] {
+		if id != info.ID {
+			most = max(most, since(id, c.now-3*c.cfg.Rules.FallMs))
+		}
+	}
+	if n := since(info.ID, max(info.ReadyAt, c.now-c.cfg.Rules.FallMs)); n > 3+c.cfg.Rules.OverloadFactor*w*most {
+		c.t.Fatalf("cold server %d (warmth %.2f) got %g in a window, the busiest warm one %g", info.ID, w, n, most)
+	}
+}
+
+func (c *chaos) finish(i int, r *chaosReq) {
+	r.over = true
+	c.done++
+	if c.now > r.deadline+8 {
+		c.t.Fatalf("%s answered %g ms late", r.id, c.now-r.deadline)
+	}
+}
+
+func (c *chaos) spendCeiling(s Submit) {
+	if c.cfg.Plans[s.Plan].CeilingRate == 0 {
+		return
+	}
+	left := &c.store[s.Customer]
+	if *left -= s.Units; *left < -1e-6 {
+		c.t.Fatalf("the ceiling of customer %d is passed by %g", s.Customer, -*left)
+	}
+}
+
+// answerOne ends one attempt that is out with a drawn result.
+func (c *chaos) answerOne(i int, r *chaosReq, try int, forced Result) {
+	delete(r.live, try)
+	result := forced
+	if result < 0 {
+		result = Result(c.rng.IntN(8))
+	}
+	if !provesUnrun(result) {
+		r.ran = append(r.ran, try)
+	}
+	done := r.over
+	if result == Pass && !r.over {
+		c.finish(i, r)
+		done = true
+	}
+	c.event(i, Outcome{ID: r.id, Try: try, Server: r.sent[try].Server, Result: result,
+		SpentMs: c.now - r.sentAt[try], Done: done, Load: Load{Busy: float64(c.rng.IntN(9) - 1)}})
+}
+
+func (c *chaos) step() {
+	dt := min(4, c.rng.ExpFloat64()*3)
+	c.now += dt
+	for k := range c.store {
+		p := c.cfg.Plans[1]
+		c.store[k] = min(p.CeilingBurst, c.store[k]+dt*p.CeilingRate/1000)
+	}
+	for k := 0; k < len(c.timers); k++ {
+		if tm := c.timers[k]; tm.at <= c.now {
+			c.timers = slices.Delete(c.timers, k, k+1)
+			k--
+			if c.limiters[tm.who] == tm.l {
+				c.event(tm.who, Alarm{Handle: tm.name})
+			}
+		}
+	}
+	for k := 0; k < len(c.mail); k++ {
+		if m := c.mail[k]; m.at <= c.now {
+			c.mail = slices.Delete(c.mail, k, k+1)
+			k--
+			c.event(m.to, m.msg)
+		}
+	}
+	for i := range c.open { // time-outs at the deadline, then random outcomes
+		ids := make([]string, 0, len(c.open[i]))
+		for id := range c.open[i] {
+			ids = append(ids, id)
+		}
+		slices.Sort(ids)
+		for _, id := range ids {
+			r := c.open[i][id]
+			for try := range r.sent {
+				if _, live := r.live[try]; live && c.now >= r.deadline {
+					c.answerOne(i, r, try, TooSlow)
+				} else if live && c.rng.Float64() < 0.05 {
+					c.answerOne(i, r, try, -1)
+				}
+			}
+			if r.over && len(r.live) == 0 {
+				delete(c.open[i], id)
+			} else if !r.over && len(r.live) == 0 {
+				c.t.Fatalf("%s is held with nothing out", id)
+			}
+		}
+	}
+	i := c.rng.IntN(chaosGateways)
+	switch u := c.rng.Float64(); {
+	case u < 0.8:
+		c.ids++
+		plan := c.rng.IntN(len(c.cfg.Plans))
+		s := Submit{ID: fmt.Sprint("q", c.ids), ExpiresMs: 50 + 1950*c.rng.Float64(), Units: float64(1 + c.rng.IntN(4)),
+			Class: c.rng.IntN(len(c.cfg.Classes)), Plan: plan, Customer: uint64(plan + len(c.cfg.Plans)*c.rng.IntN(4)),
+			Spread: chaosGateways}
+		r := &chaosReq{id: s.ID, submit: s, deadline: c.now + s.ExpiresMs, live: map[int]PassOn{}}
+		c.open[i][s.ID] = r
+		c.event(i, s)
+		if len(r.sent) == 0 && !r.over {
+			c.t.Fatalf("%s got no answer", s.ID)
+		}
+	case u < 0.81: // the client leaves
+		for _, id := range firstKey(c.open[i]) {
+			if r := c.open[i][id]; !r.over {
+				r.over = true
+				c.event(i, Aborted{ID: id})
+			}
+		}
+	case u < 0.815: // the gateway dies and comes back with its last list
+		c.start(i)
+	case u < 0.83: // a server drains, goes, restarts or comes
+		id := uint64(1 + c.rng.IntN(8))
+		info := c.servers[id]
+		info.Phase = Phase(c.rng.IntN(3))
+		if c.rng.Float64() < 0.5 {
+			info.Phase, info.ReadyAt = Up, c.now
+		}
+		c.servers[id] = info
+		for k := range c.limiters {
+			c.tellList(k, Scope(c.rng.IntN(2)))
+		}
+	case u < 0.85:
+		c.event(i, Probed{Server: uint64(1 + c.rng.IntN(9)), Result: Result(c.rng.IntN(8))})
+	case u < 0.86:
+		c.event(i, PeerMessage{From: c.rng.IntN(4), Data: []byte{peerMagic, peerVersion, byte(c.rng.IntN(9)), 1, 2, 3, 4, 5, 6, 7}})
+	}
+}
+
+func firstKey(m map[string]*chaosReq) []string {
+	var ids []string
+	for id := range m {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids[:min(1, len(ids))]
+}
+
+func TestRulesUnderRandomEvents(t *testing.T) {
+	for seed := range uint64(12) {
+		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) {
+			cfg := testSettings()
+			cfg.Balancers = chaosGateways
+			c := &chaos{t: t, rng: rand.New(rand.NewPCG(seed, 1)), now: 1e6 * float64(seed), cfg: cfg,
+				limiters: make([]*Limiter, chaosGateways), told: make([]map[uint64]ServerInfo, chaosGateways),
+				open: make([]map[string]*chaosReq, chaosGateways), servers: map[uint64]ServerInfo{},
+				store: make([]float64, 64), sends: make([]map[uint64][]float64, chaosGateways)}
+			for k := range c.store {
+				c.store[k] = cfg.Plans[1].CeilingBurst
+			}
+			for id := uint64(1); id <= 8; id++ {
+				c.servers[id] = ServerInfo{ID: id, Cell: int(id % 2), Zone: int(id % 2)}
+			}
+			for i := range c.limiters {
+				c.start(i)
+			}
+			for range 6000 {
+				c.step()
+			}
+			if c.done < 3000 {
+				t.Errorf("only %d requests were answered", c.done)
+			}
+		})
+	}
+}
+
+// Equal seeds and equal events give equal actions.
+func TestDeterministic(t *testing.T) {
+	run := func() string {
+		l, err := New(testSettings(), 3)
+		if err != nil {
+			t.Fatal(err)
+		}
+		rng := rand.New(rand.NewPCG(5, 5))
+		out := fmt.Sprint(l.Handle(1, Endpoints{Scope: Persisted, Servers: fleet(9)}))
+		for n := range 3000 {
+			now := float64(n * 3)
+			out += fmt.Sprint(l.Handle(now, Submit{ID: fmt.Sprint(n), ExpiresMs: 900, Units: 1, Plan: rng.IntN(4),
+				Class: rng.IntN(4), Customer: uint64(rng.IntN(30)), Spread: 2}))
+			out += fmt.Sprint(l.Handle(now, Outcome{ID: fmt.Sprint(rng.IntN(n + 1)), Result: Result(rng.IntN(8)), SpentMs: 30}))
+			out += fmt.Sprint(l.Handle(now, Alarm{Handle: "tick"}), l.Handle(now, Probed{Server: 3, Result: TooSlow}))
+		}
+		return out
+	}
+	if run() != run() {
+		t.Error("two runs differ")
+	}
+}
+
+func FuzzDecodePeer(f *testing.F) {
+	m := peerMsg{flags: allFlags, mark: 9, seq: 300, ageMs: 70000, entries: []peerEntry{{customer: 1 << 32, plan: 2, spread: 3, spent: 77, fresh: 4, level: -5, out: 3}, {customer: 4, spread: 1, level: 9}}}
+	data, _ := m.encode()
+	f.Add(data)
+	f.Add([]byte{peerMagic, peerVersion, 0})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		m, ok := decodePeer(b)
+		if !ok {
+			return
+		}
+		again, n := m.encode()
+		if n != len(m.entries) {
+			return // a wasteful encoding of more entries than fit
+		}
+		m2, ok := decodePeer(again)
+		if !ok || fmt.Sprint(m) != fmt.Sprint(m2) {
+			t.Errorf("%v became %v", m, m2)
+		}
+		l, err := New(testSettings(), 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		l.Handle(1, PeerMessage{From: 1, Data: b})
+	})
+}
+
+// FuzzEvents reads bytes as a script of events; nothing may panic.
+func FuzzEvents(f *testing.F) {
+	f.Add([]byte("a script of any bytes whatever, long enough for a few events"))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		l, err := New(testSettings(), 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		now := 0.0
+		l.Handle(now, Endpoints{Servers: fleet(3)})
+		for len(b) >= 4 {
+			k, x, y, z := b[0], int(int8(b[1])), int(b[2]), b[3]
+			b = b[4:]
+			now += float64(z)
+			id := fmt.Sprint(y % 8)
+			switch k % 9 {
+			case 0, 1:
+				l.Handle(now, Submit{ID: id, ExpiresMs: float64(x * 10), Units: float64(x), Class: y % 5, Plan: int(z) % 5,
+					Customer: uint64(y), Spread: x, First: x})
+			case 2, 3:
+				l.Handle(now, Outcome{ID: id, Try: x % 4, Server: uint64(y), Result: Result(z % 9), SpentMs: float64(x), Done: y%2 == 0})
+			case 4:
+				l.Handle(now, Aborted{ID: id})
+			case 5:
+				l.Handle(now, Alarm{Handle: "tick"})
+			case 6:
+				l.Handle(now, Probed{Server: uint64(y % 4), Result: Result(z % 8)})
+			case 7:
+				l.Handle(now, Endpoints{Scope: Scope(y % 4), Servers: []ServerInfo{{ID: uint64(x & 3), Phase: Phase(z % 3), ReadyAt: float64(y)}}})
+			case 8:
+				l.Handle(now, PeerMessage{From: x, Data: b})
+			}
+		}
+	})
+}
--- /dev/null
+++ b/scale_test.go
@@ -0,0 +1,384 @@
+package silverscale
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+)
+
+// crowd is a number of limiters that see nothing of each other but messages.
+type crowd struct {
+	t        testing.TB
+	now      float64
+	limiters []*Limiter
+	ids      int
+	sent     map[uint64]int // by server
+	lose     func(from, to int) bool
+	tick     bool
+}
+
+func newCrowd(t testing.TB, cfg Settings, n int, servers []ServerInfo) *crowd {
+	t.Helper()
+	c := &crowd{t: t, now: 1e6, sent: map[uint64]int{}, lose: func(int, int) bool { return false }}
+	cfg.Balancers = n
+	for i := range n {
+		cfg.Position = i
+		l, err := New(cfg, uint64(i)+9)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.limiters = append(c.limiters, l)
+		c.event(i, Endpoints{Scope: Persisted, Servers: servers})
+	}
+	return c
+}
+
+// event hands an event in, serves what is passed on at once, delivers messages
+// at once, and returns whether the event's request was passed on.
+func (c *crowd) event(i int, e Event) (passed bool) {
+	for _, a := range append([]Action(nil), c.limiters[i].Handle(c.now, e)...) {
+		switch a := a.(type) {
+		case PassOn:
+			passed = true
+			c.sent[a.Server]++
+			c.event(i, Outcome{ID: a.ID, Server: a.Server, Result: Pass, SpentMs: 20, Done: true})
+		case Tell:
+			if !c.lose(i, a.To) {
+				c.event(a.To, PeerMessage{From: i, Data: a.Data})
+			}
+		}
+	}
+	return passed
+}
+
+func (c *crowd) submit(i int, e Submit) bool {
+	c.ids++
+	e.ID, e.ExpiresMs = fmt.Sprint("c", c.ids), 1500
+	e.Units = max(1, e.Units)
+	return c.event(i, e)
+}
+
+func (c *crowd) ticks(ms float64) {
+	for end := c.now + ms; c.now < end; {
+		c.now += tickMs
+		for i := range c.limiters {
+			c.event(i, Alarm{Handle: "tick"})
+		}
+	}
+}
+
+// A customer of a hundred gateways: each sees one request in a while, and all
+// together pass its quota, not a burst each. Fails without keepers.
+func TestLargeSetHoldsQuota(t *testing.T) {
+	const n = 100
+	cfg := testSettings()
+	cfg.PeerInPerS = 20
+	c := newCrowd(t, cfg, n, fleet(4))
+	c.ticks(6000) // bursts are whole by now
+	passed, rng := 0, rand.New(rand.NewPCG(1, 1))
+	for range 200 { // ten seconds of 40 units a second on a rate of 10
+		for range 2 {
+			if c.submit(rng.IntN(n), Submit{Customer: 5, Spread: n}) {
+				passed++
+			}
+		}
+		c.ticks(tickMs)
+	}
+	if fair := 20 + 10*10; passed < fair*6/10 || passed > fair*13/10 {
+		t.Errorf("%d passed in ten seconds, the quota has %d", passed, fair)
+	}
+}
+
+// The stand-in takes over when the first keeper is gone.
+func TestStandInKeeper(t *testing.T) {
+	const n = 40
+	cfg := testSettings()
+	cfg.PeerInPerS = 100
+	c := newCrowd(t, cfg, n, fleet(4))
+	gone := -1
+	c.lose = func(from, to int) bool { return from == gone || to == gone }
+	c.submit(0, Submit{Customer: 5, Spread: n})
+	gone = c.limiters[0].customers[5].tells[0]
+	c.ticks(6000)
+	passed := 0
+	for k := range 200 {
+		if i := k % n; i != gone && c.submit(i, Submit{Customer: 5, Spread: n}) {
+			passed++
+		}
+		c.ticks(tickMs)
+	}
+	if passed > 20+130 {
+		t.Errorf("%d passed without the first keeper, the quota has 120", passed)
+	}
+}
+
+// A level told twice, late or by one who is no keeper of the customer.
+func TestToldLevels(t *testing.T) {
+	cfg := testSettings()
+	cfg.Balancers = 40
+	s := newScript(t, cfg, fleet(4)...)
+	s.now += 6000
+	s.submit(Submit{Customer: 5, Spread: 40})
+	c := s.l.customers[5]
+	news := func(from int, level float64) PeerMessage {
+		m := peerMsg{flags: flagNews, entries: []peerEntry{{customer: 5, level: int64(level * unitScale)}}}
+		data, _ := m.encode()
+		return PeerMessage{From: from, Data: data}
+	}
+	stranger := 1
+	for stranger == c.tells[0] || stranger == c.tells[1] {
+		stranger++
+	}
+	before := c.balance
+	s.do(news(stranger, -50))
+	if c.balance != before {
+		t.Error("a level from a gateway that is no keeper counted")
+	}
+	s.now += 500 // what passed here is in the keeper's level by now
+	for range 2 {
+		s.do(news(c.tells[0], 3))
+		if c.balance != 3 {
+			t.Errorf("told a level of 3, the balance is %g", c.balance)
+		}
+	}
+}
+
+// Cold servers: the parts of any number of independent gateways add up to less
+// than the rule allows. Found in the code: one request a window from each gateway
+// was nothing for three gateways and far too much for hundreds.
+func TestColdPartsAddUp(t *testing.T) {
+	for _, n := range []int{1, 3, 40, 300} {
+		cfg := testSettings()
+		cfg.Caps.Peers = false
+		f := fleet(10)
+		f[0].ReadyAt = 1e6
+		c := newCrowd(t, cfg, n, f)
+		rng := rand.New(rand.NewPCG(2, 2))
+		for range 2000 { // ten seconds at 200 requests a second over all gateways
+			i := rng.IntN(n)
+			c.submit(i, Submit{Plan: 3, Customer: rng.Uint64N(99), Spread: n})
+			l := c.limiters[i] // it takes whatever part it has, as if no other server were better
+			for s := l.servers[1]; l.coldRoom(c.now, s); s.cold-- {
+				c.sent[1]++
+			}
+			c.now += 5
+		}
+		warm := 0
+		for id, k := range c.sent {
+			if id != 1 {
+				warm += k
+			}
+		}
+		// Mean warmth over the ten seconds is 0.6; the rule allows twice that.
+		if mean := float64(warm) / 9; float64(c.sent[1]) > 0.7*mean+3 {
+			t.Errorf("%d gateways sent the cold server %d, a warm one %.0f", n, c.sent[1], mean)
+		}
+	}
+}
+
+// A restarted fleet with none but cold servers sends few, however many gateways.
+func TestAllCold(t *testing.T) {
+	for _, n := range []int{3, 300} {
+		cfg := testSettings()
+		cfg.Caps.Peers = false
+		c := newCrowd(t, cfg, n, []ServerInfo{{ID: 1, ReadyAt: 1e6}})
+		for k := range 2000 {
+			c.submit(k%n, Submit{Plan: 3, Customer: uint64(k), Spread: n})
+			c.now += 0.5
+		}
+		if c.sent[1] == 0 || c.sent[1] > 40 {
+			t.Errorf("%d gateways sent a cold server %d in its first second", n, c.sent[1])
+		}
+	}
+}
+
+// The shares of a ceiling of hundreds of gateways that hear nothing of each
+// other, with restarts, never add up to more than the ceiling.
+func TestCeilingPartsAddUp(t *testing.T) {
+	const n = 300
+	cfg := testSettings()
+	cfg.Plans[1] = Plan{Rate: 1e6, Burst: 1e6, CeilingRate: 400, CeilingBurst: 900, Price: 1}
+	c := newCrowd(t, cfg, n, fleet(4))
+	c.lose = func(int, int) bool { return true }
+	rng := rand.New(rand.NewPCG(3, 3))
+	c.now += 10000
+	store := 900.0
+	for range 8000 {
+		c.now++
+		store = min(900, store+0.4)
+		i := rng.IntN(n)
+		if c.submit(i, Submit{Plan: 1, Customer: 1, Spread: n}) {
+			store--
+		}
+		if store < 0 {
+			t.Fatal("the ceiling is passed")
+		}
+		if rng.IntN(200) == 0 {
+			cfg.Balancers, cfg.Position = n, i
+			l, err := New(cfg, rng.Uint64())
+			if err != nil {
+				t.Fatal(err)
+			}
+			c.limiters[i] = l
+			c.event(i, Endpoints{Scope: Persisted, Servers: fleet(4)})
+		}
+	}
+}
+
+// A server that fails one class only is kept off for that class; peers are told.
+func TestOneClassFails(t *testing.T) {
+	s := newScript(t, testSettings(), fleet(4)...)
+	hints := 0
+	for range 40 {
+		s.now += 100
+		id, a := s.submit(Submit{Plan: 3})
+		p, ok := a.(PassOn)
+		if !ok {
+			continue
+		}
+		if p.Server != 1 {
+			s.outcome(id, 0, p.Server, Pass)
+			continue
+		}
+		for _, b := range s.do(Outcome{ID: id, Server: 1, Result: TooSlow, SpentMs: 900}) {
+			if tell, ok := b.(Tell); ok {
+				if m, ok := decodePeer(tell.Data); ok && m.flags&flagIll != 0 {
+					hints++
+				}
+			} else if q, ok := b.(PassOn); ok {
+				s.outcome(id, 1, q.Server, Pass)
+			}
+		}
+	}
+	if srv := s.l.servers[1]; srv.ills[0].to <= s.now || srv.ills[1].to > s.now {
+		t.Errorf("class 0 fails at server 1: kept off to %v at %v", srv.ills, s.now)
+	}
+	if hints == 0 {
+		t.Error("the peer got no hint")
+	}
+}
+
+// Hints of all gateways together stay within what each takes in, however many
+// gateways and failures. Found as two incidents in which they were nine tenths of
+// all messages. Fails if each gateway may hint as it likes.
+func TestHintsStayFew(t *testing.T) {
+	for _, n := range []int{20, 300} {
+		cfg := testSettings()
+		cfg.Balancers = n
+		told := 0
+		for i := range n {
+			cfg.Position = i
+			l, err := New(cfg, uint64(i))
+			if err != nil {
+				t.Fatal(err)
+			}
+			l.Handle(0, Endpoints{Scope: Persisted, Servers: fleet(9)})
+			for k := range 40 { // two seconds, every fifth answer fails
+				now, id := float64(50*k), fmt.Sprint(k)
+				for _, a := range l.Handle(now, Submit{ID: id, ExpiresMs: 900, Units: 1, Plan: 3, Class: 2, Spread: 1}) {
+					if p, ok := a.(PassOn); ok {
+						o := Outcome{ID: id, Server: p.Server, SpentMs: 20, Result: Pass, Done: true}
+						if k%5 == 0 {
+							o.Result, o.Done = Fault, false
+						}
+						for _, b := range l.Handle(now, o) {
+							if _, ok := b.(Tell); ok {
+								told++
+							}
+						}
+					}
+				}
+			}
+		}
+		// Each takes in 40 a second, of which hintShare are hints, for two seconds.
+		if each := float64(told) / float64(n); each < 1 || each > 1.5*2*40*hintShare {
+			t.Errorf("%d gateways: each got %.0f hints in two seconds", n, each)
+		}
+	}
+}
+
+// Hints about servers or classes that the own list and settings do not name
+// change nothing; two sound ones keep a server off.
+func TestHints(t *testing.T) {
+	s := newScript(t, testSettings(), fleet(4)...)
+	hint := func(server, class uint64) {
+		m := peerMsg{flags: flagNews | flagIll, entries: []peerEntry{{customer: server, plan: class}}}
+		data, _ := m.encode()
+		s.do(PeerMessage{From: 1, Data: data})
+	}
+	for range 2 {
+		hint(99, 0)
+		hint(2, 99)
+	}
+	if len(s.l.servers) != 4 || s.l.servers[2].ills[0].n != 0 {
+		t.Error("an unsound hint counted")
+	}
+	for range 2 {
+		hint(2, 0)
+	}
+	for range 40 {
+		if id, a := s.submit(Submit{Plan: 3}); a.(PassOn).Server == 2 {
+			t.Fatal("sent to a server that peers say fails")
+		} else {
+			s.pass(id, a)
+		}
+	}
+}
+
+// A gateway that stood still learns nothing against servers from what was out.
+func TestStoodStill(t *testing.T) {
+	s := newScript(t, testSettings(), fleet(2)...)
+	for range 30 {
+		id, a := s.submit(Submit{Plan: 3})
+		s.pass(id, a)
+		s.now += 20
+	}
+	var ids []string
+	var to []uint64
+	for range 6 {
+		id, a := s.submit(Submit{Plan: 3})
+		ids, to = append(ids, id), append(to, a.(PassOn).Server)
+	}
+	work := s.l.work[0]
+	s.now += 1600
+	for k, id := range ids {
+		s.do(Outcome{ID: id, Server: to[k], Result: TooSlow, SpentMs: 1600})
+	}
+	if s.l.work[0] != work || s.l.servers[1].ills[0].n+s.l.servers[2].ills[0].n > 0 {
+		t.Error("the gateway's own pause counted against servers")
+	}
+}
+
+// What a customer costs does not grow with gateways that never touched it.
+func TestCustomerCost(t *testing.T) {
+	cfg := testSettings()
+	cfg.Balancers = 470
+	s := newScript(t, cfg, fleet(4)...)
+	s.submit(Submit{Customer: 5, Spread: 200})
+	s.do(Alarm{Handle: "tick"})
+	if n := len(s.l.customers[5].views); n > keepers {
+		t.Errorf("a customer of 200 gateways has %d records of peers, want %d", n, keepers)
+	}
+}
+
+// BenchmarkHandle serves requests at a gateway of 470 with 90 servers.
+func BenchmarkHandle(b *testing.B) {
+	cfg := testSettings()
+	cfg.Balancers, cfg.PeerInPerS = 470, 40
+	l, err := New(cfg, 1)
+	if err != nil {
+		b.Fatal(err)
+	}
+	l.Handle(0, Endpoints{Scope: Persisted, Servers: fleet(90)})
+	for k := range b.N {
+		now := 10000 + float64(k)*300
+		id := fmt.Sprint(k)
+		for _, a := range l.Handle(now, Submit{ID: id, ExpiresMs: 900, Units: 1, Customer: uint64(k % 300), Spread: 100}) {
+			if p, ok := a.(PassOn); ok {
+				l.Handle(now+20, Outcome{ID: id, Server: p.Server, Result: Pass, SpentMs: 20, Done: true})
+				break
+			}
+		}
+		l.Handle(now+50, Alarm{Handle: "tick"})
+	}
+}
