--- /dev/null
+++ b/cmd/madderdrum/main.go
@@ -0,0 +1,48 @@
+// Command madderdrum is one rate limiter. It is told all it needs by the
+// environment; see the README.
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+
+	"example.org/silverscale/internal/node"
+)
+
+const (
+	memoryShare = 0.6 // of the limit: the heap's soft bound
+	gcPercent   = 400 // the heap is small: collecting seldom costs little memory
+)
+
+func main() {
+	if err := run(); err != nil {
+		fmt.Fprintln(os.Stderr, "madderdrum:", err)
+		os.Exit(1)
+	}
+}
+
+func run() error {
+	cfg, err := node.LoadConfig(os.Getenv)
+	if err != nil {
+		return err
+	}
+	runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.Limits.Cores))))
+	debug.SetGCPercent(gcPercent)
+	if cfg.Limits.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(cfg.Limits.MemoryMB<<20)))
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	n, err := node.New(cfg, slog.New(slog.NewTextHandler(os.Stderr, nil)).With("limiter", cfg.Name))
+	if err != nil {
+		return err
+	}
+	return n.Run(ctx)
+}
--- /dev/null
+++ b/internal/node/config.go
@@ -0,0 +1,221 @@
+// Package node is the real limiter: it connects the decision module, which
+// does no input or output, to clients, servers, discovery and peers on
+// sockets.
+package node
+
+import (
+	"bytes"
+	"cmp"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"example.org/silverscale"
+	"example.org/silverscale/internal/wire"
+)
+
+// Config is what a limiter is told at its start.
+type Config struct {
+	Name       string
+	Listen     string // where clients connect
+	Discovery  string
+	Seed       uint64
+	Limits     Limits
+	PeerListen string // empty: no talk with peers
+	Peers      []netip.AddrPort
+	PeersAll   netip.AddrPort // reaches every peer at once
+	Known      serverList     // as last held, perhaps stale
+	Settings   Settings
+}
+
+// Limits are those of the limiter's machine; 0 is no limit.
+type Limits struct {
+	Cores    float64 `json:"cores"`
+	MemoryMB int64   `json:"memory_mb"`
+	Sockets  int     `json:"sockets"`
+}
+
+// Settings are those of the deployment: the module's, and what the sockets need.
+type Settings struct {
+	Module      silverscale.Settings
+	ClassNames  map[string]int
+	PlanNames   map[string]int
+	Zones       []string
+	ConnIdle    time.Duration // a server closes a connection that is idle this long
+	ConnTimeout time.Duration
+	MaxOpen     int           // requests in hand; 0: no limit
+	Longest     time.Duration // the longest deadline of a class
+}
+
+// defaultConnTimeout and defaultConnIdle hold where the settings name none.
+const (
+	defaultConnTimeout = 250 * time.Millisecond
+	defaultConnIdle    = 30 * time.Second
+)
+
+// file is the layout of the configuration file.
+type file struct {
+	Name       string          `json:"name"`
+	Listen     string          `json:"listen"`
+	Discovery  string          `json:"discovery"`
+	Seed       string          `json:"seed"`
+	Limits     Limits          `json:"limits"`
+	PeerListen string          `json:"peer_listen"`
+	Peers      []string        `json:"peers"`
+	PeersAll   string          `json:"peers_all"`
+	Known      serverList      `json:"known"`
+	Settings   json.RawMessage `json:"settings"`
+}
+
+// LoadConfig reads the file that NODE_CONFIG names. NODE_NAME, NODE_LISTEN and
+// NODE_DISCOVERY, where set, go before what the file says.
+func LoadConfig(getenv func(string) string) (*Config, error) {
+	path := getenv("NODE_CONFIG")
+	if path == "" {
+		return nil, errors.New("NODE_CONFIG is not set")
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("reading NODE_CONFIG: %w", err)
+	}
+	var f file
+	if err := json.Unmarshal(data, &f); err != nil {
+		return nil, fmt.Errorf("NODE_CONFIG %s: %w", path, err)
+	}
+	f.Name = cmp.Or(getenv("NODE_NAME"), f.Name)
+	f.Listen = cmp.Or(getenv("NODE_LISTEN"), f.Listen)
+	f.Discovery = cmp.Or(getenv("NODE_DISCOVERY"), f.Discovery)
+	c, err := f.config()
+	if err != nil {
+		return nil, fmt.Errorf("NODE_CONFIG %s: %w", path, err)
+	}
+	return c, nil
+}
+
+// config checks the file's values.
+func (f *file) config() (*Config, error) {
+	c := &Config{Name: f.Name, Limits: f.Limits, Known: f.Known}
+	for _, a := range []struct {
+		name, from string
+		to         *string
+	}{{"listen", f.Listen, &c.Listen}, {"discovery", f.Discovery, &c.Discovery}} {
+		if _, err := netip.ParseAddrPort(a.from); err != nil {
+			return nil, fmt.Errorf("%s: %w", a.name, err)
+		}
+		*a.to = a.from
+	}
+	var err error
+	if c.Seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
+		return nil, fmt.Errorf("seed: %w", err)
+	}
+	if l := f.Limits; l.Cores < 0 || l.MemoryMB < 0 || l.Sockets < 0 || l.Sockets > 0 && l.Sockets < leastSockets {
+		return nil, fmt.Errorf("limits: %+v can't hold a limiter", l)
+	}
+	if c.Settings, err = parseSettings(f.Settings); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	m := &c.Settings.Module
+	if m.Caps.Peers = m.Caps.Peers && f.PeerListen != ""; !m.Caps.Peers {
+		return c, nil
+	}
+	if len(f.Peers) != m.Balancers {
+		return nil, fmt.Errorf("peers: %d addresses for %d limiters", len(f.Peers), m.Balancers)
+	}
+	if _, err := netip.ParseAddrPort(f.PeerListen); err != nil {
+		return nil, fmt.Errorf("peer_listen: %w", err)
+	}
+	c.PeerListen = f.PeerListen
+	for i, p := range f.Peers {
+		a, err := netip.ParseAddrPort(p)
+		if err != nil {
+			return nil, fmt.Errorf("peers.%d: %w", i, err)
+		}
+		c.Peers = append(c.Peers, a)
+	}
+	if f.PeersAll != "" {
+		if c.PeersAll, err = netip.ParseAddrPort(f.PeersAll); err != nil {
+			return nil, fmt.Errorf("peers_all: %w", err)
+		}
+	}
+	return c, nil
+}
+
+// parseSettings reads the settings object through the parser of the
+// simulator's wire, so that both hosts read the same names the same way.
+func parseSettings(data json.RawMessage) (s Settings, err error) {
+	d := json.NewDecoder(bytes.NewReader(data))
+	d.UseNumber()
+	var object map[string]any
+	if err := d.Decode(&object); err != nil {
+		return s, err
+	}
+	values := map[string]string{}
+	flatten("", object, values)
+	p := wire.NewPairs(values)
+	if s.Module, err = p.Settings(); err != nil {
+		return s, err
+	}
+	if s.ClassNames, err = names(p, "request_classes"); err != nil {
+		return s, err
+	}
+	if s.PlanNames, err = names(p, "packages"); err != nil {
+		return s, err
+	}
+	s.Zones = strings.Split(p.Text("failure_domains"), ",")
+	s.ConnIdle = cmp.Or(millis(p.Number("caps.conn_idle_ms")), defaultConnIdle)
+	s.ConnTimeout = cmp.Or(millis(s.Module.Caps.ConnectMs), defaultConnTimeout)
+	s.MaxOpen = p.Integer("caps.max_open")
+	for _, c := range s.Module.Classes {
+		s.Longest = max(s.Longest, millis(c.DeadlineMs))
+	}
+	return s, p.Err()
+}
+
+// names maps the names of a list of settings to their places.
+func names(p *wire.Pairs, list string) (map[string]int, error) {
+	m := map[string]int{}
+	for i := range p.Count(list) {
+		name := p.Text(fmt.Sprintf("%s.%d.name", list, i))
+		if _, ok := m[name]; ok || name == "" {
+			return nil, fmt.Errorf("%s.%d.name: %q is empty or not the only one", list, i, name)
+		}
+		m[name] = i
+	}
+	return m, nil
+}
+
+// flatten writes nested settings as path=value: lists of plain values joined
+// with commas, lists of objects with their length under .count.
+func flatten(path string, v any, out map[string]string) {
+	switch v := v.(type) {
+	case map[string]any:
+		for name, item := range v {
+			if path != "" {
+				name = path + "." + name
+			}
+			flatten(name, item, out)
+		}
+	case []any:
+		var plain []string
+		for i, item := range v {
+			if _, ok := item.(map[string]any); ok {
+				flatten(path+"."+strconv.Itoa(i), item, out)
+			} else {
+				plain = append(plain, fmt.Sprint(item))
+			}
+		}
+		out[path] = strings.Join(plain, ",")
+		out[path+".count"] = strconv.Itoa(len(v))
+	case nil:
+	default:
+		out[path] = fmt.Sprint(v)
+	}
+}
+
+// millis turns the settings' milliseconds into a duration.
+func millis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
--- /dev/null
+++ b/internal/node/discovery.go
@@ -0,0 +1,197 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"net/http"
+	"net/netip"
+	"slices"
+	"time"
+
+	"example.org/silverscale"
+)
+
+const (
+	watchWait   = 20 * time.Second // how long discovery may hold a watch
+	watchSlack  = 2 * time.Second  // and how much later its answer is given up
+	retryFirst  = 50 * time.Millisecond
+	retryMost   = time.Second
+	maxListSize = 4 << 20
+	// An answer without news before its time is followed by the next call after
+	// this pause: short of the 200 ms after which a watch is over, but no spinning.
+	idlePause = 50 * time.Millisecond
+)
+
+// serverList is an answer of discovery.
+type serverList struct {
+	Seq   int64        `json:"seq"`
+	Whole bool         `json:"whole"`
+	Hosts []serverItem `json:"hosts"`
+}
+
+// serverItem is one server in an answer of discovery.
+type serverItem struct {
+	Host   string  `json:"host"`
+	Dial   string  `json:"dial"`
+	Site   string  `json:"site"`
+	Block  int     `json:"block"`
+	Health string  `json:"health"`
+	Share  float64 `json:"share"`
+	BornMs float64 `json:"born_ms"`
+}
+
+// UnmarshalJSON drops an entry that is no entry instead of the whole list with it.
+func (l *serverList) UnmarshalJSON(data []byte) error {
+	var raw struct {
+		Seq   int64             `json:"seq"`
+		Whole bool              `json:"whole"`
+		Hosts []json.RawMessage `json:"hosts"`
+	}
+	if err := json.Unmarshal(data, &raw); err != nil {
+		return err
+	}
+	l.Seq, l.Whole, l.Hosts = raw.Seq, raw.Whole, nil
+	for _, h := range raw.Hosts {
+		var item serverItem
+		if json.Unmarshal(h, &item) != nil {
+			item = serverItem{} // has no name: take drops and logs it
+		}
+		l.Hosts = append(l.Hosts, item)
+	}
+	return nil
+}
+
+var phases = map[string]silverscale.Phase{
+	"ready": silverscale.Up, "draining": silverscale.Draining, "gone": silverscale.Removed,
+}
+
+// serverID is the module's number of a server. Limiters name servers to each
+// other by it, so it depends on the name alone.
+func serverID(host string) uint64 {
+	h := fnv.New64a()
+	io.WriteString(h, host)
+	return h.Sum64()
+}
+
+// info checks an entry and translates it for the module.
+func (i serverItem) info(zones []string) (silverscale.ServerInfo, error) {
+	phase, ok := phases[i.Health]
+	switch {
+	case i.Host == "":
+		return silverscale.ServerInfo{}, errors.New("an entry without a host")
+	case !ok:
+		return silverscale.ServerInfo{}, fmt.Errorf("host %q: health %q", i.Host, i.Health)
+	case i.BornMs < 0 || i.Share < 0:
+		return silverscale.ServerInfo{}, fmt.Errorf("host %q: a number below 0", i.Host)
+	}
+	zone := slices.Index(zones, i.Site)
+	if phase != silverscale.Removed { // of what is gone only the name matters
+		if _, err := netip.ParseAddrPort(i.Dial); err != nil {
+			return silverscale.ServerInfo{}, fmt.Errorf("host %q: dial: %w", i.Host, err)
+		}
+		if zone < 0 {
+			return silverscale.ServerInfo{}, fmt.Errorf("host %q: unknown site %q", i.Host, i.Site)
+		}
+	}
+	return silverscale.ServerInfo{ID: serverID(i.Host), Zone: zone, Cell: i.Block, ReadyAt: i.BornMs,
+		Phase: phase, Weight: i.Share}, nil
+}
+
+// take hands a list to the pool and the module.
+func (n *Node) take(scope silverscale.Scope, l serverList) {
+	ev := silverscale.Endpoints{Scope: scope}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	listed := map[uint64]bool{}
+	for _, item := range l.Hosts {
+		info, err := item.info(n.cfg.Settings.Zones)
+		if err == nil && listed[info.ID] {
+			err = fmt.Errorf("host %q is listed twice", item.Host)
+		}
+		if err != nil {
+			n.badInput.warn("dropped a list entry", "err", err)
+			continue
+		}
+		listed[info.ID] = true
+		n.servers.update(info, item.Dial)
+		ev.Servers = append(ev.Servers, info)
+	}
+	if scope != silverscale.Partial {
+		n.servers.keepOnly(listed)
+	}
+	n.listed = n.listed || len(listed) > 0
+	n.handle(ev)
+}
+
+// watch follows discovery until the context ends. What is known stays in use
+// while discovery is silent, down or talks nonsense.
+func (n *Node) watch(ctx context.Context) {
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, MaxConnsPerHost: 2,
+		IdleConnTimeout: time.Minute}}
+	defer client.CloseIdleConnections()
+	seq, have, pause := n.cfg.Known.Seq, len(n.cfg.Known.Hosts) > 0, retryFirst
+	for ctx.Err() == nil {
+		path := "/v1/servers"
+		if have {
+			path = fmt.Sprintf("/v1/servers?index=%d&wait=%d", seq, watchWait.Milliseconds())
+		}
+		asked := time.Now()
+		l, err := ask(ctx, client, "http://"+n.cfg.Discovery+path)
+		switch {
+		case ctx.Err() != nil:
+			return
+		case err != nil:
+			n.discoveryLog.warn("discovery does not answer", "err", err)
+			sleep(ctx, pause)
+			pause = min(2*pause, retryMost)
+			continue
+		}
+		pause = retryFirst
+		if l.Whole {
+			n.take(silverscale.Complete, l)
+		} else if len(l.Hosts) > 0 {
+			n.take(silverscale.Partial, l)
+		}
+		if l.Seq == seq && have && time.Since(asked) < idlePause {
+			sleep(ctx, idlePause)
+		}
+		seq, have = l.Seq, true
+	}
+}
+
+// ask makes one call to discovery.
+func ask(ctx context.Context, client *http.Client, url string) (l serverList, err error) {
+	ctx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return l, err
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return l, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return l, fmt.Errorf("status %s", resp.Status)
+	}
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxListSize)).Decode(&l); err != nil {
+		return l, fmt.Errorf("reading the list: %w", err)
+	}
+	io.Copy(io.Discard, io.LimitReader(resp.Body, 1<<10)) // to the end, so that the connection is kept
+	return l, nil
+}
+
+// sleep waits, or until the context ends.
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/internal/node/log.go
@@ -0,0 +1,50 @@
+package node
+
+import (
+	"log/slog"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Of one kind of trouble logBurst lines are written in each logEvery.
+const (
+	logEvery = 10 * time.Second
+	logBurst = 5
+)
+
+// boundedLog writes warnings at a bounded rate, so that bad input can't fill
+// the log. What it leaves out is counted in the next line.
+type boundedLog struct {
+	to *slog.Logger
+
+	mu      sync.Mutex
+	since   time.Time
+	written int
+	left    int
+}
+
+func (b *boundedLog) warn(msg string, args ...any) {
+	b.mu.Lock()
+	if now := time.Now(); now.Sub(b.since) > logEvery {
+		b.since, b.written = now, 0
+	}
+	if b.written >= logBurst {
+		b.left++
+		b.mu.Unlock()
+		return
+	}
+	b.written++
+	if b.left > 0 {
+		args = append(args, "left_out_before", b.left)
+		b.left = 0
+	}
+	b.mu.Unlock()
+	b.to.Warn(msg, args...)
+}
+
+// Write takes a line of the HTTP server's log.
+func (b *boundedLog) Write(line []byte) (int, error) {
+	b.warn(strings.TrimSpace(string(line)))
+	return len(line), nil
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,422 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"example.org/silverscale"
+)
+
+const (
+	// keepAccepting is how long after SIGTERM connections are still accepted: some
+	// go on being made for up to 0.4 s.
+	keepAccepting = 500 * time.Millisecond
+	// No deadline that the platform waits for is longer than longestWait; what is
+	// in hand stopSlack after it is given up, so that it is answered before SIGKILL.
+	longestWait = 3 * time.Second
+	stopSlack   = 450 * time.Millisecond
+)
+
+// Node is one limiter on sockets. It is the only caller of the module.
+type Node struct {
+	cfg          *Config
+	log          *slog.Logger
+	badInput     *boundedLog
+	discoveryLog *boundedLog
+	servers      *pool
+	conns        *clientConns
+	peers        *peerLink // nil where limiters don't talk
+	listener     net.Listener
+	web          *http.Server
+	start        time.Time
+	startMs      float64 // start in Unix milliseconds
+
+	mu       sync.Mutex // round each call of the module and its actions
+	limiter  *silverscale.Limiter
+	queue    []silverscale.Event
+	requests map[string]*request
+	listed   bool      // some server is known
+	stopBy   time.Time // zero until SIGTERM; what is in hand ends by then
+	closed   bool
+}
+
+// request is a client's request from its arrival to its final answer. The
+// client's goroutine carries out its attempts, one at a time.
+type request struct {
+	call
+	id     string
+	stopAt time.Time // attempts end by then, so that the answer comes in time
+
+	// Under the node's mutex:
+	tries  int
+	out    *attempt // the attempt that is out or about to go out
+	final  *answer
+	last   silverscale.Result
+	signal chan struct{} // the client's goroutine waits for news
+}
+
+// call is what of a request goes on to a server unchanged.
+type call struct {
+	method, target, host    string
+	requestID, key, content string // headers
+	body                    []byte
+}
+
+// attempt is one PassOn.
+type attempt struct {
+	req    *request
+	try    int
+	host   *host
+	stopAt time.Time
+	sentAt time.Time
+
+	// Under the node's mutex:
+	taken  bool // the client's goroutine carries it out
+	over   bool // it has its Outcome
+	conn   *conn
+	cancel context.CancelFunc // ends a connect
+}
+
+// answer is the final answer to a client.
+type answer struct {
+	status     int
+	body       []byte
+	content    string // content type
+	retryAfter float64
+}
+
+// gone stands for the answer that nobody waits for any more.
+var gone = &answer{}
+
+// New returns a Node that listens but does not serve yet.
+func New(cfg *Config, log_ *slog.Logger) (*Node, error) {
+	limiter, err := silverscale.New(cfg.Settings.Module, cfg.Seed)
+	if err != nil {
+		return nil, err
+	}
+	now := time.Now()
+	n := &Node{
+		cfg: cfg, log: log_, limiter: limiter, requests: map[string]*request{},
+		badInput: &boundedLog{to: log_}, discoveryLog: &boundedLog{to: log_},
+		start: now, startMs: float64(now.UnixMicro()) / 1000,
+	}
+	upstream, clients := socketBudget(cfg.Limits.Sockets)
+	n.servers = newPool(upstream, cfg.Settings.ConnTimeout, cfg.Settings.ConnIdle/2)
+	n.conns = newClientConns(clients)
+	if n.listener, err = net.Listen("tcp", cfg.Listen); err != nil {
+		return nil, fmt.Errorf("listening to clients: %w", err)
+	}
+	if cfg.Settings.Module.Caps.Peers {
+		if n.peers, err = newPeerLink(cfg); err != nil {
+			n.listener.Close()
+			return nil, err
+		}
+	}
+	n.web = n.newServer(log.New(n.badInput, "", 0))
+	return n, nil
+}
+
+// Addr is where the node takes requests.
+func (n *Node) Addr() net.Addr { return n.listener.Addr() }
+
+// Run serves until the context ends, then finishes what it has taken.
+func (n *Node) Run(ctx context.Context) error {
+	background, stop := context.WithCancel(context.Background())
+	var tasks sync.WaitGroup
+	defer tasks.Wait()
+	defer stop()
+	n.take(silverscale.Persisted, n.cfg.Known)
+	tasks.Go(func() { n.watch(background) })
+	tasks.Go(func() { n.servers.sweep(background) })
+	if n.peers != nil {
+		tasks.Go(n.sendPeers)
+		tasks.Go(n.hearPeers)
+	}
+	served := make(chan error, 1)
+	go func() { served <- n.web.Serve(n.listener) }()
+	var err error
+	select {
+	case err = <-served:
+	case <-ctx.Done():
+		err = n.drain()
+	}
+	n.mu.Lock()
+	n.closed = true
+	n.mu.Unlock()
+	if n.peers != nil {
+		n.peers.conn.Close()
+		close(n.peers.queue) // nothing is told any more: closed is set
+	}
+	n.web.Close()
+	if err != nil && !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("serving clients: %w", err)
+	}
+	return nil
+}
+
+// drain ends the service without losing a request. http.Server.Shutdown alone
+// would close the listener at once and reset what is on its way to it.
+func (n *Node) drain() error {
+	begun := time.Now()
+	stopBy := begun.Add(min(n.cfg.Settings.Longest, longestWait) + stopSlack)
+	n.mu.Lock()
+	n.stopBy = stopBy
+	n.mu.Unlock()
+	n.log.Info("stopping")
+	time.Sleep(keepAccepting) // answers say Connection: close by now
+	expire := time.AfterFunc(time.Until(stopBy), n.expire)
+	defer expire.Stop()
+	ctx, cancel := context.WithDeadline(context.Background(), stopBy.Add(100*time.Millisecond))
+	defer cancel()
+	n.conns.closeUnused()
+	if err := n.web.Shutdown(ctx); err != nil {
+		n.log.Warn("stopped with connections open", "err", err)
+	}
+	n.log.Info("stopped", "after", time.Since(begun).Round(time.Millisecond).String())
+	return nil
+}
+
+// now is the module's clock: Unix milliseconds at the start, from there on the
+// monotonic clock, so that a server's born_ms is on the same clock.
+func (n *Node) now() float64 { return n.startMs + float64(time.Since(n.start).Microseconds())/1000 }
+
+// dispatch gives the module an event and carries out what it asks for.
+func (n *Node) dispatch(ev silverscale.Event) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.handle(ev)
+}
+
+// handle is dispatch under the mutex. Events that actions bring about queue up
+// behind: Handle is never entered again while its actions are carried out, as
+// they are valid until its next call.
+func (n *Node) handle(ev silverscale.Event) {
+	if n.closed {
+		return
+	}
+	n.queue = append(n.queue, ev)
+	for i := 0; i < len(n.queue); i++ {
+		for _, a := range n.limiter.Handle(n.now(), n.queue[i]) {
+			n.do(a)
+		}
+	}
+	clear(n.queue)
+	n.queue = n.queue[:0]
+}
+
+// do carries out one action. Nothing in it blocks.
+func (n *Node) do(a silverscale.Action) {
+	switch a := a.(type) {
+	case silverscale.PassOn:
+		n.passOn(a)
+	case silverscale.Refuse:
+		n.conclude(a.ID, &answer{status: http.StatusTooManyRequests, retryAfter: a.WaitMs})
+	case silverscale.Fail:
+		n.conclude(a.ID, &answer{status: http.StatusBadGateway})
+	case silverscale.AbortAttempt:
+		if r := n.requests[a.ID]; r != nil && r.out != nil && r.out.try == a.Try {
+			n.giveUp(r.out)
+		}
+	case silverscale.Timer:
+		wait := millis(a.At - n.now())
+		time.AfterFunc(max(0, wait), func() { n.dispatch(silverscale.Alarm{Handle: a.Handle}) })
+	case silverscale.Probe:
+		go n.probe(a.Server)
+	case silverscale.Tell:
+		if n.peers != nil {
+			n.peers.tell(a.To, a.Data)
+		}
+	case silverscale.Log:
+		n.log.Info(a.Line)
+	case silverscale.Listen, silverscale.QueryAll:
+		// The watch runs all the time and brings what these ask for.
+	}
+}
+
+// passOn starts an attempt, or queues the outcome of one that can't start.
+func (n *Node) passOn(a silverscale.PassOn) {
+	r := n.requests[a.ID]
+	if r == nil {
+		return
+	}
+	at := &attempt{req: r, try: r.tries, sentAt: time.Now(), stopAt: r.stopAt}
+	r.tries++
+	if a.CapMs != 0 {
+		if stop := at.sentAt.Add(millis(a.CapMs)); stop.Before(at.stopAt) {
+			at.stopAt = stop
+		}
+	}
+	at.host = n.servers.host(a.Server)
+	most := n.cfg.Settings.Module.Caps.Attempts
+	switch {
+	case r.final != nil, !at.sentAt.Before(r.stopAt), most > 0 && at.try >= most:
+		n.outcome(at, a.Server, silverscale.StaleSend)
+	case r.out != nil, at.host == nil: // one at a time, to servers that the list has
+		n.outcome(at, a.Server, silverscale.NoRoute)
+	default:
+		r.out = at
+		r.wake()
+	}
+}
+
+// outcome queues the one Outcome of an attempt that no answer ended.
+func (n *Node) outcome(at *attempt, server uint64, result silverscale.Result) {
+	at.over = true
+	at.req.last = result
+	n.queue = append(n.queue, silverscale.Outcome{ID: at.req.id, Try: at.try, Server: server, Result: result,
+		SpentMs: msSince(at.sentAt), Done: at.req.final != nil, Load: noLoad})
+}
+
+// giveUp stops waiting for an attempt. Its connection is closed before the
+// client's goroutine can take up another one.
+func (n *Node) giveUp(at *attempt) {
+	if at.over {
+		return
+	}
+	n.outcome(at, at.host.id, silverscale.Undone)
+	if at.conn != nil {
+		at.conn.close()
+	}
+	if at.cancel != nil {
+		at.cancel()
+	}
+	if !at.taken {
+		at.req.out = nil
+	}
+}
+
+// conclude sets the final answer of a request. The first one stands.
+func (n *Node) conclude(id string, a *answer) {
+	r := n.requests[id]
+	if r == nil || r.final != nil {
+		return
+	}
+	if a.status == http.StatusBadGateway && r.last == silverscale.TooSlow {
+		a.status = http.StatusGatewayTimeout
+	}
+	r.final = a
+	if r.out != nil {
+		n.giveUp(r.out)
+	}
+	r.wake()
+}
+
+// submit hands a request to the module. It returns false for an id that is in
+// hand already: the module would leave the second one without an answer.
+func (n *Node) submit(r *request, ev silverscale.Submit) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.requests[r.id] != nil {
+		return false
+	}
+	n.requests[r.id] = r
+	if !n.stopBy.IsZero() && n.stopBy.Before(r.stopAt) {
+		r.stopAt = n.stopBy
+	}
+	ev.ExpiresMs = float64(time.Until(r.stopAt)) / float64(time.Millisecond)
+	n.handle(ev)
+	return true
+}
+
+// next waits for what is to be done for a request: an attempt, or the answer.
+func (n *Node) next(r *request) (*attempt, *answer) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for {
+		if at := r.out; at != nil && !at.taken {
+			at.taken = true
+			return at, nil
+		}
+		if r.final != nil {
+			return nil, r.final
+		}
+		left := time.Until(r.stopAt)
+		if left <= 0 { // held to the end: the client is still owed an answer
+			n.conclude(r.id, &answer{status: http.StatusGatewayTimeout})
+			n.handle(silverscale.Aborted{ID: r.id})
+			continue
+		}
+		if r.signal == nil {
+			r.signal = make(chan struct{}, 1)
+		}
+		n.mu.Unlock()
+		t := time.NewTimer(left)
+		select {
+		case <-r.signal:
+		case <-t.C:
+		}
+		t.Stop()
+		n.mu.Lock()
+	}
+}
+
+// wake tells the client's goroutine that there is something to do.
+func (r *request) wake() {
+	if r.signal != nil {
+		select {
+		case r.signal <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// finish reports how an attempt ended. Of one that was given up meanwhile the
+// module has heard already.
+func (n *Node) finish(at *attempt, rep reply) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	r := at.req
+	r.out = nil
+	if at.over {
+		return
+	}
+	at.over = true
+	r.last = rep.result
+	if rep.result == silverscale.Pass && r.final == nil {
+		r.final = &answer{status: http.StatusOK, body: rep.body, content: rep.content}
+	}
+	n.handle(silverscale.Outcome{ID: r.id, Try: at.try, Server: at.host.id, Result: rep.result,
+		SpentMs: msSince(at.sentAt), Done: r.final != nil, Load: rep.load})
+}
+
+// abandon ends a request whose client is gone.
+func (n *Node) abandon(r *request) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if r.final != nil {
+		return
+	}
+	n.conclude(r.id, gone)
+	n.handle(silverscale.Aborted{ID: r.id})
+}
+
+// forget drops a request that has its answer.
+func (n *Node) forget(r *request) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.requests, r.id)
+}
+
+// expire ends the attempts that are still out when the node must stop.
+func (n *Node) expire() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, r := range n.requests {
+		r.stopAt = n.stopBy
+		if r.out != nil && r.out.conn != nil {
+			r.out.conn.SetDeadline(n.stopBy)
+		}
+		if r.out != nil && r.out.cancel != nil {
+			r.out.cancel()
+		}
+	}
+}
+
+func msSince(t time.Time) float64 { return float64(time.Since(t)) / float64(time.Millisecond) }
--- /dev/null
+++ b/internal/node/servers.go
@@ -0,0 +1,466 @@
+package node
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"math"
+	"net"
+	"net/http"
+	"net/url"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"example.org/silverscale"
+)
+
+const (
+	maxBody      = 64 << 10
+	probeTimeout = 250 * time.Millisecond
+	sweepEvery   = 500 * time.Millisecond
+)
+
+// noLoad is the load of an answer without a report.
+var noLoad = silverscale.Load{Busy: -1, Pending: -1, ServiceMs: -1}
+
+// pool keeps the connections to servers. It is not http.Transport, which sends
+// a request again by itself when a kept-alive connection breaks: a second copy.
+type pool struct {
+	budget      int // most connections
+	connTimeout time.Duration
+	idleFor     time.Duration // idle connections are closed after this
+
+	mu    sync.Mutex
+	hosts map[uint64]*host
+	open  int // connections open or coming up
+}
+
+// host is one process of a server at one address.
+type host struct {
+	id     uint64
+	dial   string
+	bornMs float64
+	up     bool    // wants new requests
+	idle   []*conn // the latest used last
+}
+
+// conn is a connection to a server that carries one request at a time.
+type conn struct {
+	net.Conn
+	pool   *pool
+	host   *host
+	in     *bufio.Reader
+	idleAt time.Time
+	once   sync.Once
+}
+
+// reply is what came of an attempt.
+type reply struct {
+	result  silverscale.Result
+	body    []byte
+	content string
+	load    silverscale.Load
+}
+
+func newPool(budget int, connTimeout, idleFor time.Duration) *pool {
+	return &pool{budget: budget, connTimeout: connTimeout, idleFor: idleFor, hosts: map[uint64]*host{}}
+}
+
+// update takes in what the list says of a server. Connections to an earlier
+// process or address are not used again.
+func (p *pool) update(info silverscale.ServerInfo, dial string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.hosts[info.ID]
+	if info.Phase == silverscale.Removed {
+		p.drop(h)
+		delete(p.hosts, info.ID)
+		return
+	}
+	if h == nil || h.dial != dial || h.bornMs != info.ReadyAt {
+		p.drop(h)
+		h = &host{id: info.ID, dial: dial, bornMs: info.ReadyAt}
+		p.hosts[info.ID] = h
+	}
+	if h.up = info.Phase == silverscale.Up; !h.up {
+		p.closeIdle(h)
+	}
+}
+
+// keepOnly drops the servers that a whole list does not name.
+func (p *pool) keepOnly(listed map[uint64]bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id, h := range p.hosts {
+		if !listed[id] {
+			p.drop(h)
+			delete(p.hosts, id)
+		}
+	}
+}
+
+// drop retires a host. Attempts that are out on it go on.
+func (p *pool) drop(h *host) {
+	if h != nil {
+		h.up = false
+		p.closeIdle(h)
+	}
+}
+
+func (p *pool) closeIdle(h *host) {
+	for _, c := range h.idle {
+		c.closeLocked()
+	}
+	h.idle = nil
+}
+
+// host returns the process of a server that may be sent something new.
+func (p *pool) host(id uint64) *host {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if h := p.hosts[id]; h != nil && h.up {
+		return h
+	}
+	return nil
+}
+
+// wanted tells whether a host still is to be sent something new.
+func (p *pool) wanted(h *host) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return h.up
+}
+
+// broken closes a host's idle connections after one of its connections broke
+// or could not be made: the others are as likely dead.
+func (p *pool) broken(h *host) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closeIdle(h)
+}
+
+// take returns the idle connection of a host that was used last, or nil.
+func (p *pool) take(h *host) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for len(h.idle) > 0 {
+		c := h.idle[len(h.idle)-1]
+		h.idle = h.idle[:len(h.idle)-1]
+		if time.Since(c.idleAt) < p.idleFor && c.quiet() {
+			return c
+		}
+		c.closeLocked()
+	}
+	return nil
+}
+
+// put keeps a connection for later, unless its host has moved on.
+func (p *pool) put(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !c.host.up {
+		c.closeLocked()
+		return
+	}
+	c.idleAt = time.Now()
+	c.host.idle = append(c.host.idle, c)
+}
+
+// errNoRoom tells that the budget of connections is used up.
+var errNoRoom = errors.New("no connection left in the budget")
+
+// connect opens a connection to a host.
+func (p *pool) connect(ctx context.Context, h *host) (*conn, error) {
+	p.mu.Lock()
+	if p.open >= p.budget {
+		p.evict()
+	}
+	if p.open >= p.budget {
+		p.mu.Unlock()
+		return nil, errNoRoom
+	}
+	p.open++
+	p.mu.Unlock()
+	d := net.Dialer{Timeout: p.connTimeout, KeepAlive: -1}
+	nc, err := d.DialContext(ctx, "tcp", h.dial)
+	if err != nil {
+		p.mu.Lock()
+		p.open--
+		p.mu.Unlock()
+		return nil, err
+	}
+	return &conn{Conn: nc, pool: p, host: h, in: bufio.NewReader(nc)}, nil
+}
+
+// evict closes the connection that has been idle longest.
+func (p *pool) evict() {
+	var oldest *host
+	for _, h := range p.hosts {
+		if len(h.idle) > 0 && (oldest == nil || h.idle[0].idleAt.Before(oldest.idle[0].idleAt)) {
+			oldest = h
+		}
+	}
+	if oldest != nil {
+		oldest.idle[0].closeLocked()
+		oldest.idle = oldest.idle[1:]
+	}
+}
+
+// sweep closes idle connections whose time is up or that the server has
+// closed, until the context ends.
+func (p *pool) sweep(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, sweepEvery)
+		p.mu.Lock()
+		for _, h := range p.hosts {
+			kept := h.idle[:0]
+			for _, c := range h.idle {
+				if time.Since(c.idleAt) < p.idleFor && c.quiet() {
+					kept = append(kept, c)
+				} else {
+					c.closeLocked()
+				}
+			}
+			clear(h.idle[len(kept):])
+			h.idle = kept
+		}
+		p.mu.Unlock()
+	}
+}
+
+func (c *conn) close() {
+	c.pool.mu.Lock()
+	defer c.pool.mu.Unlock()
+	c.closeLocked()
+}
+
+func (c *conn) closeLocked() {
+	c.once.Do(func() {
+		c.pool.open--
+		c.Conn.Close()
+	})
+}
+
+// quiet tells that an idle connection is open and silent. One that the server
+// has closed must not be used: the request would end as a Cut, and an unsafe
+// one could not be sent again.
+func (c *conn) quiet() bool {
+	raw, err := c.Conn.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = errors.Is(err, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && quiet
+}
+
+// try carries out an attempt and returns what came of it.
+func (n *Node) try(at *attempt) reply {
+	c := n.servers.take(at.host)
+	if c == nil {
+		ctx, cancel := context.WithDeadline(context.Background(), at.stopAt)
+		defer cancel()
+		n.mu.Lock()
+		at.cancel = cancel
+		over := at.over
+		n.mu.Unlock()
+		if over {
+			return reply{result: silverscale.NoRoute, load: noLoad}
+		}
+		var err error
+		c, err = n.servers.connect(ctx, at.host)
+		if errors.Is(err, errNoRoom) {
+			return reply{result: silverscale.NoRoom, load: noLoad}
+		}
+		if err != nil {
+			n.servers.broken(at.host)
+			return reply{result: silverscale.NoRoute, load: noLoad}
+		}
+	}
+	// A connect takes time: what was decided before it may no longer hold. The
+	// grace of a drain and the client's time count from the first byte sent.
+	n.mu.Lock()
+	at.conn, at.cancel = c, nil
+	over := at.over
+	n.mu.Unlock()
+	if over || !n.servers.wanted(at.host) || !time.Now().Before(at.stopAt) {
+		n.servers.put(c)
+		return reply{result: silverscale.NoRoute, load: noLoad}
+	}
+	rep, keep := c.exchange(&at.req.call, at.stopAt)
+	if rep.result == silverscale.Cut {
+		n.servers.broken(at.host)
+	}
+	n.mu.Lock()
+	at.conn = nil
+	keep = keep && !at.over
+	n.mu.Unlock()
+	if keep {
+		n.servers.put(c)
+	} else {
+		c.close() // before the next attempt can go out
+	}
+	return rep
+}
+
+// exchange writes one request and reads its answer. It knows whether the last
+// byte was written: a failure before that proves that nothing ran.
+func (c *conn) exchange(call *call, stopAt time.Time) (rep reply, keep bool) {
+	rep.load = noLoad
+	req := call.request(time.Until(stopAt))
+	var out bytes.Buffer
+	if err := req.Write(&out); err != nil {
+		rep.result = silverscale.NoRoute
+		return rep, false
+	}
+	if c.SetDeadline(stopAt) != nil {
+		rep.result = silverscale.NoRoute
+		return rep, false
+	}
+	if _, err := c.Write(out.Bytes()); err != nil {
+		rep.result = silverscale.NoRoute
+		return rep, false
+	}
+	resp, err := c.read(req)
+	if err == nil {
+		defer resp.Body.Close()
+		rep.body, err = readBody(resp)
+	}
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		rep.result = silverscale.TooSlow
+		return rep, false
+	case errors.Is(err, errTooLong):
+		rep.result = silverscale.Fault
+		return rep, false
+	case err != nil:
+		rep.result = silverscale.Cut
+		return rep, false
+	}
+	rep.load = parseLoad(resp.Header.Get("X-Server-Load"))
+	rep.content = resp.Header.Get("Content-Type")
+	switch code := resp.StatusCode; {
+	case code == http.StatusOK:
+		rep.result = silverscale.Pass
+	case (code == http.StatusServiceUnavailable || code == http.StatusGatewayTimeout) &&
+		resp.Header.Get("X-Not-Processed") == "1":
+		rep.result = silverscale.NoRoom
+	default:
+		rep.result = silverscale.Fault
+	}
+	return rep, !resp.Close && c.in.Buffered() == 0
+}
+
+// read reads the head of the answer and passes over those that only announce it.
+func (c *conn) read(req *http.Request) (*http.Response, error) {
+	for {
+		resp, err := http.ReadResponse(c.in, req)
+		if err != nil || resp.StatusCode >= 200 {
+			return resp, err
+		}
+	}
+}
+
+var errTooLong = errors.New("body is too long")
+
+func readBody(resp *http.Response) ([]byte, error) {
+	if resp.ContentLength > maxBody {
+		return nil, errTooLong
+	}
+	if resp.ContentLength >= 0 {
+		body := make([]byte, resp.ContentLength)
+		_, err := io.ReadFull(resp.Body, body)
+		return body, err
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
+	if err == nil && len(body) > maxBody {
+		err = errTooLong
+	}
+	return body, err
+}
+
+// request is the call in the form of net/http.
+func (c *call) request(left time.Duration) *http.Request {
+	h := http.Header{
+		"User-Agent":   {""}, // none
+		"X-Request-Id": {c.requestID},
+		"X-Timeout":    {strconv.FormatInt(max(1, left.Milliseconds()), 10) + "m"},
+	}
+	if c.key != "" {
+		h["Idempotency-Key"] = []string{c.key}
+	}
+	if c.content != "" {
+		h["Content-Type"] = []string{c.content}
+	}
+	// Opaque is written as it stands, where Path and RawQuery may be encoded anew.
+	r := &http.Request{Method: c.method, URL: &url.URL{Opaque: c.target}, Host: c.host, Header: h}
+	if len(c.body) > 0 {
+		r.Body, r.ContentLength = io.NopCloser(bytes.NewReader(c.body)), int64(len(c.body))
+	}
+	return r
+}
+
+// parseLoad reads a load report; what is not understood counts as not reported.
+func parseLoad(text string) silverscale.Load {
+	l := noLoad
+	for text != "" {
+		var pair string
+		pair, text, _ = strings.Cut(text, ",")
+		name, value, _ := strings.Cut(pair, "=")
+		v, err := strconv.ParseFloat(value, 64)
+		if err != nil || math.IsNaN(v) || math.IsInf(v, 0) || v < 0 {
+			continue
+		}
+		switch strings.TrimSpace(name) {
+		case "inflight":
+			l.Busy = v
+		case "queue":
+			l.Pending = v
+		case "latency_ms":
+			l.ServiceMs = v
+		}
+	}
+	return l
+}
+
+// probe asks a server for its health and reports the result to the module.
+func (n *Node) probe(id uint64) {
+	begun := time.Now()
+	ev := silverscale.Probed{Server: id, Result: silverscale.NoRoute, Load: noLoad}
+	if h := n.servers.host(id); h != nil {
+		ctx, cancel := context.WithDeadline(context.Background(), begun.Add(probeTimeout))
+		defer cancel()
+		c, err := n.servers.take(h), error(nil)
+		if c == nil {
+			c, err = n.servers.connect(ctx, h)
+		}
+		if err == nil {
+			rep, keep := c.exchange(&call{method: http.MethodGet, target: healthPath, host: h.dial}, begun.Add(probeTimeout))
+			ev.Result, ev.Load = rep.result, rep.load
+			if keep {
+				n.servers.put(c)
+			} else {
+				c.close()
+			}
+		}
+		switch {
+		case errors.Is(err, errNoRoom):
+			ev.Result = silverscale.NoRoom
+		case ev.Result == silverscale.NoRoute, ev.Result == silverscale.Cut, ev.Result == silverscale.TooSlow:
+			n.servers.broken(h)
+		}
+	}
+	ev.SpentMs = msSince(begun)
+	n.dispatch(ev)
+}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -9,12 +9,19 @@
 	"example.org/silverscale"
 )
 
-// pairs are the path=value pairs of a BEGIN line.
-type pairs struct {
+// Pairs are settings by their path, as on a BEGIN line. They keep the first
+// error of all that is read from them.
+type Pairs struct {
 	values map[string]string
 	err    error
 }
 
+// NewPairs returns the Pairs of these values.
+func NewPairs(values map[string]string) *Pairs { return &Pairs{values: values} }
+
+// Err is the first error of what was read so far.
+func (p *Pairs) Err() error { return p.err }
+
 var repeats = map[string]silverscale.Repeat{
 	"read_like": silverscale.Safe, "idempotency_key": silverscale.Keyed, "non_idempotent": silverscale.Unsafe,
 }
@@ -23,38 +30,43 @@
 	"all": silverscale.GroupAll, "zone": silverscale.GroupZone, "cell": silverscale.GroupCell,
 }
 
-// parseSettings reads the settings it knows and skips the others.
+// parseSettings reads the settings on a BEGIN line.
 func parseSettings(text string) (s silverscale.Settings, err error) {
-	p := &pairs{values: map[string]string{}}
+	values := map[string]string{}
 	for _, pair := range strings.Fields(text) {
 		name, value, ok := strings.Cut(pair, "=")
 		if !ok {
 			return s, fmt.Errorf("setting %q has no value", pair)
 		}
-		p.values[name] = value
+		values[name] = value
 	}
-	s = silverscale.Settings{
-		Position: p.integer("position"), Balancers: p.integer("balancers"), Zone: p.integer("az"),
+	return NewPairs(values).Settings()
+}
+
+// Settings reads the settings that the module knows and skips the others.
+func (p *Pairs) Settings() (silverscale.Settings, error) {
+	s := silverscale.Settings{
+		Position: p.Integer("position"), Balancers: p.Integer("balancers"), Zone: p.Integer("az"),
 		AskMembers: p.values["membership_mode"] == "ask",
-		PeerInPerS: p.number("family_info.peer_in_per_s"), TrueUp: p.flag("family_info.trued_up"),
-		CrossPrice: p.number("prices.cross_zone"), AskWithin: p.number("invariants.ask_within_ms"),
+		PeerInPerS: p.Number("family_info.peer_in_per_s"), TrueUp: p.flag("family_info.trued_up"),
+		CrossPrice: p.Number("prices.cross_zone"), AskWithin: p.Number("invariants.ask_within_ms"),
 		Caps: silverscale.Caps{
-			Attempts: p.integer("caps.attempts_cap"), Cancel: p.flag("caps.cancel"),
+			Attempts: p.Integer("caps.attempts_cap"), Cancel: p.flag("caps.cancel"),
 			Peers: p.flag("caps.peer_messages"), Probes: p.flag("caps.probes"),
 			RetryAfter: p.flag("caps.retry_after"), SecondCopies: p.flag("caps.second_copies"),
-			MaxWaitMs: p.number("caps.max_retry_after_ms"), ConnectMs: p.number("caps.connect_timeout_ms"),
+			MaxWaitMs: p.Number("caps.max_retry_after_ms"), ConnectMs: p.Number("caps.connect_timeout_ms"),
 		},
 		Rules: silverscale.Rules{
-			ColdShare: p.number("invariants.cold_share"), ColdMs: p.number("invariants.cold_ms"),
-			OverloadFactor: p.number("invariants.overload_factor"), FallMs: p.number("invariants.fall_ms"),
+			ColdShare: p.Number("invariants.cold_share"), ColdMs: p.Number("invariants.cold_ms"),
+			OverloadFactor: p.Number("invariants.overload_factor"), FallMs: p.Number("invariants.fall_ms"),
 		},
 	}
-	for i := range p.count("request_classes") {
+	for i := range p.Count("request_classes") {
 		at := fmt.Sprintf("request_classes.%d.", i)
 		c := silverscale.Class{
-			AimMs: p.number(at + "promise_ms"), DeadlineMs: p.number(at + "deadline_ms"),
-			WindowMs: p.number(at + "window_ms"), Worth: p.number(at + "importance"),
-			LateShare: p.number(at + "late_share"),
+			AimMs: p.Number(at + "promise_ms"), DeadlineMs: p.Number(at + "deadline_ms"),
+			WindowMs: p.Number(at + "window_ms"), Worth: p.Number(at + "importance"),
+			LateShare: p.Number(at + "late_share"),
 			Repeat:    silverscale.Unsafe,
 		}
 		if w, ok := p.values[at+"idempotency"]; ok {
@@ -67,25 +79,29 @@
 		}
 		s.Classes = append(s.Classes, c)
 	}
-	for i := range p.count("packages") {
+	for i := range p.Count("packages") {
 		at := fmt.Sprintf("packages.%d.", i)
 		s.Plans = append(s.Plans, silverscale.Plan{
-			Rate: p.number(at + "per_second"), Burst: p.number(at + "burst"), AtOnce: p.integer(at + "at_once"),
-			CeilingRate: p.number(at + "cap_rate"), CeilingBurst: p.number(at + "cap_depth"),
-			Price: p.number(at + "price"), BeyondEarns: p.number(at + "beyond_earns"),
-			OverrunCost: p.number(at + "overrun_cost"),
+			Rate: p.Number(at + "per_second"), Burst: p.Number(at + "burst"), AtOnce: p.Integer(at + "at_once"),
+			CeilingRate: p.Number(at + "cap_rate"), CeilingBurst: p.Number(at + "cap_depth"),
+			Price: p.Number(at + "price"), BeyondEarns: p.Number(at + "beyond_earns"),
+			OverrunCost: p.Number(at + "overrun_cost"),
 		})
 	}
 	return s, p.err
 }
 
-func (p *pairs) check(ok bool, name string) {
+func (p *Pairs) check(ok bool, name string) {
 	if !ok && p.err == nil {
 		p.err = fmt.Errorf("setting %s: bad value %q", name, p.values[name])
 	}
 }
 
-func (p *pairs) number(name string) float64 {
+// Text returns a value as it stands; an absent one is empty.
+func (p *Pairs) Text(name string) string { return p.values[name] }
+
+// Number returns a number; an absent one is 0.
+func (p *Pairs) Number(name string) float64 {
 	w, ok := p.values[name]
 	if !ok || w == "-" || w == "" {
 		return 0
@@ -95,15 +111,16 @@
 	return v
 }
 
-func (p *pairs) integer(name string) int {
-	v := p.number(name)
+// Integer returns a whole number; an absent one is 0.
+func (p *Pairs) Integer(name string) int {
+	v := p.Number(name)
 	p.check(v == math.Trunc(v) && math.Abs(v) < 1<<31, name)
 	return int(v)
 }
 
-// count reads the length of a list, which is bounded by the text itself.
-func (p *pairs) count(name string) int {
-	n := p.integer(name + ".count")
+// Count reads the length of a list, which is bounded by the text itself.
+func (p *Pairs) Count(name string) int {
+	n := p.Integer(name + ".count")
 	p.check(n >= 0 && n <= len(p.values), name+".count")
 	if p.err != nil {
 		return 0
@@ -111,7 +128,7 @@
 	return n
 }
 
-func (p *pairs) flag(name string) bool {
+func (p *Pairs) flag(name string) bool {
 	w := p.values[name]
 	p.check(w == "" || w == "-" || w == "true" || w == "false" || w == "1" || w == "0", name)
 	return w == "true" || w == "1"
