--- /dev/null
+++ b/cmd/madderdrum/main_test.go
@@ -0,0 +1,138 @@
+package main
+
+import (
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+const patience = 20 * time.Second
+
+const settings = `{"balancers":1,"position":0,"failure_domains":["a"],
+ "caps":{"attempts_cap":3,"connect_timeout_ms":2000.0,"conn_idle_ms":30000.0},
+ "request_classes":[{"name":"check","idempotency":"read_like","promise_ms":9000.0,"deadline_ms":15000.0,"importance":1.0}],
+ "packages":[{"name":"team","per_second":100.0,"burst":100.0,"price":1.0}]}`
+
+// command is what starts the program: MADDERDRUM_RUN, from the root of the
+// repository, where CI gives the deploy file's run; else a build of its own.
+func command(t *testing.T) *exec.Cmd {
+	t.Helper()
+	if run := os.Getenv("MADDERDRUM_RUN"); run != "" {
+		cmd := exec.Command("/bin/sh", "-c", run)
+		cmd.Dir = filepath.Join("..", "..")
+		return cmd
+	}
+	bin := filepath.Join(t.TempDir(), "madderdrum")
+	if out, err := exec.Command("go", "build", "-o", bin, ".").CombinedOutput(); err != nil {
+		t.Fatalf("building: %v\n%s", err, out)
+	}
+	return exec.Command(bin)
+}
+
+// The program starts, serves a request, and ends on SIGTERM with exit code 0.
+func TestServesAndStops(t *testing.T) {
+	server := listen(t, func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "served") })
+	// A port that was free a moment ago, on an address that no other test uses.
+	ln, err := net.Listen("tcp", "127.78.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := ln.Addr().String()
+	ln.Close()
+	config, err := json.Marshal(map[string]any{"name": "n0", "listen": addr, "discovery": listen(t, http.NotFound), "seed": "1f",
+		"limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+		"known": map[string]any{"seq": 1, "whole": true, "hosts": []any{map[string]any{
+			"host": "s-1", "dial": server, "site": "a", "health": "ready", "share": 1.0}}},
+		"settings": json.RawMessage(settings)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, config, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cmd := command(t)
+	cmd.Env = append(os.Environ(), "NODE_CONFIG="+path)
+	cmd.Stderr = os.Stderr
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- cmd.Wait() }()
+	t.Cleanup(func() { cmd.Process.Kill() })
+	for end := time.Now().Add(patience); ; time.Sleep(10 * time.Millisecond) {
+		resp, err := http.Get("http://" + addr + "/healthz")
+		if err == nil {
+			resp.Body.Close()
+			if resp.StatusCode == 200 {
+				break
+			}
+		}
+		if time.Now().After(end) {
+			t.Fatal("the limiter is not ready")
+		}
+	}
+	req, err := http.NewRequest("GET", "http://"+addr+"/api?key=0000000000000001", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, value := range map[string]string{"X-Request-ID": "r1", "X-Priority-Class": "check", "Plan": "team",
+		"X-Timeout": "12000m", "Quota-Info": "units=1,spread=1,first=0"} {
+		req.Header.Set(name, value)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if body, _ := io.ReadAll(resp.Body); resp.StatusCode != 200 || string(body) != "served" {
+		t.Errorf("answer %d %q", resp.StatusCode, body)
+	}
+	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case err := <-ended:
+		if err != nil {
+			t.Errorf("ended with %v", err)
+		}
+	case <-time.After(patience):
+		t.Error("did not end on SIGTERM")
+	}
+}
+
+// A bad configuration ends the start with one line and an exit code.
+func TestBadConfiguration(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, []byte(`{"listen":"nowhere"}`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for _, env := range []string{"NODE_CONFIG=" + path, "NODE_CONFIG=", "NODE_CONFIG=/nonexistent"} {
+		cmd := command(t)
+		cmd.Env = []string{env}
+		out, err := cmd.CombinedOutput()
+		if err == nil || strings.Count(string(out), "\n") != 1 || !strings.HasPrefix(string(out), "madderdrum: ") {
+			t.Errorf("%s: %v, %q", env, err, out)
+		}
+	}
+}
+
+func listen(t *testing.T, h http.HandlerFunc) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &http.Server{Handler: h}
+	go s.Serve(ln)
+	t.Cleanup(func() { s.Close() })
+	return ln.Addr().String()
+}
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -244,6 +244,7 @@
 
 // parseQuotaInfo reads units, spread and first.
 func parseQuotaInfo(text string, balancers int, ev *silverscale.Submit) error {
+	const units, spread, first = 1, 2, 4
 	seen := 0
 	for pair := range strings.SplitSeq(text, ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(pair), "=")
@@ -254,19 +255,16 @@
 		whole := v == math.Trunc(v)
 		switch {
 		case name == "units" && v > 0:
-			ev.Units = v
+			ev.Units, seen = v, seen|units
 		case name == "spread" && whole && v >= 1 && v <= float64(balancers):
-			ev.Spread = int(v)
+			ev.Spread, seen = int(v), seen|spread
 		case name == "first" && whole && v >= 0 && v < float64(balancers):
-			ev.First = int(v)
+			ev.First, seen = int(v), seen|first
 		case name == "units", name == "spread", name == "first":
 			return bad("Quota-Info %q", text)
-		default:
-			continue // a figure of later days
-		}
-		seen++
+		} // others are figures of later days
 	}
-	if seen != 3 {
+	if seen != units|spread|first {
 		return bad("Quota-Info %q needs units, spread and first", text)
 	}
 	return nil
--- /dev/null
+++ b/internal/node/config_test.go
@@ -0,0 +1,68 @@
+package node
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+	"time"
+
+	"example.org/silverscale"
+)
+
+func TestConfig(t *testing.T) {
+	t.Parallel()
+	c := testConfig(t, "127.0.0.1:8500", server("s-1", "127.0.0.1:3000"))
+	s := c.Settings
+	if c.Name != "n0" || c.Seed != 0x8c1f30d27a5be964 || c.Limits.Sockets != 1024 || len(c.Known.Hosts) != 1 || c.Known.Seq != 1 {
+		t.Errorf("config %+v", c)
+	}
+	if s.Module.Classes[1].Repeat != silverscale.Keyed || s.Module.Classes[1].Group != silverscale.GroupCell ||
+		s.Module.Plans[1].Rate != 1000 || s.ClassNames["send-bulk-paid"] != 2 || s.PlanNames["enterprise"] != 1 ||
+		len(s.Zones) != 2 || s.Zones[1] != "room-b" || s.ConnIdle != 30*time.Second || s.Longest != 15*time.Second {
+		t.Errorf("settings %+v", s)
+	}
+}
+
+// A bad configuration ends the start with an error that says what is wrong.
+func TestBadConfig(t *testing.T) {
+	t.Parallel()
+	good := func() map[string]any {
+		var settings map[string]any
+		if err := json.Unmarshal([]byte(testSettings), &settings); err != nil {
+			t.Fatal(err)
+		}
+		return map[string]any{"name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "1f",
+			"limits": map[string]any{"cores": 1}, "settings": settings}
+	}
+	for name, change := range map[string]func(c, settings map[string]any){
+		"listen":          func(c, _ map[string]any) { c["listen"] = "here" },
+		"discovery":       func(c, _ map[string]any) { delete(c, "discovery") },
+		"seed":            func(c, _ map[string]any) { c["seed"] = "xyz" },
+		"limits":          func(c, _ map[string]any) { c["limits"] = map[string]any{"sockets": 3} },
+		"settings":        func(c, _ map[string]any) { delete(c, "settings") },
+		"request_classes": func(_, s map[string]any) { s["request_classes"] = []any{map[string]any{"promise_ms": 1}} },
+		"packages":        func(_, s map[string]any) { s["packages"] = []any{} },
+		"balancers":       func(_, s map[string]any) { s["balancers"] = "many" },
+		"peers": func(c, s map[string]any) {
+			s["caps"].(map[string]any)["peer_messages"] = true
+			c["peer_listen"], c["peers"] = "127.0.0.1:0", []string{}
+		},
+	} {
+		c := good()
+		change(c, c["settings"].(map[string]any))
+		data, _ := json.Marshal(c)
+		cfg, err := load(t, data)
+		if err == nil {
+			_, err = silverscale.New(cfg.Settings.Module, 1)
+		}
+		if err == nil || !strings.Contains(err.Error(), name) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: error %v", name, err)
+		}
+	}
+	if _, err := load(t, []byte("{")); err == nil {
+		t.Error("half a file was taken")
+	}
+	if _, err := LoadConfig(func(string) string { return "" }); err == nil {
+		t.Error("no NODE_CONFIG was taken")
+	}
+}
--- /dev/null
+++ b/internal/node/node_test.go
@@ -0,0 +1,352 @@
+package node
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// patience bounds each wait in the tests; none of them depends on its length.
+const patience = 20 * time.Second
+
+// rig is a limiter with a discovery and a server on loopback sockets.
+type rig struct {
+	t         *testing.T
+	node      *Node
+	discovery *fakeDiscovery
+	stop      context.CancelFunc
+	ended     chan error
+	log       *syncBuffer
+}
+
+type syncBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (s *syncBuffer) Write(p []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.Write(p)
+}
+
+func (s *syncBuffer) String() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.String()
+}
+
+// fakeDiscovery serves a list and a watch that answers when the list changes.
+type fakeDiscovery struct {
+	t     *testing.T
+	addr  string
+	mu    sync.Mutex
+	list  serverList
+	news  chan struct{}
+	calls int
+}
+
+func newDiscovery(t *testing.T, items ...serverItem) *fakeDiscovery {
+	d := &fakeDiscovery{t: t, list: serverList{Seq: 2, Whole: true, Hosts: items}, news: make(chan struct{})}
+	d.addr = serveHTTP(t, d.ServeHTTP)
+	return d
+}
+
+func (d *fakeDiscovery) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	d.mu.Lock()
+	d.calls++
+	list, news := d.list, d.news
+	d.mu.Unlock()
+	if r.FormValue("index") == strconv.FormatInt(list.Seq, 10) {
+		select {
+		case <-news:
+		case <-r.Context().Done():
+			return
+		}
+		d.mu.Lock()
+		list = d.list
+		d.mu.Unlock()
+	}
+	json.NewEncoder(w).Encode(map[string]any{"seq": list.Seq, "whole": list.Whole, "hosts": list.Hosts})
+}
+
+func (d *fakeDiscovery) set(items ...serverItem) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.list.Seq++
+	d.list.Hosts = items
+	close(d.news)
+	d.news = make(chan struct{})
+}
+
+// serveHTTP runs a handler on a port of the system's until the test ends.
+func serveHTTP(t *testing.T, h http.HandlerFunc) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &http.Server{Handler: h}
+	go s.Serve(ln)
+	t.Cleanup(func() { s.Close() })
+	return ln.Addr().String()
+}
+
+func server(name, dial string) serverItem {
+	return serverItem{Host: name, Dial: dial, Site: "room-a", Block: 1, Health: "ready", Share: 1}
+}
+
+// testSettings are the settings as the configuration file has them.
+const testSettings = `{"az":0,"balancers":1,"position":0,"membership_mode":"push","failure_domains":["room-a","room-b"],
+ "caps":{"attempts_cap":3,"cancel":true,"conn_idle_ms":30000.0,"connect_timeout_ms":2000.0,"max_open":1000,
+  "max_retry_after_ms":500.0,"peer_messages":false,"probes":true,"retry_after":true,"second_copies":false},
+ "family_info":{"peer_in_per_s":40.0,"units_top":6},
+ "invariants":{"cold_ms":18000.0,"cold_share":0.18,"drain_grace_ms":500.0,"fall_ms":1500.0,"overload_factor":3.0},
+ "request_classes":[
+  {"name":"status-check","idempotency":"read_like","group":"all","promise_ms":9000.0,"deadline_ms":15000.0,"window_ms":5000.0,"importance":2.0},
+  {"name":"send-reminder","idempotency":"idempotency_key","group":"cell","promise_ms":9000.0,"deadline_ms":15000.0,"window_ms":5000.0,"importance":3.0},
+  {"name":"send-bulk-paid","idempotency":"non_idempotent","group":"all","promise_ms":9000.0,"deadline_ms":15000.0,"window_ms":5000.0,"importance":5.0}],
+ "packages":[
+  {"name":"starter","per_second":0.001,"burst":2.0,"price":1.0},
+  {"name":"enterprise","per_second":1000.0,"burst":1000.0,"price":1.0}]}`
+
+func testConfig(t *testing.T, discovery string, known ...serverItem) *Config {
+	t.Helper()
+	data, err := json.Marshal(map[string]any{
+		"name": "n0", "listen": "127.0.0.1:0", "discovery": discovery, "seed": "8c1f30d27a5be964",
+		"limits":   map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+		"known":    map[string]any{"seq": 1, "whole": true, "hosts": known},
+		"settings": json.RawMessage(testSettings),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg, err := load(t, data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return cfg
+}
+
+func load(t *testing.T, data []byte) (*Config, error) {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, data, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return LoadConfig(func(name string) string {
+		if name == "NODE_CONFIG" {
+			return path
+		}
+		return ""
+	})
+}
+
+// startWith runs a limiter with these servers known; change may alter its configuration.
+func startWith(t *testing.T, change func(*Config), items ...serverItem) *rig {
+	t.Helper()
+	d := newDiscovery(t, items...)
+	cfg := testConfig(t, d.addr, items...)
+	if change != nil {
+		change(cfg)
+	}
+	r := &rig{t: t, discovery: d, ended: make(chan error, 1), log: &syncBuffer{}}
+	var err error
+	if r.node, err = New(cfg, slog.New(slog.NewTextHandler(r.log, nil))); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	r.stop = cancel
+	done := make(chan struct{})
+	go func() {
+		r.ended <- r.node.Run(ctx)
+		close(done)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		select {
+		case <-done:
+		case <-time.After(patience):
+			t.Error("the limiter did not end")
+		}
+	})
+	until(t, "the list is known", func() bool {
+		r.node.mu.Lock()
+		defer r.node.mu.Unlock()
+		return r.node.listed || len(items) == 0
+	})
+	return r
+}
+
+func start(t *testing.T, items ...serverItem) *rig { t.Helper(); return startWith(t, nil, items...) }
+
+// until waits for a condition.
+func until(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !ok(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("waited in vain: %s", what)
+		}
+	}
+}
+
+var lastID struct {
+	sync.Mutex
+	n int
+}
+
+// newRequest is a sound request of a class.
+func (r *rig) newRequest(class, plan, body string) *http.Request {
+	r.t.Helper()
+	lastID.Lock()
+	lastID.n++
+	id := fmt.Sprintf("id-%d", lastID.n)
+	lastID.Unlock()
+	method := http.MethodPost
+	if class == "status-check" {
+		method = http.MethodGet
+	}
+	req, err := http.NewRequest(method, "http://"+r.node.Addr().String()+"/api?key=00000000b4d65521", strings.NewReader(body))
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	req.Header.Set("X-Request-ID", id)
+	req.Header.Set("X-Priority-Class", class)
+	req.Header.Set("Plan", plan)
+	req.Header.Set("X-Timeout", "12000m")
+	req.Header.Set("Quota-Info", "units=1,spread=1,first=0")
+	if class == "send-reminder" {
+		req.Header.Set("Idempotency-Key", "key-"+id)
+	}
+	return req
+}
+
+func (r *rig) do(req *http.Request) (int, string, http.Header) {
+	r.t.Helper()
+	client := &http.Client{Timeout: patience, Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Do(req)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	return resp.StatusCode, string(body), resp.Header
+}
+
+// rawServer is a server that a test drives by hand, a connection at a time.
+type rawServer struct {
+	t    *testing.T
+	ln   net.Listener
+	addr string
+}
+
+func newRawServer(t *testing.T) *rawServer {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	return &rawServer{t, ln, ln.Addr().String()}
+}
+
+// rawConn is one connection to a rawServer.
+type rawConn struct {
+	t *testing.T
+	net.Conn
+	in *bufio.Reader
+}
+
+func (s *rawServer) accept() *rawConn {
+	s.t.Helper()
+	s.ln.(*net.TCPListener).SetDeadline(time.Now().Add(patience))
+	c, err := s.ln.Accept()
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(patience))
+	return &rawConn{s.t, c, bufio.NewReader(c)}
+}
+
+func (c *rawConn) request() *http.Request {
+	c.t.Helper()
+	req, err := http.ReadRequest(c.in)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	body, err := io.ReadAll(req.Body)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	req.Body = io.NopCloser(bytes.NewReader(body))
+	return req
+}
+
+func (c *rawConn) answer(head, body string) {
+	c.t.Helper()
+	if _, err := fmt.Fprintf(c, "HTTP/1.1 %s\r\nContent-Length: %d\r\n\r\n%s", head, len(body), body); err != nil {
+		c.t.Error(err)
+	}
+}
+
+// closed waits for the limiter to close the connection.
+func (c *rawConn) closed() {
+	c.t.Helper()
+	if b, err := c.in.ReadByte(); err == nil {
+		c.t.Errorf("byte %q came where the connection should have been closed", b)
+	} else if ne, ok := err.(net.Error); ok && ne.Timeout() {
+		c.t.Error("the connection was not closed")
+	}
+}
+
+// result is what a client got.
+type result struct {
+	status int
+	body   string
+	header http.Header
+}
+
+// send makes a request in the background.
+func (r *rig) send(req *http.Request) <-chan result {
+	out := make(chan result, 1)
+	client := &http.Client{Timeout: patience, Transport: &http.Transport{DisableKeepAlives: true}}
+	go func() {
+		resp, err := client.Do(req)
+		if err != nil {
+			out <- result{body: err.Error()}
+			return
+		}
+		defer resp.Body.Close()
+		body, _ := io.ReadAll(resp.Body)
+		out <- result{resp.StatusCode, string(body), resp.Header}
+	}()
+	return out
+}
+
+func (r *rig) got(c <-chan result) result {
+	r.t.Helper()
+	select {
+	case res := <-c:
+		return res
+	case <-time.After(patience):
+		r.t.Fatal("no answer")
+		return result{}
+	}
+}
