Take up the next attempt while a given-up one still ends

To blame: the test for r.out in passOn. Ruled out: two attempts at once, as one goroutine carries out both in turn. The new test fails with the old line and passes with this one. Lists now log each server's host with the module's number, which its lines name.

--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -117,7 +117,9 @@
 			continue
 		}
 		listed[info.ID] = true
-		n.servers.update(info, item.Dial)
+		if n.servers.update(info, item.Dial) {
+			n.log.Info("server", "host", item.Host, "number", info.ID, "health", item.Health, "dial", item.Dial)
+		}
 		ev.Servers = append(ev.Servers, info)
 	}
 	if scope != silverscale.Partial {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -202,6 +202,11 @@
 		return
 	}
 	n.queue = append(n.queue, ev)
+	n.work()
+}
+
+// work gives the module the events that wait.
+func (n *Node) work() {
 	for i := 0; i < len(n.queue); i++ {
 		for _, a := range n.limiter.Handle(n.now(), n.queue[i]) {
 			n.do(a)
@@ -258,9 +263,12 @@
 	switch {
 	case r.final != nil, !at.sentAt.Before(r.stopAt), most > 0 && at.try >= most:
 		n.outcome(at, a.Server, silverscale.StaleSend)
-	case r.out != nil, at.host == nil: // one at a time, to servers that the list has
+	case at.host == nil, r.out != nil && !r.out.over: // servers that the list has, one at a time
 		n.outcome(at, a.Server, silverscale.NoRoute)
 	default:
+		// An attempt that was given up may still hold the client's goroutine, which
+		// closes its connection before it takes this one. Guards against turning
+		// down what the module sends on as soon as it hears of an Undone.
 		r.out = at
 		r.wake()
 	}
@@ -287,9 +295,6 @@
 	if at.cancel != nil {
 		at.cancel()
 	}
-	if !at.taken {
-		at.req.out = nil
-	}
 }
 
 // conclude sets the final answer of a request. The first one stands.
@@ -330,7 +335,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for {
-		if at := r.out; at != nil && !at.taken {
+		if at := r.out; at != nil && !at.taken && !at.over {
 			at.taken = true
 			return at, nil
 		}
@@ -373,7 +378,9 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	r := at.req
-	r.out = nil
+	if r.out == at {
+		r.out = nil
+	}
 	if at.over {
 		return
 	}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -123,8 +123,7 @@
   {"name":"starter","per_second":0.001,"burst":2.0,"price":1.0},
   {"name":"enterprise","per_second":1000.0,"burst":1000.0,"price":1.0}]}`
 
-func testConfig(t *testing.T, discovery string, known ...serverItem) *Config {
-	t.Helper()
+func configText(discovery string, known ...serverItem) []byte {
 	data, err := json.Marshal(map[string]any{
 		"name": "n0", "listen": "127.0.0.1:0", "discovery": discovery, "seed": "8c1f30d27a5be964",
 		"limits":   map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024},
@@ -132,16 +131,21 @@
 		"settings": json.RawMessage(testSettings),
 	})
 	if err != nil {
-		t.Fatal(err)
+		panic(err) // the text above is broken
 	}
-	cfg, err := load(t, data)
+	return data
+}
+
+func testConfig(t testing.TB, discovery string, known ...serverItem) *Config {
+	t.Helper()
+	cfg, err := load(t, configText(discovery, known...))
 	if err != nil {
 		t.Fatal(err)
 	}
 	return cfg
 }
 
-func load(t *testing.T, data []byte) (*Config, error) {
+func load(t testing.TB, data []byte) (*Config, error) {
 	t.Helper()
 	path := filepath.Join(t.TempDir(), "config.json")
 	if err := os.WriteFile(path, data, 0o600); err != nil {
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -72,25 +72,27 @@
 	return &pool{budget: budget, connTimeout: connTimeout, idleFor: idleFor, hosts: map[uint64]*host{}}
 }
 
-// update takes in what the list says of a server. Connections to an earlier
-// process or address are not used again.
-func (p *pool) update(info silverscale.ServerInfo, dial string) {
+// update takes in what the list says of a server and tells whether that is
+// news. Connections to an earlier process or address are not used again.
+func (p *pool) update(info silverscale.ServerInfo, dial string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	h := p.hosts[info.ID]
-	if info.Phase == silverscale.Removed {
+	h, up := p.hosts[info.ID], info.Phase == silverscale.Up
+	switch {
+	case info.Phase == silverscale.Removed:
 		p.drop(h)
 		delete(p.hosts, info.ID)
-		return
-	}
-	if h == nil || h.dial != dial || h.bornMs != info.ReadyAt {
+		return h != nil
+	case h == nil || h.dial != dial || h.bornMs != info.ReadyAt:
 		p.drop(h)
-		h = &host{id: info.ID, dial: dial, bornMs: info.ReadyAt}
-		p.hosts[info.ID] = h
+		p.hosts[info.ID] = &host{id: info.ID, dial: dial, bornMs: info.ReadyAt, up: up}
+		return true
 	}
-	if h.up = info.Phase == silverscale.Up; !h.up {
+	news := h.up != up
+	if h.up = up; !up {
 		p.closeIdle(h)
 	}
+	return news
 }
 
 // keepOnly drops the servers that a whole list does not name.
--- a/internal/node/servers_test.go
+++ b/internal/node/servers_test.go
@@ -237,6 +237,38 @@
 	}
 }
 
+// An attempt that the module gives up closes its connection, has one Outcome,
+// and the next attempt goes out at once to another server.
+func TestGivenUpAttemptGoesOnElsewhere(t *testing.T) {
+	t.Parallel()
+	a, b := newRawServer(t), newRawServer(t)
+	r := start(t, server("s-a", a.addr))
+	req := r.newRequest("status-check", "enterprise", "")
+	out := r.send(req)
+	first := a.accept()
+	first.request()
+	r.discovery.set(server("s-a", a.addr), server("s-b", b.addr))
+	until(t, "the second server is known", func() bool { return r.node.servers.host(serverID("s-b")) != nil })
+	// Known to the pool is known to the module once the mutex is free.
+	r.node.mu.Lock()
+	r.node.do(silverscale.AbortAttempt{ID: req.Header.Get("X-Request-ID"), Try: 0})
+	r.node.work()
+	r.node.do(silverscale.AbortAttempt{ID: req.Header.Get("X-Request-ID"), Try: 0}) // again: no second Outcome
+	if len(r.node.queue) != 0 {
+		t.Errorf("queued %+v", r.node.queue)
+	}
+	r.node.mu.Unlock()
+	first.closed()
+	second := b.accept()
+	if id := second.request().Header.Get("X-Request-ID"); id != req.Header.Get("X-Request-ID") {
+		t.Errorf("id %q", id)
+	}
+	second.answer("200 OK", "second")
+	if res := r.got(out); res.status != 200 || res.body != "second" {
+		t.Errorf("answer %d %q", res.status, res.body)
+	}
+}
+
 // A drain that is told while a connect is slow: nothing is written on the
 // connection once it is there.
 func TestDrainDuringSlowConnect(t *testing.T) {
