Close connections at a stop without a request crossing into the module

By reading net/http: a connection counts as active only once a whole head is read, so one that is closed as unused in that moment would still reach the module while its client sends the request again; and what was in hand at SIGTERM was answered without Connection: close, so that its connection became idle again. To blame: serve set the header before the wait, and asked nobody whether its connection was still there. Now write sets it, and a request on a dropped connection is aborted before Submit. Test with both.

--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -47,6 +47,9 @@
 	return free / 3, free - free/3
 }
 
+// connKey is where a request's context has its connection.
+type connKey struct{}
+
 // newServer returns the HTTP server for clients.
 func (n *Node) newServer(errors *log.Logger) *http.Server {
 	// No ServeMux: it would redirect a path that it would write otherwise.
@@ -64,6 +67,9 @@
 		MaxHeaderBytes:    maxHead,
 		ErrorLog:          errors,
 		ConnState:         n.conns.changed,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, c)
+		},
 	}
 }
 
@@ -98,18 +104,16 @@
 	if err == nil {
 		err = readCall(w, hr, r)
 	}
-	full := false
-	if err == nil {
-		n.mu.Lock()
-		full = n.cfg.Settings.MaxOpen > 0 && len(n.requests) >= n.cfg.Settings.MaxOpen
-		if !n.stopBy.IsZero() {
-			w.Header().Set("Connection", "close")
-		}
-		n.mu.Unlock()
+	conn, _ := hr.Context().Value(connKey{}).(net.Conn)
+	dropped, full := n.conns.state(conn)
+	if dropped {
+		// The connection was closed as unused while this request came in. Its client
+		// sends it once more, so it must not go on from here as well.
+		panic(http.ErrAbortHandler)
 	}
-	if err == nil && (full || n.conns.full()) {
+	if err == nil && (full || n.tooManyInHand()) {
 		w.Header().Set("Connection", "close")
-		write(w, &answer{status: http.StatusServiceUnavailable, retryAfter: fullAdvice})
+		n.write(w, &answer{status: http.StatusServiceUnavailable, retryAfter: fullAdvice})
 		return
 	}
 	if err == nil && !n.submit(r, ev) {
@@ -137,14 +141,24 @@
 		if final == gone {
 			panic(http.ErrAbortHandler) // closes the connection without an answer
 		}
-		write(w, final)
+		n.write(w, final)
 		return
 	}
 }
 
+// tooManyInHand tells that the limiter holds as many requests as it may.
+func (n *Node) tooManyInHand() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.cfg.Settings.MaxOpen > 0 && len(n.requests) >= n.cfg.Settings.MaxOpen
+}
+
 // write writes a final answer.
-func write(w http.ResponseWriter, a *answer) {
+func (n *Node) write(w http.ResponseWriter, a *answer) {
 	h := w.Header()
+	if n.stopping.Load() {
+		h.Set("Connection", "close")
+	}
 	if a.content != "" {
 		h["Content-Type"] = []string{a.content}
 	} else {
@@ -301,13 +315,14 @@
 type clientConns struct {
 	budget int
 
-	mu     sync.Mutex
-	open   int
-	unused map[net.Conn]time.Time // without a request, since when
+	mu      sync.Mutex
+	open    int
+	unused  map[net.Conn]time.Time // without a request, since when
+	dropped map[net.Conn]bool      // closed here as unused
 }
 
 func newClientConns(budget int) *clientConns {
-	return &clientConns{budget: budget, unused: map[net.Conn]time.Time{}}
+	return &clientConns{budget: budget, unused: map[net.Conn]time.Time{}, dropped: map[net.Conn]bool{}}
 }
 
 // changed is the server's ConnState hook.
@@ -319,21 +334,30 @@
 		c.open++
 		c.unused[nc] = time.Now()
 		if c.open > c.budget {
-			c.closeOldest(nc)
+			c.dropOldest(nc)
 		}
 	case http.StateIdle:
 		c.unused[nc] = time.Now()
-	case http.StateActive:
+	case http.StateActive: // a whole head has been read
 		delete(c.unused, nc)
 	case http.StateClosed, http.StateHijacked:
 		c.open--
 		delete(c.unused, nc)
+		delete(c.dropped, nc)
 	}
 }
 
-// closeOldest makes room by closing the connection unused longest, but for the
-// new one. A client sends a request that crosses this once more.
-func (c *clientConns) closeOldest(but net.Conn) {
+// drop closes a connection without a request. A client sends a request that
+// crosses this once more.
+func (c *clientConns) drop(nc net.Conn) {
+	delete(c.unused, nc)
+	c.dropped[nc] = true
+	nc.Close()
+}
+
+// dropOldest makes room by closing the connection unused longest, but for the
+// new one.
+func (c *clientConns) dropOldest(but net.Conn) {
 	var oldest net.Conn
 	for nc, since := range c.unused {
 		if nc != but && (oldest == nil || since.Before(c.unused[oldest])) {
@@ -341,24 +365,23 @@
 		}
 	}
 	if oldest != nil {
-		delete(c.unused, oldest)
-		oldest.Close()
+		c.drop(oldest)
 	}
 }
 
-// full tells that clients hold more connections than their budget.
-func (c *clientConns) full() bool {
+// dropUnused closes all connections without a request.
+func (c *clientConns) dropUnused() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.open > c.budget
+	for nc := range c.unused {
+		c.drop(nc)
+	}
 }
 
-// closeUnused closes all connections without a request.
-func (c *clientConns) closeUnused() {
+// state tells whether a request's connection was dropped before its head was
+// read, and whether clients hold more connections than their budget.
+func (c *clientConns) state(nc net.Conn) (dropped, full bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for nc := range c.unused {
-		delete(c.unused, nc)
-		nc.Close()
-	}
+	return c.dropped[nc], c.open > c.budget
 }
--- a/internal/node/clients_test.go
+++ b/internal/node/clients_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -252,6 +254,51 @@
 	}
 }
 
+// The answer to what was in hand at the stop says that its connection closes.
+// A request that comes in on a connection while that is closed as unused must
+// not go on: its client sends it once more.
+func TestRequestOnDroppedConnection(t *testing.T) {
+	t.Parallel()
+	srv := newRawServer(t)
+	r := start(t, server("s-1", srv.addr))
+	kept, err := net.Dial("tcp", r.node.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer kept.Close()
+	kept.SetDeadline(time.Now().Add(patience))
+	r.newRequest("send-bulk-paid", "enterprise", "").Write(kept)
+	c := srv.accept()
+	c.request()
+	r.stop()
+	until(t, "stopping", r.node.stopping.Load)
+	c.answer("200 OK", "")
+	if resp, err := http.ReadResponse(bufio.NewReader(kept), nil); err != nil || !resp.Close {
+		t.Errorf("the answer keeps the connection: %v", err)
+	}
+
+	conn, other := net.Pipe()
+	defer other.Close()
+	r.node.conns.changed(conn, http.StateNew)
+	r.node.conns.dropUnused()
+	r.node.conns.changed(conn, http.StateActive)
+	req := r.newRequest("send-bulk-paid", "enterprise", "")
+	aborted := func() (p any) {
+		defer func() { p = recover() }()
+		r.node.serve(httptest.NewRecorder(), req.WithContext(context.WithValue(req.Context(), connKey{}, conn)))
+		return nil
+	}()
+	if aborted != http.ErrAbortHandler {
+		t.Errorf("the request went on: %v", aborted)
+	}
+	r.node.conns.changed(conn, http.StateClosed)
+	r.node.conns.mu.Lock()
+	defer r.node.conns.mu.Unlock()
+	if len(r.node.conns.dropped) > 0 {
+		t.Error("the connection is remembered for ever")
+	}
+}
+
 // A stop with a silent server still answers before the platform kills: what is
 // in hand ends early. A connection without any request must not hold the stop up.
 func TestStopEndsWhatHangs(t *testing.T) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"example.org/silverscale"
@@ -38,6 +39,8 @@
 	start        time.Time
 	startMs      float64 // start in Unix milliseconds
 
+	stopping atomic.Bool // answers say Connection: close
+
 	mu       sync.Mutex // round each call of the module and its actions
 	limiter  *silverscale.Limiter
 	queue    []silverscale.Event
@@ -169,13 +172,14 @@
 	n.mu.Lock()
 	n.stopBy = stopBy
 	n.mu.Unlock()
+	n.stopping.Store(true)
 	n.log.Info("stopping")
 	time.Sleep(keepAccepting) // answers say Connection: close by now
 	expire := time.AfterFunc(time.Until(stopBy), n.expire)
 	defer expire.Stop()
 	ctx, cancel := context.WithDeadline(context.Background(), stopBy.Add(100*time.Millisecond))
 	defer cancel()
-	n.conns.closeUnused()
+	n.conns.dropUnused()
 	if err := n.web.Shutdown(ctx); err != nil {
 		n.log.Warn("stopped with connections open", "err", err)
 	}
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -50,16 +50,17 @@
 
 // tell queues a message to one peer, or to all for -1. It never blocks.
 func (p *peerLink) tell(to int, data []byte) {
-	var addr netip.AddrPort
-	switch {
-	case len(data) > maxDatagram: // a longer one must not go out
+	if to == -1 && !p.all.IsValid() { // no address reaches all of them
+		for _, i := range p.from {
+			p.tell(i, data)
+		}
 		return
-	case to == -1:
-		addr = p.all
-	case to >= 0 && to < len(p.addrs):
+	}
+	addr := p.all
+	if to >= 0 && to < len(p.addrs) {
 		addr = p.addrs[to]
 	}
-	if !addr.IsValid() {
+	if !addr.IsValid() || len(data) > maxDatagram { // a longer one must not go out
 		return
 	}
 	select {
