End late attempts by the stop's own deadline; keep idle connections when a connect is given up

By reading: an attempt that got its connection just after the stop's last moment still ran to the client's own deadline, past SIGKILL; and a connect that the limiter itself gave up dropped the server's idle connections as if it had failed. Both lines are in try. Tests share their waits and connections.

--- a/internal/node/clients_test.go
+++ b/internal/node/clients_test.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"bufio"
 	"context"
 	"io"
 	"net"
@@ -78,13 +77,9 @@
 	r := start(t, server("s-1", echo(t)))
 	for _, text := range []string{"\x00\x01\x02\r\n\r\n", "GET / HTTP/9\r\n\r\n", "GET /api HTTP/1.1\r\nHost: x\r\nX-Request-ID\r\n\r\n",
 		"GET /" + strings.Repeat("a", 1<<17) + " HTTP/1.1\r\n\r\n", "POST /api HTTP/1.1\r\nHost: x\r\nContent-Length: -3\r\n\r\n"} {
-		c, err := net.Dial("tcp", r.node.Addr().String())
-		if err != nil {
-			t.Fatal(err)
-		}
-		c.SetDeadline(time.Now().Add(patience))
+		c, in := r.dial()
 		go io.WriteString(c, text)
-		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		resp, err := http.ReadResponse(in, nil)
 		if err == nil && (resp.StatusCode < 400 || resp.StatusCode > 599 || resp.StatusCode == 503) {
 			t.Errorf("%.20q: status %d", text, resp.StatusCode)
 		}
@@ -157,14 +152,9 @@
 	_, budget := socketBudget(leastSockets)
 	var conns []net.Conn
 	for range budget + 1 {
-		c, err := net.Dial("tcp", r.node.Addr().String())
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer c.Close()
+		c, _ := r.dial()
 		conns = append(conns, c)
 	}
-	conns[0].SetDeadline(time.Now().Add(patience))
 	if _, err := conns[0].Read(make([]byte, 1)); err == nil {
 		t.Error("a byte came")
 	} else if ne, ok := err.(net.Error); ok && ne.Timeout() {
@@ -201,13 +191,7 @@
 	srv := newRawServer(t)
 	r := start(t, server("s-1", srv.addr))
 	// A kept-alive connection of a client.
-	kept, err := net.Dial("tcp", r.node.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer kept.Close()
-	kept.SetDeadline(time.Now().Add(patience))
-	in := bufio.NewReader(kept)
+	kept, in := r.dial()
 	exchange := func(c *rawConn, body string) *http.Response {
 		c.request()
 		c.answer("200 OK", body)
@@ -244,14 +228,7 @@
 	if res := r.got(late); res.body != "late" {
 		t.Errorf("late: %d %q", res.status, res.body)
 	}
-	select {
-	case err := <-r.ended:
-		if err != nil {
-			t.Error(err)
-		}
-	case <-time.After(patience):
-		t.Error("the limiter did not end")
-	}
+	r.waitEnd()
 }
 
 // The answer to what was in hand at the stop says that its connection closes.
@@ -261,19 +238,14 @@
 	t.Parallel()
 	srv := newRawServer(t)
 	r := start(t, server("s-1", srv.addr))
-	kept, err := net.Dial("tcp", r.node.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer kept.Close()
-	kept.SetDeadline(time.Now().Add(patience))
+	kept, in := r.dial()
 	r.newRequest("send-bulk-paid", "enterprise", "").Write(kept)
 	c := srv.accept()
 	c.request()
 	r.stop()
 	until(t, "stopping", r.node.stopping.Load)
 	c.answer("200 OK", "")
-	if resp, err := http.ReadResponse(bufio.NewReader(kept), nil); err != nil || !resp.Close {
+	if resp, err := http.ReadResponse(in, nil); err != nil || !resp.Close {
 		t.Errorf("the answer keeps the connection: %v", err)
 	}
 
@@ -305,11 +277,7 @@
 	t.Parallel()
 	srv := newRawServer(t)
 	r := start(t, server("s-1", srv.addr))
-	unused, err := net.Dial("tcp", r.node.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer unused.Close()
+	r.dial()                                                        // a connection without any request
 	out := r.send(r.newRequest("send-bulk-paid", "enterprise", "")) // waits up to 12 s
 	c := srv.accept()
 	c.request()
@@ -317,11 +285,7 @@
 	if res := r.got(out); res.status != http.StatusGatewayTimeout {
 		t.Errorf("answer %d %q", res.status, res.body)
 	}
-	select {
-	case <-r.ended:
-	case <-time.After(patience):
-		t.Error("the limiter did not end")
-	}
+	r.waitEnd()
 }
 
 func TestParseTimeout(t *testing.T) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -99,15 +99,15 @@
 var gone = &answer{}
 
 // New returns a Node that listens but does not serve yet.
-func New(cfg *Config, log_ *slog.Logger) (*Node, error) {
+func New(cfg *Config, logger *slog.Logger) (*Node, error) {
 	limiter, err := silverscale.New(cfg.Settings.Module, cfg.Seed)
 	if err != nil {
 		return nil, err
 	}
 	now := time.Now()
 	n := &Node{
-		cfg: cfg, log: log_, limiter: limiter, requests: map[string]*request{},
-		badInput: &boundedLog{to: log_}, discoveryLog: &boundedLog{to: log_},
+		cfg: cfg, log: logger, limiter: limiter, requests: map[string]*request{},
+		badInput: &boundedLog{to: logger}, discoveryLog: &boundedLog{to: logger},
 		start: now, startMs: float64(now.UnixMicro()) / 1000,
 	}
 	upstream, clients := socketBudget(cfg.Limits.Sockets)
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -15,6 +15,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -30,6 +31,7 @@
 	stop      context.CancelFunc
 	ended     chan error
 	log       *syncBuffer
+	ids       atomic.Int64
 }
 
 type syncBuffer struct {
@@ -207,18 +209,10 @@
 	}
 }
 
-var lastID struct {
-	sync.Mutex
-	n int
-}
-
 // newRequest is a sound request of a class.
 func (r *rig) newRequest(class, plan, body string) *http.Request {
 	r.t.Helper()
-	lastID.Lock()
-	lastID.n++
-	id := fmt.Sprintf("id-%d", lastID.n)
-	lastID.Unlock()
+	id := fmt.Sprintf("id-%d", r.ids.Add(1))
 	method := http.MethodPost
 	if class == "status-check" {
 		method = http.MethodGet
@@ -238,19 +232,14 @@
 	return req
 }
 
+// do makes a request and waits for its answer.
 func (r *rig) do(req *http.Request) (int, string, http.Header) {
 	r.t.Helper()
-	client := &http.Client{Timeout: patience, Transport: &http.Transport{DisableKeepAlives: true}}
-	resp, err := client.Do(req)
-	if err != nil {
-		r.t.Fatal(err)
-	}
-	defer resp.Body.Close()
-	body, err := io.ReadAll(resp.Body)
-	if err != nil {
-		r.t.Fatal(err)
+	res := r.got(r.send(req))
+	if res.status == 0 {
+		r.t.Fatal(res.body)
 	}
-	return resp.StatusCode, string(body), resp.Header
+	return res.status, res.body, res.header
 }
 
 // rawServer is a server that a test drives by hand, a connection at a time.
@@ -320,6 +309,31 @@
 	}
 }
 
+// dial opens a client's connection that is kept alive.
+func (r *rig) dial() (net.Conn, *bufio.Reader) {
+	r.t.Helper()
+	c, err := net.Dial("tcp", r.node.Addr().String())
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	r.t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(patience))
+	return c, bufio.NewReader(c)
+}
+
+// waitEnd waits for the limiter to end well.
+func (r *rig) waitEnd() {
+	r.t.Helper()
+	select {
+	case err := <-r.ended:
+		if err != nil {
+			r.t.Error(err)
+		}
+	case <-time.After(patience):
+		r.t.Error("the limiter did not end")
+	}
+}
+
 // result is what a client got.
 type result struct {
 	status int
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -286,7 +286,9 @@
 			return reply{result: silverscale.NoRoom, load: noLoad}
 		}
 		if err != nil {
-			n.servers.broken(at.host)
+			if ctx.Err() != context.Canceled { // given up: says nothing about the server
+				n.servers.broken(at.host)
+			}
 			return reply{result: silverscale.NoRoute, load: noLoad}
 		}
 	}
@@ -294,13 +296,16 @@
 	// grace of a drain and the client's time count from the first byte sent.
 	n.mu.Lock()
 	at.conn, at.cancel = c, nil
-	over := at.over
+	over, stopAt := at.over, at.stopAt
+	if !n.stopBy.IsZero() && n.stopBy.Before(stopAt) { // SIGTERM came after the request
+		stopAt = n.stopBy
+	}
 	n.mu.Unlock()
-	if over || !n.servers.wanted(at.host) || !time.Now().Before(at.stopAt) {
+	if over || !n.servers.wanted(at.host) || !time.Now().Before(stopAt) {
 		n.servers.put(c)
 		return reply{result: silverscale.NoRoute, load: noLoad}
 	}
-	rep, keep := c.exchange(&at.req.call, at.stopAt)
+	rep, keep := c.exchange(&at.req.call, stopAt)
 	if rep.result == silverscale.Cut {
 		n.servers.broken(at.host)
 	}
