Divide the descriptors in halves between clients and servers

Guess: attempts that ended as NoRoom for want of a connection, as only 16 were for servers. Test on the division.

--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -38,13 +38,15 @@
 )
 
 // socketBudget divides the descriptors between servers and clients, so that
-// connections to servers never take those that clients need.
+// connections to servers never take those that clients need. The halves are
+// equal: each request in hand holds one of either kind at most, so none ends for
+// want of a connection to a server while its client has one.
 func socketBudget(sockets int) (upstream, clients int) {
 	if sockets == 0 {
 		sockets = defaultSockets
 	}
 	free := sockets - reservedSockets
-	return free / 3, free - free/3
+	return free / 2, free - free/2
 }
 
 // connKey is where a request's context has its connection.
--- a/internal/node/clients_test.go
+++ b/internal/node/clients_test.go
@@ -165,6 +165,22 @@
 	}
 }
 
+// Each client's connection may have a request in hand, and each of these an
+// attempt: with fewer connections to servers sound requests ended as NoRoom.
+func TestSocketBudget(t *testing.T) {
+	t.Parallel()
+	for _, sockets := range []int{0, leastSockets, 80, 1024} {
+		upstream, clients := socketBudget(sockets)
+		limit := sockets
+		if limit == 0 {
+			limit = defaultSockets
+		}
+		if upstream < clients-1 || upstream+clients+reservedSockets > limit || upstream < 1 {
+			t.Errorf("%d sockets: %d to servers, %d from clients", sockets, upstream, clients)
+		}
+	}
+}
+
 func TestHealth(t *testing.T) {
 	t.Parallel()
 	get := func(r *rig) int {
