Go on when SIGHUP comes: read the configuration again and move the watch

Cause: cmd/madderdrum/main.go caught SIGTERM and the interrupt alone; Go's default action on SIGHUP ends the program. The watch (discovery.go) also had one address for good, and a call for the whole list could wait 22 s. Now main catches SIGHUP before anything else; reload.go reads the file again, and follow ends the watch, with its connection, before the new address is asked for the whole list. A bad or half-written file changes nothing and is read again soon.

--- a/cmd/madderdrum/main.go
+++ b/cmd/madderdrum/main.go
@@ -29,6 +29,10 @@
 }
 
 func run() error {
+	// From the very start on: Go's default action on SIGHUP ends the program, and
+	// with it all requests in hand.
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
 	cfg, err := node.LoadConfig(os.Getenv)
 	if err != nil {
 		return err
@@ -44,5 +48,10 @@
 	if err != nil {
 		return err
 	}
+	go func() {
+		for range hup {
+			n.Reload()
+		}
+	}()
 	return n.Run(ctx)
 }
--- a/cmd/madderdrum/main_test.go
+++ b/cmd/madderdrum/main_test.go
@@ -9,6 +9,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -37,7 +38,8 @@
 	return exec.Command(bin)
 }
 
-// The program starts, serves a request, and ends on SIGTERM with exit code 0.
+// The program starts, goes on when it is sent SIGHUP, serves a request, and ends
+// on SIGTERM with exit code 0.
 func TestServesAndStops(t *testing.T) {
 	server := listen(t, func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "served") })
 	// A port that was free a moment ago, on an address that no other test uses.
@@ -61,7 +63,8 @@
 	}
 	cmd := command(t)
 	cmd.Env = append(os.Environ(), "NODE_CONFIG="+path)
-	cmd.Stderr = os.Stderr
+	lines := &lineWatch{}
+	cmd.Stderr = lines
 	if err := cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
@@ -80,6 +83,16 @@
 			t.Fatal("the limiter is not ready")
 		}
 	}
+	if err := cmd.Process.Signal(syscall.SIGHUP); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case err := <-ended:
+		t.Fatalf("ended on SIGHUP: %v", err)
+	case <-lines.seen("read the configuration again"):
+	case <-time.After(patience):
+		t.Fatal("SIGHUP has no effect")
+	}
 	req, err := http.NewRequest("GET", "http://"+addr+"/api?key=0000000000000001", nil)
 	if err != nil {
 		t.Fatal(err)
@@ -109,6 +122,39 @@
 	}
 }
 
+// lineWatch passes a program's log on and tells when a text has come.
+type lineWatch struct {
+	mu   sync.Mutex
+	text strings.Builder
+	want string
+	got  chan struct{}
+}
+
+func (l *lineWatch) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.text.Write(p)
+	l.check()
+	return os.Stderr.Write(p)
+}
+
+// check closes the channel once the text is there.
+func (l *lineWatch) check() {
+	if l.got != nil && strings.Contains(l.text.String(), l.want) {
+		close(l.got)
+		l.got = nil
+	}
+}
+
+func (l *lineWatch) seen(want string) <-chan struct{} {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	got := make(chan struct{})
+	l.want, l.got = want, got
+	l.check()
+	return got
+}
+
 // A bad configuration ends the start with one line and an exit code.
 func TestBadConfiguration(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "config.json")
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -31,6 +31,10 @@
 	PeersAll   netip.AddrPort // reaches every peer at once
 	Known      serverList     // as last held, perhaps stale
 	Settings   Settings
+
+	path            string // of the file, to read it again
+	getenv          func(string) string
+	discoveryInFile string
 }
 
 // Limits are those of the limiter's machine; 0 is no limit.
@@ -79,6 +83,12 @@
 	if path == "" {
 		return nil, errors.New("NODE_CONFIG is not set")
 	}
+	return loadFile(path, getenv, func(file, env string) string { return cmp.Or(env, file) })
+}
+
+// loadFile reads a configuration file. The address of discovery is chosen between
+// what the file says and what the environment does.
+func loadFile(path string, getenv func(string) string, discovery func(file, env string) string) (*Config, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
 		return nil, fmt.Errorf("reading NODE_CONFIG: %w", err)
@@ -87,13 +97,15 @@
 	if err := json.Unmarshal(data, &f); err != nil {
 		return nil, fmt.Errorf("NODE_CONFIG %s: %w", path, err)
 	}
+	inFile := f.Discovery
 	f.Name = cmp.Or(getenv("NODE_NAME"), f.Name)
 	f.Listen = cmp.Or(getenv("NODE_LISTEN"), f.Listen)
-	f.Discovery = cmp.Or(getenv("NODE_DISCOVERY"), f.Discovery)
+	f.Discovery = discovery(f.Discovery, getenv("NODE_DISCOVERY"))
 	c, err := f.config()
 	if err != nil {
 		return nil, fmt.Errorf("NODE_CONFIG %s: %w", path, err)
 	}
+	c.path, c.getenv, c.discoveryInFile = path, getenv, inFile
 	return c, nil
 }
 
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -129,20 +129,28 @@
 	n.handle(ev)
 }
 
-// watch follows discovery until the context ends. What is known stays in use
-// while discovery is silent, down or talks nonsense.
-func (n *Node) watch(ctx context.Context) {
+// listIndex is the version of the list that a watch goes on from, if there is one.
+type listIndex struct {
+	seq  int64
+	have bool
+}
+
+// watch follows discovery at an address until the context ends. What is known
+// stays in use while discovery is silent, down or talks nonsense.
+func (n *Node) watch(ctx context.Context, addr string, index listIndex) {
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, MaxConnsPerHost: 2,
 		IdleConnTimeout: time.Minute}}
 	defer client.CloseIdleConnections()
-	seq, have, pause := n.cfg.Known.Seq, len(n.cfg.Known.Hosts) > 0, retryFirst
+	pause := retryFirst
 	for ctx.Err() == nil {
-		path := "/v1/servers"
-		if have {
-			path = fmt.Sprintf("/v1/servers?index=%d&wait=%d", seq, watchWait.Milliseconds())
+		// The whole list comes at once, or the call is made anew.
+		path, most := "/v1/servers", watchSlack
+		if index.have {
+			path = fmt.Sprintf("/v1/servers?index=%d&wait=%d", index.seq, watchWait.Milliseconds())
+			most += watchWait
 		}
 		asked := time.Now()
-		l, err := ask(ctx, client, "http://"+n.cfg.Discovery+path)
+		l, err := ask(ctx, client, "http://"+addr+path, most)
 		switch {
 		case ctx.Err() != nil:
 			return
@@ -158,16 +166,16 @@
 		} else if len(l.Hosts) > 0 {
 			n.take(silverscale.Partial, l)
 		}
-		if l.Seq == seq && have && time.Since(asked) < idlePause {
+		if l.Seq == index.seq && index.have && time.Since(asked) < idlePause {
 			sleep(ctx, idlePause)
 		}
-		seq, have = l.Seq, true
+		index = listIndex{l.Seq, true}
 	}
 }
 
-// ask makes one call to discovery.
-func ask(ctx context.Context, client *http.Client, url string) (l serverList, err error) {
-	ctx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
+// ask makes one call to discovery, which may take so long at most.
+func ask(ctx context.Context, client *http.Client, url string, most time.Duration) (l serverList, err error) {
+	ctx, cancel := context.WithTimeout(ctx, most)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -39,6 +39,9 @@
 	start        time.Time
 	startMs      float64 // start in Unix milliseconds
 
+	reload    chan struct{} // the configuration is to be read again
+	discovery chan string   // a new address of discovery
+
 	stopping atomic.Bool // answers say Connection: close
 
 	mu       sync.Mutex // round each call of the module and its actions
@@ -109,6 +112,7 @@
 		cfg: cfg, log: logger, limiter: limiter, requests: map[string]*request{},
 		badInput: &boundedLog{to: logger}, discoveryLog: &boundedLog{to: logger},
 		start: now, startMs: float64(now.UnixMicro()) / 1000,
+		reload: make(chan struct{}, 1), discovery: make(chan string),
 	}
 	upstream, clients := socketBudget(cfg.Limits.Sockets)
 	n.servers = newPool(upstream, cfg.Settings.ConnTimeout, cfg.Settings.ConnIdle/2)
@@ -136,7 +140,8 @@
 	defer tasks.Wait()
 	defer stop()
 	n.take(silverscale.Persisted, n.cfg.Known)
-	tasks.Go(func() { n.watch(background) })
+	tasks.Go(func() { n.follow(background) })
+	tasks.Go(func() { n.reloads(background) })
 	tasks.Go(func() { n.servers.sweep(background) })
 	if n.peers != nil {
 		tasks.Go(n.sendPeers)
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -59,6 +59,14 @@
 	list  serverList
 	news  chan struct{}
 	calls int
+	first string       // the first call
+	open  atomic.Int64 // watches that wait
+}
+
+func (d *fakeDiscovery) asked() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.calls
 }
 
 func newDiscovery(t *testing.T, items ...serverItem) *fakeDiscovery {
@@ -69,10 +77,14 @@
 
 func (d *fakeDiscovery) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	d.mu.Lock()
-	d.calls++
+	if d.calls++; d.first == "" {
+		d.first = r.RequestURI
+	}
 	list, news := d.list, d.news
 	d.mu.Unlock()
 	if r.FormValue("index") == strconv.FormatInt(list.Seq, 10) {
+		d.open.Add(1)
+		defer d.open.Add(-1)
 		select {
 		case <-news:
 		case <-r.Context().Done():
--- /dev/null
+++ b/internal/node/reload.go
@@ -0,0 +1,83 @@
+package node
+
+import (
+	"cmp"
+	"context"
+	"time"
+)
+
+// reloadMost is the longest pause between two readings of a file that can't be
+// used; the first is retryFirst.
+const reloadMost = time.Second
+
+// Reload has the configuration file read again. Of what it says, the address of
+// discovery takes effect; all else holds from the next start on.
+func (n *Node) Reload() {
+	select {
+	case n.reload <- struct{}{}:
+	default: // one that waits reads the same file
+	}
+}
+
+// reloads carries out what Reload asks for, until the context ends. A file that
+// can't be used changes nothing: it may be half written, and is read again soon.
+func (n *Node) reloads(ctx context.Context) {
+	bad := &boundedLog{to: n.log}
+	pause, inFile := retryFirst, n.cfg.discoveryInFile
+	var again <-chan time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-n.reload:
+			pause = retryFirst
+		case <-again:
+		}
+		again = nil
+		cfg, err := n.cfg.reread()
+		if err != nil {
+			bad.warn("kept the configuration: the new one can't be used", "err", err)
+			again = time.After(pause)
+			pause = min(2*pause, reloadMost)
+			continue
+		}
+		n.log.Info("read the configuration again", "discovery", cfg.Discovery)
+		if cfg.discoveryInFile == inFile {
+			continue // the watch goes on, also where NODE_DISCOVERY named its address
+		}
+		inFile = cfg.discoveryInFile
+		select {
+		case n.discovery <- cfg.Discovery:
+		case <-ctx.Done():
+		}
+	}
+}
+
+// reread reads the configuration as at the start, but for the address of
+// discovery: there a new file goes before the environment, which can't change
+// and still names the address of the start.
+func (c *Config) reread() (*Config, error) {
+	return loadFile(c.path, c.getenv, func(file, env string) string { return cmp.Or(file, env) })
+}
+
+// follow watches discovery until the context ends, at one address after the
+// other. Guards against waiting on a watch at an address that is given up: it
+// would hold until its time is up, and its list is no longer the one that counts.
+func (n *Node) follow(ctx context.Context) {
+	at, index := n.cfg.Discovery, listIndex{n.cfg.Known.Seq, len(n.cfg.Known.Hosts) > 0}
+	for ctx.Err() == nil {
+		watching, end := context.WithCancel(ctx)
+		ended := make(chan struct{})
+		go func() {
+			n.watch(watching, at, index)
+			close(ended)
+		}()
+		select {
+		case <-ctx.Done():
+		case at = <-n.discovery:
+			index = listIndex{} // another one counts anew: ask for the whole list
+		}
+		end()
+		<-ended // nothing that the old address says is taken from here on
+	}
+}
