Answers that can't be used say nothing about their server; keep connections past the deadline

Causes, all in servers.go: (1) every answer that could not be read was a Cut, after which broken closed all idle connections of a sound server and the module's suspect counted against it. (2) A length that did not fit held an attempt until the client's time was up. (3) Heads and 1xx heads without end were read until then as well. (4) The deadline of a request stayed on its kept connection; RawConn.Read heeds it, so quiet took each connection for closed once that time had passed. Found by a test that hung: both idle connections of the other server were closed at the moment of the retry. (5) A connection handed back by an attempt that did not go out stayed the attempt's, and giving it up could close it under another request. Now an answer that has begun comes within 250 ms or a quarter of the time left, of bounded size; only a connection's own end is a Cut; silence of a kept connection is checked right before writing; an address that a new server takes over is not used under the old name any more; load figures have an upper bound.

--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -6,7 +6,6 @@
 	"context"
 	"errors"
 	"io"
-	"math"
 	"net"
 	"net/http"
 	"net/url"
@@ -24,6 +23,16 @@
 	maxBody      = 64 << 10
 	probeTimeout = 250 * time.Millisecond
 	sweepEvery   = 500 * time.Millisecond
+
+	// maxAnswer bounds what is read for one answer, with the heads that announce it
+	// and the frames of its chunks.
+	maxAnswer = maxHead + 2*maxBody
+	// An answer that has begun comes whole within restTime, which leaves room for a
+	// lost packet, or within this part of the time left.
+	restTime = 250 * time.Millisecond
+	restPart = 4
+	// maxLoad is more than any load that a server can have.
+	maxLoad = 1e6
 )
 
 // noLoad is the load of an answer without a report.
@@ -47,6 +56,7 @@
 	dial   string
 	bornMs float64
 	up     bool    // wants new requests
+	taken  bool    // another server stands at its address
 	idle   []*conn // the latest used last
 }
 
@@ -55,17 +65,41 @@
 	net.Conn
 	pool   *pool
 	host   *host
-	in     *bufio.Reader
+	from   *answerReader
+	in     *bufio.Reader // reads from it
+	used   bool          // an answer has come on it
 	idleAt time.Time
 	once   sync.Once
 }
 
+// answerReader is what a conn reads answers from.
+type answerReader struct {
+	from io.Reader
+	left int   // bytes that may still come for this answer
+	died error // how the connection ended
+}
+
+// Read guards against an answer, or heads that announce one, without end, and
+// tells the end of a connection from an answer that can't be read.
+func (a *answerReader) Read(b []byte) (int, error) {
+	if a.left <= 0 {
+		return 0, errTooLong
+	}
+	n, err := a.from.Read(b[:min(len(b), a.left)])
+	a.left -= n
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		a.died = err
+	}
+	return n, err
+}
+
 // reply is what came of an attempt.
 type reply struct {
 	result  silverscale.Result
 	body    []byte
 	content string
 	load    silverscale.Load
+	err     error // why an answer was of no use
 }
 
 func newPool(budget int, connTimeout, idleFor time.Duration) *pool {
@@ -85,9 +119,18 @@
 		return h != nil
 	case h == nil || h.dial != dial || h.bornMs != info.ReadyAt:
 		p.drop(h)
+		// One that still stands at this address is gone: guards against sending to the
+		// new server under the old one's name, on its connections or pending connects.
+		for _, o := range p.hosts {
+			if o.id != info.ID && o.dial == dial {
+				o.taken = true
+				p.drop(o)
+			}
+		}
 		p.hosts[info.ID] = &host{id: info.ID, dial: dial, bornMs: info.ReadyAt, up: up}
 		return true
 	}
+	up = up && !h.taken
 	news := h.up != up
 	if h.up = up; !up {
 		p.closeIdle(h)
@@ -140,7 +183,8 @@
 }
 
 // broken closes a host's idle connections after one of its connections broke
-// or could not be made: the others are as likely dead.
+// or could not be made: the others are as likely dead. An answer that can't be
+// read says nothing of the kind.
 func (p *pool) broken(h *host) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -166,7 +210,9 @@
 func (p *pool) put(c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !c.host.up {
+	// The deadline of the request before must not stay: once it has passed, the
+	// check for silence fails and the connection would be closed.
+	if !c.host.up || c.SetDeadline(time.Time{}) != nil {
 		c.closeLocked()
 		return
 	}
@@ -197,7 +243,8 @@
 		p.mu.Unlock()
 		return nil, err
 	}
-	return &conn{Conn: nc, pool: p, host: h, in: bufio.NewReader(nc)}, nil
+	from := &answerReader{from: nc}
+	return &conn{Conn: nc, pool: p, host: h, from: from, in: bufio.NewReader(from)}, nil
 }
 
 // evict closes the connection that has been idle longest.
@@ -269,6 +316,17 @@
 
 // try carries out an attempt and returns what came of it.
 func (n *Node) try(at *attempt) reply {
+	for {
+		rep, stale := n.tryOnce(at)
+		if !stale {
+			return rep
+		}
+	}
+}
+
+// tryOnce carries out an attempt on one connection. It is stale if the kept
+// connection turned out to be of no use before anything was written on it.
+func (n *Node) tryOnce(at *attempt) (rep reply, stale bool) {
 	c := n.servers.take(at.host)
 	if c == nil {
 		ctx, cancel := context.WithDeadline(context.Background(), at.stopAt)
@@ -278,82 +336,106 @@
 		over := at.over
 		n.mu.Unlock()
 		if over {
-			return reply{result: silverscale.NoRoute, load: noLoad}
+			return reply{result: silverscale.NoRoute, load: noLoad}, false
 		}
 		var err error
 		c, err = n.servers.connect(ctx, at.host)
 		if errors.Is(err, errNoRoom) {
-			return reply{result: silverscale.NoRoom, load: noLoad}
+			return reply{result: silverscale.NoRoom, load: noLoad}, false
 		}
 		if err != nil {
 			if ctx.Err() != context.Canceled { // given up: says nothing about the server
 				n.servers.broken(at.host)
 			}
-			return reply{result: silverscale.NoRoute, load: noLoad}
+			return reply{result: silverscale.NoRoute, load: noLoad}, false
 		}
 	}
 	// A connect takes time: what was decided before it may no longer hold. The
 	// grace of a drain and the client's time count from the first byte sent.
 	n.mu.Lock()
-	at.conn, at.cancel = c, nil
-	over, stopAt := at.over, at.stopAt
+	stopAt := at.stopAt
 	if !n.stopBy.IsZero() && n.stopBy.Before(stopAt) { // SIGTERM came after the request
 		stopAt = n.stopBy
 	}
+	off := at.over || !n.servers.wanted(at.host) || !time.Now().Before(stopAt)
+	if at.cancel = nil; !off {
+		at.conn = c
+	}
 	n.mu.Unlock()
-	if over || !n.servers.wanted(at.host) || !time.Now().Before(stopAt) {
+	if off {
+		// No longer the attempt's: giving it up must not close a connection that
+		// another attempt has taken meanwhile.
 		n.servers.put(c)
-		return reply{result: silverscale.NoRoute, load: noLoad}
-	}
-	rep, keep := c.exchange(&at.req.call, stopAt)
-	if rep.result == silverscale.Cut {
-		n.servers.broken(at.host)
+		return reply{result: silverscale.NoRoute, load: noLoad}, false
 	}
+	rep, end := c.exchange(&at.req.call, stopAt)
 	n.mu.Lock()
 	at.conn = nil
-	keep = keep && !at.over
+	over := at.over
 	n.mu.Unlock()
-	if keep {
+	if end == reusable && !over {
 		n.servers.put(c)
 	} else {
 		c.close() // before the next attempt can go out
 	}
-	return rep
+	if end == dead && !over { // not where giving up closed it
+		n.servers.broken(at.host)
+	}
+	if rep.result == silverscale.Spoilt {
+		n.badInput.warn("an answer can't be used", "server", at.host.id, "err", rep.err)
+	}
+	return rep, end == unused && !over
 }
 
+// ending is what is left of a connection after an exchange.
+type ending int
+
+const (
+	finished ending = iota // of no further use
+	reusable
+	unused // kept, but closed or spoilt meanwhile: nothing was written on it
+	dead   // the connection itself broke
+)
+
 // exchange writes one request and reads its answer. It knows whether the last
 // byte was written: a failure before that proves that nothing ran.
-func (c *conn) exchange(call *call, stopAt time.Time) (rep reply, keep bool) {
-	rep.load = noLoad
+func (c *conn) exchange(call *call, stopAt time.Time) (rep reply, end ending) {
+	rep = reply{result: silverscale.NoRoute, load: noLoad}
 	req := call.request(time.Until(stopAt))
 	var out bytes.Buffer
 	if err := req.Write(&out); err != nil {
-		rep.result = silverscale.NoRoute
-		return rep, false
+		return rep, finished
 	}
 	if c.SetDeadline(stopAt) != nil {
-		rep.result = silverscale.NoRoute
-		return rep, false
+		return rep, dead
+	}
+	// As late as can be: what a server sends behind an answer, also long after it,
+	// must not be taken for the next one, and one that it has closed would cut an
+	// unsafe request for good.
+	if c.used && !c.quiet() {
+		return rep, unused
 	}
+	c.used, c.from.left = true, maxAnswer
 	if _, err := c.Write(out.Bytes()); err != nil {
-		rep.result = silverscale.NoRoute
-		return rep, false
+		return rep, dead
 	}
-	resp, err := c.read(req)
+	resp, err := c.read(req, stopAt)
 	if err == nil {
 		defer resp.Body.Close()
 		rep.body, err = readBody(resp)
 	}
 	switch {
-	case errors.Is(err, os.ErrDeadlineExceeded):
+	case c.from.died != nil && err != nil:
+		rep.result, rep.err = silverscale.Cut, err
+		return rep, dead
+	case err == errSilent:
 		rep.result = silverscale.TooSlow
-		return rep, false
-	case errors.Is(err, errTooLong):
-		rep.result = silverscale.Fault
-		return rep, false
+		return rep, finished
 	case err != nil:
-		rep.result = silverscale.Cut
-		return rep, false
+		// It may have run, and says nothing about the server: such answers come from
+		// any, and the next one may be good.
+		rep.result, rep.err = silverscale.Spoilt, err
+		return rep, finished
 	}
 	rep.load = parseLoad(resp.Header.Get("X-Server-Load"))
 	rep.content = resp.Header.Get("Content-Type")
@@ -366,12 +448,30 @@
 	default:
 		rep.result = silverscale.Fault
 	}
-	return rep, !resp.Close && c.in.Buffered() == 0
+	if !resp.Close && c.in.Buffered() == 0 {
+		end = reusable
+	}
+	return rep, end
 }
 
+// errSilent tells that no answer has begun in time.
+var errSilent = errors.New("no answer")
+
 // read reads the head of the answer and passes over those that only announce it.
-func (c *conn) read(req *http.Request) (*http.Response, error) {
+// Guards against an answer that begins and never ends: it is given up while there
+// is time for another attempt.
+func (c *conn) read(req *http.Request, stopAt time.Time) (*http.Response, error) {
 	for {
+		if err := c.SetReadDeadline(stopAt); err != nil {
+			return nil, err
+		}
+		if _, err := c.in.Peek(1); errors.Is(err, os.ErrDeadlineExceeded) {
+			return nil, errSilent
+		}
+		now := time.Now()
+		if err := c.SetReadDeadline(now.Add(min(restTime, stopAt.Sub(now)/restPart))); err != nil {
+			return nil, err
+		}
 		resp, err := http.ReadResponse(c.in, req)
 		if err != nil || resp.StatusCode >= 200 {
 			return resp, err
@@ -379,7 +479,7 @@
 	}
 }
 
-var errTooLong = errors.New("body is too long")
+var errTooLong = errors.New("the answer is too long")
 
 func readBody(resp *http.Response) ([]byte, error) {
 	if resp.ContentLength > maxBody {
@@ -426,7 +526,7 @@
 		pair, text, _ = strings.Cut(text, ",")
 		name, value, _ := strings.Cut(pair, "=")
 		v, err := strconv.ParseFloat(value, 64)
-		if err != nil || math.IsNaN(v) || math.IsInf(v, 0) || v < 0 {
+		if err != nil || !(v >= 0 && v <= maxLoad) {
 			continue
 		}
 		switch strings.TrimSpace(name) {
@@ -448,14 +548,18 @@
 	if h := n.servers.host(id); h != nil {
 		ctx, cancel := context.WithDeadline(context.Background(), begun.Add(probeTimeout))
 		defer cancel()
-		c, err := n.servers.take(h), error(nil)
-		if c == nil {
-			c, err = n.servers.connect(ctx, h)
-		}
-		if err == nil {
-			rep, keep := c.exchange(&call{method: http.MethodGet, target: healthPath, host: h.dial}, begun.Add(probeTimeout))
+		var err error
+		for end := unused; end == unused; {
+			c := n.servers.take(h)
+			if c == nil {
+				if c, err = n.servers.connect(ctx, h); err != nil {
+					break
+				}
+			}
+			var rep reply
+			rep, end = c.exchange(&call{method: http.MethodGet, target: healthPath, host: h.dial}, begun.Add(probeTimeout))
 			ev.Result, ev.Load = rep.result, rep.load
-			if keep {
+			if end == reusable {
 				n.servers.put(c)
 			} else {
 				c.close()
--- a/internal/node/servers_test.go
+++ b/internal/node/servers_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
@@ -214,7 +215,7 @@
 	}
 	c := connect()
 	c.Conn.(*net.TCPConn).CloseWrite()
-	if rep, keep := c.exchange(call, time.Now().Add(patience)); rep.result != silverscale.NoRoute || keep {
+	if rep, end := c.exchange(call, time.Now().Add(patience)); rep.result != silverscale.NoRoute || end != dead {
 		t.Errorf("a write that failed gave %v", rep.result)
 	}
 	c = connect()
@@ -224,15 +225,15 @@
 		s.request()
 		s.Close()
 	}()
-	if rep, keep := c.exchange(call, time.Now().Add(patience)); rep.result != silverscale.Cut || keep {
+	if rep, end := c.exchange(call, time.Now().Add(patience)); rep.result != silverscale.Cut || end != dead {
 		t.Errorf("a connection that broke after the request gave %v", rep.result)
 	}
 	c = connect()
-	if rep, keep := c.exchange(call, time.Now().Add(20*time.Millisecond)); rep.result != silverscale.TooSlow || keep {
+	if rep, end := c.exchange(call, time.Now().Add(20*time.Millisecond)); rep.result != silverscale.TooSlow || end != finished {
 		t.Errorf("silence gave %v", rep.result)
 	}
 	c = connect()
-	if rep, keep := c.exchange(call, time.Now().Add(-time.Second)); rep.result != silverscale.NoRoute || keep {
+	if rep, end := c.exchange(call, time.Now().Add(-time.Second)); rep.result != silverscale.NoRoute || end == reusable {
 		t.Errorf("with no time left the request was written: %v", rep.result)
 	}
 }
@@ -410,6 +411,7 @@
 		"":                                   noLoad,
 		"inflight=7,queue=2,util=0.61":       {Busy: 7, Pending: 2, ServiceMs: -1},
 		"inflight=x, queue=3":                {Busy: -1, Pending: 3, ServiceMs: -1},
+		"inflight=1e300,queue=Inf":           noLoad,
 		"inflight=-1,queue=NaN,latency_ms=4": {Busy: -1, Pending: -1, ServiceMs: 4},
 		",,=":                                noLoad,
 	} {
@@ -418,3 +420,198 @@
 		}
 	}
 }
+
+// An answer that can't be used is a failed attempt that may have run. It says
+// nothing about its server: what is kept open to it stays, it is not kept off, and a
+// request that may be repeated goes on at once, long before its time is over.
+func TestSpoiltAnswers(t *testing.T) {
+	t.Parallel()
+	endless := func(head, more string) func(*rawConn) {
+		return func(c *rawConn) {
+			for _, err := io.WriteString(c, head); err == nil; {
+				_, err = io.WriteString(c, more)
+			}
+		}
+	}
+	text := func(s string) func(*rawConn) { return func(c *rawConn) { io.WriteString(c, s) } }
+	for name, spoil := range map[string]func(*rawConn){
+		"noise":        text("\x00\x8f\xff\r\n\r\n\x01\x02\x03\r\n"),
+		"head":         text("HTTP/1.1 200 OK\r\nno colon here\r\n\r\n"),
+		"half a head":  text("HTTP/1.1 200 OK\r\nContent-Le"),
+		"endless head": endless("HTTP/1.1 200 OK\r\n", "X-More: more\r\n"),
+		"endless 1xx":  endless("", "HTTP/1.1 103 Early Hints\r\n\r\n"),
+		"endless body": endless("HTTP/1.1 200 OK\r\nContent-Length: 3221225472\r\n\r\n", strings.Repeat("x", 1<<12)),
+		"no length":    endless("HTTP/1.1 200 OK\r\n\r\n", strings.Repeat("x", 1<<12)),
+		"chunks":       endless("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"),
+		"short":        text("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf"),
+		"negative":     text("HTTP/1.1 200 OK\r\nContent-Length: -5\r\n\r\nhello"),
+		"two lengths":  text("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nhello"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			a, b := newRawServer(t), newRawServer(t)
+			r := start(t, server("s-a", a.addr))
+			// Two connections, one of which stays idle.
+			outs := []<-chan result{r.send(r.newRequest("send-bulk-paid", "enterprise", "")),
+				r.send(r.newRequest("send-bulk-paid", "enterprise", ""))}
+			conns := []*rawConn{a.accept(), a.accept()}
+			for _, c := range conns {
+				c.request()
+				c.answer("200 OK", "")
+			}
+			r.got(outs[0])
+			r.got(outs[1])
+			until(t, "both are idle", func() bool { return idle(r.node, "s-a") == 2 })
+			r.discovery.set(server("s-a", a.addr), server("s-b", b.addr))
+			until(t, "the second server is known", func() bool { return r.node.servers.host(serverID("s-b")) != nil })
+			r.node.mu.Lock() // known to the pool is known to the module once the mutex is free
+			r.node.mu.Unlock()
+			// Whichever server has the first attempt spoils it, the other one serves.
+			type got struct {
+				c  *rawConn
+				at *rawServer
+			}
+			first := make(chan got, 3)
+			for _, c := range conns {
+				go func() {
+					if _, err := c.in.Peek(1); err == nil {
+						first <- got{c, a}
+					}
+				}()
+			}
+			go func() {
+				if c, err := b.ln.Accept(); err == nil {
+					first <- got{&rawConn{t, c, bufio.NewReader(c)}, b}
+				}
+			}()
+			out := r.send(r.newRequest("status-check", "enterprise", ""))
+			begun := time.Now()
+			next := func() got {
+				select {
+				case g := <-first:
+					return g
+				case res := <-out:
+					t.Fatalf("answer %d %q where an attempt was due\n%s", res.status, res.body, r.log)
+				case <-time.After(patience):
+					t.Fatal("no attempt came")
+				}
+				return got{}
+			}
+			g := next()
+			g.c.request()
+			go spoil(g.c)
+			other := next()
+			if took := time.Since(begun); took > 10*time.Second {
+				t.Errorf("the next attempt came after %v", took)
+			}
+			if other.at == g.at {
+				t.Fatal("the same server had both attempts")
+			}
+			other.c.request()
+			other.c.answer("200 OK", "good")
+			if res := r.got(out); res.status != 200 || res.body != "good" {
+				t.Errorf("answer %d %q", res.status, res.body)
+			}
+			if g.at == a {
+				until(t, "the other connection stays", func() bool { return idle(r.node, "s-a") == 1 })
+			}
+		})
+	}
+}
+
+// Of an unsafe request that had a spoilt answer nothing more goes out, and the
+// client is not told that a retry does no harm.
+func TestSpoiltUnsafe(t *testing.T) {
+	t.Parallel()
+	a, b := newRawServer(t), newRawServer(t)
+	r := start(t, server("s-a", a.addr))
+	out := r.send(r.newRequest("send-bulk-paid", "enterprise", ""))
+	c := a.accept()
+	c.request()
+	r.discovery.set(server("s-a", a.addr), server("s-b", b.addr))
+	until(t, "the second server is known", func() bool { return r.node.servers.host(serverID("s-b")) != nil })
+	io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n")
+	if res := r.got(out); res.status != 502 {
+		t.Errorf("answer %d", res.status)
+	}
+	c.closed()
+}
+
+// What comes behind a good answer, with it or later, is never taken for the next
+// answer: the connection is not used again.
+func TestMoreBehindAnAnswer(t *testing.T) {
+	t.Parallel()
+	const good = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ngood"
+	for name, later := range map[string]bool{"at once": false, "later": true} {
+		t.Run(name, func(t *testing.T) {
+			srv := newRawServer(t)
+			r := start(t, server("s-1", srv.addr))
+			out := r.send(r.newRequest("send-bulk-paid", "enterprise", ""))
+			c := srv.accept()
+			c.request()
+			if later {
+				io.WriteString(c, good)
+				until(t, "the connection is idle", func() bool { return idle(r.node, "s-1") == 1 })
+				io.WriteString(c, good)
+			} else {
+				io.WriteString(c, good+good)
+			}
+			if res := r.got(out); res.status != 200 || res.body != "good" {
+				t.Errorf("answer %d %q", res.status, res.body)
+			}
+			out = r.send(r.newRequest("send-bulk-paid", "enterprise", ""))
+			c = srv.accept()
+			c.request()
+			c.answer("200 OK", "next")
+			if res := r.got(out); res.status != 200 || res.body != "next" {
+				t.Errorf("answer %d %q", res.status, res.body)
+			}
+		})
+	}
+}
+
+// A new server at the address of an old one, which the list still names: nothing of
+// the old one's is used for it.
+func TestAddressTakenOver(t *testing.T) {
+	t.Parallel()
+	srv := newRawServer(t)
+	r := start(t, server("s-old", srv.addr))
+	out := r.send(r.newRequest("send-bulk-paid", "enterprise", ""))
+	c := srv.accept()
+	c.request()
+	c.answer("200 OK", "")
+	r.got(out)
+	old := r.node.servers.host(serverID("s-old"))
+	r.discovery.set(server("s-old", srv.addr), server("s-new", srv.addr))
+	until(t, "the new server is known", func() bool { return r.node.servers.host(serverID("s-new")) != nil })
+	c.closed()
+	if r.node.servers.wanted(old) {
+		t.Error("the old server is still sent something")
+	}
+	out = r.send(r.newRequest("send-bulk-paid", "enterprise", ""))
+	c = srv.accept()
+	c.request()
+	c.answer("200 OK", "new")
+	if res := r.got(out); res.body != "new" {
+		t.Errorf("answer %d %q", res.status, res.body)
+	}
+}
+
+// The time of one request says nothing about a connection that is kept after it:
+// with that deadline left on it, the check for silence took it for closed.
+func TestKeptPastTheDeadline(t *testing.T) {
+	t.Parallel()
+	srv := newRawServer(t)
+	p := newPool(2, patience, patience)
+	h := &host{id: 1, dial: srv.addr, up: true}
+	p.hosts[1] = h
+	c, err := p.connect(context.Background(), h)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.SetDeadline(time.Now().Add(-time.Second))
+	p.put(c)
+	if p.take(h) != c {
+		t.Error("a sound connection was closed")
+	}
+}
