Clients' connections: bound those without a request, owe each an answer or a close in 3 s

Read and confirmed by tests: heads had 5 s, bodies the class's deadline, idle connections 2 min; past the budget of connections every request was refused (full); of Content-Length with Transfer-Encoding net/http drops one silently and reads on; units had no upper bound; repeated headers were taken by their first value. Now: 2 s for a head, 0.8 s for a body, 3 s idle; silent connections only drive out each other, in constant time; requests in hand alone fill a limiter; what may be framed another way is turned away and its connection closes; receive buffers are bounded. Bodies need Content-Length (411 otherwise), requests HTTP/1.1.

--- /dev/null
+++ b/internal/node/clientconns.go
@@ -0,0 +1,116 @@
+package node
+
+import (
+	"container/list"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+)
+
+// clientConns counts the clients' connections and bounds those without a request.
+// All it does on a change of one connection takes the same time however many there are.
+type clientConns struct {
+	budget int
+
+	mu    sync.Mutex
+	open  map[net.Conn]*clientConn
+	fresh list.List // of net.Conn: never had a request, oldest first
+	idle  list.List // between requests, unused longest first
+}
+
+// clientConn is what is known of one connection.
+type clientConn struct {
+	waits   *list.List    // fresh or idle; nil with a request in hand
+	place   *list.Element // in it
+	dropped bool          // closed here without a request
+}
+
+func newClientConns(budget int) *clientConns {
+	return &clientConns{budget: budget, open: map[net.Conn]*clientConn{}}
+}
+
+// changed is the server's ConnState hook.
+func (c *clientConns) changed(nc net.Conn, state http.ConnState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	cc := c.open[nc]
+	if state == http.StateNew {
+		cc = &clientConn{}
+		c.open[nc] = cc
+	}
+	if cc == nil {
+		return
+	}
+	if cc.waits != nil {
+		cc.waits.Remove(cc.place)
+		cc.waits, cc.place = nil, nil
+	}
+	switch state {
+	case http.StateNew:
+		cc.waits = &c.fresh
+	case http.StateIdle:
+		cc.waits = &c.idle
+	case http.StateClosed, http.StateHijacked:
+		delete(c.open, nc)
+	}
+	if cc.waits == nil {
+		return
+	}
+	cc.place = cc.waits.PushBack(nc)
+	if len(c.open) > c.budget {
+		c.makeRoom()
+	}
+}
+
+// makeRoom closes a connection without a request: of those that never had one the
+// oldest, so that silent clients by the hundred only drive out each other; else the
+// one unused longest. The last one, which has only just come, goes if it is alone.
+func (c *clientConns) makeRoom() {
+	for _, waits := range []*list.List{&c.fresh, &c.idle} {
+		if first := waits.Front(); first != nil && (waits.Len() > 1 || waits == &c.idle || c.idle.Len() == 0) {
+			c.drop(first.Value.(net.Conn))
+			return
+		}
+	}
+}
+
+// drop closes a connection without a request. A client sends a request that
+// crosses this once more.
+func (c *clientConns) drop(nc net.Conn) {
+	cc := c.open[nc]
+	cc.waits.Remove(cc.place)
+	cc.waits, cc.place, cc.dropped = nil, nil, true
+	nc.Close()
+}
+
+// dropUnused closes all connections without a request.
+func (c *clientConns) dropUnused() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, waits := range []*list.List{&c.fresh, &c.idle} {
+		for waits.Len() > 0 {
+			c.drop(waits.Front().Value.(net.Conn))
+		}
+	}
+}
+
+// wasDropped tells whether a request's connection was closed before its head was read.
+func (c *clientConns) wasDropped(nc net.Conn) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	cc := c.open[nc]
+	return cc != nil && cc.dropped
+}
+
+// boundBuffer bounds what the system buffers of a client's bytes on the connections
+// that a listener accepts: some send 60 MB that nobody reads.
+func boundBuffer(_, _ string, raw syscall.RawConn) error {
+	var failed error
+	if err := raw.Control(func(fd uintptr) {
+		failed = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, clientBuffer)
+	}); err != nil {
+		return err
+	}
+	return failed
+}
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -11,7 +11,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 
 	"example.org/silverscale"
@@ -22,11 +21,16 @@
 	reservedSockets = 32 // listener, discovery, peers, files
 	leastSockets    = 2 * reservedSockets
 
-	headTimeout = 5 * time.Second // for a request's head, from its first byte
-	idleTimeout = 2 * time.Minute // for a connection without a request
-	writeSlack  = 5 * time.Second // for an answer, past the longest deadline
+	// A client is owed an answer or a close within 3 s of connecting, whatever it
+	// sends: its head and its body have these times.
+	headTimeout = 2 * time.Second        // for the head, from connecting or its first byte
+	bodyTimeout = 800 * time.Millisecond // for the body, from the end of the head
+	idleTimeout = 3 * time.Second        // for a connection between requests
+	writeSlack  = 5 * time.Second        // for an answer, past the longest deadline
 	maxHead     = 16 << 10
 	maxIDLength = 128
+	// clientBuffer is what the system buffers at most of what a client sends unread.
+	clientBuffer = 128 << 10
 
 	// An attempt ends so long before the client gives up, that the answer which
 	// follows is out in time; of short times this part at the most.
@@ -38,15 +42,15 @@
 )
 
 // socketBudget divides the descriptors between servers and clients, so that
-// connections to servers never take those that clients need. The halves are
-// equal: each request in hand holds one of either kind at most, so none ends for
-// want of a connection to a server while its client has one.
+// connections to servers never take those that clients need. Usual clients hold a
+// third at most with requests, and each of these needs one to a server: what is left
+// takes up connections without a request.
 func socketBudget(sockets int) (upstream, clients int) {
 	if sockets == 0 {
 		sockets = defaultSockets
 	}
-	free := sockets - reservedSockets
-	return free / 2, free - free/2
+	upstream = (sockets + 2) / 3
+	return upstream, sockets - reservedSockets - upstream
 }
 
 // connKey is where a request's context has its connection.
@@ -57,7 +61,9 @@
 	// No ServeMux: it would redirect a path that it would write otherwise.
 	return &http.Server{
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, hr *http.Request) {
-			if hr.URL.Path == healthPath && hr.Method == http.MethodGet {
+			if err := checkFraming(hr); err != nil {
+				n.turnAway(w, hr, err)
+			} else if hr.URL.Path == healthPath && hr.Method == http.MethodGet {
 				n.health(w)
 			} else {
 				n.serve(w, hr)
@@ -99,21 +105,50 @@
 	return &badRequest{http.StatusBadRequest, fmt.Sprintf(format, args...)}
 }
 
+// checkFraming turns away what may be read otherwise by another. Of a request with
+// both Content-Length and Transfer-Encoding net/http drops one header silently and
+// takes what follows for the next request, which may be one hidden in a body; of an
+// HTTP/1.0 request it drops Transfer-Encoding. Nothing further is read from such a
+// connection (RFC 9112, 6.3). Bodies are short, so that their length is known.
+func checkFraming(hr *http.Request) error {
+	switch {
+	case !hr.ProtoAtLeast(1, 1):
+		return &badRequest{http.StatusHTTPVersionNotSupported, "HTTP/1.1 is needed"}
+	case len(hr.TransferEncoding) > 0:
+		return &badRequest{http.StatusLengthRequired, "Content-Length is needed, and no Transfer-Encoding"}
+	case hr.ContentLength > maxBody:
+		return &badRequest{http.StatusRequestEntityTooLarge, "the body is too long"}
+	}
+	return nil
+}
+
+// turnAway answers a malformed request. Its connection closes: what follows on it
+// can't be trusted, and its body is not waited for.
+func (n *Node) turnAway(w http.ResponseWriter, hr *http.Request, err error) {
+	status := http.StatusBadRequest
+	var b *badRequest
+	if errors.As(err, &b) {
+		status = b.status
+	}
+	n.badInput.warn("turned a malformed request away", "from", hr.RemoteAddr, "err", err)
+	w.Header().Set("Connection", "close")
+	http.Error(w, err.Error(), status)
+}
+
 // serve takes a request and gives it one final answer.
 func (n *Node) serve(w http.ResponseWriter, hr *http.Request) {
 	arrived := time.Now()
 	r, ev, err := n.parse(hr, arrived)
 	if err == nil {
-		err = readCall(w, hr, r)
+		err = readCall(w, hr, r, arrived)
 	}
 	conn, _ := hr.Context().Value(connKey{}).(net.Conn)
-	dropped, full := n.conns.state(conn)
-	if dropped {
+	if n.conns.wasDropped(conn) {
 		// The connection was closed as unused while this request came in. Its client
 		// sends it once more, so it must not go on from here as well.
 		panic(http.ErrAbortHandler)
 	}
-	if err == nil && (full || n.tooManyInHand()) {
+	if err == nil && n.tooManyInHand() {
 		w.Header().Set("Connection", "close")
 		n.write(w, &answer{status: http.StatusServiceUnavailable, retryAfter: fullAdvice})
 		return
@@ -122,13 +157,7 @@
 		err = &badRequest{http.StatusConflict, "a request with this X-Request-ID is in hand"}
 	}
 	if err != nil {
-		status := http.StatusBadRequest
-		var b *badRequest
-		if errors.As(err, &b) {
-			status = b.status
-		}
-		n.badInput.warn("turned a malformed request away", "from", hr.RemoteAddr, "err", err)
-		http.Error(w, err.Error(), status)
+		n.turnAway(w, hr, err)
 		return
 	}
 	defer n.forget(r)
@@ -148,11 +177,17 @@
 	}
 }
 
-// tooManyInHand tells that the limiter holds as many requests as it may.
+// tooManyInHand tells that the limiter holds as many requests as it may, or has
+// connections to servers for. Connections without a request don't count: silent
+// clients must not keep the usual ones out.
 func (n *Node) tooManyInHand() bool {
+	most := n.servers.budget
+	if m := n.cfg.Settings.MaxOpen; m > 0 {
+		most = min(most, m)
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.cfg.Settings.MaxOpen > 0 && len(n.requests) >= n.cfg.Settings.MaxOpen
+	return len(n.requests) >= most
 }
 
 // write writes a final answer.
@@ -178,14 +213,17 @@
 func (n *Node) parse(hr *http.Request, arrived time.Time) (*request, silverscale.Submit, error) {
 	var ev silverscale.Submit
 	h := hr.Header
+	for _, name := range single {
+		if len(h[name]) > 1 { // which of them counts?
+			return nil, ev, bad("%s stands there more than once", name)
+		}
+	}
 	id := h.Get("X-Request-ID")
 	if id == "" || len(id) > maxIDLength {
 		return nil, ev, bad("X-Request-ID is missing or too long")
 	}
-	for _, c := range []byte(id) {
-		if c <= ' ' || c > '~' {
-			return nil, ev, bad("X-Request-ID %q", id)
-		}
+	if !printable(id) {
+		return nil, ev, bad("X-Request-ID %q", id)
 	}
 	class, ok := n.cfg.Settings.ClassNames[h.Get("X-Priority-Class")]
 	if !ok {
@@ -209,17 +247,20 @@
 	}
 	timeout = min(timeout, millis(n.cfg.Settings.Module.Classes[class].DeadlineMs))
 	once := h.Get("Idempotency-Key")
-	if err := checkMethod(n.cfg.Settings.Module.Classes[class].Repeat, hr.Method, once); err != nil {
+	if err := checkMethod(n.cfg.Settings.Module.Classes[class].Repeat, hr, once); err != nil {
 		return nil, ev, err
 	}
 	ev = silverscale.Submit{ID: id, Class: class, Plan: plan, Retry: h.Get("X-Retried") == "1", Customer: customer}
-	if err := parseQuotaInfo(h.Get("Quota-Info"), n.cfg.Settings.Module.Balancers, &ev); err != nil {
+	if err := parseQuotaInfo(h.Get("Quota-Info"), n.cfg.Settings.Module.Balancers, n.cfg.Settings.MostUnits, &ev); err != nil {
 		return nil, ev, err
 	}
 	target := hr.RequestURI
 	if !strings.HasPrefix(target, "/") || strings.HasPrefix(target, "//") {
 		target = hr.URL.RequestURI()
 	}
+	if !printable(target) { // a server could not read it
+		return nil, ev, bad("the path or query holds what has to be escaped")
+	}
 	return &request{
 		id:     id,
 		stopAt: arrived.Add(timeout - min(answerMargin, timeout/marginPart)),
@@ -228,17 +269,34 @@
 	}, ev, nil
 }
 
-// checkMethod holds the method and the key against the class.
-func checkMethod(repeat silverscale.Repeat, method, key string) error {
+// single are the headers that count, none of which may be repeated.
+var single = []string{"X-Request-Id", "X-Priority-Class", "Plan", "X-Timeout", "Idempotency-Key", "X-Retried", "Quota-Info"}
+
+// printable tells that a text holds visible ASCII alone.
+func printable(text string) bool {
+	for _, c := range []byte(text) {
+		if c <= ' ' || c > '~' {
+			return false
+		}
+	}
+	return true
+}
+
+// checkMethod holds the method, the key and the body against the class.
+func checkMethod(repeat silverscale.Repeat, hr *http.Request, key string) error {
 	want := http.MethodPost
 	if repeat == silverscale.Safe {
 		want = http.MethodGet
 	}
 	switch {
-	case method != want:
+	case hr.Method != want:
 		return &badRequest{http.StatusMethodNotAllowed, "this class goes by " + want}
-	case repeat == silverscale.Keyed && key == "":
-		return bad("Idempotency-Key is missing")
+	case repeat == silverscale.Safe && hr.ContentLength != 0:
+		return bad("this class has no body")
+	case repeat == silverscale.Keyed && (key == "" || len(key) > maxIDLength || !printable(key)):
+		return bad("Idempotency-Key is missing, too long or not plain")
+	case repeat != silverscale.Keyed && key != "": // a server would take it for another class
+		return bad("this class has no Idempotency-Key")
 	}
 	return nil
 }
@@ -258,8 +316,9 @@
 	return time.Duration(v * float64(unit)), nil
 }
 
-// parseQuotaInfo reads units, spread and first.
-func parseQuotaInfo(text string, balancers int, ev *silverscale.Submit) error {
+// parseQuotaInfo reads units, spread and first. Figures out of range must not reach
+// the module: they would stay with the customer in whose name they came.
+func parseQuotaInfo(text string, balancers int, most float64, ev *silverscale.Submit) error {
 	const units, spread, first = 1, 2, 4
 	seen := 0
 	for pair := range strings.SplitSeq(text, ",") {
@@ -270,7 +329,7 @@
 		}
 		whole := v == math.Trunc(v)
 		switch {
-		case name == "units" && v > 0:
+		case name == "units" && v > 0 && v <= most:
 			ev.Units, seen = v, seen|units
 		case name == "spread" && whole && v >= 1 && v <= float64(balancers):
 			ev.Spread, seen = int(v), seen|spread
@@ -287,103 +346,26 @@
 }
 
 // readCall reads the body.
-func readCall(w http.ResponseWriter, hr *http.Request, r *request) error {
+func readCall(w http.ResponseWriter, hr *http.Request, r *request, arrived time.Time) error {
 	if hr.ContentLength == 0 {
 		return nil
 	}
 	// A body that does not come must not hold the connection. Afterwards there is
 	// no deadline: when it passed, net/http would take the client for gone.
 	ctl := http.NewResponseController(w)
-	if err := ctl.SetReadDeadline(r.stopAt); err != nil {
+	by := arrived.Add(bodyTimeout)
+	if r.stopAt.Before(by) {
+		by = r.stopAt
+	}
+	if err := ctl.SetReadDeadline(by); err != nil {
 		return fmt.Errorf("setting a deadline: %w", err)
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, hr.Body, maxBody))
-	if err != nil {
-		var long *http.MaxBytesError
-		if errors.As(err, &long) {
-			return &badRequest{http.StatusRequestEntityTooLarge, "the body is too long"}
-		}
-		w.Header().Set("Connection", "close")
+	r.body = make([]byte, hr.ContentLength) // checkFraming has bounded it
+	if _, err := io.ReadFull(hr.Body, r.body); err != nil {
 		return &badRequest{http.StatusRequestTimeout, "the body did not come"}
 	}
-	r.body = body
 	if err := ctl.SetReadDeadline(time.Time{}); err != nil {
 		return fmt.Errorf("setting a deadline: %w", err)
 	}
 	return nil
 }
-
-// clientConns counts the clients' connections and knows the unused ones.
-type clientConns struct {
-	budget int
-
-	mu      sync.Mutex
-	open    int
-	unused  map[net.Conn]time.Time // without a request, since when
-	dropped map[net.Conn]bool      // closed here as unused
-}
-
-func newClientConns(budget int) *clientConns {
-	return &clientConns{budget: budget, unused: map[net.Conn]time.Time{}, dropped: map[net.Conn]bool{}}
-}
-
-// changed is the server's ConnState hook.
-func (c *clientConns) changed(nc net.Conn, state http.ConnState) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	switch state {
-	case http.StateNew:
-		c.open++
-		c.unused[nc] = time.Now()
-		if c.open > c.budget {
-			c.dropOldest(nc)
-		}
-	case http.StateIdle:
-		c.unused[nc] = time.Now()
-	case http.StateActive: // a whole head has been read
-		delete(c.unused, nc)
-	case http.StateClosed, http.StateHijacked:
-		c.open--
-		delete(c.unused, nc)
-		delete(c.dropped, nc)
-	}
-}
-
-// drop closes a connection without a request. A client sends a request that
-// crosses this once more.
-func (c *clientConns) drop(nc net.Conn) {
-	delete(c.unused, nc)
-	c.dropped[nc] = true
-	nc.Close()
-}
-
-// dropOldest makes room by closing the connection unused longest, but for the
-// new one.
-func (c *clientConns) dropOldest(but net.Conn) {
-	var oldest net.Conn
-	for nc, since := range c.unused {
-		if nc != but && (oldest == nil || since.Before(c.unused[oldest])) {
-			oldest = nc
-		}
-	}
-	if oldest != nil {
-		c.drop(oldest)
-	}
-}
-
-// dropUnused closes all connections without a request.
-func (c *clientConns) dropUnused() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for nc := range c.unused {
-		c.drop(nc)
-	}
-}
-
-// state tells whether a request's connection was dropped before its head was
-// read, and whether clients hold more connections than their budget.
-func (c *clientConns) state(nc net.Conn) (dropped, full bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.dropped[nc], c.open > c.budget
-}
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math"
 	"net/netip"
 	"os"
 	"strconv"
@@ -53,6 +54,7 @@
 	ConnIdle    time.Duration // a server closes a connection that is idle this long
 	ConnTimeout time.Duration
 	MaxOpen     int           // requests in hand; 0: no limit
+	MostUnits   float64       // units that one request takes
 	Longest     time.Duration // the longest deadline of a class
 }
 
@@ -182,6 +184,7 @@
 	s.ConnIdle = cmp.Or(millis(p.Number("caps.conn_idle_ms")), defaultConnIdle)
 	s.ConnTimeout = cmp.Or(millis(s.Module.Caps.ConnectMs), defaultConnTimeout)
 	s.MaxOpen = p.Integer("caps.max_open")
+	s.MostUnits = cmp.Or(p.Number("family_info.units_top"), math.MaxFloat64)
 	for _, c := range s.Module.Classes {
 		s.Longest = max(s.Longest, millis(c.DeadlineMs))
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -117,7 +117,8 @@
 	upstream, clients := socketBudget(cfg.Limits.Sockets)
 	n.servers = newPool(upstream, cfg.Settings.ConnTimeout, cfg.Settings.ConnIdle/2)
 	n.conns = newClientConns(clients)
-	if n.listener, err = net.Listen("tcp", cfg.Listen); err != nil {
+	listen := net.ListenConfig{Control: boundBuffer}
+	if n.listener, err = listen.Listen(context.Background(), "tcp", cfg.Listen); err != nil {
 		return nil, fmt.Errorf("listening to clients: %w", err)
 	}
 	if cfg.Settings.Module.Caps.Peers {
