First tries in a hurry are not late; tests for what grows and what a peer may say

Checked with lines at each refusal: in these seconds some 5 of 1,000 were the quota's and none for lack of servers; some 300 a second said too late. Held against all tries: most had X-Timeout at a tenth of the usual and no retry mark. Cause: aimLeft (limiter.go) takes each time other than the usual for what is left of a deadline that began long ago. That holds for retries; a first try has only just begun. Now, once a retry has been seen marked, first tries keep their aim. Ruled out: servers down, stalled, cold or kept off; ceilings; quotas held by peers. Tests: after thousands of customers that come once and replaced servers the counts return to the base; one datagram is bounded; a forgotten customer is not charged anew.

--- a/limiter.go
+++ b/limiter.go
@@ -250,7 +250,9 @@
 // aimLeft is the time in which an answer still earns its worth. Clients give
 // most tries of a class the same time; one that has another time has what is
 // left of the deadline, which tells how long ago the client began. Guards
-// against spending quota and servers on what is already too late.
+// against spending quota and servers on what is already too late. Where clients
+// mark their retries, a first try has only just begun, however short its time:
+// guards against turning away all that clients in a hurry send.
 func (l *Limiter) aimLeft(e Submit) float64 {
 	class, u := l.cfg.Classes[e.Class], &l.usual[e.Class]
 	usual := math.Abs(e.ExpiresMs-u.ms) <= usualSlack*u.ms
@@ -263,7 +265,8 @@
 		u.ms, u.votes, usual = e.ExpiresMs, 1, true
 	}
 	aim := class.AimMs
-	if !usual && u.votes > 1 {
+	l.marked = l.marked || e.Retry
+	if !usual && u.votes > 1 && (e.Retry || !l.marked) {
 		aim -= max(0, class.DeadlineMs-e.ExpiresMs)
 	}
 	return min(aim, e.ExpiresMs)
--- a/limiter_test.go
+++ b/limiter_test.go
@@ -673,3 +673,100 @@
 		t.Errorf("a forgotten customer got %d, want its burst of 20", got)
 	}
 }
+
+// Where clients mark their retries, a first try with a short time of its own has only
+// just begun and is served; a retry with it is what is left of a time mostly over.
+func TestFirstTriesInAHurry(t *testing.T) {
+	s := newScript(t, testSettings(), fleet(4)...)
+	pass := func(e Submit) bool {
+		t.Helper()
+		id, a := s.submit(e)
+		p, ok := a.(PassOn)
+		if ok {
+			s.do(Outcome{ID: id, Server: p.Server, Result: Pass, SpentMs: 20, Done: true, Load: Load{Busy: -1}})
+		}
+		s.now += 200
+		return ok
+	}
+	for range 20 {
+		pass(Submit{Plan: 3, ExpiresMs: 1000})
+	}
+	if pass(Submit{Plan: 3, ExpiresMs: 200}) {
+		t.Error("with no retry marked so far a short time is taken for what is left")
+	}
+	if pass(Submit{Plan: 3, ExpiresMs: 200, Retry: true}) {
+		t.Error("a late retry was sent on")
+	}
+	if !pass(Submit{Plan: 3, ExpiresMs: 200}) {
+		t.Error("a first try in a hurry was refused")
+	}
+}
+
+// Customers that come once, here or by a peer's word, and servers that are replaced
+// leave nothing behind.
+func TestCountsReturnToTheBase(t *testing.T) {
+	s := newScript(t, testSettings(), fleet(4)...)
+	for i := range 4000 {
+		s.now += 20
+		s.admit(1, Submit{Plan: i % 3, Customer: uint64(1000 + i), Spread: 2})
+		m := peerMsg{mark: 7, seq: uint64(i + 1), ageMs: uint64(s.now), entries: []peerEntry{
+			{customer: uint64(100000 + i), plan: uint64(i % 3), spread: 2, spent: 8, fresh: 8}}}
+		data, _ := m.encode()
+		s.do(PeerMessage{From: 1, Data: data})
+		if i%10 == 0 { // a server goes, another comes
+			s.do(Endpoints{Scope: Partial, Servers: []ServerInfo{{ID: uint64(100 + i), Weight: 1},
+				{ID: uint64(90 + i), Phase: Removed}}})
+			s.do(Alarm{Handle: "tick"})
+		}
+	}
+	if n := len(s.l.customers); n > 3000 {
+		t.Errorf("%d customers are known 15 s after 80 s of new ones", n)
+	}
+	for range 3 {
+		s.now += 2 * forgetMs
+		s.do(Alarm{Handle: "tick"})
+	}
+	if len(s.l.customers)+len(s.l.listed)+len(s.l.kept)+len(s.l.dirty)+len(s.l.requests) != 0 || s.l.inflight != 0 {
+		t.Errorf("%d customers, %d listed, %d kept, %d dirty, %d requests, %d out", len(s.l.customers), len(s.l.listed),
+			len(s.l.kept), len(s.l.dirty), len(s.l.requests), s.l.inflight)
+	}
+	if len(s.l.servers) != 5 || len(s.l.order) != 5 {
+		t.Errorf("%d servers, %d in order, want 5", len(s.l.servers), len(s.l.order))
+	}
+}
+
+// One datagram can't keep a customer out for long, nor make it seem richer than its
+// plan, and a customer forgotten here is not charged with all that a peer ever passed.
+func TestBoundsAPeersWord(t *testing.T) {
+	s := newScript(t, testSettings(), fleet(4)...)
+	s.admit(1, Submit{Customer: 5, Spread: 2})
+	tell := func(e peerEntry, seq uint64, flags byte) {
+		m := peerMsg{mark: 7, seq: seq, flags: flags, entries: []peerEntry{e}}
+		data, _ := m.encode()
+		s.do(PeerMessage{From: 1, Data: data})
+	}
+	tell(peerEntry{customer: 5, spread: 2, spent: 1 << 40, fresh: 1 << 40}, 1, 0)
+	s.now += 6500 // three bursts of 20 at 10 a second and a little
+	if got := s.admit(1, Submit{Customer: 5, Spread: 2}); got != 1 {
+		t.Error("kept out for longer than the gateways' bursts take")
+	}
+	tell(peerEntry{customer: 5, level: 1 << 40, margin: 1 << 40}, 2, flagNews)
+	if c := s.l.customers[5]; c.balance > 20 || c.margin > 20 {
+		t.Errorf("balance %g, margin %g with a burst of 20", c.balance, c.margin)
+	}
+	tell(peerEntry{customer: 5, level: -1 << 40}, 3, flagNews)
+	if c := s.l.customers[5]; c.balance < -41 { // two bursts and what passed last
+		t.Errorf("balance %g", c.balance)
+	}
+	for range 5 {
+		s.now += forgetMs
+		s.do(Alarm{Handle: "tick"})
+	}
+	if len(s.l.customers) != 0 {
+		t.Error("the customer is still known")
+	}
+	tell(peerEntry{customer: 5, spread: 2, spent: 1000 * unitScale, fresh: 2 * unitScale}, 4, 0)
+	if c := s.l.customers[5]; c == nil || c.balance != 18 {
+		t.Errorf("after it was forgotten: %+v", c)
+	}
+}
--- a/state.go
+++ b/state.go
@@ -38,6 +38,7 @@
 	work           []float64 // typical ms of a class alone on a server
 	seen           []float64 // answers of a class
 	usual          []usual
+	marked         bool // clients mark their retries
 	fit            fit
 	pressure       float64 // share refused for lack of servers, of late
 	worth, weighed float64 // mean worth for work; requests in it
