--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -232,7 +233,8 @@
 	case silverscale.PassOn:
 		n.passOn(a)
 	case silverscale.Refuse:
-		n.conclude(a.ID, &answer{status: http.StatusTooManyRequests, retryAfter: a.WaitMs})
+		// With no advice of the module's a client would be back at once.
+		n.conclude(a.ID, &answer{status: http.StatusTooManyRequests, retryAfter: cmp.Or(a.WaitMs, fullAdvice)})
 	case silverscale.Fail:
 		n.conclude(a.ID, &answer{status: http.StatusBadGateway})
 	case silverscale.AbortAttempt:
--- a/limiter.go
+++ b/limiter.go
@@ -336,21 +336,18 @@
 	may := now < r.endsAt && len(r.attempts) < max(1, l.cfg.Caps.Attempts) && (r.ran == nil ||
 		class.Repeat == Safe || class.Repeat == Keyed && now < r.ranAt+class.WindowMs)
 	costly := !(last == NoRoute || last == StaleSend)
-	wait := fullMs // with no advice a client would be back at once
 	if may && (!costly || l.retries >= 1) {
-		s, late := l.choose(now, r)
-		if s != nil {
+		if s, _ := l.choose(now, r); s != nil {
 			if costly {
 				l.retries--
 			}
 			l.send(now, r, s)
 			return
 		}
-		wait = max(wait, late)
 	}
 	harmless := r.ran == nil || class.Repeat == Safe || class.Repeat == Keyed && class.Group == GroupAll
 	if harmless && now < r.endsAt {
-		l.refuse(r.id, wait)
+		l.refuse(r.id, 0)
 	} else {
 		l.do(Fail{ID: r.id})
 	}
