Split the decision module by concern: quota, requests, choice, health, cold, servers, gossip

limiter/limiter.go held quota, gossip, choice, health and coldness in one file, too much to hook further subsystems into.

--- /dev/null
+++ b/limiter/choice.go
@@ -0,0 +1,161 @@
+package limiter
+
+import (
+	"cmp"
+	"slices"
+)
+
+const (
+	speedMs    = 2000.0 // time over which a server's speed is averaged
+	workWeight = 0.005  // least weight of one answer in typical work and fit: some 200 answers
+	curveStart = 0.25   // before any evidence each further request in hand lengthens an answer so
+	curvePrior = 1.0    // much, which counts like this many squared requests of observed spread
+	// A request is refused when its expected answer would use more than headroom
+	// of the time left: answers scatter. An idle server is tried all the same while
+	// fewer than tryShare requests a server are out, over all gateways.
+	headroom = 0.25
+	tryShare = 6.0
+	// Of more servers than this so many are looked at for a choice, spread evenly from
+	// a random one on: with all of them a choice costs as much as there are servers, and
+	// the best of so many is nearly as good.
+	scanMost    = 64
+	crossWeight = 10.0 // a crossing counts as slower by this factor times its price
+)
+
+// choose returns the server with the least expected finish, or nil and a wait
+// when none can answer within the time left.
+func (l *Limiter) choose(now float64, r *request) (*server, float64) {
+	var best *server
+	var bestCost float64
+	n := len(l.order)
+	for pass := 0; pass < 3 && best == nil; pass++ { // a part, all, and those under suspicion too
+		from, step, count := 0, 1, n
+		if pass == 0 {
+			if n <= scanMost || r.ran != nil { // few may take what may have run
+				continue
+			}
+			from, step, count = l.rng.IntN(n), n/scanMost, scanMost
+		}
+		for k := range count {
+			s := l.order[(from+k*step)%n]
+			if !l.usable(now, s, r, pass > 1) {
+				continue
+			}
+			cost := s.slowness(now) / l.warmth(now, s) * (s.load() + 1) * (1 + 0.05*l.rng.Float64())
+			if s.info.Zone != l.cfg.Zone {
+				cost *= 1 + crossWeight*l.cfg.CrossPrice
+			}
+			if best == nil || cost < bestCost {
+				best, bestCost = s, cost
+			}
+		}
+	}
+	if best == nil {
+		return nil, fullMs
+	}
+	alone, left := l.workOf(r.class)*best.slowness(now)/l.warmth(now, best)*l.curve(1), headroom*(r.aimAt-now)
+	left += (r.factor - 1) * max(0, left-alone)
+	if now > r.aimAt {
+		left = r.endsAt - now
+	}
+	// An idle server is tried all the same: with nothing sent, nothing is learnt.
+	// But servers slowed by too much in hand recover only when it falls, so all
+	// gateways together try with no more than tryShare requests a server.
+	late := l.expected(now, best, r.class) - left
+	tries := tryShare * float64(len(l.order)) / float64(l.cfg.Balancers)
+	if late > 0 && (best.inflight > 0 || float64(l.inflight) >= max(1, tries)) {
+		return nil, late
+	}
+	return best, 0
+}
+
+// usable tells whether a request may go to a server now. With lax, servers
+// that are only under suspicion are taken too.
+func (l *Limiter) usable(now float64, s *server, r *request, lax bool) bool {
+	if s.info.Phase != Up || s.down || !l.coldRoom(now, s) {
+		return false
+	}
+	for i := range r.attempts {
+		if r.attempts[i].server == s {
+			return false
+		}
+	}
+	class := l.cfg.Classes[r.class]
+	if r.ran != nil && class.Repeat == Keyed && (class.Group == GroupZone && s.info.Zone != r.ranInfo.Zone ||
+		class.Group == GroupCell && s.info.Cell != r.ranInfo.Cell) {
+		return false
+	}
+	return lax || now >= s.ills[r.class].to && now >= s.fullTo && !l.stalled(now, s)
+}
+
+// load is the number of requests that this gateway has at a server. What the
+// others have there shows in the times of answers: reports of it come too late
+// and too noisy, and counting them made every deployment that has them worse.
+func (s *server) load() float64 { return float64(s.inflight) }
+
+// expected is the time an answer from a server is expected to take.
+func (l *Limiter) expected(now float64, s *server, class int) float64 {
+	return l.workOf(class) * s.slowness(now) / l.warmth(now, s) * l.curve(s.load()+1)
+}
+
+// curve is how long an answer takes with so many requests in hand, against
+// the typical one. It is a line through what was seen: flat while servers have
+// cores to spare, at its steepest proportional to the load.
+func (l *Limiter) curve(load float64) float64 {
+	f := &l.fit
+	if f.n == 0 {
+		return 1 + curveStart*(load-1)
+	}
+	prior := f.y * curveStart / (1 + curveStart*(f.k-1))
+	slope := (f.ky - f.k*f.y + prior*curvePrior) / (f.kk - f.k*f.k + curvePrior)
+	return f.y + max(prior/20, min(f.y/f.k, slope))*(load-f.k)
+}
+
+// slowness is the time a server takes against the typical one; with no record it is typical.
+func (s *server) slowness(now float64) float64 {
+	s.decayStat(now, speedMs)
+	return (s.spent + 1) / (s.had + 1)
+}
+
+// workOf is the typical time of a class; an unseen one borrows from the others.
+func (l *Limiter) workOf(class int) float64 {
+	return cmp.Or(l.work[class], max(1, slices.Max(l.work)))
+}
+
+// observe learns from an outcome about the server and the class.
+func (l *Limiter) observe(now float64, a *attempt, r *request, e Outcome) {
+	s := a.server
+	s.waitingAt = now
+	if a.sentAt < l.wokeAt {
+		return
+	}
+	if e.Result == Pass || e.Result == Fault || e.Result == Cut || e.Result == TooSlow {
+		l.failed -= pressWeight * l.failed
+		if e.Result != Pass {
+			l.failed += pressWeight
+			if now >= l.hintAt && l.failed < hintBelow && l.cfg.Caps.Peers && now >= s.ills[r.class].to {
+				l.hintAt = now + l.hintPause
+				l.tellSet(peerMsg{flags: flagNews | flagIll, entries: []peerEntry{{customer: s.info.ID,
+					plan: uint64(r.class)}}}, 0, len(l.peers))
+			}
+			l.suspect(now, s, r.class)
+		}
+	}
+	switch e.Result {
+	case Pass:
+		w := &l.work[r.class]
+		l.seen[r.class]++
+		*w += (e.SpentMs - *w) * max(workWeight, 1/l.seen[r.class])
+		l.fit.add(a.load, e.SpentMs / *w, workWeight)
+		s.decayStat(now, speedMs)
+		s.spent += e.SpentMs / *w / l.curve(a.load)
+		s.had++
+		s.noRoute = 0
+	case NoRoom:
+		s.fullTo = now + fullMs
+	case NoRoute:
+		if s.noRoute++; s.noRoute >= downAfter {
+			l.setDown(now, s, "connects fail")
+		}
+	}
+}
--- /dev/null
+++ b/limiter/cold.go
@@ -0,0 +1,31 @@
+package limiter
+
+const (
+	coldUse   = 0.8 // share used of a cold server's likely capacity
+	coldLeast = 3.0 // requests a window to a cold server, from all, where little is sent
+)
+
+// warmth is the least share of its capacity that a server can have by now.
+func (l *Limiter) warmth(now float64, s *server) float64 {
+	r := l.cfg.Rules
+	if s.info.ReadyAt <= 0 || r.ColdMs <= 0 || r.ColdShare <= 0 {
+		return 1
+	}
+	return min(1, r.ColdShare+(1-r.ColdShare)*max(0, now-s.info.ReadyAt)/r.ColdMs)
+}
+
+// coldRoom keeps this gateway to its part of what a cold server can do: its
+// warmth times what the gateway sends to a server in the mean, saved up for one
+// request at a time from a random start. The parts of any number of gateways add
+// up to the warmth's share of what a warm server gets, with no talk; where hardly
+// anything is sent, to coldLeast requests a window.
+func (l *Limiter) coldRoom(now float64, s *server) bool {
+	w := l.warmth(now, s)
+	if w >= 1 {
+		return true
+	}
+	rate := max(coldUse*w*l.recent(now)/float64(len(l.order))*2/illMs,
+		coldLeast/float64(l.cfg.Balancers)/max(1, l.cfg.Rules.FallMs))
+	s.cold, s.coldAt = min(1, max(0, s.cold)+rate*(now-s.coldAt)), now
+	return s.cold >= 1
+}
