Pools of servers, attempts by route and new plans in service in the decision module

Routes are to lead to several pools, and a new configuration is to hold without a restart. A server is in one pool; load, speed and pressure are learnt by pool, so that a slow one does not turn away requests of another, and a cold server's part is reckoned from its own pool. Submit names a pool and may lower the attempts. The event Reconfigure swaps classes and plans: balances stay up to the new burst, a new ceiling begins with nothing, what is in hand keeps what it was told, and what is gone stays only until nothing has it. Tests for each, a thousand swaps in a row among them.

--- a/limiter/api.go
+++ b/limiter/api.go
@@ -90,7 +90,8 @@
 }
 
 // Event is something that happened. The event types are [Submit], [Ask],
-// [Settle], [Outcome], [Aborted], [FirstByte], [Alarm], [Endpoints], [Probed] and [PeerMessage].
+// [Settle], [Outcome], [Aborted], [FirstByte], [Alarm], [Endpoints], [Probed],
+// [PeerMessage] and [Reconfigure].
 type Event interface{ event() }
 
 // Submit is a client's request, which is now owed one final answer.
@@ -102,8 +103,10 @@
 	Plan      int
 	Retry     bool
 	Customer  uint64
-	Spread    int // gateways this customer's requests come through ...
-	First     int // ... in a row from this position
+	Spread    int    // gateways this customer's requests come through ...
+	First     int    // ... in a row from this position
+	Pool      uint64 // whose servers may take it; 0 where there is one only
+	Attempts  int    // at most, where that is fewer than the deployment's; 0: those
 	// Leased are units that an Ask leased here for this request, which is their end:
 	// nothing else is taken. 0: the request pays for itself.
 	Leased float64
@@ -172,7 +175,17 @@
 	Data []byte
 }
 
+// Reconfigure has other classes, plans, rules and caps hold from now on. What says who
+// this gateway is and whom it talks to (Position, Balancers, Zone, Peers, PeerInPerS)
+// holds from the start to the end. Classes and Plans say for each old index which one
+// it is now, or -1 if it is gone.
+type Reconfigure struct {
+	Settings       Settings
+	Classes, Plans []int
+}
+
 func (Submit) event()      {}
+func (Reconfigure) event() {}
 func (Settle) event()      {}
 func (Outcome) event()     {}
 func (Aborted) event()     {}
@@ -202,6 +215,7 @@
 	ReadyAt float64 // when it last started; 0: long ago
 	Phase   Phase
 	Weight  float64
+	Pool    uint64 // the one that it is in
 }
 
 // Phase is a server's state in the list.
--- a/limiter/choice.go
+++ b/limiter/choice.go
@@ -27,7 +27,8 @@
 func (l *Limiter) choose(now float64, r *request) (*server, float64) {
 	var best *server
 	var bestCost float64
-	n := len(l.order)
+	p := r.pool
+	n := len(p.order)
 	for pass := 0; pass < 3 && best == nil; pass++ { // a part, all, and those under suspicion too
 		from, step, count := 0, 1, n
 		if pass == 0 {
@@ -37,7 +38,7 @@
 			from, step, count = l.rng.IntN(n), n/scanMost, scanMost
 		}
 		for k := range count {
-			s := l.order[(from+k*step)%n]
+			s := p.order[(from+k*step)%n]
 			if !l.usable(now, s, r, pass > 1) {
 				continue
 			}
@@ -53,7 +54,7 @@
 	if best == nil {
 		return nil, fullMs
 	}
-	alone, left := l.workOf(r.class)*best.slowness(now)/l.warmth(now, best)*l.curve(1), headroom*(r.aimAt-now)
+	alone, left := p.workOf(r.class)*best.slowness(now)/l.warmth(now, best)*p.curve(1), headroom*(r.aimAt-now)
 	left += (r.factor - 1) * max(0, left-alone)
 	if now > r.aimAt {
 		left = r.endsAt - now
@@ -62,8 +63,8 @@
 	// But servers slowed by too much in hand recover only when it falls, so all
 	// gateways together try with no more than tryShare requests a server.
 	late := l.expected(now, best, r.class) - left
-	tries := tryShare * float64(len(l.order)) / float64(l.cfg.Balancers)
-	if late > 0 && (best.inflight > 0 || float64(l.inflight) >= max(1, tries)) {
+	tries := tryShare * float64(len(p.order)) / float64(l.cfg.Balancers)
+	if late > 0 && (best.inflight > 0 || float64(p.inflight) >= max(1, tries)) {
 		return nil, late
 	}
 	return best, 0
@@ -95,14 +96,14 @@
 
 // expected is the time an answer from a server is expected to take.
 func (l *Limiter) expected(now float64, s *server, class int) float64 {
-	return l.workOf(class) * s.slowness(now) / l.warmth(now, s) * l.curve(s.load()+1)
+	return s.pool.workOf(class) * s.slowness(now) / l.warmth(now, s) * s.pool.curve(s.load()+1)
 }
 
 // curve is how long an answer takes with so many requests in hand, against
 // the typical one. It is a line through what was seen: flat while servers have
 // cores to spare, at its steepest proportional to the load.
-func (l *Limiter) curve(load float64) float64 {
-	f := &l.fit
+func (p *pool) curve(load float64) float64 {
+	f := &p.fit
 	if f.n == 0 {
 		return 1 + curveStart*(load-1)
 	}
@@ -118,22 +119,22 @@
 }
 
 // workOf is the typical time of a class; an unseen one borrows from the others.
-func (l *Limiter) workOf(class int) float64 {
-	return cmp.Or(l.work[class], max(1, slices.Max(l.work)))
+func (p *pool) workOf(class int) float64 {
+	return cmp.Or(p.work[class], max(1, slices.Max(p.work)))
 }
 
 // observe learns from an outcome about the server and the class.
 func (l *Limiter) observe(now float64, a *attempt, r *request, e Outcome) {
-	s := a.server
+	s, p := a.server, a.server.pool
 	s.waitingAt = now
 	if a.sentAt < l.wokeAt {
 		return
 	}
 	if e.Result == Pass || e.Result == Fault || e.Result == Cut || e.Result == TooSlow {
-		l.failed -= pressWeight * l.failed
+		p.failed -= pressWeight * p.failed
 		if e.Result != Pass {
-			l.failed += pressWeight
-			if now >= l.hintAt && l.failed < hintBelow && l.cfg.Caps.Peers && now >= s.ills[r.class].to {
+			p.failed += pressWeight
+			if now >= l.hintAt && p.failed < hintBelow && l.cfg.Caps.Peers && now >= s.ills[r.class].to {
 				l.hintAt = now + l.hintPause
 				l.tellSet(peerMsg{flags: flagNews | flagIll, entries: []peerEntry{{customer: s.info.ID,
 					plan: uint64(r.class)}}}, 0, len(l.peers))
@@ -143,12 +144,12 @@
 	}
 	switch e.Result {
 	case Pass:
-		w := &l.work[r.class]
-		l.seen[r.class]++
-		*w += (e.SpentMs - *w) * max(workWeight, 1/l.seen[r.class])
-		l.fit.add(a.load, e.SpentMs / *w, workWeight)
+		w := &p.work[r.class]
+		p.seen[r.class]++
+		*w += (e.SpentMs - *w) * max(workWeight, 1/p.seen[r.class])
+		p.fit.add(a.load, e.SpentMs / *w, workWeight)
 		s.decayStat(now, speedMs)
-		s.spent += e.SpentMs / *w / l.curve(a.load)
+		s.spent += e.SpentMs / *w / p.curve(a.load)
 		s.had++
 		s.noRoute = 0
 	case NoRoom:
--- a/limiter/health.go
+++ b/limiter/health.go
@@ -28,15 +28,15 @@
 		e.n = 0
 	}
 	e.at, e.n = now, e.n+1
-	off := 0
-	for _, o := range l.order {
+	p, off := s.pool, 0
+	for _, o := range p.order {
 		if now < o.ills[class].to {
 			off++
 		}
 	}
 	// As many failures as the fleet's share of them makes likely say nothing.
-	likely := l.failed * l.recent(now) * float64(l.cfg.Balancers) / float64(len(l.order))
-	if float64(e.n) >= illAfter+likely && 2*(off+1) <= len(l.order) {
+	likely := p.failed * p.recent(now) * float64(l.cfg.Balancers) / float64(len(p.order))
+	if float64(e.n) >= illAfter+likely && 2*(off+1) <= len(p.order) {
 		if now >= e.to {
 			l.log("server %d: class %d fails there, kept off", s.info.ID, class)
 		}
@@ -67,7 +67,7 @@
 	if s.inflight == 0 {
 		return false
 	}
-	typical := slices.Max(l.work) * s.slowness(now) / l.warmth(now, s) * l.curve(s.load())
+	typical := slices.Max(s.pool.work) * s.slowness(now) / l.warmth(now, s) * s.pool.curve(s.load())
 	return now-s.waitingAt > stallFactor*typical+l.cfg.Caps.ConnectMs
 }
 
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -18,23 +18,14 @@
 	if err := checkSettings(s); err != nil {
 		return nil, fmt.Errorf("limiter: %w", err)
 	}
-	n := len(s.Classes)
 	l := &Limiter{
 		cfg: s, rng: rand.New(rand.NewPCG(seed, 0x51)), retries: retryMax,
 		servers: map[uint64]*server{}, requests: map[string]*request{}, customers: map[uint64]*customer{},
 		peers: make([]peer, s.Balancers),
-		work:  make([]float64, n), seen: make([]float64, n), usual: make([]usual, n),
+		pools: map[uint64]*pool{}, usual: make([]usual, len(s.Classes)),
 	}
 	l.mark = l.rng.Uint32() | 1
-	worth := 0.0
-	for _, p := range s.Plans {
-		l.anyOut = l.anyOut || p.AtOnce > 0
-		worth += p.Rate * p.Price / float64(len(s.Plans))
-	}
-	for _, p := range s.Plans { // telling earns by worth, and where bursts are short
-		rate := max(1e-9, p.Rate)
-		l.patience = append(l.patience, max(0.1, min(4, p.Burst/rate/4*worth/max(1e-9, rate*p.Price))))
-	}
+	l.weighPlans()
 	return l, nil
 }
 
@@ -85,6 +76,8 @@
 		l.probed(now, e)
 	case PeerMessage:
 		l.heard(now, e)
+	case Reconfigure:
+		l.reconfigure(now, e)
 	}
 	return l.out
 }
--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -726,9 +726,9 @@
 		s.now += 2 * forgetMs
 		s.do(Alarm{Handle: "tick"})
 	}
-	if len(s.l.customers)+len(s.l.listed)+len(s.l.kept)+len(s.l.dirty)+len(s.l.requests) != 0 || s.l.inflight != 0 {
+	if len(s.l.customers)+len(s.l.listed)+len(s.l.kept)+len(s.l.dirty)+len(s.l.requests) != 0 || s.l.poolOf(0).inflight != 0 {
 		t.Errorf("%d customers, %d listed, %d kept, %d dirty, %d requests, %d out", len(s.l.customers), len(s.l.listed),
-			len(s.l.kept), len(s.l.dirty), len(s.l.requests), s.l.inflight)
+			len(s.l.kept), len(s.l.dirty), len(s.l.requests), s.l.poolOf(0).inflight)
 	}
 	if len(s.l.servers) != 5 || len(s.l.order) != 5 {
 		t.Errorf("%d servers, %d in order, want 5", len(s.l.servers), len(s.l.order))
--- /dev/null
+++ b/limiter/pool_test.go
@@ -0,0 +1,261 @@
+package limiter
+
+import (
+	"fmt"
+	"math"
+	"testing"
+)
+
+// poolSettings are two plans, one with a ceiling, and three classes.
+func poolSettings() Settings {
+	return Settings{Balancers: 1, Caps: Caps{Attempts: 3, Cancel: true, RetryAfter: true, MaxWaitMs: 500, ConnectMs: 250},
+		Classes: []Class{{Repeat: Safe, AimMs: 500, DeadlineMs: 1000, Worth: 1}, {Repeat: Keyed, AimMs: 500, DeadlineMs: 1000, WindowMs: 1000, Worth: 2},
+			{Repeat: Unsafe, AimMs: 500, DeadlineMs: 1000, Worth: 3}},
+		Plans: []Plan{{Rate: 10, Burst: 20, Price: 1}, {Rate: 5, Burst: 10, CeilingRate: 8, CeilingBurst: 16, Price: 2}}}
+}
+
+// handler gives events to a Limiter and keeps what it does with requests.
+type handler struct {
+	t    *testing.T
+	l    *Limiter
+	now  float64
+	sent map[string][]uint64
+	end  map[string]string
+	wait map[string]float64
+}
+
+func newHandler(t *testing.T, s Settings, servers ...ServerInfo) *handler {
+	t.Helper()
+	l, err := New(s, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	h := &handler{t: t, l: l, now: 1000, sent: map[string][]uint64{}, end: map[string]string{}, wait: map[string]float64{}}
+	h.give(Endpoints{Scope: Complete, Servers: servers})
+	return h
+}
+
+func (h *handler) give(ev Event) {
+	for _, a := range h.l.Handle(h.now, ev) {
+		switch a := a.(type) {
+		case PassOn:
+			h.sent[a.ID] = append(h.sent[a.ID], a.Server)
+		case Refuse:
+			h.end[a.ID], h.wait[a.ID] = "refused", a.WaitMs
+		case Fail:
+			h.end[a.ID] = "failed"
+		}
+	}
+}
+
+func (h *handler) submit(id string, e Submit) {
+	e.ID, e.ExpiresMs, e.Spread = id, 900, 1
+	h.give(e)
+}
+
+func (h *handler) outcome(id string, result Result) {
+	try := len(h.sent[id]) - 1
+	h.give(Outcome{ID: id, Try: try, Server: h.sent[id][try], Result: result, SpentMs: 10, Done: result == Pass, Load: Load{-1, -1, -1}})
+}
+
+// A request goes to the servers of its pool alone, also when it is tried again and the
+// other pool is idle; an unknown pool has no servers.
+func TestPoolsKeepApart(t *testing.T) {
+	h := newHandler(t, poolSettings(), ServerInfo{ID: 1, Pool: 7}, ServerInfo{ID: 2, Pool: 7}, ServerInfo{ID: 3, Pool: 9}, ServerInfo{ID: 4, Pool: 9})
+	for i := range 60 {
+		h.now += 200
+		pool := []uint64{7, 9}[i%2]
+		id := fmt.Sprint("r", i)
+		h.submit(id, Submit{Units: 1, Customer: uint64(i % 8), Pool: pool})
+		for k, result := range []Result{NoRoom, Pass}[min(1, i%6):] {
+			if len(h.sent[id]) <= k {
+				t.Fatalf("request %d was not sent again: %v", i, h.end[id])
+			}
+			h.outcome(id, result)
+		}
+		for _, s := range h.sent[id] {
+			if (s <= 2) != (pool == 7) {
+				t.Fatalf("a request of pool %d went to server %d", pool, s)
+			}
+		}
+	}
+	h.submit("nowhere", Submit{Units: 1, Customer: 50, Pool: 11})
+	if h.end["nowhere"] != "refused" || len(h.sent["nowhere"]) > 0 {
+		t.Errorf("a pool without servers: %v, sent to %v", h.end["nowhere"], h.sent["nowhere"])
+	}
+}
+
+// What one pool learns of load does not turn requests of another away.
+func TestPoolsLearnApart(t *testing.T) {
+	h := newHandler(t, poolSettings(), ServerInfo{ID: 1, Pool: 7}, ServerInfo{ID: 2, Pool: 9})
+	for i := range 40 { // pool 7 is slow and full
+		h.now += 100
+		h.submit(fmt.Sprint("s", i), Submit{Units: 1, Customer: uint64(i), Pool: 7})
+		if i%4 == 3 {
+			h.give(Outcome{ID: fmt.Sprint("s", i-3), Server: 1, Result: Pass, SpentMs: 400, Done: true, Load: Load{-1, -1, -1}})
+		}
+	}
+	refused := 0
+	for i := range 10 {
+		h.now += 100
+		id := fmt.Sprint("f", i)
+		if h.submit(id, Submit{Units: 1, Customer: 100 + uint64(i), Pool: 9}); len(h.sent[id]) == 0 {
+			refused++
+			continue
+		}
+		h.outcome(id, Pass)
+	}
+	if refused > 0 || h.l.poolOf(7).work[0] < 300 || h.l.poolOf(9).work[0] > 20 {
+		t.Errorf("%d refused beside a slow pool; learnt %v and %v", refused, h.l.poolOf(7).work, h.l.poolOf(9).work)
+	}
+}
+
+// A server that moves takes what it has in hand along, and an empty pool is forgotten.
+func TestPoolsMove(t *testing.T) {
+	h := newHandler(t, poolSettings(), ServerInfo{ID: 1, Pool: 7}, ServerInfo{ID: 2, Pool: 9})
+	h.submit("a", Submit{Units: 1, Customer: 1, Pool: 7})
+	h.give(Endpoints{Scope: Complete, Servers: []ServerInfo{{ID: 1, Pool: 9}, {ID: 2, Pool: 9}}})
+	if h.l.pools[7] != nil || h.l.poolOf(9).inflight != 1 || len(h.l.poolOf(9).order) != 2 {
+		t.Errorf("pool 7 %v, pool 9 %+v", h.l.pools[7], h.l.poolOf(9))
+	}
+	h.outcome("a", Pass)
+	if h.l.poolOf(9).inflight != 0 {
+		t.Errorf("%d out at the end", h.l.poolOf(9).inflight)
+	}
+}
+
+// A route's bound on attempts holds, and never lifts the deployment's.
+func TestAttemptsOfARoute(t *testing.T) {
+	for _, c := range []struct{ bound, want int }{{1, 1}, {2, 2}, {0, 3}, {9, 3}} {
+		h := newHandler(t, poolSettings(), ServerInfo{ID: 1}, ServerInfo{ID: 2}, ServerInfo{ID: 3}, ServerInfo{ID: 4})
+		h.submit("a", Submit{Units: 1, Customer: 1, Attempts: c.bound})
+		for h.end["a"] == "" {
+			h.outcome("a", NoRoom)
+		}
+		if len(h.sent["a"]) != c.want {
+			t.Errorf("bound %d: %d attempts, want %d", c.bound, len(h.sent["a"]), c.want)
+		}
+	}
+}
+
+// What a new configuration leaves of balances and ceilings.
+func TestReconfigureBalances(t *testing.T) {
+	const account = 5
+	spent := func(h *handler, plan int, id string) (n int) { // one-unit requests until one is refused
+		for ; ; n++ {
+			x := fmt.Sprint(id, n)
+			if h.submit(x, Submit{Units: 1, Customer: account, Plan: plan}); h.end[x] == "refused" {
+				return n
+			}
+			h.outcome(x, Pass)
+		}
+	}
+	for _, c := range []struct {
+		name          string
+		change        func(s *Settings)
+		plans         []int
+		plan          int // the account's afterwards
+		before, after int // requests that pass
+	}{
+		{"the same", func(*Settings) {}, []int{0, 1}, 0, 20, 0},
+		{"more burst gives nothing at once", func(s *Settings) { s.Plans[0].Burst = 40 }, []int{0, 1}, 0, 20, 0},
+		{"more burst, unspent", func(s *Settings) { s.Plans[0].Burst = 40 }, []int{0, 1}, 0, 0, 20},
+		{"burst below the balance", func(s *Settings) { s.Plans[0].Burst = 4 }, []int{0, 1}, 0, 0, 4},
+		{"another order", func(s *Settings) { s.Plans[0], s.Plans[1] = s.Plans[1], s.Plans[0] }, []int{1, 0}, 1, 20, 0},
+		{"removed, and back as another", func(s *Settings) { s.Plans = s.Plans[1:] }, []int{-1, 0}, 0, 20, 0},
+		{"removed unspent, and back as another", func(s *Settings) { s.Plans = s.Plans[1:]; s.Plans[0].CeilingRate, s.Plans[0].CeilingBurst = 0, 0 }, []int{-1, 0}, 0, 0, 10},
+		{"a ceiling is new: it begins with nothing", func(s *Settings) { s.Plans[0].CeilingRate, s.Plans[0].CeilingBurst = 15, 30 }, []int{0, 1}, 0, 0, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			h := newHandler(t, poolSettings(), ServerInfo{ID: 1}, ServerInfo{ID: 2})
+			h.now += 60_000 // long enough for the whole burst
+			h.submit("first", Submit{Units: 0, Customer: account})
+			h.outcome("first", Pass)
+			if c.before > 0 {
+				if n := spent(h, 0, "before"); n != c.before {
+					t.Fatalf("%d pass before, want %d", n, c.before)
+				}
+			}
+			s := poolSettings()
+			c.change(&s)
+			h.give(Reconfigure{Settings: s, Classes: []int{0, 1, 2}, Plans: c.plans})
+			if n := spent(h, c.plan, "after"); n != c.after {
+				t.Errorf("%d pass after, want %d", n, c.after)
+			}
+		})
+	}
+}
+
+// A lowered ceiling holds from the change on: what passes is the greater part left and
+// the new rate, never the old one.
+func TestReconfigureCeiling(t *testing.T) {
+	h := newHandler(t, poolSettings(), ServerInfo{ID: 1}, ServerInfo{ID: 2})
+	h.now += 60_000
+	s := poolSettings()
+	s.Plans[1].Rate, s.Plans[1].Burst, s.Plans[1].CeilingRate, s.Plans[1].CeilingBurst = 50, 100, 3, 6
+	h.give(Submit{ID: "first", ExpiresMs: 900, Customer: 5, Plan: 1, Spread: 1})
+	h.outcome("first", Pass)
+	h.give(Reconfigure{Settings: s, Classes: []int{0, 1, 2}, Plans: []int{0, 1}})
+	passed, start := 0.0, h.now
+	for i := 0; h.now < start+20_000; i++ {
+		h.now += 20
+		id := fmt.Sprint("r", i)
+		if h.submit(id, Submit{Units: 1, Customer: 5, Plan: 1}); len(h.sent[id]) > 0 {
+			h.outcome(id, Pass)
+			passed++
+		}
+	}
+	if most := 6 + 3*20.0; passed > most || passed < most-7 {
+		t.Errorf("%v units in 20 s, the ceiling gives %v", passed, most)
+	}
+}
+
+// A class that is gone with a request in hand: the request keeps what it was told, and
+// nothing is tried again that must not be.
+func TestReconfigureClassInHand(t *testing.T) {
+	h := newHandler(t, poolSettings(), ServerInfo{ID: 1}, ServerInfo{ID: 2}, ServerInfo{ID: 3})
+	h.submit("safe", Submit{Units: 1, Customer: 1, Class: 0})
+	h.submit("unsafe", Submit{Units: 1, Customer: 2, Class: 2})
+	s := poolSettings()
+	s.Classes = s.Classes[1:2]
+	h.give(Reconfigure{Settings: s, Classes: []int{-1, 0, -1}, Plans: []int{0, 1}})
+	h.submit("keyed", Submit{Units: 1, Customer: 3, Class: 0})
+	for _, id := range []string{"safe", "unsafe", "keyed"} {
+		h.outcome(id, Cut)
+	}
+	if len(h.sent["safe"]) != 2 || len(h.sent["keyed"]) != 2 || len(h.sent["unsafe"]) != 1 || h.end["unsafe"] != "failed" {
+		t.Errorf("sent %v, ended %v", h.sent, h.end)
+	}
+	h.outcome("safe", Pass)
+	h.outcome("keyed", Pass)
+	if h.submit("gone", Submit{Units: 1, Customer: 1, Class: 0}); len(h.l.requests) != 1 {
+		t.Errorf("%d in hand", len(h.l.requests))
+	}
+	for range 3 { // what nothing names any more does not stay
+		h.give(Reconfigure{Settings: s, Classes: []int{0}, Plans: []int{0, 1}})
+	}
+	if len(h.l.cfg.Classes) != 1 || len(h.l.cfg.Plans) != 2 {
+		t.Errorf("%d classes, %d plans", len(h.l.cfg.Classes), len(h.l.cfg.Plans))
+	}
+}
+
+// Many reloads leave balances where they are and nothing behind.
+func TestReconfigureOften(t *testing.T) {
+	h := newHandler(t, poolSettings(), ServerInfo{ID: 1}, ServerInfo{ID: 2})
+	h.now += 60_000
+	h.submit("a", Submit{Units: 7, Customer: 5})
+	for i := range 1000 {
+		s := poolSettings()
+		if i%2 == 0 {
+			s.Plans = s.Plans[:1]
+		}
+		plans := []int{0, -1}
+		if i%2 == 1 {
+			plans = []int{0}
+		}
+		h.give(Reconfigure{Settings: s, Classes: []int{0, 1, 2}, Plans: plans})
+	}
+	if c := h.l.customers[5]; math.Abs(c.balance-13) > 1e-9 || len(h.l.cfg.Plans) > 3 {
+		t.Errorf("balance %v, %d plans", c.balance, len(h.l.cfg.Plans))
+	}
+}
--- /dev/null
+++ b/limiter/reload.go
@@ -0,0 +1,91 @@
+package limiter
+
+import "slices"
+
+// weighPlans sets what follows from the plans.
+func (l *Limiter) weighPlans() {
+	worth := 0.0
+	l.anyOut, l.patience, l.named = false, nil, len(l.cfg.Plans)
+	for _, p := range l.cfg.Plans {
+		l.anyOut = l.anyOut || p.AtOnce > 0
+		worth += p.Rate * p.Price / float64(len(l.cfg.Plans))
+	}
+	for _, p := range l.cfg.Plans { // telling earns by worth, and where bursts are short
+		rate := max(1e-9, p.Rate)
+		l.patience = append(l.patience, max(0.1, min(4, p.Burst/rate/4*worth/max(1e-9, rate*p.Price))))
+	}
+}
+
+// reconfigure has other classes and plans hold. An account keeps what is left of its
+// balance, up to the new burst, and its part of the ceiling, up to the new part: one
+// that had no ceiling begins with nothing of it. What is in hand keeps a class that is
+// gone until it has ended, and an account a plan that is gone until it comes with
+// another one or is forgotten; requests can't name them, and peers are not told of them.
+func (l *Limiter) reconfigure(now float64, e Reconfigure) {
+	old := l.cfg
+	l.cfg.Classes, l.cfg.Plans, l.cfg.Rules, l.cfg.CrossPrice = slices.Clone(e.Settings.Classes), e.Settings.Plans, e.Settings.Rules, e.Settings.CrossPrice
+	l.cfg.Caps.Attempts, l.cfg.Caps.RetryAfter = e.Settings.Caps.Attempts, e.Settings.Caps.RetryAfter
+	l.cfg.Caps.MaxWaitMs, l.cfg.Caps.ConnectMs = e.Settings.Caps.MaxWaitMs, e.Settings.Caps.ConnectMs
+	l.weighPlans()
+	l.cfg.Plans = slices.Clone(l.cfg.Plans)
+	classes, plans := places(e.Classes, len(old.Classes)), places(e.Plans, len(old.Plans))
+	for _, id := range l.sortedRequests() {
+		r := l.requests[id]
+		if classes[r.class] < 0 {
+			classes[r.class] = len(l.cfg.Classes)
+			l.cfg.Classes = append(l.cfg.Classes, old.Classes[r.class])
+		}
+		r.class = classes[r.class]
+	}
+	for _, c := range l.listed {
+		p := old.Plans[c.plan]
+		s := (now - c.at) / 1000 // to now by the plan that held
+		c.balance = min(p.Burst-c.leased, c.balance+s*p.Rate)
+		if n := float64(c.spread); n > 0 {
+			c.share = min(p.CeilingBurst/n-c.leased, c.share+s*p.CeilingRate/n)
+		}
+		c.at = now
+		if plans[c.plan] < 0 {
+			plans[c.plan] = len(l.cfg.Plans)
+			l.cfg.Plans, l.patience = append(l.cfg.Plans, p), append(l.patience, 1)
+		}
+		c.plan = plans[c.plan]
+		c.countsOut = l.cfg.Plans[c.plan].AtOnce > 0
+		l.refill(now, c)
+	}
+	unnamed := func(c *customer) bool { return c.plan >= l.named }
+	l.kept = slices.DeleteFunc(l.kept, unnamed)
+	l.dirty = slices.DeleteFunc(l.dirty, func(c *customer) bool {
+		c.dirty = !unnamed(c)
+		return !c.dirty
+	})
+	l.usual = remap(l.usual, classes, len(l.cfg.Classes))
+	for _, p := range l.pools {
+		p.work, p.seen = remap(p.work, classes, len(l.cfg.Classes)), remap(p.seen, classes, len(l.cfg.Classes))
+	}
+	for _, s := range l.order {
+		s.ills = remap(s.ills, classes, len(l.cfg.Classes))
+	}
+}
+
+// places says for each old index which one it is now; what is not named is gone.
+func places(named []int, n int) []int {
+	all := make([]int, n)
+	for i := range all {
+		if all[i] = -1; i < len(named) {
+			all[i] = named[i]
+		}
+	}
+	return all
+}
+
+// remap moves what is known to its new places.
+func remap[T any](old []T, to []int, n int) []T {
+	all := make([]T, n)
+	for i, v := range old {
+		if to[i] >= 0 {
+			all[to[i]] = v
+		}
+	}
+	return all
+}
--- a/limiter/requests.go
+++ b/limiter/requests.go
@@ -55,6 +55,10 @@
 		l.join(now, c, e.Spread, e.First)
 	}
 	l.refill(now, c)
+	if c.plan != e.Plan { // what is left of one plan is what another begins with
+		c.plan, c.countsOut = e.Plan, l.cfg.Plans[e.Plan].AtOnce > 0
+		l.refill(now, c)
+	}
 	l.release(c)
 	c.seenAt = now
 	units := max(0, e.Units)
@@ -65,16 +69,20 @@
 	}
 	switch {
 	case ok && aim > 0:
-		r := &request{id: e.ID, class: e.Class, units: units, customer: c, aimAt: now + aim}
+		r := &request{id: e.ID, class: e.Class, units: units, customer: c, aimAt: now + aim,
+			pool: l.poolOf(e.Pool), most: l.cfg.Caps.Attempts}
+		if e.Attempts > 0 {
+			r.most = min(r.most, e.Attempts)
+		}
 		r.endsAt = now + e.ExpiresMs
 		l.weigh(r)
 		s, late := l.choose(now, r)
 		if s != nil {
-			l.pressure -= pressWeight * l.pressure
+			r.pool.pressure -= pressWeight * r.pool.pressure
 			l.settle(c, e.Leased, false)
 			return r, s
 		}
-		l.pressure += pressWeight * (1 - l.pressure)
+		r.pool.pressure += pressWeight * (1 - r.pool.pressure)
 		wait = late
 	case ok:
 		wait = l.cfg.Caps.MaxWaitMs
@@ -113,12 +121,13 @@
 // more of the requests inside their quotas are turned away for lack of
 // servers, the more it depends on what they are worth for their work.
 func (l *Limiter) weigh(r *request) {
-	worth := l.cfg.Classes[r.class].Worth * l.cfg.Plans[r.customer.plan].Price * r.units / l.workOf(r.class)
-	l.worth += (worth - l.worth) * max(pressWeight, 1/(l.weighed+1))
-	l.weighed++
+	p := r.pool
+	worth := l.cfg.Classes[r.class].Worth * l.cfg.Plans[r.customer.plan].Price * r.units / p.workOf(r.class)
+	p.worth += (worth - p.worth) * max(pressWeight, 1/(p.weighed+1))
+	p.weighed++
 	r.factor = 1
-	if l.worth > 0 {
-		r.factor += (max(leastWorth, min(mostWorth, worth/l.worth)) - 1) * min(1, 2*l.pressure)
+	if p.worth > 0 {
+		r.factor += (max(leastWorth, min(mostWorth, worth/p.worth)) - 1) * min(1, 2*p.pressure)
 	}
 }
 
@@ -134,13 +143,13 @@
 	if s.inflight == 0 {
 		s.waitingAt = now
 	}
-	l.sends = l.recent(now) + 1
+	s.pool.sends = s.pool.recent(now) + 1
 	s.cold--
 	r.attempts = append(r.attempts, attempt{server: s, sentAt: now, load: s.load() + 1})
 	r.live++
 	r.customer.out++
 	s.inflight++
-	l.inflight++
+	s.pool.inflight++
 	l.do(PassOn{ID: r.id, Server: s.info.ID})
 }
 
@@ -170,7 +179,7 @@
 // again makes a further attempt or gives the final answer. Nothing is out.
 func (l *Limiter) again(now float64, r *request, last Result) {
 	class := l.cfg.Classes[r.class]
-	may := now < r.endsAt && len(r.attempts) < max(1, l.cfg.Caps.Attempts) && (r.ran == nil ||
+	may := now < r.endsAt && len(r.attempts) < max(1, r.most) && (r.ran == nil ||
 		class.Repeat == Safe || class.Repeat == Keyed && now < r.ranAt+class.WindowMs)
 	costly := !(last == NoRoute || last == StaleSend)
 	if may && (!costly || l.retries >= 1) {
--- a/limiter/scale_test.go
+++ b/limiter/scale_test.go
@@ -339,12 +339,12 @@
 		id, a := s.submit(Submit{Plan: 3})
 		ids, to = append(ids, id), append(to, a.(PassOn).Server)
 	}
-	work := s.l.work[0]
+	work := s.l.poolOf(0).work[0]
 	s.now += 1600
 	for k, id := range ids {
 		s.do(Outcome{ID: id, Server: to[k], Result: TooSlow, SpentMs: 1600})
 	}
-	if s.l.work[0] != work || s.l.servers[1].ills[0].n+s.l.servers[2].ills[0].n > 0 {
+	if s.l.poolOf(0).work[0] != work || s.l.servers[1].ills[0].n+s.l.servers[2].ills[0].n > 0 {
 		t.Error("the gateway's own pause counted against servers")
 	}
 }
--- a/limiter/servers.go
+++ b/limiter/servers.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 )
 
@@ -18,15 +19,20 @@
 		}
 	}
 	for _, info := range e.Servers {
-		s := l.servers[info.ID]
+		s, p := l.servers[info.ID], l.poolOf(info.Pool)
 		if s == nil {
-			s = l.newServer(now, 0)
+			s = l.newServer(now, p, 0)
+			s.info.ID = info.ID
 			l.servers[info.ID] = s
-			byID := func(o *server, id uint64) int { return cmp.Compare(o.info.ID, id) }
-			at, _ := slices.BinarySearchFunc(l.order, info.ID, byID)
-			l.order = slices.Insert(l.order, at, s)
+			l.order, p.order = insert(l.order, s), insert(p.order, s)
 		} else if s.info.ReadyAt != info.ReadyAt { // another process: nothing learnt holds
-			*s = *l.newServer(now, s.inflight)
+			*s = *l.newServer(now, s.pool, s.inflight)
+			s.info.ID = info.ID
+		}
+		if s.pool != p { // what is out there counts where it is
+			s.pool.order = slices.DeleteFunc(s.pool.order, func(o *server) bool { return o == s })
+			s.pool.inflight, p.inflight = s.pool.inflight-s.inflight, p.inflight+s.inflight
+			s.pool, p.order = p, insert(p.order, s)
 		}
 		s.info = info
 	}
@@ -34,7 +40,15 @@
 		gone := s.info.Phase == Removed && s.inflight == 0
 		if gone {
 			delete(l.servers, s.info.ID)
+			s.pool.order = slices.DeleteFunc(s.pool.order, func(o *server) bool { return o == s })
 		}
 		return gone
 	})
+	maps.DeleteFunc(l.pools, func(id uint64, p *pool) bool { return id != 0 && len(p.order) == 0 && p.inflight == 0 })
+}
+
+// insert puts a server into a list by id.
+func insert(order []*server, s *server) []*server {
+	at, _ := slices.BinarySearchFunc(order, s.info.ID, func(o *server, id uint64) int { return cmp.Compare(o.info.ID, id) })
+	return slices.Insert(order, at, s)
 }
--- a/limiter/state.go
+++ b/limiter/state.go
@@ -35,26 +35,35 @@
 	patience  []float64 // of each plan: factor on it
 	pace      float64   // pause between two levels told of a customer
 
+	pools     map[uint64]*pool
+	named     int // plans that requests can name; behind them those that are gone
+	usual     []usual
+	marked    bool    // clients mark their retries
+	retries   float64 // further attempts saved up
+	eventAt   float64
+	wokeAt    float64 // when this gateway last went on after standing still
+	hintPause float64
+	hintAt    float64 // when the next hint may be given
+	out       []Action
+}
+
+// pool is a set of servers that takes requests of its own, and what is learnt of them
+// together. A server is in one pool.
+type pool struct {
+	order          []*server // by id
 	work           []float64 // typical ms of a class alone on a server
 	seen           []float64 // answers of a class
-	usual          []usual
-	marked         bool // clients mark their retries
 	fit            fit
 	pressure       float64 // share refused for lack of servers, of late
 	worth, weighed float64 // mean worth for work; requests in it
-	retries        float64 // further attempts saved up
 	inflight       int     // attempts out
 	sends, sendsAt float64 // attempts in the last illMs / 2 or so
 	failed         float64 // share of answers that fail, of late
-	eventAt        float64
-	wokeAt         float64 // when this gateway last went on after standing still
-	hintPause      float64
-	hintAt         float64 // when the next hint may be given
-	out            []Action
 }
 
 type server struct {
 	info         ServerInfo
+	pool         *pool
 	inflight     int
 	spent, had   float64 // decayed sums: times taken against the typical, and answers
 	statAt       float64
@@ -78,6 +87,8 @@
 	class    int
 	units    float64
 	customer *customer
+	pool     *pool
+	most     int // attempts
 	aimAt    float64
 	factor   float64 // by what it is worth: how much of its spare time it may wait
 	endsAt   float64
@@ -174,9 +185,9 @@
 }
 
 // recent is the number of attempts sent of late.
-func (l *Limiter) recent(now float64) float64 {
-	l.sends, l.sendsAt = l.sends*math.Exp((l.sendsAt-now)*2/illMs), now
-	return l.sends
+func (p *pool) recent(now float64) float64 {
+	p.sends, p.sendsAt = p.sends*math.Exp((p.sendsAt-now)*2/illMs), now
+	return p.sends
 }
 
 // back settles the counts of an attempt that is no longer out.
@@ -185,7 +196,7 @@
 	r.live--
 	r.customer.out--
 	a.server.inflight--
-	l.inflight--
+	a.server.pool.inflight--
 }
 
 // provesUnrun tells whether a result shows that nothing ran.
@@ -201,11 +212,22 @@
 }
 
 // newServer is the record of a server process of which nothing is known.
-func (l *Limiter) newServer(now float64, inflight int) *server {
-	return &server{inflight: inflight, waitingAt: now, cold: l.rng.Float64(), coldAt: now,
+func (l *Limiter) newServer(now float64, p *pool, inflight int) *server {
+	return &server{pool: p, inflight: inflight, waitingAt: now, cold: l.rng.Float64(), coldAt: now,
 		ills: make([]illness, len(l.cfg.Classes))}
 }
 
+// poolOf is the pool of a number, made on first sight.
+func (l *Limiter) poolOf(id uint64) *pool {
+	p := l.pools[id]
+	if p == nil {
+		n := len(l.cfg.Classes)
+		p = &pool{work: make([]float64, n), seen: make([]float64, n)}
+		l.pools[id] = p
+	}
+	return p
+}
+
 // sortedRequests lists the requests in hand in an order that is always the same.
 func (l *Limiter) sortedRequests() []string {
 	ids := make([]string, 0, len(l.requests))
@@ -299,7 +321,7 @@
 
 // stir puts a customer on the list of those with something untold.
 func (l *Limiter) stir(c *customer) {
-	if !c.dirty && l.cfg.Caps.Peers {
+	if !c.dirty && l.cfg.Caps.Peers && c.plan < l.named {
 		c.dirty = true
 		l.dirty = append(l.dirty, c)
 	}
