A configuration language: package config, routes and pools that serve obeys, check, fmt, diff

A typo in routes or plans was found by customers. The node routes each request by one version of the configuration from end to end and takes a new one whole on SIGHUP.

--- a/cmd/madderdrum/commands.go
+++ b/cmd/madderdrum/commands.go
@@ -8,7 +8,10 @@
 
 // commandLine is what the program does when it is called with arguments.
 type commandLine struct {
-	Serve   serveCommand   `cmd:"" help:"Run one limiter from a fleet file, with its fixed list of sender boxes."`
+	Serve   serveCommand   `cmd:"" help:"Run one limiter of a configuration, with its fixed list of sender boxes."`
+	Check   checkCommand   `cmd:"" help:"Tell all that is wrong with a configuration, with places and remedies."`
+	Fmt     fmtCommand     `cmd:"" help:"Write configuration files in the usual form."`
+	Diff    diffCommand    `cmd:"" help:"Tell what two configurations differ in, in meaning."`
 	Replay  replayCommand  `cmd:"" help:"Replay a cluster trace against a stand-in fleet and report service; without arguments one that is built in."`
 	Demo    demoCommand    `cmd:"" help:"Show limiters at work before a stand-in fleet on loopback, until Ctrl-C."`
 	Version versionCommand `cmd:"" help:"Tell the program's version."`
--- a/cmd/madderdrum/demo.go
+++ b/cmd/madderdrum/demo.go
@@ -18,6 +18,7 @@
 
 	"golang.org/x/term"
 
+	"example.org/madderdrum/config"
 	"example.org/madderdrum/internal/fleet"
 	"example.org/madderdrum/internal/judge"
 	"example.org/madderdrum/internal/loopback"
@@ -58,10 +59,10 @@
 
 // Run is the command.
 func (c *demoCommand) Run() error {
-	f := fleet.Bluebird()
+	f := config.Bluebird()
 	var err error
 	if c.Fleet != "" {
-		if f, err = fleet.Load(c.Fleet); err != nil {
+		if f, err = config.LoadFleet(c.Fleet); err != nil {
 			return err
 		}
 	}
--- a/cmd/madderdrum/main.go
+++ b/cmd/madderdrum/main.go
@@ -28,6 +28,10 @@
 	if err == nil {
 		return
 	}
+	var code interface{ ExitCode() int }
+	if errors.As(err, &code) { // it has told what there is to tell
+		os.Exit(code.ExitCode())
+	}
 	fmt.Fprintln(os.Stderr, "madderdrum:", err)
 	if errors.Is(err, errBroken) {
 		os.Exit(2)
--- a/cmd/madderdrum/replay.go
+++ b/cmd/madderdrum/replay.go
@@ -17,7 +17,7 @@
 	"github.com/schollz/progressbar/v3"
 	"golang.org/x/term"
 
-	"example.org/madderdrum/internal/fleet"
+	"example.org/madderdrum/config"
 	"example.org/madderdrum/internal/policies"
 	"example.org/madderdrum/internal/replay"
 	"example.org/madderdrum/internal/trace"
@@ -139,12 +139,12 @@
 
 // options checks the flags and finds the files.
 func (c *replayCommand) options() (*replay.Options, error) {
-	o := &replay.Options{Fleet: fleet.Bluebird(), FleetName: "bluebird (built in)", Reorder: c.Reorder, Speed: c.Speed,
+	o := &replay.Options{Fleet: config.Bluebird(), FleetName: "bluebird (built in)", Reorder: c.Reorder, Speed: c.Speed,
 		From: c.From, For: c.For, Seed: c.Seed, Length: c.Generate,
 		Duplicates: map[string]trace.Duplicates{"refuse": trace.RefuseDuplicates, "keep": trace.KeepDuplicates, "drop": trace.DropDuplicates}[c.Duplicates]}
 	var err error
 	if c.Fleet != "" {
-		if o.Fleet, err = fleet.Load(c.Fleet); err != nil {
+		if o.Fleet, err = config.LoadFleet(c.Fleet); err != nil {
 			return nil, err
 		}
 		o.FleetName = c.Fleet
--- /dev/null
+++ b/config/format.go
@@ -0,0 +1,135 @@
+package config
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+
+	"github.com/hashicorp/hcl/v2"
+	"github.com/hashicorp/hcl/v2/hclsyntax"
+	"github.com/hashicorp/hcl/v2/hclwrite"
+)
+
+// Format writes a file in the usual form: two spaces a level, equal signs in a column,
+// one blank line at most, one newline at the end. Comments stay, and what the file
+// means: the result is read again and held against the file. name stands for it in
+// mistakes, which come as a *Failure.
+func Format(data []byte, name string) ([]byte, error) {
+	_, report := parseSyntax(data, name)
+	if err := report.Err(); err != nil {
+		return nil, err
+	}
+	out := data
+	if !bytes.Contains(data, []byte("<<")) { // within a here-document every line counts
+		out = bytes.ReplaceAll(out, []byte("\r\n"), []byte("\n"))
+	}
+	out = blankLines(out, name)
+	for range 4 {
+		next := hclwrite.Format(out)
+		if bytes.Equal(next, out) {
+			break
+		}
+		out = next
+	}
+	again, _ := parseSyntax(out, name)
+	if again == nil || !sameTokens(data, out, name) {
+		return nil, fmt.Errorf("%s: %w", name, errFormat)
+	}
+	return out, nil
+}
+
+var errFormat = errors.New("formatting would change what the file means; it is left as it is")
+
+// blankLines leaves one blank line at most, none at the ends and within braces' edges.
+func blankLines(data []byte, name string) []byte {
+	tokens, diags := hclsyntax.LexConfig(data, name, hcl.InitialPos)
+	if diags.HasErrors() {
+		return data
+	}
+	var out bytes.Buffer
+	at, newlines, opened := 0, 2, true
+	for _, t := range tokens {
+		from, to := t.Range.Start.Byte, t.Range.End.Byte
+		gap := data[at:from]
+		at = to
+		switch t.Type {
+		case hclsyntax.TokenNewline:
+			if newlines++; newlines > 2 || opened && newlines > 1 && out.Len() > 0 || out.Len() == 0 {
+				continue
+			}
+			out.Write(bytes.TrimRight(gap, " \t"))
+			out.Write(t.Bytes)
+			continue
+		case hclsyntax.TokenComment:
+			out.Write(gap)
+			text := t.Bytes
+			ends := bytes.HasSuffix(text, []byte("\n"))
+			out.Write(bytes.TrimRight(text, " \t\r\n"))
+			if newlines = 0; ends {
+				out.WriteByte('\n')
+				newlines = 1
+			}
+			opened = false
+			continue
+		case hclsyntax.TokenEOF:
+			out.Write(gap)
+			continue
+		case hclsyntax.TokenCBrace:
+			if trimmed := bytes.TrimRight(out.Bytes(), "\n"); newlines > 1 && len(trimmed) < out.Len() {
+				out.Truncate(len(trimmed))
+				out.WriteByte('\n')
+			}
+		}
+		out.Write(gap)
+		out.Write(t.Bytes)
+		newlines, opened = 0, t.Type == hclsyntax.TokenOBrace
+	}
+	text := bytes.TrimRight(out.Bytes(), " \t\n")
+	if len(text) == 0 {
+		return nil
+	}
+	return append(text, '\n')
+}
+
+// sameTokens tells that two texts differ in blanks alone.
+func sameTokens(a, b []byte, name string) bool {
+	x, y := meaning(a, name), meaning(b, name)
+	if len(x) != len(y) {
+		return false
+	}
+	for i := range x {
+		if x[i].Type != y[i].Type || !bytes.Equal(trim(x[i]), trim(y[i])) {
+			return false
+		}
+	}
+	return true
+}
+
+func trim(t hclsyntax.Token) []byte {
+	if t.Type == hclsyntax.TokenComment {
+		return bytes.TrimRight(t.Bytes, " \t\r\n")
+	}
+	return t.Bytes
+}
+
+// meaning are the tokens of a text without repeated newlines.
+func meaning(data []byte, name string) []hclsyntax.Token {
+	tokens, _ := hclsyntax.LexConfig(data, name, hcl.InitialPos)
+	var all []hclsyntax.Token
+	for _, t := range tokens {
+		if t.Type == hclsyntax.TokenNewline {
+			t.Bytes = []byte("\n")
+			if n := len(all); n == 0 || all[n-1].Type == hclsyntax.TokenNewline || all[n-1].Type == hclsyntax.TokenOBrace ||
+				all[n-1].Type == hclsyntax.TokenComment && bytes.HasSuffix(all[n-1].Bytes, []byte("\n")) {
+				continue
+			}
+		}
+		if t.Type == hclsyntax.TokenCBrace || t.Type == hclsyntax.TokenEOF {
+			if n := len(all); n > 0 && all[n-1].Type == hclsyntax.TokenNewline {
+				all = all[:n-1]
+			}
+		}
+		all = append(all, t)
+	}
+	return all
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -1,17 +1,16 @@
-// Package fleet reads fleet files: HCL that describes a deployment for the
-// daemon and for replays. It holds the classes of requests, the plans, the
-// rooms, the limiters, the sender boxes and, for replays, the traffic that the
-// accounts send and how the network between all of them behaves.
-//
-// A file is checked as a whole. Every mistake is a diagnostic with file, line
-// and what to write instead; see [Parse].
+// Package fleet describes a deployment to the daemon and to replays: the classes of
+// requests, the plans, the rooms, the limiters, the sender boxes and, for replays, the
+// traffic that the accounts send and how the network between all of them behaves.
+// Package config reads it from files.
 package fleet
 
 import (
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
 	"time"
 
-	"github.com/hashicorp/hcl/v2"
-
 	"example.org/madderdrum/limiter"
 )
 
@@ -63,8 +62,6 @@
 	Room   int
 	Listen string // host:port for clients
 	Peer   string // host:port for the other limiters; empty: no talk
-
-	at hcl.Range
 }
 
 // Box is one sender box.
@@ -86,8 +83,6 @@
 	WarmAfter   int           // or after so many requests; 0: by time alone
 	Report      Report
 	ErrorRate   float64 // share of requests that fail on an ordinary day
-
-	at hcl.Range
 }
 
 // Report says how a box tells its load.
@@ -230,3 +225,21 @@
 	s.Traffic.Rate *= s.Capacity() / f.Capacity()
 	return &s
 }
+
+func scaledName(name string, i int) string { return name + strconv.Itoa(i) }
+
+// ErrNoLimiter tells that a fleet has no limiter of a name.
+var ErrNoLimiter = errors.New("no such limiter in the configuration")
+
+// Limiter returns the position of a limiter, or an error that names those
+// there are.
+func (f *Fleet) Limiter(name string) (int, error) {
+	var names []string
+	for i, l := range f.Limiters {
+		if l.Name == name {
+			return i, nil
+		}
+		names = append(names, l.Name)
+	}
+	return 0, fmt.Errorf("%w: %q; there are: %s", ErrNoLimiter, name, strings.Join(names, " "))
+}
--- a/internal/forwardauth/service.go
+++ b/internal/forwardauth/service.go
@@ -17,6 +17,7 @@
 
 	"example.org/madderdrum/grant"
 	"example.org/madderdrum/limiter"
+	"example.org/madderdrum/route"
 )
 
 // Decider is the limiter that decides.
@@ -37,6 +38,16 @@
 	Plans     []string
 	MostUnits float64
 	Longest   time.Duration // that a client may wait
+	// Route, if set, finds the pool and the bounds of what is asked for, by the routes
+	// of what is carried, or tells that no route takes it.
+	Route func(q *route.Request) (Target, bool)
+}
+
+// Target is what a route says of a request.
+type Target struct {
+	Pool     uint64
+	Class    int           // for requests that name none; -1: none
+	Deadline time.Duration // 0: the class's
 }
 
 // Bounds of the front.
@@ -53,11 +64,9 @@
 // Service answers the proxies of one limiter.
 type Service struct {
 	cfg     Listener
-	tier    Tier
+	tier    atomic.Pointer[namedTier]
 	d       Decider
 	log     *slog.Logger
-	classes map[string]int
-	plans   map[string]int
 	proxies []*proxy
 	keys    *fileValue[grant.Keys]
 	web     *http.Server
@@ -73,6 +82,22 @@
 	count struct{ yes, no, again, busy, malformed, untrusted atomic.Int64 }
 }
 
+// namedTier is a Tier with its names by their places.
+type namedTier struct {
+	Tier
+	classes, plans map[string]int
+}
+
+func newTier(t Tier) *namedTier { return &namedTier{t, places(t.Classes), places(t.Plans)} }
+
+// Swap has another tier hold once swap, which must call done, has changed the decider to
+// it. An ask is read by one tier and decided by the same.
+func (s *Service) Swap(t Tier, swap func(done func())) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	swap(func() { s.tier.Store(newTier(t)) })
+}
+
 // Counts are what came of the asks.
 type Counts struct{ Yes, No, Again, Busy, Malformed, Untrusted int64 }
 
@@ -84,8 +109,9 @@
 
 // New returns a Service that listens but does not answer yet.
 func New(cfg Listener, tier Tier, d Decider, logger *slog.Logger) (*Service, error) {
-	s := &Service{cfg: cfg, tier: tier, d: d, log: logger, classes: places(tier.Classes), plans: places(tier.Plans), start: time.Now(),
+	s := &Service{cfg: cfg, d: d, log: logger, start: time.Now(),
 		wake: make(chan struct{}, 1), desk: grant.NewDesk(tier.Position, tier.Limiters, cfg.Leases)}
+	s.tier.Store(newTier(tier))
 	var err error
 	for _, p := range cfg.Proxies {
 		x := &proxy{Proxy: p}
@@ -220,7 +246,8 @@
 		s.end(w, q)
 		return
 	}
-	a, id, err := s.parse(p, q)
+	t := s.tier.Load()
+	a, id, err := t.parse(p, q)
 	if err != nil {
 		s.count.malformed.Add(1)
 		p.Dialect.no(w, http.StatusBadRequest, 0, err.Error())
@@ -233,8 +260,20 @@
 		p.Dialect.no(w, http.StatusServiceUnavailable, time.Second, "too many asks at once")
 		return
 	}
-	token, granted, wait := s.ask(p, a, id)
+	token, granted, wait, ok := s.ask(p, a, id, t)
+	for !ok { // read by a tier that is gone
+		t = s.tier.Load()
+		if a, id, err = t.parse(p, q); err != nil {
+			break
+		}
+		token, granted, wait, ok = s.ask(p, a, id, t)
+	}
 	s.waiting.Add(-1)
+	if err != nil {
+		s.count.malformed.Add(1)
+		p.Dialect.no(w, http.StatusBadRequest, 0, err.Error())
+		return
+	}
 	if !granted {
 		p.Dialect.no(w, http.StatusTooManyRequests, max(wait, time.Millisecond), "over the quota, or the servers are full; try again later")
 		return
@@ -243,33 +282,36 @@
 }
 
 // ask has the module decide, unless the same try was granted just now.
-func (s *Service) ask(p *proxy, a limiter.Ask, id string) (token string, granted bool, wait time.Duration) {
+func (s *Service) ask(p *proxy, a limiter.Ask, id string, by *namedTier) (token string, granted bool, wait time.Duration, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.tier.Load() != by {
+		return "", false, 0, false
+	}
 	now := time.Since(s.start)
 	terms := grant.Terms{Account: a.Customer, Plan: a.Plan, Class: a.Class, Units: a.Units}
 	try := grant.Try{Proxy: p.Name, ID: id, Terms: terms}
 	if token, again := s.desk.Again(now, try); again {
 		s.count.again.Add(1)
-		return token, true, 0
+		return token, true, 0, true
 	}
 	if a.Lease && !s.desk.Book().Room() {
 		s.count.no.Add(1)
-		return "", false, p.Lease
+		return "", false, p.Lease, true
 	}
 	if granted, wait = s.d.Ask(a); !granted {
 		s.count.no.Add(1)
-		return "", false, wait
+		return "", false, wait, true
 	}
 	s.count.yes.Add(1)
 	until := now + grant.SeenFor
 	if a.Lease {
 		until = now + p.Lease
-		t := grant.Token{Limiter: s.tier.Position, Terms: terms, Until: s.start.Add(until)}
+		t := grant.Token{Limiter: by.Position, Terms: terms, Until: s.start.Add(until)}
 		rand.Read(t.Lease[:])
 		if err := s.desk.Book().Grant(t.Lease, terms, until); err != nil { // two equal random ids: never
 			s.settle(terms, grant.Cancelled)
-			return "", false, p.Lease
+			return "", false, p.Lease, true
 		}
 		token = s.keys.get(time.Now()).Sign(t)
 		select {
@@ -278,7 +320,7 @@
 		}
 	}
 	s.desk.Granted(now, try, token, until)
-	return token, true, 0
+	return token, true, 0, true
 }
 
 // end is a proxy's word that a lease was used elsewhere, or will not be.
@@ -289,7 +331,7 @@
 	}
 	text, err := single(q.Header, GrantHeader)
 	t, ok := s.verify(text)
-	if q.Method != http.MethodPost || err != nil || !ok || t.Limiter != s.tier.Position {
+	if q.Method != http.MethodPost || err != nil || !ok || t.Limiter != s.tier.Load().Position {
 		s.count.malformed.Add(1)
 		http.Error(w, "needs POST and a token of this limiter in "+GrantHeader, http.StatusBadRequest)
 		return
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -70,7 +70,7 @@
 			}
 		}),
 		ReadHeaderTimeout: headTimeout,
-		WriteTimeout:      n.cfg.Settings.Longest + headTimeout + writeSlack,
+		WriteTimeout:      n.writeTimeout(),
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHead,
 		ErrorLog:          errors,
@@ -138,7 +138,8 @@
 // serve takes a request and gives it one final answer.
 func (n *Node) serve(w http.ResponseWriter, hr *http.Request) {
 	arrived := time.Now()
-	r, ev, err := n.parse(hr, arrived)
+	v := n.version.Load()
+	r, ev, err := v.parse(hr, arrived)
 	if err == nil {
 		err = readCall(w, hr, r, arrived)
 	}
@@ -156,9 +157,26 @@
 	if err == nil && n.grants != nil {
 		n.redeem(hr, &ev)
 	}
-	if err == nil && !n.submit(r, ev) {
+	if err == nil && v.settings.Longest > n.cfg.Settings.Longest { // longer than the server was told
+		err = http.NewResponseController(w).SetWriteDeadline(arrived.Add(v.settings.Longest + writeSlack))
+	}
+	for err == nil {
+		if err = n.submit(r, ev, v); err == nil {
+			break
+		}
 		n.Settle(limiter.Settle{Customer: ev.Customer, Units: ev.Leased, Back: true})
-		err = &badRequest{http.StatusConflict, "a request with this X-Request-ID is in hand"}
+		if err == errStale { // once more, by the new version; a lease has ended with the old one
+			body := r.body
+			v = n.version.Load()
+			if r, ev, err = v.parse(hr, arrived); err == nil {
+				r.body = body
+			}
+		}
+	}
+	if err == errNoRoute {
+		n.unrouted.warn("no route takes a request", "from", hr.RemoteAddr, "method", hr.Method, "host", hr.Host, "path", hr.URL.Path)
+		n.write(w, &answer{status: http.StatusNotFound})
+		return
 	}
 	if err != nil {
 		n.turnAway(w, hr, err)
@@ -186,7 +204,7 @@
 // clients must not keep the usual ones out.
 func (n *Node) tooManyInHand() bool {
 	most := n.servers.budget
-	if m := n.cfg.Settings.MaxOpen; m > 0 {
+	if m := n.version.Load().settings.MaxOpen; m > 0 {
 		most = min(most, m)
 	}
 	n.mu.Lock()
@@ -213,10 +231,22 @@
 	w.Write(a.body)
 }
 
-// parse checks a request's head.
-func (n *Node) parse(hr *http.Request, arrived time.Time) (*request, limiter.Submit, error) {
+// writeTimeout is how long an answer may take, from the head of its request on.
+func (n *Node) writeTimeout() time.Duration {
+	return n.cfg.Settings.Longest + headTimeout + writeSlack
+}
+
+// parse checks a request's head and finds its route.
+func (v *version) parse(hr *http.Request, arrived time.Time) (*request, limiter.Submit, error) {
 	var ev limiter.Submit
 	h := hr.Header
+	to, err := v.target(hr)
+	if err != nil {
+		return nil, ev, err
+	}
+	if to.MaxBody >= 0 && hr.ContentLength > to.MaxBody {
+		return nil, ev, &badRequest{http.StatusRequestEntityTooLarge, "the body is too long for its route"}
+	}
 	for _, name := range single {
 		if len(h[name]) > 1 { // which of them counts?
 			return nil, ev, bad("%s stands there more than once", name)
@@ -229,11 +259,14 @@
 	if !printable(id) {
 		return nil, ev, bad("X-Request-ID %q", id)
 	}
-	class, ok := n.cfg.Settings.ClassNames[h.Get("X-Priority-Class")]
+	class, ok := v.settings.ClassNames[h.Get("X-Priority-Class")]
+	if _, named := h["X-Priority-Class"]; !named && to.Class >= 0 {
+		class, ok = to.Class, true
+	}
 	if !ok {
 		return nil, ev, bad("unknown X-Priority-Class %q", h.Get("X-Priority-Class"))
 	}
-	plan, ok := n.cfg.Settings.PlanNames[h.Get("Plan")]
+	plan, ok := v.settings.PlanNames[h.Get("Plan")]
 	if !ok {
 		return nil, ev, bad("unknown Plan %q", h.Get("Plan"))
 	}
@@ -245,17 +278,22 @@
 	if err != nil || customer >= 1<<33 {
 		return nil, ev, bad("key %q", key[0])
 	}
-	timeout, err := parseTimeout(h.Get("X-Timeout"))
-	if err != nil {
-		return nil, ev, err
+	timeout := to.Deadline
+	if _, named := h["X-Timeout"]; named || timeout == 0 {
+		if timeout, err = parseTimeout(h.Get("X-Timeout")); err != nil {
+			return nil, ev, err
+		}
+	}
+	timeout = min(timeout, millis(v.settings.Module.Classes[class].DeadlineMs))
+	if to.Deadline > 0 {
+		timeout = min(timeout, to.Deadline)
 	}
-	timeout = min(timeout, millis(n.cfg.Settings.Module.Classes[class].DeadlineMs))
 	once := h.Get("Idempotency-Key")
-	if err := checkMethod(n.cfg.Settings.Module.Classes[class].Repeat, hr, once); err != nil {
+	if err := checkMethod(v.settings.Module.Classes[class].Repeat, hr, once); err != nil {
 		return nil, ev, err
 	}
-	ev = limiter.Submit{ID: id, Class: class, Plan: plan, Retry: h.Get("X-Retried") == "1", Customer: customer}
-	if err := parseQuotaInfo(h.Get("Quota-Info"), n.cfg.Settings.Module.Balancers, n.cfg.Settings.MostUnits, &ev); err != nil {
+	ev = limiter.Submit{ID: id, Class: class, Plan: plan, Retry: h.Get("X-Retried") == "1", Customer: customer, Pool: to.pool, Attempts: to.Attempts}
+	if err := parseQuotaInfo(h.Get("Quota-Info"), v.settings.Module.Balancers, v.settings.MostUnits, &ev); err != nil {
 		return nil, ev, err
 	}
 	target := hr.RequestURI
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -32,6 +32,8 @@
 	PeersAll   netip.AddrPort // reaches every peer at once
 	Known      serverList     // as last held, perhaps stale
 	Settings   Settings
+	AlsoListen []string // further addresses where clients connect
+	Routes     Routes   // none: all requests go to all servers
 
 	path            string // of the file, to read it again
 	getenv          func(string) string
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -42,6 +42,7 @@
 	Health string  `json:"health"`
 	Share  float64 `json:"share"`
 	BornMs float64 `json:"born_ms"`
+	pool   uint64  // that a configuration file puts it in
 }
 
 // UnmarshalJSON drops an entry that is no entry instead of the whole list with it.
@@ -98,17 +99,22 @@
 		}
 	}
 	return limiter.ServerInfo{ID: serverID(i.Host), Zone: zone, Cell: i.Block, ReadyAt: i.BornMs,
-		Phase: phase, Weight: i.Share}, nil
+		Phase: phase, Weight: i.Share, Pool: i.pool}, nil
 }
 
 // take hands a list to the pool and the module.
 func (n *Node) take(scope limiter.Scope, l serverList) {
-	ev := limiter.Endpoints{Scope: scope}
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.takeLocked(scope, l)
+}
+
+// takeLocked is take under the mutex.
+func (n *Node) takeLocked(scope limiter.Scope, l serverList) {
+	ev := limiter.Endpoints{Scope: scope}
 	listed := map[uint64]bool{}
 	for _, item := range l.Hosts {
-		info, err := item.info(n.cfg.Settings.Zones)
+		info, err := item.info(n.version.Load().settings.Zones)
 		if err == nil && listed[info.ID] {
 			err = fmt.Errorf("host %q is listed twice", item.Host)
 		}
--- a/internal/node/fixed.go
+++ b/internal/node/fixed.go
@@ -10,6 +10,7 @@
 type Server struct {
 	Name, Dial string // Dial is IP:port
 	Room, Pod  int
+	Pool       string // empty: none of a name
 }
 
 // Deployment is what a limiter without a discovery agent is told.
@@ -20,18 +21,19 @@
 	Servers             []Server
 	Peers               []netip.AddrPort // of every limiter by position; none: no talk
 	ConnIdle, ConnLimit float64          // ms: a server's idle limit, and the connect time-out
+	Routes              Routes
 }
 
 // FixedConfig returns the configuration of a limiter whose list of servers
-// never changes. Name, Listen, Seed and Limits are the caller's to set.
+// changes by Apply alone. Name, Listen, Seed and Limits are the caller's to set.
 func FixedConfig(d Deployment) *Config {
-	c := &Config{Known: serverList{Seq: 1, Whole: true}, Settings: Settings{
+	c := &Config{Routes: d.Routes, Known: serverList{Seq: 1, Whole: true}, Settings: Settings{
 		Module: d.Module, ClassNames: places(d.Classes), PlanNames: places(d.Plans), Zones: d.Rooms,
 		ConnIdle: millis(d.ConnIdle), ConnTimeout: millis(d.ConnLimit), MostUnits: 1e9,
 	}}
 	for _, s := range d.Servers {
 		c.Known.Hosts = append(c.Known.Hosts, serverItem{Host: s.Name, Dial: s.Dial, Site: d.Rooms[s.Room],
-			Block: s.Pod, Health: "ready", Share: 1})
+			Block: s.Pod, Health: "ready", Share: 1, pool: PoolID(s.Pool)})
 	}
 	for _, class := range d.Module.Classes {
 		c.Settings.Longest = max(c.Settings.Longest, millis(class.DeadlineMs))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -32,15 +32,17 @@
 	log          *slog.Logger
 	badInput     *boundedLog
 	discoveryLog *boundedLog
+	unrouted     *boundedLog
 	servers      *pool
 	conns        *clientConns
 	peers        *peerLink // nil where limiters don't talk
-	listener     net.Listener
+	listeners    []net.Listener
 	web          *http.Server
 	start        time.Time
 	startMs      float64 // start in Unix milliseconds
 
-	grants Grants // nil where nobody asks
+	version atomic.Pointer[version]
+	grants  Grants // nil where nobody asks
 
 	reload    chan struct{} // the configuration is to be read again
 	discovery chan string   // a new address of discovery
@@ -114,20 +116,26 @@
 	now := time.Now()
 	n := &Node{
 		cfg: cfg, log: logger, limiter: limiter, requests: map[string]*request{},
-		badInput: &boundedLog{to: logger}, discoveryLog: &boundedLog{to: logger},
+		badInput: &boundedLog{to: logger}, discoveryLog: &boundedLog{to: logger}, unrouted: &boundedLog{to: logger},
 		start: now, startMs: float64(now.UnixMicro()) / 1000,
 		reload: make(chan struct{}, 1), discovery: make(chan string),
 	}
 	upstream, clients := socketBudget(cfg.Limits.Sockets)
 	n.servers = newPool(upstream, cfg.Settings.ConnTimeout, cfg.Settings.ConnIdle/2)
 	n.conns = newClientConns(clients)
+	n.version.Store(newVersion(cfg.Settings, cfg.Routes))
 	listen := net.ListenConfig{Control: boundBuffer}
-	if n.listener, err = listen.Listen(context.Background(), "tcp", cfg.Listen); err != nil {
-		return nil, fmt.Errorf("listening to clients: %w", err)
+	for _, addr := range append([]string{cfg.Listen}, cfg.AlsoListen...) {
+		ln, err := listen.Listen(context.Background(), "tcp", addr)
+		if err != nil {
+			n.closeListeners()
+			return nil, fmt.Errorf("listening to clients: %w", err)
+		}
+		n.listeners = append(n.listeners, ln)
 	}
 	if cfg.Settings.Module.Caps.Peers {
 		if n.peers, err = newPeerLink(cfg); err != nil {
-			n.listener.Close()
+			n.closeListeners()
 			return nil, err
 		}
 	}
@@ -135,8 +143,14 @@
 	return n, nil
 }
 
-// Addr is where the node takes requests.
-func (n *Node) Addr() net.Addr { return n.listener.Addr() }
+// Addr is where the node takes requests, the first of its addresses.
+func (n *Node) Addr() net.Addr { return n.listeners[0].Addr() }
+
+func (n *Node) closeListeners() {
+	for _, ln := range n.listeners {
+		ln.Close()
+	}
+}
 
 // Run serves until the context ends, then finishes what it has taken.
 func (n *Node) Run(ctx context.Context) error {
@@ -154,8 +168,10 @@
 		tasks.Go(n.sendPeers)
 		tasks.Go(n.hearPeers)
 	}
-	served := make(chan error, 1)
-	go func() { served <- n.web.Serve(n.listener) }()
+	served := make(chan error, len(n.listeners))
+	for _, ln := range n.listeners {
+		go func() { served <- n.web.Serve(ln) }()
+	}
 	var err error
 	select {
 	case err = <-served:
@@ -180,7 +196,7 @@
 // would close the listener at once and reset what is on its way to it.
 func (n *Node) drain() error {
 	begun := time.Now()
-	stopBy := begun.Add(min(n.cfg.Settings.Longest, longestWait) + stopSlack)
+	stopBy := begun.Add(min(n.version.Load().settings.Longest, longestWait) + stopSlack)
 	n.mu.Lock()
 	n.stopBy = stopBy
 	n.mu.Unlock()
@@ -284,7 +300,7 @@
 		}
 	}
 	at.host = n.servers.host(a.Server)
-	most := n.cfg.Settings.Module.Caps.Attempts
+	most := n.version.Load().settings.Module.Caps.Attempts
 	switch {
 	case r.final != nil, !at.sentAt.Before(r.stopAt), most > 0 && at.try >= most:
 		n.outcome(at, a.Server, limiter.StaleSend)
@@ -338,13 +354,22 @@
 	r.wake()
 }
 
-// submit hands a request to the module. It returns false for an id that is in
-// hand already: the module would leave the second one without an answer.
-func (n *Node) submit(r *request, ev limiter.Submit) bool {
+// errStale tells that another version of the configuration has come.
+var errStale = errors.New("the configuration has changed")
+
+// errInHand tells of an id that is in hand already: the module would leave the second
+// request without an answer.
+var errInHand = &badRequest{http.StatusConflict, "a request with this X-Request-ID is in hand"}
+
+// submit hands a request, read by a version, to the module.
+func (n *Node) submit(r *request, ev limiter.Submit, v *version) error {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if n.version.Load() != v {
+		return errStale
+	}
 	if n.requests[r.id] != nil {
-		return false
+		return errInHand
 	}
 	n.requests[r.id] = r
 	if !n.stopBy.IsZero() && n.stopBy.Before(r.stopAt) {
@@ -352,7 +377,7 @@
 	}
 	ev.ExpiresMs = float64(time.Until(r.stopAt)) / float64(time.Millisecond)
 	n.handle(ev)
-	return true
+	return nil
 }
 
 // next waits for what is to be done for a request: an attempt, or the answer.
--- /dev/null
+++ b/internal/node/version.go
@@ -0,0 +1,128 @@
+package node
+
+import (
+	"hash/fnv"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"example.org/madderdrum/limiter"
+	"example.org/madderdrum/route"
+)
+
+// version is one state of the configuration. A request goes by one version from end to
+// end: it is read and routed by one, and is read again if another one has come before
+// the module has it.
+type version struct {
+	settings Settings
+	table    *route.Table // nil: all requests go to the pool
+	targets  []Target     // by route
+	pool     uint64       // where there are no routes
+}
+
+// Target is where a route leads, and what holds there.
+type Target struct {
+	Pool     string
+	Class    int           // for requests that name none; -1: none
+	Deadline time.Duration // 0: the class's
+	Attempts int           // 0: what the deployment allows
+	MaxBody  int64         // bytes; below 0: what the protocol allows
+
+	pool uint64
+}
+
+// Routes are the conditions and targets of a deployment's routes; none is one pool.
+type Routes struct {
+	Matches []route.Match
+	Targets []Target
+	Pool    string // where all requests go without routes
+}
+
+func newVersion(s Settings, r Routes) *version {
+	v := &version{settings: s, pool: PoolID(r.Pool)}
+	if len(r.Matches) > 0 {
+		v.table = route.New(r.Matches)
+		for _, t := range r.Targets {
+			t.pool = PoolID(t.Pool)
+			v.targets = append(v.targets, t)
+		}
+	}
+	return v
+}
+
+// PoolID is the module's number of a pool; no name is 0.
+func PoolID(name string) uint64 {
+	if name == "" {
+		return 0
+	}
+	h := fnv.New64a()
+	io.WriteString(h, name)
+	return h.Sum64() | 1
+}
+
+// errNoRoute tells that no route takes a request.
+var errNoRoute = &badRequest{http.StatusNotFound, "no route takes this request"}
+
+// target finds where a request goes. It looks at what routes have conditions on before
+// the protocol is checked: what no route takes need not speak it.
+func (v *version) target(hr *http.Request) (Target, error) {
+	if v.table == nil {
+		return Target{Class: -1, MaxBody: -1, pool: v.pool}, nil
+	}
+	path, err := route.Canonical(hr.URL)
+	if err != nil {
+		return Target{}, bad("%v", err)
+	}
+	q := route.Request{Host: hr.Host, Path: path, Method: hr.Method, Plan: one(hr.Header, "Plan"),
+		Header: func(name string) string { return one(hr.Header, name) }}
+	if key := hr.URL.Query()["key"]; len(key) == 1 {
+		q.Account, _ = strconv.ParseUint(key[0], 16, 64) // what is no number is no account of a route
+	}
+	i := v.table.Find(&q)
+	if i < 0 {
+		return Target{}, errNoRoute
+	}
+	return v.targets[i], nil
+}
+
+// one is the value of a header that stands there once.
+func one(h http.Header, name string) string {
+	if v := h[name]; len(v) == 1 {
+		return v[0]
+	}
+	return ""
+}
+
+// Apply has another state of the deployment hold from now on, whole: requests that have
+// been handed to the module end by the state that took them, all others go by the new
+// one. Who this limiter is, its addresses, limits, peers and time-outs of connections
+// hold from the start to the end. within, if set, is called when nothing has happened
+// yet by the new state and nothing will any more by the old one; it must not block.
+func (n *Node) Apply(d Deployment, within func()) {
+	c := FixedConfig(d)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	old, s := n.version.Load(), c.Settings
+	s.ConnIdle, s.ConnTimeout, s.MaxOpen = old.settings.ConnIdle, old.settings.ConnTimeout, old.settings.MaxOpen
+	s.Module.Caps.Peers = old.settings.Module.Caps.Peers
+	n.handle(limiter.Reconfigure{Settings: s.Module,
+		Classes: moved(old.settings.ClassNames, s.ClassNames), Plans: moved(old.settings.PlanNames, s.PlanNames)})
+	n.version.Store(newVersion(s, d.Routes))
+	if within != nil {
+		within()
+	}
+	n.takeLocked(limiter.Complete, c.Known)
+}
+
+// moved says which place each name has now, by its old place; -1: none.
+func moved(from, to map[string]int) []int {
+	all := make([]int, len(from))
+	for name, i := range from {
+		all[i] = -1
+		if k, still := to[name]; still {
+			all[i] = k
+		}
+	}
+	return all
+}
--- a/internal/replay/builtin/generate.go
+++ b/internal/replay/builtin/generate.go
@@ -15,12 +15,12 @@
 	"sort"
 	"time"
 
-	"example.org/madderdrum/internal/fleet"
+	"example.org/madderdrum/config"
 	"example.org/madderdrum/internal/world"
 )
 
 func main() {
-	f := fleet.Bluebird()
+	f := config.Bluebird()
 	f.Traffic.Heavy, f.Traffic.Swing = 0.08, 0.15
 	type line struct {
 		at   time.Duration
