A late answer is told from a lost one, and a killed limiter's last requests die with it

They listen on for 2 s, so that a late answer is told from one that never comes. A late one is taken back only if the system's own count of how long the limiter's and the driver's threads waited for a core (schedstat) covers all of its lateness; one that never comes is never excused.

--- a/internal/loopback/broken_test.go
+++ b/internal/loopback/broken_test.go
@@ -224,3 +224,97 @@
 		})
 	}
 }
+
+// lingering is a stand-in limiter that, once killed, takes some more requests before
+// it is gone, as a process does that the system has not come to end yet.
+type lingering struct {
+	*double
+	killed atomic.Bool
+	taken  atomic.Int64
+}
+
+// lastTaken is how many requests it still takes. The first few may come on kept
+// connections, behind which clients send once more.
+const lastTaken = 12
+
+func (d *lingering) Kill() { d.killed.Store(true) }
+
+// What a killed limiter takes in its last moments dies with it, and is no request left
+// without an answer by one that is alive.
+func TestDiesLaterThanKilled(t *testing.T) {
+	t.Parallel()
+	var dying *lingering
+	r := play(t, 4, 2*time.Second, "limiter n2 is killed at 500ms for 500ms", func(o *loopback.Options) {
+		for i := range o.Fleet.Classes { // the stand-in has no time-out, so no box may be slow
+			o.Fleet.Classes[i].Work, o.Fleet.Classes[i].Spread = time.Millisecond, 0
+		}
+		o.Start = func(config string, limiter int) (loopback.Process, error) {
+			l := &lingering{}
+			var err error
+			l.double, err = startDouble(config, func(_ *double, w http.ResponseWriter, _ *http.Request, _ []byte) bool {
+				if !l.killed.Load() {
+					return false
+				}
+				if conn, _, err := w.(http.Hijacker).Hijack(); err == nil {
+					conn.Close()
+				}
+				if l.taken.Add(1) == lastTaken {
+					go l.double.Kill()
+				}
+				return true
+			})
+			if err != nil || limiter != 2 || dying != nil { // the others, and its next life
+				return l.double, err
+			}
+			dying = l
+			return l, nil
+		}
+	})
+	if n := dying.taken.Load(); n < lastTaken {
+		t.Errorf("it took %d requests after it was killed", n)
+	}
+	for _, b := range r.Judge.Breaches {
+		if b.Rule == judge.OneAnswer {
+			t.Error(b)
+		}
+	}
+}
+
+// An answer within the slack of the rules is heard: it is late for its client, but no
+// rule is broken. Past the slack it is one that never came.
+func TestHearsWithinTheSlack(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		name   string
+		slack  time.Duration
+		broken bool
+		late   time.Duration
+	}{{"within", 20 * time.Second, false, 20 * time.Millisecond}, {"past", time.Millisecond, true, time.Second}} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			var late atomic.Int64
+			r := play(t, 5, 300*time.Millisecond, "", func(o *loopback.Options) {
+				o.Slack = c.slack
+				o.Fleet.Traffic.Retries = 0
+				for i := range o.Fleet.Classes {
+					o.Fleet.Classes[i].Aim, o.Fleet.Classes[i].Deadline = 100*time.Millisecond, 200*time.Millisecond
+				}
+				o.Start = func(config string, _ int) (loopback.Process, error) {
+					return startDouble(config, func(_ *double, w http.ResponseWriter, q *http.Request, _ []byte) bool {
+						wait, err := time.ParseDuration(q.Header.Get("X-Timeout") + "s") // 150m and s: milliseconds
+						if err != nil {
+							return false
+						}
+						time.Sleep(wait + c.late) // the fault itself: too late for the client
+						late.Add(1)
+						w.WriteHeader(http.StatusGatewayTimeout)
+						return true
+					})
+				}
+			})
+			if late.Load() == 0 || r.Judge.Count[judge.OneAnswer] > 0 != c.broken {
+				t.Errorf("%d late answers, breaches %v", late.Load(), r.Judge.Breaches)
+			}
+		})
+	}
+}
--- a/internal/loopback/front.go
+++ b/internal/loopback/front.go
@@ -55,6 +55,7 @@
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		delete(r.cancels, t.ID)
+		r.nudge()
 	})
 	// What a box may still get for it, and the judge's word on that, comes within the
 	// longest deadlines; then the name is forgotten.
--- a/internal/loopback/limiters.go
+++ b/internal/loopback/limiters.go
@@ -28,6 +28,7 @@
 	p      Process
 	spent  time.Duration
 	over   bool
+	buried chan struct{} // under the run's lock: closed once a killed life is over
 }
 
 func newLimiterProcess(r *Run, n int) (*limiterProcess, error) {
@@ -174,14 +175,41 @@
 	}
 }
 
-// restart begins a new life once the one before has ended. The run's lock is held.
+// killed kills the process and has the judge hear of its end. A killed process goes on
+// taking connections until the system has come to end it, and what it takes meanwhile
+// dies with it: without the second word those tries would count as left without an
+// answer by a limiter that was alive. The run's lock is held.
+func (l *limiterProcess) killed() {
+	l.kill()
+	p := l.process()
+	if p == nil {
+		return
+	}
+	buried := make(chan struct{})
+	l.buried = buried
+	l.r.tasks.Go(func() {
+		<-p.Done()
+		l.r.mu.Lock()
+		defer l.r.mu.Unlock()
+		l.r.j.Killed(l.r.now(), l.n)
+		close(buried)
+	})
+}
+
+// restart begins a new life once the one before has ended, and the judge has heard so.
+// The run's lock is held.
 func (l *limiterProcess) restart() {
+	buried := l.buried
+	l.buried = nil
 	l.r.tasks.Go(func() {
 		if p := l.process(); p != nil {
 			p.Kill()
 			<-p.Done()
 			l.account(p)
 		}
+		if buried != nil {
+			<-buried
+		}
 		ctx, cancel := context.WithTimeout(l.r.ctx, readyTime)
 		defer cancel()
 		if l.startProcess() != nil || l.ready(ctx) != nil {
--- a/internal/loopback/loopback.go
+++ b/internal/loopback/loopback.go
@@ -7,6 +7,7 @@
 package loopback
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -45,6 +46,9 @@
 	Start   func(config string, limiter int) (Process, error)
 	// Log, if set, takes what the limiters write to their logs.
 	Log func(limiter int) *os.File
+	// Slack is how much later than it was things may be seen to happen, by which the
+	// rules are wider; 0 is 50 ms, as the platform has it.
+	Slack time.Duration
 	// Watch, if set, sees every action before it is carried out, under the lock of
 	// the run: it must not block.
 	Watch func(now time.Duration, a world.Action)
@@ -55,8 +59,8 @@
 	Ready func(r *Run)
 }
 
-// slack is how much later than it was things may be seen to happen here.
-const slack = 50 * time.Millisecond
+// usualSlack is how much later than it was things may be seen to happen here.
+const usualSlack = 50 * time.Millisecond
 
 // readyTime is how long limiters may take to be ready.
 const readyTime = 20 * time.Second
@@ -71,6 +75,7 @@
 	Memory    []int64         // resident bytes of each, at the end
 	Late      time.Duration   // 99th percentile of how late the driver itself acted
 	Unstarted int             // tries that could not be sent
+	Starved   []judge.Breach  // late answers for which the machine was too busy
 }
 
 // Run is a run under way. Its methods are safe for concurrent use.
@@ -99,6 +104,7 @@
 	places    []*place // by address
 	agents    []*agent
 	relay     *relay
+	waited    *waits
 	front     *front
 	waits     []wait
 	tasks     sync.WaitGroup
@@ -123,12 +129,13 @@
 		return nil, err
 	}
 	defer guard.Close()
-	r := &Run{o: o, dir: dir, base: guard.LocalAddr().(*net.UDPAddr).IP.To4()[1], wake: make(chan struct{}, 1), tries: map[string]*world.Try{}, cancels: map[uint64]func(){}, jobs: map[uint64]chan world.BoxAnswers{}}
+	o.Slack = cmp.Or(o.Slack, usualSlack)
+	r := &Run{o: o, dir: dir, base: guard.LocalAddr().(*net.UDPAddr).IP.To4()[1], wake: make(chan struct{}, 1), tries: map[string]*world.Try{}, cancels: map[uint64]func(){}, jobs: map[uint64]chan world.BoxAnswers{}, waited: newWaits()}
 	r.ctx, r.stop = context.WithCancel(context.Background())
 	defer r.stop()
 	r.w = world.New(o.Fleet, world.Options{Seed: o.Seed, Source: o.Source, Faults: o.Faults, Sample: o.Sample})
-	rules := virtual.JudgeSettings(o.Fleet, slack)
-	rules.Order = slack
+	rules := virtual.JudgeSettings(o.Fleet, o.Slack)
+	rules.Order = o.Slack
 	r.j = judge.New(rules)
 	r.front = newFront(r)
 	defer r.shut()
@@ -141,8 +148,14 @@
 	if o.Ready != nil {
 		o.Ready(r)
 	}
+	r.mu.Lock()
+	r.start, r.begun = time.Now(), true
+	r.mu.Unlock()
+	over := make(chan struct{})
+	r.tasks.Go(func() { r.watchWaits(over) })
 	r.play(ctx)
 	length := r.leave()
+	close(over)
 	res := &Result{World: r.w, Judge: r.j, Length: length}
 	r.end(res)
 	return res, nil
@@ -210,9 +223,6 @@
 
 // play carries out what is due, at its time.
 func (r *Run) play(ctx context.Context) {
-	r.mu.Lock()
-	r.start, r.begun = time.Now(), true
-	r.mu.Unlock()
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
@@ -220,11 +230,14 @@
 		r.advance()
 		busy := r.w.Busy()
 		next, ok := r.w.Next()
-		wait := next - r.now()
+		wait, hearing := next-r.now(), len(r.cancels) > 0
 		r.mu.Unlock()
-		if !busy || !ok {
+		if (!busy || !ok) && !hearing {
 			return
 		}
+		if !busy || !ok { // all is over but for late answers, which wake it
+			wait = hearFor
+		}
 		timer.Reset(max(0, wait))
 		select {
 		case <-ctx.Done():
@@ -306,8 +319,10 @@
 	case world.ClientSends:
 		r.front.send(a.Try)
 	case world.ClientLeaves:
+		// An answer is listened for after its client has given up, when it earns nothing
+		// any more: the rules give it the slack on sockets.
 		if cancel := r.cancels[a.Try.ID]; cancel != nil {
-			cancel()
+			time.AfterFunc(max(hearFor, r.o.Slack), cancel)
 		}
 	case world.BoxAnswers:
 		if a.Done.Ran {
@@ -333,7 +348,7 @@
 		r.relay.deliver(a)
 	case world.KillLimiter:
 		r.j.Killed(r.now(), a.Limiter)
-		r.limiters[a.Limiter].kill()
+		r.limiters[a.Limiter].killed()
 	case world.StopLimiter:
 		r.limiters[a.Limiter].stopGently()
 	case world.StartLimiter:
@@ -395,7 +410,10 @@
 	r.shut()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.j.Close(res.Length + slack)
+	r.j.Close(res.Length + r.o.Slack)
+	if res.Starved = r.excuse(); len(res.Starved) > 0 {
+		r.w.Notes = append(r.w.Notes, world.Note{At: res.Length, Text: starvedLine(res.Starved)})
+	}
 	res.Counts, res.Unstarted = r.counts, r.unstarted
 	if len(r.late) > 0 {
 		slices.Sort(r.late)
--- /dev/null
+++ b/internal/loopback/starved.go
@@ -0,0 +1,135 @@
+package loopback
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"example.org/madderdrum/internal/judge"
+)
+
+// A limiter answers a few milliseconds before its client gives up, and the rules give it
+// 50 ms more. On a machine whose cores are all busy the system lets a thread wait longer
+// than both together, and then the answer's time says nothing about the limiter. The
+// system counts how long each thread was ready to run and waited for a core: "run_delay"
+// in /proc/PID/task/TID/schedstat (Documentation/scheduler/sched-stats.rst of Linux).
+// Where it has no such file, all is judged as it is.
+const (
+	sampleEvery = 25 * time.Millisecond
+	lookBack    = 100 * time.Millisecond // before an answer was due
+	// hearFor is how long clients listen for an answer after they have given up, so that
+	// one that comes late is told from one that never comes.
+	hearFor = 2 * time.Second
+)
+
+// waits follows how long processes waited for a core.
+type waits struct {
+	mu   sync.Mutex
+	all  map[int][]waited // by limiter; -1 is the driver
+	last map[int]map[string]int64
+}
+
+// waited is the time that each thread of a process waited in one span.
+type waited struct {
+	from, to time.Duration
+	threads  map[string]time.Duration
+}
+
+// watch samples until the run is over.
+func (r *Run) watchWaits(stop <-chan struct{}) {
+	tick := time.NewTicker(sampleEvery)
+	defer tick.Stop()
+	before := time.Since(r.start)
+	for {
+		select {
+		case <-stop:
+			return
+		case <-tick.C:
+		}
+		now := time.Since(r.start)
+		r.waited.sample(-1, os.Getpid(), before, now)
+		for i, l := range r.limiters {
+			if c, ok := l.process().(*command); ok {
+				r.waited.sample(i, c.cmd.Process.Pid, before, now)
+			}
+		}
+		before = now
+	}
+}
+
+// sample adds what the threads of a process have waited since the last time.
+func (w *waits) sample(who, pid int, from, to time.Duration) {
+	tasks, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/schedstat", pid))
+	if err != nil {
+		return
+	}
+	threads, now := map[string]time.Duration{}, map[string]int64{}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, path := range tasks {
+		data, err := os.ReadFile(path)
+		fields := bytes.Fields(data)
+		if err != nil || len(fields) < 2 {
+			continue // the thread has ended
+		}
+		delay, err := strconv.ParseInt(string(fields[1]), 10, 64)
+		if err != nil {
+			continue
+		}
+		now[path] = delay
+		if before, have := w.last[who][path]; have && delay-before > int64(time.Millisecond) {
+			threads[path] = time.Duration(delay - before)
+		}
+	}
+	w.last[who] = now
+	if len(threads) > 0 {
+		w.all[who] = append(w.all[who], waited{from, to, threads})
+	}
+}
+
+// during is how long the thread of a process that waited longest did so in the spans
+// that meet one.
+func (w *waits) during(who int, from, to time.Duration) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	sums, most := map[string]time.Duration{}, time.Duration(0)
+	for _, x := range w.all[who] {
+		if x.to < from || x.from > to {
+			continue
+		}
+		for path, d := range x.threads {
+			sums[path] += d
+			most = max(most, sums[path])
+		}
+	}
+	return most
+}
+
+// excuse takes back the answers that came late by no more than a thread of the limiter
+// and one of the driver waited for a core at that time. An answer that never came is
+// never excused.
+func (r *Run) excuse() []judge.Breach {
+	return r.j.Excuse(func(b judge.Breach) bool {
+		from := b.Due - lookBack
+		return b.InTime && r.waited.during(-1, from, b.At)+r.waited.during(b.Limiter, from, b.At) >= b.At-b.Due
+	})
+}
+
+// newWaits returns a record of nothing.
+func newWaits() *waits {
+	return &waits{all: map[int][]waited{}, last: map[int]map[string]int64{}}
+}
+
+// starvedLine tells of breaches that were taken back.
+func starvedLine(b []judge.Breach) string {
+	if len(b) == 0 {
+		return ""
+	}
+	at := slices.MinFunc(b, func(x, y judge.Breach) int { return int(x.At - y.At) })
+	return fmt.Sprintf("the machine was too busy to judge %d answers, the first at %v", len(b), at.At.Round(time.Millisecond))
+}
