A corpus of 208 broken configuration files, each with all that its author is told

The checker's messages are what users meet first. Each file holds a mistake, half of them as people make them who come from nginx, HAProxy, Envoy, Traefik or Terraform, with the diagnostics in full: place, line, caret, what, what to write. They were read one by one as an operator would, which mended some forty of them (what other servers call the blocks, rates as 20r/s, colons and missing equal signs of other formats, warnings that follow from another mistake). A test counts that each of the 62 diagnostics stands in one file at least, and that none has control characters or two lines.

--- /dev/null
+++ b/config/broken_test.go
@@ -0,0 +1,122 @@
+package config
+
+import (
+	"bytes"
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"testing/fstest"
+
+	"golang.org/x/tools/txtar"
+)
+
+var update = flag.Bool("update", false, "write what the checker says into testdata; read it before it is committed")
+
+// brokenCase is a file of testdata/broken: what people get wrong, and what they are told.
+type brokenCase struct {
+	archive *txtar.Archive
+	want    string
+	within  bounds
+}
+
+func readBroken(t *testing.T, path string) (brokenCase, []Root) {
+	t.Helper()
+	a, err := txtar.ParseFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	base, err := os.ReadFile("testdata/base.hcl")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := brokenCase{archive: a, within: usualBounds}
+	if _, list, ok := strings.Cut(string(a.Comment), "limits: "); ok {
+		name, value, _ := strings.Cut(strings.Fields(list)[0], "=")
+		var n int64
+		fmt.Sscan(strings.TrimSuffix(value, "."), &n)
+		switch name {
+		case "depth":
+			c.within.depth = int(n)
+		case "files":
+			c.within.files = int(n)
+		case "file":
+			c.within.file = n
+		default:
+			t.Fatalf("%s: a limit %q", path, name)
+		}
+	}
+	files := fstest.MapFS{"base.hcl": {Data: base}}
+	for _, f := range a.Files {
+		if f.Name == "want" {
+			c.want = string(f.Data)
+			continue
+		}
+		files[f.Name] = &fstest.MapFile{Data: f.Data}
+	}
+	return c, []Root{{FS: files, Name: "main.hcl"}}
+}
+
+// Every broken file is told of in full: place, what, what to write. And every diagnostic
+// that the checker can give stands in one of them.
+func TestBrokenFiles(t *testing.T) {
+	paths, err := filepath.Glob("testdata/broken/*.txtar")
+	if err != nil || len(paths) < 120 {
+		t.Fatalf("%d broken files, %v", len(paths), err)
+	}
+	given := map[string]int{}
+	for _, path := range paths {
+		name := strings.TrimSuffix(filepath.Base(path), ".txtar")
+		t.Run(name, func(t *testing.T) {
+			c, roots := readBroken(t, path)
+			cfg, report := load(roots, nil, c.within)
+			var got bytes.Buffer
+			report.Write(&got)
+			if *update {
+				for i := range c.archive.Files {
+					if c.archive.Files[i].Name == "want" {
+						c.archive.Files[i].Data = got.Bytes()
+					}
+				}
+				if err := os.WriteFile(path, txtar.Format(c.archive), 0o644); err != nil {
+					t.Fatal(err)
+				}
+			} else if got.String() != c.want {
+				t.Errorf("got:\n%s\nwant:\n%s", got.String(), c.want)
+			}
+			if len(report.Diagnostics) == 0 {
+				t.Error("nothing is wrong with it")
+			}
+			if errors, _ := report.Count(); (cfg == nil) != (errors > 0) {
+				t.Errorf("%d errors, and a configuration: %v", errors, cfg != nil)
+			}
+			for _, d := range report.Diagnostics {
+				given[d.Code]++
+				if d.Line < 1 || d.Column < 1 || d.File == "" || d.Fix == "" {
+					t.Errorf("no place or no fix: %+v", d)
+				}
+				if strings.ContainsAny(d.String(), "\n\x1b") {
+					t.Errorf("more than one line, or control characters: %q", d.String())
+				}
+			}
+		})
+	}
+	for code := range codes {
+		if given[code] == 0 {
+			t.Errorf("no broken file is told %q", code)
+		}
+	}
+}
+
+// The sound file that the others are broken from has nothing wrong with it.
+func TestBaseIsSound(t *testing.T) {
+	data, err := os.ReadFile("testdata/base.hcl")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, r := Load([]Root{{FS: fstest.MapFS{"base.hcl": {Data: data}}, Name: "base.hcl"}}, nil); len(r.Diagnostics) > 0 {
+		t.Error(r.Diagnostics)
+	}
+}
--- a/config/build.go
+++ b/config/build.go
@@ -285,7 +285,7 @@
 	for _, x := range f.Boxes {
 		names = append(names, x.Name)
 	}
-	owner := make([]*object, len(f.Boxes))
+	owner, whole := make([]*object, len(f.Boxes)), true
 	for _, o := range b.sorted("pool") {
 		p := Pool{Name: o.label}
 		v := o.vals["members"]
@@ -310,10 +310,12 @@
 					p.Boxes = append(p.Boxes, i)
 				}
 			}
+			whole = whole && found
 			if !found && !b.partial {
 				b.add("unknown-name", at, instead(pattern, names), "no box fits %q", pattern)
 			}
 		}
+		whole = whole && v.set && len(v.raw) > 0
 		if v.set && len(v.raw) == 0 {
 			b.add("pool-empty", o.at, `write the boxes that it has, such as members = ["a*"]`, "pool %q has no members", o.label)
 		}
@@ -321,7 +323,7 @@
 		b.c.Pools = append(b.c.Pools, p)
 	}
 	told := map[*object]bool{}
-	if len(b.c.Pools) > 0 {
+	if whole && len(b.c.Pools) > 0 && !b.partial {
 		for i, o := range owner {
 			from := b.c.places["box "+names[i]]
 			if in := b.boxOf[names[i]]; o == nil && !told[in] {
--- a/config/config.go
+++ b/config/config.go
@@ -90,10 +90,14 @@
 // returned always. It takes time and memory in proportion to the files, which are
 // bounded.
 func Load(roots []Root, vars map[string]string) (*Config, *Report) {
+	return load(roots, vars, usualBounds)
+}
+
+func load(roots []Root, vars map[string]string, within bounds) (*Config, *Report) {
 	r := newReport()
-	l := &loader{Report: r, from: map[string]hcl.Range{}}
+	l := &loader{Report: r, bounds: within, from: map[string]hcl.Range{}}
 	for _, root := range roots {
-		l.read(root, root.Name, nil, hcl.Range{})
+		l.load(root, root.Name, nil, hcl.Range{})
 	}
 	d := &decoder{scope: &scope{Report: r, vars: map[string]*named{}, locals: map[string]*named{}}, named: map[string]map[string]*object{}}
 	for name, text := range vars {
--- a/config/decode.go
+++ b/config/decode.go
@@ -51,7 +51,11 @@
 		fields, kinds := schema.names()
 		for _, a := range sortedAttributes(f.body) {
 			if slices.Contains(kinds, a.Name) {
-				d.add("not-a-block", a.NameRange, fmt.Sprintf("write %s { ... } without =", a.Name), "%s is a block", a.Name)
+				name := a.Name
+				if schema.find(a.Name).label != "" {
+					name += ` "NAME"`
+				}
+				d.add("not-a-block", a.NameRange, fmt.Sprintf("write %s { ... } without =", name), "%s is a block", a.Name)
 			} else {
 				d.strayField(schema, a, fields)
 			}
@@ -176,7 +180,11 @@
 		if want == 1 {
 			fix = fmt.Sprintf("write %s \"NAME\" { ... }: its label is the %s", is.kind, is.label)
 		}
-		d.add("label", b.DefRange(), fix, "%s with %d labels", is.kind, len(b.Labels))
+		what := fmt.Sprintf("%d labels", len(b.Labels))
+		if len(b.Labels) == 1 {
+			what = "a label"
+		}
+		d.add("label", b.DefRange(), fix, "%s with %s", is.kind, what)
 		return false
 	}
 	if want == 1 && !is.labels {
@@ -191,6 +199,11 @@
 	return true
 }
 
+// elsewhere are what other servers call the blocks.
+var elsewhere = map[string]string{"upstream": "pool", "backend": "pool", "cluster": "pool", "service": "pool", "location": "route",
+	"router": "route", "virtual_host": "route", "frontend": "listener", "server": "box or listener", "entrypoint": "listener", "entryPoints": "listener",
+	"middleware": "policy", "defaults": "policy", "global": "limits", "limit_req_zone": "plan", "endpoint": "box", "import": "include"}
+
 // block reads one block in another one.
 func (d *decoder) block(in *block, b *hclsyntax.Block) *object {
 	is := in.find(b.Type)
@@ -205,7 +218,12 @@
 			return nil
 		}
 		fix := instead(b.Type, known)
-		if fix == "" {
+		switch {
+		case elsewhere[b.Type] != "" && in == schema:
+			fix = fmt.Sprintf("it is called %s here", elsewhere[b.Type])
+		case in != schema && schema.find(b.Type) != nil:
+			fix = fmt.Sprintf("move it out of the %s: it stands by itself", in.kind)
+		case fix == "":
 			fix = "take it out"
 		}
 		d.add("unknown-block", b.DefRange(), fix, "%s has no block %q", of, b.Type)
@@ -243,7 +261,7 @@
 			continue
 		}
 		if f.required && !slices.Contains(misspelt, f.name) {
-			example := kinds[f.kind].example
+			example := f.like()
 			if f.kind == kWord {
 				example = fmt.Sprintf("%q", f.words[0])
 			}
--- a/config/eval.go
+++ b/config/eval.go
@@ -5,6 +5,7 @@
 	"maps"
 	"math"
 	"slices"
+	"strconv"
 	"strings"
 
 	"github.com/hashicorp/hcl/v2"
@@ -58,7 +59,7 @@
 		if d.Subject != nil {
 			at = *d.Subject
 		}
-		s.add("bad-expression", at, "write a value, or one of var.NAME and local.NAME", "%s", strings.TrimSuffix(d.Detail, "."))
+		s.add("bad-expression", at, "write a value, or one of var.NAME and local.NAME", "%s", strings.ToLower(d.Detail[:min(1, len(d.Detail))])+strings.TrimSuffix(d.Detail[min(1, len(d.Detail)):], "."))
 		return v, false
 	}
 	if !v.IsWhollyKnown() || v.IsNull() {
@@ -102,7 +103,13 @@
 	case "local":
 		from, into = s.locals, locals
 	default:
-		fix := fmt.Sprintf("write %q in quotes", root)
+		word := root
+		if len(ref) > 1 {
+			if a, ok := ref[1].(hcl.TraverseAttr); ok { // as other languages name a block
+				word = a.Name
+			}
+		}
+		fix := fmt.Sprintf("write %q in quotes", word)
 		s.add("unknown-variable", ref.SourceRange(), fix, "%s is no value", root)
 		return false
 	}
@@ -183,7 +190,7 @@
 	}
 	if !f.list {
 		if t := v.Type(); !t.IsPrimitiveType() {
-			fix := "write " + kinds[f.kind].takes + ", such as " + kinds[f.kind].example
+			fix := "write " + kinds[f.kind].takes + ", such as " + f.like()
 			if t.IsTupleType() && v.LengthInt() == 1 {
 				fix += "; it takes one value, without brackets"
 			}
@@ -194,7 +201,7 @@
 		return out
 	}
 	if !v.Type().IsTupleType() && !v.Type().IsListType() {
-		s.add("wrong-type", e.Range(), fmt.Sprintf("write it in brackets, such as [%s]", kinds[f.kind].example), "%s takes a list", name)
+		s.add("wrong-type", e.Range(), fmt.Sprintf("write it in brackets, such as [%s]", f.like()), "%s takes a list", name)
 		return out
 	}
 	tuple, _ := e.(*hclsyntax.TupleConsExpr)
@@ -261,7 +268,7 @@
 func (s *scope) one(f *field, name string, v cty.Value, at hcl.Range) (num float64, text string, ok bool) {
 	k := kinds[f.kind]
 	wrong := func(code, mean, what string, args ...any) (float64, string, bool) {
-		fix := "write " + k.takes + ", such as " + k.example
+		fix := "write " + k.takes + ", such as " + f.like()
 		if mean != "" {
 			fix += "; " + mean
 		}
@@ -281,13 +288,13 @@
 			return wrong("wrong-type", mean, "%s = %q is not a %s", name, v.AsString(), k.name)
 		}
 		if v.Type() != cty.Number {
-			return wrong("wrong-type", "", "%s takes a %s", name, k.name)
+			return wrong("wrong-type", "", "%s takes %s", name, article(k.name))
 		}
 		num, _ = v.AsBigFloat().Float64()
 		if f.kind == kCount && num != math.Trunc(num) {
 			return wrong("bad-quantity", "", "%s = %g is not whole", name, num)
 		}
-		return s.within(f, name, num, at)
+		return s.within(f, name, "", num, at)
 	case kDuration, kRate, kSize, kShare:
 		if v.Type() == cty.Number {
 			x, _ := v.AsBigFloat().Float64()
@@ -299,7 +306,7 @@
 			return wrong("unit-missing", mean, "%s = %g has no unit", name, x)
 		}
 		if v.Type() != cty.String {
-			return wrong("wrong-type", "", "%s takes a %s", name, k.name)
+			return wrong("wrong-type", "", "%s takes %s", name, article(k.name))
 		}
 		x, m := parseQuantity(v.AsString(), f.kind)
 		if m != nil {
@@ -308,14 +315,14 @@
 		if f.kind == kSize && x != math.Trunc(x) {
 			return wrong("bad-quantity", "", "%s = %q is not a whole number of bytes", name, v.AsString())
 		}
-		return s.within(f, name, x, at)
+		return s.within(f, name, v.AsString(), x, at)
 	}
 	if v.Type() != cty.String {
 		mean := ""
 		if v.Type() == cty.Number {
 			mean = "put it in quotes"
 		}
-		return wrong("wrong-type", mean, "%s takes %s", name, k.name)
+		return wrong("wrong-type", mean, "%s takes %s", name, article(k.name))
 	}
 	text = v.AsString()
 	switch f.kind {
@@ -386,15 +393,15 @@
 }
 
 // within holds a figure against the bounds of its field.
-func (s *scope) within(f *field, name string, x float64, at hcl.Range) (float64, string, bool) {
+func (s *scope) within(f *field, name, written string, x float64, at hcl.Range) (float64, string, bool) {
 	c := canonical(x, f.kind)
 	if !(x >= f.least && x <= f.most) || f.open && x <= f.least || f.open && x < 1/highestRate || math.IsNaN(x) || math.IsInf(x, 0) {
 		from := "from " + canonical(f.least, f.kind)
 		if f.open {
 			from = "above " + canonical(f.least, f.kind)
 		}
-		if math.IsNaN(x) || math.IsInf(x, 0) {
-			c = fmt.Sprint(x)
+		if c = fmt.Sprint(x); written != "" {
+			c = strconv.Quote(written)
 		}
 		s.add("out-of-range", at, fmt.Sprintf("write a %s %s to %s", kinds[f.kind].name, from, canonical(f.most, f.kind)), "%s = %s is out of range", name, c)
 		return 0, "", false
@@ -402,6 +409,14 @@
 	return x, c, true
 }
 
+// article puts a or an before a word.
+func article(word string) string {
+	if strings.ContainsRune("aeiou", rune(word[0])) {
+		return "an " + word
+	}
+	return "a " + word
+}
+
 // printable tells that a text holds visible ASCII and spaces within it.
 func printable(text string) bool {
 	for _, c := range []byte(text) {
@@ -454,6 +469,8 @@
 	switch {
 	case !strings.HasPrefix(p, "/"):
 		return `it begins with "/"`
+	case strings.HasSuffix(p, "/*") || strings.HasSuffix(p, "/**"):
+		return fmt.Sprintf("did you mean %q?", strings.TrimRight(p, "*"))
 	case strings.ContainsAny(p, "*?#\\%") || !printable(p) || strings.Contains(p, " "):
 		return `it has no "*": a "/" at the end stands for all below; and no query, "\", "%" or space`
 	case strings.Contains(p, "//"), strings.Contains(p, "/./"), strings.Contains(p, "/../"), strings.HasSuffix(p, "/."), strings.HasSuffix(p, "/.."):
--- a/config/report.go
+++ b/config/report.go
@@ -235,7 +235,7 @@
 
 // nearest is the known name that a mistyped one is most like, or "".
 func nearest(name string, known []string) string {
-	best, least := "", max(1, min(3, len(name)/3))+1
+	best, least := "", max(1, min(3, (len(name)+1)/2))+1
 	for _, k := range known {
 		if strings.EqualFold(k, name) {
 			return k
--- a/config/schema.go
+++ b/config/schema.go
@@ -1,6 +1,9 @@
 package config
 
-import "math"
+import (
+	"cmp"
+	"math"
+)
 
 // kind is what a field takes.
 type kind int
@@ -37,10 +40,10 @@
 	kCount:    {"count", `3`, "a bare whole number"},
 	kWord:     {"word", `"safe"`, "one of a few words in quotes"},
 	kRef:      {"name", `"room-a"`, "the name of a block in quotes"},
-	kAddress:  {"address", `"127.0.0.1:8080"`, "an IP address and a port in quotes; names are not looked up"},
+	kAddress:  {"address", `"127.0.0.1:8080"`, "an IP address and a port in quotes (names are not looked up)"},
 	kNetwork:  {"network", `"10.0.0.0/8"`, "an address or a network in quotes"},
 	kHost:     {"host", `"*.clinic.example"`, `a host, or "*." and a domain`},
-	kPath:     {"path", `"/messages/"`, `a path; one that ends with "/" stands for all below it`},
+	kPath:     {"path", `"/messages/"`, `a path (one that ends with "/" stands for all below it)`},
 	kAccount:  {"account", `"00000000b4d65521"`, "an account's number in up to 16 hex digits, below 2^33"},
 	kMethod:   {"method", `"POST"`, "an HTTP method in capitals"},
 	kHeaders:  {"headers", `{ "X-Tenant" = "north" }`, "header names and values"},
@@ -61,8 +64,12 @@
 	up, down    effect // what a larger or smaller value does
 	change      effect // what any other change does
 	restart     bool   // takes effect at the next start only
+	example     string // where the kind's own would mislead
 }
 
+// like is what the field may look like.
+func (f *field) like() string { return cmp.Or(f.example, kinds[f.kind].example) }
+
 // effect is what a change does, in operators' words; %s is the new value.
 type effect struct {
 	grade Grade
@@ -204,7 +211,7 @@
 		share("report_noise", "0%", 1, "relative standard deviation of the report"),
 		share("error_rate", "0%", 1, "of requests that fail on an ordinary day")}},
 	{kind: "pool", label: "name", doc: "Boxes that take requests of their own. A box is in one pool. Where there is no pool, all boxes are one.", fields: []field{
-		{name: "members", kind: kText, list: true, required: true, doc: "names of boxes, or patterns with * and ? such as \"a*\"", change: effect{Care, "its requests go to %s"}}}},
+		{name: "members", kind: kText, list: true, required: true, example: `"a*"`, doc: "names of boxes, or patterns with * and ? such as \"a*\"", change: effect{Care, "its requests go to %s"}}}},
 	{kind: "policy", label: "name", doc: "Settings that routes share by name; a route's own fields go before.", fields: policyFields},
 	{kind: "route", label: "name", doc: "Takes the requests that meet all its conditions to a pool. Which of several routes takes a request is told below; the order in the file never counts. A request that no route takes is answered 404. Where there is no route, all requests go to the one pool.", fields: append([]field{
 		{name: "host", kind: kHost, doc: "condition: `Host`, as a name, or `*.` and a domain"},
--- a/config/source.go
+++ b/config/source.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"io/fs"
@@ -14,14 +15,19 @@
 
 // Bounds of what is read, far above any deployment that the language is meant for.
 const (
-	maxFile    = 16 << 20 // bytes of a file
-	maxBytes   = 64 << 20 // of all files
-	maxFiles   = 1000
-	maxIncline = 16  // includes within includes
 	maxNesting = 100 // brackets and templates within each other, and operators in a row
 	maxChoices = 1000
 )
 
+// bounds are those of the files.
+type bounds struct {
+	file, bytes int64 // of one file, of all together
+	files       int
+	depth       int // of includes within includes
+}
+
+var usualBounds = bounds{file: 16 << 20, bytes: 64 << 20, files: 1000, depth: 16}
+
 // Root is a first file. What it includes is looked up in FS alone.
 type Root struct {
 	FS   fs.FS
@@ -38,8 +44,9 @@
 // loader reads files and what they include.
 type loader struct {
 	*Report
+	bounds
 	files []source
-	bytes int
+	read  int64                // bytes
 	from  map[string]hcl.Range // where a file that was read is included
 }
 
@@ -49,8 +56,8 @@
 	at   hcl.Range // of the include in it that leads on
 }
 
-// read reads a file and what it includes. at is the include that names it, if any.
-func (l *loader) read(root Root, name string, chain []step, at hcl.Range) {
+// load reads a file and what it includes. at is the include that names it, if any.
+func (l *loader) load(root Root, name string, chain []step, at hcl.Range) {
 	show := root.Show + name
 	if at.Filename == "" {
 		at = hcl.Range{Filename: show, Start: hcl.InitialPos, End: hcl.InitialPos}
@@ -60,8 +67,8 @@
 		d.also(first)
 		return
 	}
-	if len(l.files) >= maxFiles {
-		l.add("include-count", at, "join files, or include fewer", "more than %d files", maxFiles)
+	if len(l.from) >= l.bounds.files {
+		l.add("include-count", at, "join files, or include fewer", "more than %d files", l.bounds.files)
 		return
 	}
 	data, ok := l.open(root, name, at)
@@ -95,8 +102,8 @@
 	case info.IsDir():
 		l.add("include-unreadable", at, fmt.Sprintf("write %q for the files in it", name+"/*.hcl"), "%q is a folder", root.Show+name)
 		return nil, false
-	case info.Size() > maxFile || l.bytes+int(info.Size()) > maxBytes:
-		l.add("too-large", at, fmt.Sprintf("files have %d MiB at most, and all together %d", maxFile>>20, maxBytes>>20), "%q has %d bytes", root.Show+name, info.Size())
+	case info.Size() > l.file || l.read+info.Size() > l.bytes:
+		l.add("too-large", at, fmt.Sprintf("a file has %s at most, and all together %s", canonical(float64(l.file), kSize), canonical(float64(l.bytes), kSize)), "%q has %d bytes", root.Show+name, info.Size())
 		return nil, false
 	}
 	data, err := fs.ReadFile(root.FS, name)
@@ -104,7 +111,7 @@
 		l.add("include-unreadable", at, "see to it that the file can be read", "%q can't be read: %v", root.Show+name, cause(err))
 		return nil, false
 	}
-	l.bytes += len(data)
+	l.read += int64(len(data))
 	return data, true
 }
 
@@ -162,11 +169,11 @@
 			}
 			continue
 		}
-		if len(chain) > maxIncline {
-			l.add("include-depth", at, "include the file from one further up", "includes are nested more than %d deep", maxIncline)
+		if len(chain) > l.depth {
+			l.add("include-depth", at, "include the file from one further up", "includes are nested more than %d deep", l.depth)
 			continue
 		}
-		l.read(root, n, chain, at)
+		l.load(root, n, chain, at)
 	}
 }
 
@@ -188,7 +195,19 @@
 		switch d.Summary {
 		case "Attribute redefined":
 			what, fix = "a field stands there twice", "keep one of them: "+firstSentence(d.Detail)
-		case "Invalid expression", "Missing newline after argument", "Invalid block definition", "Unclosed configuration block":
+		case "Argument or block definition required":
+			fix = `write blocks such as route "bulk" { ... } and fields such as path = "/bulk/"`
+			line := lineOf(data, at)
+			if name, value, ok := strings.Cut(line, ":"); ok && hclsyntax.ValidIdentifier(strings.TrimSpace(name)) {
+				fix = fmt.Sprintf("write %s = %s", strings.TrimSpace(name), strings.TrimSpace(value))
+			} else if strings.TrimSpace(line) == "}" {
+				fix = "take this brace out, or look for one above that closes a block too early"
+			}
+		case "Invalid block definition":
+			if name, value, ok := strings.Cut(strings.TrimSpace(lineOf(data, at)), " "); ok && hclsyntax.ValidIdentifier(name) && !strings.Contains(value, "{") {
+				fix = fmt.Sprintf("write %s = %s", name, strings.TrimSuffix(strings.TrimSpace(value), ";"))
+			}
+		case "Invalid expression", "Missing newline after argument":
 			fix += unquoted(data, at)
 		}
 		l.add("syntax", at, fix, "%s", what)
@@ -202,16 +221,21 @@
 // unquoted is a hint for a value that was written without its quotes, as most other
 // servers take it.
 func unquoted(data []byte, at hcl.Range) string {
-	from := strings.LastIndexByte(string(data[:min(at.Start.Byte, len(data))]), '\n') + 1
-	line, _, _ := strings.Cut(string(data[from:]), "\n")
-	name, value, ok := strings.Cut(line, "=")
-	value = strings.TrimSpace(strings.TrimSuffix(strings.TrimSpace(value), ";"))
+	name, value, ok := strings.Cut(lineOf(data, at), "=")
+	value = strings.Trim(strings.TrimSuffix(strings.TrimSpace(value), ";"), "' ")
 	if !ok || value == "" || strings.ContainsAny(value, "\"[{(") || len(value) > 60 {
 		return ""
 	}
 	return fmt.Sprintf(` Did you mean %s = %q?`, strings.TrimSpace(name), value)
 }
 
+// lineOf is the line in which a range begins, as far as anyone reads it.
+func lineOf(data []byte, at hcl.Range) string {
+	from := bytes.LastIndexByte(data[:min(at.Start.Byte, len(data))], '\n') + 1
+	line, _, _ := bytes.Cut(data[from:], []byte("\n"))
+	return string(line[:min(len(line), mostLine)])
+}
+
 func firstSentence(text string) string {
 	if s, _, ok := strings.Cut(text, ". "); ok {
 		return s + "."
--- a/config/units.go
+++ b/config/units.go
@@ -23,6 +23,7 @@
 	timeUnits = map[string]float64{"us": 1e-6, "µs": 1e-6, "ms": 1e-3, "s": 1, "m": 60, "h": 3600}
 	perUnits  = map[string]float64{"s": 1, "m": 60, "h": 3600}
 	sizeUnits = map[string]float64{"B": 1, "kB": 1e3, "MB": 1e6, "GB": 1e9, "KiB": 1 << 10, "MiB": 1 << 20, "GiB": 1 << 30}
+	perWords  = map[string]string{"r/s": "/s", "r/m": "/m", "rps": "/s", "rpm": "/m", "req/s": "/s", "rq/s": "/s", "qps": "/s", "per second": "/s", "per minute": "/m"}
 	// longhand are spellings that people use for the units.
 	longhand = map[string]string{"sec": "s", "secs": "s", "second": "s", "seconds": "s", "min": "m", "mins": "m", "minute": "m", "minutes": "m",
 		"hour": "h", "hours": "h", "hr": "h", "msec": "ms", "millis": "ms", "milliseconds": "ms", "usec": "us", "S": "s", "M": "m", "H": "h", "MS": "ms",
@@ -101,6 +102,12 @@
 	if !ok {
 		return 0, &malformed{code: "bad-quantity"}
 	}
+	if strings.HasPrefix(unit, ",") {
+		return 0, &malformed{code: "bad-quantity", mean: fmt.Sprintf("did you mean %q?", strings.Replace(trimmed, ",", ".", 1))}
+	}
+	if short := perWords[strings.ToLower(unit)]; want == kRate && short != "" { // as other servers write rates
+		return 0, &malformed{code: "bad-quantity", mean: fmt.Sprintf("did you mean %q?", fmt.Sprintf("%g%s", v, short))}
+	}
 	if unit == "" {
 		m := &malformed{code: "unit-missing"}
 		switch want {
@@ -159,7 +166,7 @@
 	case kDuration:
 		return time.Duration(math.Round(v * 1e9)).String()
 	case kRate:
-		return fmt.Sprintf("%g/s", v)
+		return strconv.FormatFloat(v, 'f', -1, 64) + "/s"
 	case kShare:
 		return fmt.Sprintf("%g%%", roundTo(v*100))
 	case kSize:
