--- a/config/build.go
+++ b/config/build.go
@@ -115,7 +115,9 @@
 	b.routes()
 	b.forwardAuth()
 	b.addresses()
-	b.c.facts = b.normal()
+	if b.Err() == nil { // else nobody gets the Config
+		b.c.facts = b.normal()
+	}
 	return b.c
 }
 
--- a/config/eval.go
+++ b/config/eval.go
@@ -15,8 +15,9 @@
 )
 
 const (
-	maxText = 16 << 10 // bytes of one value
-	maxRefs = 64       // references in one expression
+	maxText  = 16 << 10 // bytes of one value
+	maxRefs  = 64       // references in one expression
+	maxChain = 1000     // locals that refer to one another in a row
 )
 
 // named is a variable or a local.
@@ -154,6 +155,11 @@
 		n.state = 3
 		return false
 	}
+	if len(s.chain) >= maxChain {
+		s.add("too-deep", n.at, "write some of them out", "more than %d locals refer to one another in a row", maxChain)
+		n.state = 3
+		return false
+	}
 	n.state = 1
 	s.chain = append(s.chain, name)
 	v, ok := s.value(n.expr)
--- /dev/null
+++ b/config/fuzz_test.go
@@ -0,0 +1,141 @@
+package config
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"path/filepath"
+	"runtime"
+	"strings"
+	"testing"
+	"testing/fstest"
+	"time"
+
+	"golang.org/x/tools/txtar"
+
+	"example.org/madderdrum/limiter"
+)
+
+// FuzzLoad goes the whole way with any files: nothing panics, a sound configuration is
+// one that a limiter takes, formatting keeps its meaning, and it is no different from
+// itself. Its seeds are the broken files.
+func FuzzLoad(f *testing.F) {
+	paths, err := filepath.Glob("testdata/broken/*.txtar")
+	if err != nil {
+		f.Fatal(err)
+	}
+	for _, p := range paths {
+		a, err := txtar.ParseFile(p)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(a.Files[0].Data, []byte("# included\n"))
+	}
+	base, err := os.ReadFile("testdata/base.hcl")
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(base, []byte("include \"main.hcl\" {}\n"))
+	f.Fuzz(func(t *testing.T, main, more []byte) {
+		files := fstest.MapFS{"main.hcl": {Data: main}, "more.hcl": {Data: more}, "base.hcl": {Data: base}}
+		c, r := Load([]Root{{FS: files, Name: "main.hcl"}}, nil)
+		r.Write(&bytes.Buffer{})
+		out, err := Format(main, "main.hcl")
+		if err == nil {
+			if again, err := Format(out, "main.hcl"); err != nil || !bytes.Equal(out, again) {
+				t.Errorf("formatted twice: %v\n%q\n%q", err, out, again)
+			}
+		}
+		if c == nil {
+			if r.Err() == nil {
+				t.Error("no configuration and no error")
+			}
+			return
+		}
+		for i := range c.Fleet.Limiters {
+			if _, err := limiter.New(c.Fleet.Settings(i), 1); err != nil {
+				t.Errorf("accepted, but a limiter does not take it: %v", err)
+			}
+		}
+		if err != nil {
+			t.Errorf("sound, but can't be formatted: %v", err)
+		}
+		files["main.hcl"] = &fstest.MapFile{Data: out}
+		again, r := Load([]Root{{FS: files, Name: "main.hcl"}}, nil)
+		if err := r.Err(); err != nil {
+			t.Fatalf("sound, but not when it is formatted: %v", err)
+		}
+		if d := Diff(c, again); !d.Empty() {
+			t.Errorf("formatting changes the meaning: %+v", d)
+		}
+	})
+}
+
+// Files made to cost much cost little: they are refused within bounds of time and memory.
+func TestBombs(t *testing.T) {
+	base, err := os.ReadFile("testdata/base.hcl")
+	if err != nil {
+		t.Fatal(err)
+	}
+	doubling := "locals {\n  a0 = \"xxxxxxxxxx\"\n"
+	for i := range 200 {
+		doubling += fmt.Sprintf("  a%d = \"${local.a%d}${local.a%d}\"\n", i+1, i, i)
+	}
+	includes := fstest.MapFS{"main.hcl": {Data: []byte("include \"a/*.hcl\" {}\n")}}
+	for i := range 40 { // each includes all others: a walk of all ways would never end
+		includes[fmt.Sprintf("a/%d.hcl", i)] = &fstest.MapFile{Data: []byte("include \"*.hcl\" {}\n")}
+	}
+	deepIncludes := fstest.MapFS{"main.hcl": {Data: []byte("include \"0.hcl\" {}\n")}}
+	for i := range 2000 {
+		deepIncludes[fmt.Sprintf("%d.hcl", i)] = &fstest.MapFile{Data: []byte(fmt.Sprintf("include \"%d.hcl\" {}\n", i+1))}
+	}
+	one := func(text string) fstest.MapFS { return fstest.MapFS{"main.hcl": {Data: []byte(text)}} }
+	routes := func(n int, format string) fstest.MapFS {
+		var b strings.Builder
+		b.Write(base)
+		for i := range n {
+			fmt.Fprintf(&b, format, i)
+		}
+		return one(b.String())
+	}
+	for _, c := range []struct {
+		name  string
+		files fstest.MapFS
+	}{
+		{"doubling", one(doubling + "}\nroute \"r\" {\n  path = \"/${local.a200}\"\n}\n")},
+		{"includes of all by all", includes},
+		{"includes in a row", deepIncludes},
+		{"brackets", one("locals {\n  x = " + strings.Repeat("[", 1<<20) + "\n}\n")},
+		{"blocks in blocks", one(strings.Repeat("a {\n", 1<<18))},
+		{"signs", one("locals {\n  x = " + strings.Repeat("-", 1<<20) + "1\n}\n")},
+		{"choices", one("locals {\n  x = " + strings.Repeat("true ? 1 : ", 1<<17) + "1\n}\n")},
+		{"templates", one("locals {\n  x = " + strings.Repeat("\"${", 1<<17) + "\n}\n")},
+		{"routes all alike", routes(2000, "route \"t%d\" {\n}\n")},
+		{"routes, each of one account", routes(20_000, "route \"t%d\" {\n  accounts = [\"%[1]x\"]\n}\n")},
+		{"a cycle of many locals", func() fstest.MapFS {
+			var b strings.Builder
+			b.WriteString("locals {\n")
+			for i := range 5000 {
+				fmt.Fprintf(&b, "  a%d = local.a%d\n", i, (i+1)%5000)
+			}
+			return one(b.String() + "}\n")
+		}()},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			begun := time.Now()
+			_, r := Load([]Root{{FS: c.files, Name: "main.hcl"}}, nil)
+			runtime.ReadMemStats(&after)
+			const most = 2 << 30 // allocated in all, not at once
+			if got := after.TotalAlloc - before.TotalAlloc; got > most {
+				t.Errorf("%d MiB allocated", got>>20)
+			}
+			if len(r.Diagnostics) > mostDiagnostics {
+				t.Errorf("%d diagnostics", len(r.Diagnostics))
+			}
+			t.Logf("%v, %d MiB, %d diagnostics", time.Since(begun).Round(time.Millisecond), (after.TotalAlloc-before.TotalAlloc)>>20, len(r.Diagnostics)+r.Left)
+		})
+	}
+}
--- /dev/null
+++ b/config/random_test.go
@@ -0,0 +1,280 @@
+package config
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+)
+
+// sample is a configuration that a test makes at random, and writes in any of the forms
+// that mean the same.
+type sample struct {
+	blocks []sampleBlock
+}
+
+type sampleBlock struct {
+	kind, name string
+	fields     []sampleField
+}
+
+type sampleField struct {
+	name string
+	unit string  // "ms", "/s", "%", "B", "" for a number, "text", "list" or "map"
+	num  float64 // in the base unit
+	text string
+	list []string
+}
+
+func (b *sampleBlock) set(name, unit string, num float64) {
+	b.fields = append(b.fields, sampleField{name: name, unit: unit, num: num})
+}
+
+func (b *sampleBlock) say(name, text string) {
+	b.fields = append(b.fields, sampleField{name: name, unit: "text", text: text})
+}
+
+func (b *sampleBlock) listed(name string, list ...string) {
+	b.fields = append(b.fields, sampleField{name: name, unit: "list", list: list})
+}
+
+// randomSample is a valid configuration: its routes differ in their paths, so that none
+// hides another.
+func randomSample(r *rand.Rand) *sample {
+	s := &sample{}
+	add := func(kind, name string) *sampleBlock {
+		s.blocks = append(s.blocks, sampleBlock{kind: kind, name: name})
+		return &s.blocks[len(s.blocks)-1]
+	}
+	add("room", "r0")
+	classes := 1 + r.IntN(3)
+	for i := range classes {
+		b := add("class", fmt.Sprint("c", i))
+		b.set("aim", "ms", float64(100+r.IntN(900)))
+		b.set("deadline", "ms", float64(1000+r.IntN(3000)))
+		b.set("worth", "", float64(1+r.IntN(5)))
+		b.say("repeat", []string{"safe", "unsafe"}[r.IntN(2)])
+		b.set("share", "%", 100/float64(classes))
+		b.set("work", "ms", float64(1+r.IntN(100)))
+		if r.IntN(2) == 0 {
+			b.set("units", "", float64(1+r.IntN(3)))
+		}
+	}
+	plans := 1 + r.IntN(3)
+	for i := range plans {
+		b := add("plan", fmt.Sprint("p", i))
+		b.set("rate", "/s", float64(1+r.IntN(20)))
+		b.set("burst", "", float64(10+r.IntN(50)))
+		b.set("share", "%", 100/float64(plans))
+		if r.IntN(2) == 0 {
+			b.set("ceiling_rate", "/s", float64(30+r.IntN(50)))
+			b.set("ceiling_burst", "", float64(100+r.IntN(50)))
+		}
+	}
+	for i := range 2 {
+		b := add("limiter", fmt.Sprint("n", i))
+		b.say("room", "r0")
+		b.say("listen", fmt.Sprintf("127.0.0.1:%d", 8000+i))
+	}
+	boxes := 2 + r.IntN(4)
+	for i := range boxes {
+		b := add("box", fmt.Sprint("b", i))
+		b.say("room", "r0")
+		b.say("dial", fmt.Sprintf("127.0.0.1:%d", 9000+i))
+		b.set("cores", "", 2)
+		b.set("slots", "", float64(8+r.IntN(8)))
+		b.set("queue", "", float64(r.IntN(40)))
+	}
+	pool := add("pool", "main")
+	pool.listed("members", "b0")
+	other := add("pool", "rest")
+	for i := 1; i < boxes; i++ {
+		other.fields = append(other.fields[:0], sampleField{name: "members", unit: "list", list: append(slices.Clone(listOf(other)), fmt.Sprint("b", i))})
+	}
+	for i := range 2 + r.IntN(5) {
+		b := add("route", fmt.Sprint("t", i))
+		b.say("path", fmt.Sprintf("/s%d/", i))
+		b.say("pool", []string{"main", "rest"}[(i+r.IntN(2))%2])
+		if r.IntN(2) == 0 {
+			b.set("deadline", "ms", float64(5000+r.IntN(3000)))
+		}
+		if r.IntN(2) == 0 {
+			b.set("attempts", "", float64(1+r.IntN(3)))
+		}
+		if r.IntN(3) == 0 {
+			b.listed("methods", "GET", "POST")
+		}
+		if r.IntN(3) == 0 {
+			b.fields = append(b.fields, sampleField{name: "headers", unit: "map", list: []string{"X-A", "1", "X-B", "2"}})
+		}
+		if r.IntN(3) == 0 {
+			b.set("max_body", "B", float64(1024*(1+r.IntN(32))))
+		}
+	}
+	if r.IntN(2) == 0 {
+		b := add("rules", "")
+		b.set("attempts", "", float64(1+r.IntN(5)))
+		b.set("drain_grace", "ms", float64(100+r.IntN(900)))
+	}
+	return s
+}
+
+func listOf(b *sampleBlock) []string {
+	for _, f := range b.fields {
+		if f.unit == "list" {
+			return f.list
+		}
+	}
+	return nil
+}
+
+// write writes the sample; with r, in a random form: any order, layout and comments,
+// any spelling of units, values in locals and variables, routes' settings in policies,
+// blocks in files that are included.
+func (s *sample) write(r *rand.Rand) map[string]string {
+	files := map[string]*strings.Builder{"main.hcl": {}}
+	names := []string{"main.hcl"}
+	if r != nil && r.IntN(2) == 0 {
+		files["more/one.hcl"], files["more/two.hcl"], names = &strings.Builder{}, &strings.Builder{}, []string{"main.hcl", "more/one.hcl", "more/two.hcl"}
+	}
+	to := func() *strings.Builder {
+		if r == nil {
+			return files["main.hcl"]
+		}
+		return files[names[r.IntN(len(names))]]
+	}
+	if len(names) > 1 {
+		if r.IntN(2) == 0 {
+			files["main.hcl"].WriteString("include \"more/*.hcl\" {}\n")
+		} else {
+			files["main.hcl"].WriteString("include \"more/one.hcl\" {}\n")
+			files["more/one.hcl"].WriteString("include \"two.hcl\" {}\n")
+		}
+	}
+	blocks, extra := slices.Clone(s.blocks), 0
+	if r != nil {
+		r.Shuffle(len(blocks), func(i, k int) { blocks[i], blocks[k] = blocks[k], blocks[i] })
+	}
+	for _, b := range blocks {
+		fields := slices.Clone(b.fields)
+		var policy []sampleField
+		if r != nil {
+			r.Shuffle(len(fields), func(i, k int) { fields[i], fields[k] = fields[k], fields[i] })
+			if b.kind == "route" && r.IntN(2) == 0 {
+				fields = slices.DeleteFunc(fields, func(f sampleField) bool {
+					if schema.find("policy").field(f.name) == nil {
+						return false
+					}
+					policy = append(policy, f)
+					return true
+				})
+			}
+		}
+		var lines []string
+		for _, f := range fields {
+			lines = append(lines, f.name+" = "+f.write(r, to(), &extra))
+		}
+		if len(policy) > 0 {
+			extra++
+			name := fmt.Sprint("policy-", extra)
+			lines = append(lines, fmt.Sprintf("policy = %q", name))
+			var inner []string
+			for _, f := range policy {
+				inner = append(inner, f.name+" = "+f.write(r, to(), &extra))
+			}
+			writeBlock(to(), r, "policy", name, inner)
+		}
+		writeBlock(to(), r, b.kind, b.name, lines)
+	}
+	out := map[string]string{}
+	for name, b := range files {
+		out[name] = b.String()
+	}
+	return out
+}
+
+func writeBlock(w *strings.Builder, r *rand.Rand, kind, name string, lines []string) {
+	pad := func() string {
+		if r == nil {
+			return "  "
+		}
+		return strings.Repeat(" ", r.IntN(6))
+	}
+	if r != nil && r.IntN(3) == 0 {
+		w.WriteString([]string{"# a comment\n", "// another\n", "/* and\n one */\n", "\n\n\n"}[r.IntN(4)])
+	}
+	w.WriteString(pad()[:0] + kind)
+	if name != "" {
+		fmt.Fprintf(w, " %q", name)
+	}
+	w.WriteString(" {\n")
+	for _, l := range lines {
+		w.WriteString(pad() + l)
+		if r != nil && r.IntN(5) == 0 {
+			w.WriteString(" # why")
+		}
+		w.WriteByte('\n')
+		if r != nil && r.IntN(6) == 0 {
+			w.WriteByte('\n')
+		}
+	}
+	w.WriteString("}\n")
+}
+
+// write writes a value in one of its spellings, perhaps by a local or a variable.
+func (f *sampleField) write(r *rand.Rand, w *strings.Builder, extra *int) string {
+	pick := func(spellings ...string) string {
+		if r == nil {
+			return spellings[0]
+		}
+		return spellings[r.IntN(len(spellings))]
+	}
+	n := func(v float64) string { return canonical(v, kNumber) }
+	var text string
+	switch f.unit {
+	case "ms":
+		text = pick(fmt.Sprintf("%q", n(f.num)+"ms"), fmt.Sprintf("%q", n(f.num/1000)+"s"), fmt.Sprintf("%q", n(f.num*1000)+"us"), fmt.Sprintf(`"%sms%dus"`, n(f.num), 0))
+	case "/s":
+		text = pick(fmt.Sprintf("%q", n(f.num)+"/s"), fmt.Sprintf("%q", n(f.num*60)+"/m"), fmt.Sprintf("%q", n(f.num*3600)+"/h"))
+	case "%":
+		text = pick(fmt.Sprintf("%q", n(f.num)+"%"), fmt.Sprintf("%q", n(f.num)+" %"))
+	case "B":
+		text = pick(fmt.Sprintf("%q", n(f.num)+"B"), fmt.Sprintf("%q", n(f.num/1024)+"KiB"))
+	case "":
+		point := ".0"
+		if strings.Contains(n(f.num), ".") {
+			point = "0"
+		}
+		text = pick(n(f.num), n(f.num)+point, fmt.Sprintf("%s + 1", n(f.num-1)), "("+n(f.num)+")")
+	case "text":
+		text = fmt.Sprintf("%q", f.text)
+	case "list":
+		list := slices.Clone(f.list)
+		if r != nil {
+			r.Shuffle(len(list), func(i, k int) { list[i], list[k] = list[k], list[i] })
+		}
+		for i := range list {
+			list[i] = fmt.Sprintf("%q", list[i])
+		}
+		text = "[" + strings.Join(list, pick(", ", ",", ",\n    ")) + "]"
+	case "map":
+		pairs := []string{fmt.Sprintf("%q = %q", f.list[0], f.list[1]), fmt.Sprintf("%q = %q", f.list[2], f.list[3])}
+		if r != nil && r.IntN(2) == 0 {
+			slices.Reverse(pairs)
+			pairs[0] = strings.ToLower(pairs[0])
+		}
+		text = "{ " + strings.Join(pairs, ", ") + " }"
+	}
+	if r == nil || r.IntN(6) > 0 || strings.Contains(text, "\n") {
+		return text
+	}
+	*extra++
+	if r.IntN(2) == 0 || f.unit == "list" || f.unit == "map" {
+		name := fmt.Sprint("l", *extra)
+		fmt.Fprintf(w, "locals {\n  %s = %s\n}\n", name, text)
+		return "local." + name
+	}
+	name := fmt.Sprint("v", *extra)
+	fmt.Fprintf(w, "variable %q {\n  default = %s\n}\n", name, text)
+	return "var." + name
+}
--- a/route/table.go
+++ b/route/table.go
@@ -215,8 +215,9 @@
 }
 
 // Conflicts returns what is wrong with routes taken together, in their order: routes
-// that one other hides, and pairs that are equally exact and meet in some request. A
-// route that only several others together hide is not found.
+// that one other hides, and routes that are as exact as one before them in the slice and
+// meet it in some request, each with one such. A route that only several others together
+// hide is not found.
 func (t *Table) Conflicts(matches []Match) []Conflict {
 	var found []Conflict
 	for i := range matches {
@@ -245,20 +246,22 @@
 		}
 		return a.Other - b.Other
 	})
-	return slices.Compact(found)
+	return slices.CompactFunc(found, func(a, b Conflict) bool { return a.Route == b.Route && a.Hidden == b.Hidden })
 }
 
-// ties adds the pairs of equally exact routes that meet in some request. Routes that
-// can meet stand in a common list.
+// ties adds routes that are equally exact as one before them, which they meet in some
+// request. Routes that can meet stand in a common list.
 func (l *leaf) ties(found []Conflict) []Conflict {
 	pairs := func(list []entry) {
-		for i, a := range list {
-			for _, b := range list[i+1:] {
-				if a.match.Compare(b.match) != 0 { // the list is in order
-					break
-				}
+		from := 0 // of the routes that are equally exact: the list is in order
+		for i, b := range list {
+			if b.match.Compare(list[from].match) != 0 {
+				from = i
+			}
+			for _, a := range list[from:i] {
 				if a.match.Overlaps(b.match) {
-					found = append(found, Conflict{Route: max(a.index, b.index), Other: min(a.index, b.index)})
+					found = append(found, Conflict{Route: b.index, Other: a.index})
+					break
 				}
 			}
 		}
