--- /dev/null
+++ b/cmd/madderdrum/reload_test.go
@@ -0,0 +1,297 @@
+//go:build !platform
+
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"example.org/madderdrum/config"
+	"example.org/madderdrum/deploy"
+	"example.org/madderdrum/internal/judge"
+	"example.org/madderdrum/internal/loopback"
+	"example.org/madderdrum/internal/world"
+)
+
+// reloadable is a limiter that runs as `madderdrum serve` of a file that changes.
+type reloadable struct {
+	cmd  *exec.Cmd
+	file string
+	log  *replies
+	done chan struct{}
+	text func(version int) string
+}
+
+func (s *reloadable) Done() <-chan struct{} { return s.done }
+func (s *reloadable) Kill()                 { s.cmd.Process.Kill() }
+func (s *reloadable) Stop()                 { s.cmd.Process.Signal(syscall.SIGTERM) }
+
+// replies counts the lines in which a limiter says what came of a reload.
+type replies struct {
+	mu     sync.Mutex
+	rest   string
+	holds  int
+	kept   int
+	same   int
+	served int
+	news   chan struct{}
+	tail   []string
+}
+
+func (r *replies) Write(p []byte) (int, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.rest += string(p)
+	for {
+		line, after, ok := strings.Cut(r.rest, "\n")
+		if !ok {
+			break
+		}
+		r.rest = after
+		if r.tail = append(r.tail, line); len(r.tail) > 10 {
+			r.tail = r.tail[1:]
+		}
+		switch {
+		case strings.Contains(line, "the new configuration holds"):
+			r.holds++
+		case strings.Contains(line, "kept the configuration"):
+			r.kept++
+		case strings.Contains(line, "it means the same"):
+			r.same++
+		case strings.Contains(line, "msg=serving"):
+			r.served++
+		}
+	}
+	select {
+	case r.news <- struct{}{}:
+	default:
+	}
+	return len(p), nil
+}
+
+func (r *replies) count() (all, kept int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.holds + r.kept + r.same, r.kept
+}
+
+// versions are the files that follow each other: plans and routes change, blocks change
+// places, so that every index is another one, boxes move between pools, a class and a
+// plan come and go, and one file can't be used.
+var versions = []func(routes, rest string) (string, string){
+	func(routes, rest string) (string, string) { return routes, rest },
+	func(routes, rest string) (string, string) {
+		return routes, strings.Replace(strings.Replace(rest, `burst        = 7`, `burst = 5`, 1), `"1.4/s"`, `"1.2/s"`, 1)
+	},
+	func(routes, rest string) (string, string) { // two more in front: all places shift
+		more := "class \"aaa\" {\n share = \"0%\"\n work = \"1ms\"\n aim = \"1s\"\n deadline = \"5s\"\n worth = 1\n repeat = \"unsafe\"\n}\n" +
+			"plan \"aaa\" {\n share = \"0%\"\n rate = \"1/s\"\n burst = 9\n}\n"
+		return routes, more + rest
+	},
+	func(routes, rest string) (string, string) { // a mistake
+		return strings.Replace(routes, `pool = "main"`, `pool = "mian"`, 1), rest
+	},
+	func(routes, rest string) (string, string) { // a box changes its pool, and a route its bounds
+		return strings.Replace(strings.Replace(strings.Replace(routes, `"b3", "b4"`, `"b3"`, 1), `"b0"`, `"b0", "b4"`, 1), "attempts = 2", "attempts = 1", 1), rest
+	},
+	func(routes, rest string) (string, string) { // the plan of many is gone: they are told so
+		cut, end := strings.Index(rest, `plan "enterprise"`), strings.Index(rest, "\nlimiter")
+		return routes, rest[:cut] + strings.Replace(rest[end:], "\nlimiter", "\nplan \"gold\" {\n share = \"40%\"\n rate = \"28/s\"\n burst = 70\n}\nlimiter", 1)
+	},
+	func(routes, rest string) (string, string) { return routes + "# a comment more\n", rest },
+}
+
+const reloadRoutes = `
+pool "main" {
+  members = ["a*", "b0", "b1", "b2"]
+}
+pool "reads" {
+  members = ["b3", "b4", "b5"]
+}
+route "all" {
+  pool = "main"
+  attempts = 2
+}
+route "reads" {
+  path    = "/api"
+  methods = ["GET"]
+  pool    = "reads"
+}
+`
+
+// startReloadable writes the first file of a limiter and starts it.
+func startReloadable(bin, dir, path string, n int) (*reloadable, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	var c struct {
+		Listen string
+		Peers  []string
+		Known  struct {
+			Hosts []struct {
+				Host, Dial, Site string
+				Block            int
+			}
+		}
+	}
+	if err := json.Unmarshal(data, &c); err != nil {
+		return nil, err
+	}
+	text := string(deploy.Bluebird)
+	cut, rest := strings.Index(text, `limiter "n0"`), strings.Index(text, "rules {")
+	var b strings.Builder
+	b.WriteString(text[:cut])
+	for i, peer := range c.Peers {
+		listen := c.Listen
+		if i != n {
+			listen = fmt.Sprintf("127.0.0.1:%d", 1+i) // the others' is of no matter here
+		}
+		fmt.Fprintf(&b, "limiter \"n%d\" {\n room = %q\n listen = %q\n peer = %q\n}\n", i, []string{"room-a", "room-b"}[i%2], listen, peer)
+	}
+	for _, h := range c.Known.Hosts {
+		fmt.Fprintf(&b, "box %q {\n room = %q\n pod = %d\n dial = %q\n cores = 2\n slots = 16\n queue = 40\n}\n", h.Host, h.Site, h.Block, h.Dial)
+	}
+	b.WriteString(text[rest:])
+	whole := b.String()
+	s := &reloadable{file: filepath.Join(dir, fmt.Sprintf("n%d.hcl", n)), log: &replies{news: make(chan struct{}, 1)}, done: make(chan struct{}),
+		text: func(version int) string {
+			routes, rest := versions[version%len(versions)](reloadRoutes, whole)
+			return routes + rest
+		}}
+	if err := os.WriteFile(s.file, []byte(s.text(0)), 0o600); err != nil {
+		return nil, err
+	}
+	s.cmd = exec.Command(bin, "serve", s.file, "--limiter", fmt.Sprint("n", n))
+	s.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	s.cmd.Stderr = s.log
+	if err := s.cmd.Start(); err != nil {
+		return nil, err
+	}
+	go func() {
+		s.cmd.Wait()
+		close(s.done)
+	}()
+	return s, nil
+}
+
+// resident is the memory of a process in KiB.
+func (s *reloadable) resident(t *testing.T) int {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", s.cmd.Process.Pid))
+	if err != nil {
+		t.Error(err)
+		return 0
+	}
+	_, after, _ := strings.Cut(string(data), "VmRSS:")
+	n, err := strconv.Atoi(strings.Fields(after)[0])
+	if err != nil {
+		t.Error(err)
+	}
+	return n
+}
+
+// A thousand reloads of three limiters while clients send: no request is lost or served
+// twice, each is answered once and in time, ceilings hold, and memory does not grow.
+func TestReloadUnderLoad(t *testing.T) {
+	bin, dir := program(t), t.TempDir()
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Minute)
+	defer cancel()
+	const reloads = 1000
+	limiters := make([]*reloadable, 3)
+	f := config.Bluebird()
+	over, reloaded := make(chan struct{}), make(chan error, 1)
+	var early, late [3]int
+	o := loopback.Options{Fleet: f, Seed: 3, Program: bin, Source: &until{Source: world.NewSynthetic(f, 3, time.Hour), over: over},
+		Start: func(config string, n int) (loopback.Process, error) {
+			s, err := startReloadable(bin, dir, config, n)
+			limiters[n] = s
+			return s, err
+		}}
+	o.Ready = func(r *loopback.Run) {
+		go func() {
+			defer close(over)
+			reloaded <- func() error {
+				for i := 1; i <= reloads; i++ {
+					for _, s := range limiters {
+						if err := os.WriteFile(s.file+"~", []byte(s.text(i)), 0o600); err != nil {
+							return err
+						}
+						if err := os.Rename(s.file+"~", s.file); err != nil {
+							return err
+						}
+						if err := s.cmd.Process.Signal(syscall.SIGHUP); err != nil {
+							return err
+						}
+					}
+					for n, s := range limiters {
+						for all, _ := s.log.count(); all < i; all, _ = s.log.count() {
+							select {
+							case <-s.log.news:
+							case <-ctx.Done():
+								return fmt.Errorf("limiter %d says nothing of reload %d", n, i)
+							}
+						}
+					}
+					if i == reloads/5 || i == reloads {
+						for n, s := range limiters {
+							early[n], late[n] = late[n], s.resident(t)
+						}
+					}
+				}
+				return nil
+			}()
+		}()
+	}
+	r, err := loopback.Play(ctx, o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := <-reloaded; err != nil {
+		t.Fatal(err)
+	}
+	for _, b := range r.Judge.Breaches {
+		t.Error(b)
+	}
+	for n, s := range limiters {
+		all, kept := s.log.count()
+		if want := reloads / len(versions); all != reloads || kept < want || kept > want+1 {
+			t.Errorf("limiter %d: %d reloads, %d kept, want %d kept", n, all, kept, want)
+		}
+		if late[n] > early[n]*5/4+4096 {
+			t.Errorf("limiter %d grew from %d to %d KiB", n, early[n], late[n])
+		}
+		if len(s.log.tail) > 0 && t.Failed() {
+			t.Log(strings.Join(s.log.tail, "\n"))
+		}
+	}
+	m := r.World.Meter
+	if m.Total.Asked < 500 || m.Figure().Whole < 0.3 || r.Judge.Seen[judge.CeilingsKept] == 0 {
+		t.Errorf("%d asked, service %+v", m.Total.Asked, m.Figure())
+	}
+	t.Logf("%v: %d asked, service %.3f, memory %v to %v KiB, %v", r.Length.Round(time.Millisecond), m.Total.Asked, m.Figure().Whole, early, late, r.World.Notes)
+}
+
+// until is a source that ends with a channel.
+type until struct {
+	world.Source
+	over <-chan struct{}
+}
+
+func (u *until) Next() (world.Arrival, bool) {
+	select {
+	case <-u.over:
+		return world.Arrival{}, false
+	default:
+		return u.Source.Next()
+	}
+}
