--- a/cmd/madderdrum/serve.go
+++ b/cmd/madderdrum/serve.go
@@ -180,6 +180,14 @@
 		}
 		r.log.Info("changed", "change", d.Changes[i].String())
 	}
+	for i := range d.Moves {
+		if i == mostLogged {
+			r.log.Info("and more groups of requests", "of", len(d.Moves)+d.Unmoved)
+			break
+		}
+		m := &d.Moves[i]
+		r.log.Info("requests fare otherwise", "such_as", m.Example, "before", m.Before, "after", m.After, "grade", m.Grade)
+	}
 	r.log.Info("the new configuration holds", "changes", len(d.Changes), "grade", d.Grade(), "took", time.Since(begun).Round(time.Millisecond).String())
 }
 
--- a/config/decode.go
+++ b/config/decode.go
@@ -362,8 +362,14 @@
 	return fmt.Sprintf("%s %q", is.kind, label)
 }
 
-// textValue is a variable's value from the command line.
-func textValue(text string) cty.Value { return cty.StringVal(text) }
+// textValue is a variable's value from the command line: a number where it is written as
+// one, else a text.
+func textValue(text string) cty.Value {
+	if v, err := cty.ParseNumberVal(text); err == nil {
+		return v
+	}
+	return cty.StringVal(text)
+}
 
 // The values of an object's fields, by name; zero where it is not set.
 
--- /dev/null
+++ b/config/reference_test.go
@@ -0,0 +1,116 @@
+package config
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// The reference page says what the checker goes by.
+func TestReferenceIsFresh(t *testing.T) {
+	const path = "../docs/config-reference.md"
+	want := Reference()
+	if *update {
+		if err := os.WriteFile(path, []byte(want), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	got, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if string(got) != want {
+		t.Error("docs/config-reference.md is stale: go test ./config -run Reference -update")
+	}
+	for _, x := range schema.blocks {
+		if x.doc == "" || !strings.Contains(want, "`"+x.kind) {
+			t.Errorf("block %s is not described", x.kind)
+		}
+	}
+}
+
+// Every file that comes with the program is sound, without a warning.
+func TestDeployFilesAreSound(t *testing.T) {
+	paths, err := filepath.Glob("../deploy/examples/*/main.hcl")
+	if err != nil || len(paths) < 3 {
+		t.Fatalf("%v, %v", paths, err)
+	}
+	sets := [][]string{{"../deploy/bluebird.hcl"}, {"../deploy/bluebird.hcl", "../deploy/forwardauth.hcl"}}
+	for _, p := range paths {
+		sets = append(sets, []string{p})
+	}
+	for _, set := range sets {
+		c, r, err := LoadFiles(set, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(r.Diagnostics) > 0 {
+			t.Errorf("%v: %v", set, r.Diagnostics)
+			continue
+		}
+		for i := range c.Fleet.Limiters {
+			if len(c.Listens(i)) == 0 {
+				t.Errorf("%v: limiter %d listens nowhere", set, i)
+			}
+		}
+	}
+}
+
+// Files of the system: links that lead out of the folder or in a circle are told, and a
+// variable's value comes from the command line.
+func TestLoadFiles(t *testing.T) {
+	dir := t.TempDir()
+	base, err := os.ReadFile("testdata/base.hcl")
+	if err != nil {
+		t.Fatal(err)
+	}
+	outside := filepath.Join(t.TempDir(), "secret.hcl")
+	sub := filepath.Join(dir, "conf")
+	main := filepath.Join(sub, "main.hcl")
+	for path, text := range map[string]string{outside: "# outside\n", filepath.Join(sub, "base.hcl"): string(base), filepath.Join(sub, "plans", "a.hcl"): "",
+		main: "include \"base.hcl\" {}\ninclude \"plans/*.hcl\" {}\nvariable \"patience\" {}\nroute \"r\" {\n  deadline = var.patience\n}\n"} {
+		if err := os.MkdirAll(filepath.Dir(path), 0o700); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	load := func(vars map[string]string) (*Config, string) {
+		c, r, err := LoadFiles([]string{main}, vars)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var all []string
+		for i := range r.Diagnostics {
+			all = append(all, r.Diagnostics[i].String())
+		}
+		return c, strings.Join(all, "\n")
+	}
+	c, told := load(map[string]string{"patience": "2s"})
+	if c == nil || told != "" || c.Routes[0].Deadline.Seconds() != 2 || len(c.Files) != 3 || c.Files[0] != main {
+		t.Fatalf("%s", told)
+	}
+	if _, told := load(map[string]string{"patience": "2/s"}); !strings.Contains(told, main+`:5:14: deadline = "2/s" is not a time`) {
+		t.Error(told)
+	}
+	if _, told := load(map[string]string{"patience": "2s", "speed": "1"}); !strings.Contains(told, `the variable "speed", which is not defined`) {
+		t.Error(told)
+	}
+	for name, to := range map[string]string{"out.hcl": outside, "loop.hcl": "loop.hcl", "up.hcl": "../../x"} {
+		link := filepath.Join(sub, "plans", name)
+		if err := os.Symlink(to, link); err != nil {
+			t.Fatal(err)
+		}
+		if c, told := load(map[string]string{"patience": "2s"}); c != nil || !strings.Contains(told, main+":2:9: ") || !strings.Contains(told, name) {
+			t.Errorf("a link %s -> %s: %s", name, to, told)
+		}
+		if err := os.Remove(link); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if _, _, err := LoadFiles([]string{filepath.Join(dir, "none.hcl")}, nil); err == nil || !strings.Contains(err.Error(), "none.hcl") {
+		t.Errorf("a file that is not there: %v", err)
+	}
+}
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -175,7 +175,7 @@
 	}
 	if err == errNoRoute {
 		n.unrouted.warn("no route takes a request", "from", hr.RemoteAddr, "method", hr.Method, "host", hr.Host, "path", hr.URL.Path)
-		n.write(w, &answer{status: http.StatusNotFound})
+		n.write(w, &answer{status: http.StatusNotFound, body: []byte("no route takes this request\n"), content: "text/plain; charset=utf-8"})
 		return
 	}
 	if err != nil {
