A pool's boxes may be told by a discovery agent

Boxes that come, drain and go were known on the platform alone. A pool takes discovery = ADDRESS of an agent that speaks the platform's form; several pools may have one each, and a new version of the configuration leaves what they told.

--- a/cmd/madderdrum/serve.go
+++ b/cmd/madderdrum/serve.go
@@ -276,6 +276,11 @@
 			d.Peers = append(d.Peers, netip.MustParseAddrPort(l.Peer))
 		}
 	}
+	for _, p := range c.Pools {
+		if p.Discovery != "" {
+			d.Sources = append(d.Sources, node.Source{Pool: p.Name, Addr: p.Discovery})
+		}
+	}
 	d.Routes.Matches = c.Matches()
 	if len(pools) > 0 {
 		d.Routes.Pool = pools[0]
--- a/config/build.go
+++ b/config/build.go
@@ -99,7 +99,11 @@
 			b.add("unused", o.at, "take it out, or place a limiter or box in it", "room %q has neither limiters nor boxes", o.label)
 		}
 	}
+	discovered := slices.ContainsFunc(b.each("pool"), func(o *object) bool { return o.text("discovery") != "" })
 	for _, kind := range []string{"room", "class", "plan", "limiter", "box"} {
+		if kind == "box" && discovered {
+			continue
+		}
 		if len(b.named[kind]) == 0 && !b.partial && !b.refused(kind) {
 			b.add("missing-block", b.whole(), fmt.Sprintf("add %s \"NAME\" { ... }", kind), "there is no %s", kind)
 		}
@@ -289,7 +293,7 @@
 	}
 	owner, whole := make([]*object, len(f.Boxes)), true
 	for _, o := range b.sorted("pool") {
-		p := Pool{Name: o.label}
+		p := Pool{Name: o.label, Discovery: o.text("discovery")}
 		v := o.vals["members"]
 		for k, pattern := range v.raw {
 			at, found := v.items[k], false
@@ -317,9 +321,12 @@
 				b.add("unknown-name", at, instead(pattern, names), "no box fits %q", pattern)
 			}
 		}
-		whole = whole && v.set && len(v.raw) > 0
-		if v.set && len(v.raw) == 0 {
-			b.add("pool-empty", o.at, `write the boxes that it has, such as members = ["a*"]`, "pool %q has no members", o.label)
+		_, have := o.vals["members"]
+		_, found := o.vals["discovery"]
+		empty := v.set && len(v.raw) == 0 || !have && !o.misspelt("members")
+		whole = whole && (v.set && len(v.raw) > 0 || found && !have)
+		if empty && !found {
+			b.add("pool-empty", o.at, `write the boxes that it has, such as members = ["a*"], or discovery = "127.0.0.1:8500"`, "pool %q has no members", o.label)
 		}
 		slices.Sort(p.Boxes)
 		b.c.Pools = append(b.c.Pools, p)
--- a/config/config.go
+++ b/config/config.go
@@ -38,8 +38,9 @@
 
 // Pool is a set of boxes that takes requests of its own.
 type Pool struct {
-	Name  string
-	Boxes []int // of the fleet, rising
+	Name      string
+	Boxes     []int  // of the fleet, rising
+	Discovery string // of an agent that tells of more; empty: none
 }
 
 // Route takes the requests that meet its conditions to a pool.
--- a/config/decode.go
+++ b/config/decode.go
@@ -19,6 +19,7 @@
 	vals  map[string]value
 	subs  []*object
 	used  bool
+	close []string // fields that are probably there under another name
 }
 
 // decoder makes objects of the blocks of all files.
@@ -235,12 +236,11 @@
 		o.label = b.Labels[0]
 	}
 	fields, _ := is.names()
-	var misspelt []string // fields that are probably there under another name
 	for _, a := range sortedAttributes(b.Body) {
 		f := is.field(a.Name)
 		if f == nil {
 			d.strayField(is, a, fields)
-			misspelt = append(misspelt, nearest(a.Name, fields))
+			o.close = append(o.close, nearest(a.Name, fields))
 			continue
 		}
 		v := d.read(f, a.Name, a.Expr)
@@ -260,7 +260,7 @@
 		if _, have := o.vals[f.name]; have {
 			continue
 		}
-		if f.required && !slices.Contains(misspelt, f.name) {
+		if f.required && !o.misspelt(f.name) {
 			example := f.like()
 			if f.kind == kWord {
 				example = fmt.Sprintf("%q", f.words[0])
@@ -377,6 +377,7 @@
 func (o *object) text(name string) string   { return o.vals[name].text }
 func (o *object) list(name string) []string { return o.vals[name].list }
 func (o *object) given(name string) bool    { return o.vals[name].set }
+func (o *object) misspelt(name string) bool { return slices.Contains(o.close, name) }
 func (o *object) whole(name string) int     { return int(o.vals[name].num) }
 func (o *object) place(name string) hcl.Range {
 	if v, have := o.vals[name]; have && v.at.Filename != "" {
--- a/config/normal.go
+++ b/config/normal.go
@@ -63,6 +63,9 @@
 			names = append(names, b.c.Fleet.Boxes[i].Name)
 		}
 		slices.Sort(names)
+		if p.Discovery != "" {
+			all = append(all, fact{kind: "pool", name: p.Name, field: "discovery", text: p.Discovery, is: schema.find("pool").field("discovery")})
+		}
 		all = append(all, fact{kind: "pool", name: p.Name, field: "members", text: strings.Join(names, ", "), is: schema.find("pool").field("members")})
 	}
 	for i, o := range b.sorted("route") {
--- a/config/schema.go
+++ b/config/schema.go
@@ -211,7 +211,8 @@
 		share("report_noise", "0%", 1, "relative standard deviation of the report"),
 		share("error_rate", "0%", 1, "of requests that fail on an ordinary day")}},
 	{kind: "pool", label: "name", doc: "Boxes that take requests of their own. A box is in one pool. Where there is no pool, all boxes are one.", fields: []field{
-		{name: "members", kind: kText, list: true, required: true, example: `"a*"`, doc: "names of boxes, or patterns with * and ? such as \"a*\"", change: effect{Care, "its requests go to %s"}}}},
+		{name: "members", kind: kText, list: true, example: `"a*"`, doc: "names of boxes, or patterns with * and ? such as \"a*\"", change: effect{Care, "its requests go to %s"}},
+		address("discovery", "of a discovery agent that tells its boxes, in the platform's form (`GET /v1/servers`); each box's `site` is a room").atStart()}},
 	{kind: "policy", label: "name", doc: "Settings that routes share by name; a route's own fields go before.", fields: policyFields},
 	{kind: "route", label: "name", doc: "Takes the requests that meet all its conditions to a pool. Which of several routes takes a request is told below; the order in the file never counts. A request that no route takes is answered 404. Where there is no route, all requests go to the one pool.", fields: append([]field{
 		{name: "host", kind: kHost, doc: "condition: `Host`, as a name, or `*.` and a domain"},
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -34,6 +34,7 @@
 	Settings   Settings
 	AlsoListen []string // further addresses where clients connect
 	Routes     Routes   // none: all requests go to all servers
+	Sources    []Source // agents that tell the servers of single pools
 
 	path            string // of the file, to read it again
 	getenv          func(string) string
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -141,9 +141,9 @@
 	have bool
 }
 
-// watch follows discovery at an address until the context ends. What is known
+// watch follows discovery at an address until the context ends and hands on what it tells. What is known
 // stays in use while discovery is silent, down or talks nonsense.
-func (n *Node) watch(ctx context.Context, addr string, index listIndex) {
+func (n *Node) watch(ctx context.Context, addr string, index listIndex, take func(limiter.Scope, serverList)) {
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, MaxConnsPerHost: 2,
 		IdleConnTimeout: time.Minute}}
 	defer client.CloseIdleConnections()
@@ -168,9 +168,9 @@
 		}
 		pause = retryFirst
 		if l.Whole {
-			n.take(limiter.Complete, l)
+			take(limiter.Complete, l)
 		} else if len(l.Hosts) > 0 {
-			n.take(limiter.Partial, l)
+			take(limiter.Partial, l)
 		}
 		if l.Seq == index.seq && index.have && time.Since(asked) < idlePause {
 			sleep(ctx, idlePause)
--- a/internal/node/fixed.go
+++ b/internal/node/fixed.go
@@ -22,12 +22,13 @@
 	Peers               []netip.AddrPort // of every limiter by position; none: no talk
 	ConnIdle, ConnLimit float64          // ms: a server's idle limit, and the connect time-out
 	Routes              Routes
+	Sources             []Source
 }
 
 // FixedConfig returns the configuration of a limiter whose list of servers
 // changes by Apply alone. Name, Listen, Seed and Limits are the caller's to set.
 func FixedConfig(d Deployment) *Config {
-	c := &Config{Routes: d.Routes, Known: serverList{Seq: 1, Whole: true}, Settings: Settings{
+	c := &Config{Routes: d.Routes, Sources: d.Sources, Known: serverList{Seq: 1, Whole: true}, Settings: Settings{
 		Module: d.Module, ClassNames: places(d.Classes), PlanNames: places(d.Plans), Zones: d.Rooms,
 		ConnIdle: millis(d.ConnIdle), ConnTimeout: millis(d.ConnLimit), MostUnits: 1e9,
 	}}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -42,6 +42,7 @@
 	startMs      float64 // start in Unix milliseconds
 
 	version atomic.Pointer[version]
+	sources []*source
 	grants  Grants // nil where nobody asks
 
 	reload    chan struct{} // the configuration is to be read again
@@ -124,6 +125,9 @@
 	n.servers = newPool(upstream, cfg.Settings.ConnTimeout, cfg.Settings.ConnIdle/2)
 	n.conns = newClientConns(clients)
 	n.version.Store(newVersion(cfg.Settings, cfg.Routes))
+	for _, s := range cfg.Sources {
+		n.sources = append(n.sources, &source{Source: s, hosts: map[string]serverItem{}})
+	}
 	listen := net.ListenConfig{Control: boundBuffer}
 	for _, addr := range append([]string{cfg.Listen}, cfg.AlsoListen...) {
 		ln, err := listen.Listen(context.Background(), "tcp", addr)
@@ -163,6 +167,9 @@
 		tasks.Go(func() { n.follow(background) })
 		tasks.Go(func() { n.reloads(background) })
 	}
+	for _, s := range n.sources {
+		tasks.Go(func() { n.watchSource(background, s) })
+	}
 	tasks.Go(func() { n.servers.sweep(background) })
 	if n.peers != nil {
 		tasks.Go(n.sendPeers)
--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -69,7 +69,7 @@
 		watching, end := context.WithCancel(ctx)
 		ended := make(chan struct{})
 		go func() {
-			n.watch(watching, at, index)
+			n.watch(watching, at, index, n.take)
 			close(ended)
 		}()
 		select {
--- a/internal/node/version.go
+++ b/internal/node/version.go
@@ -112,6 +112,7 @@
 	if within != nil {
 		within()
 	}
+	c.Known.Hosts = append(c.Known.Hosts, n.discovered()...)
 	n.takeLocked(limiter.Complete, c.Known)
 }
 
