--- a/config/fuzz_test.go
+++ b/config/fuzz_test.go
@@ -37,6 +37,12 @@
 	}
 	f.Add(base, []byte("include \"main.hcl\" {}\n"))
 	f.Fuzz(func(t *testing.T, main, more []byte) {
+		begun := time.Now()
+		defer func() {
+			if took := time.Since(begun); took > 5*time.Second {
+				t.Errorf("took %v for %d bytes", took, len(main)+len(more))
+			}
+		}()
 		files := fstest.MapFS{"main.hcl": {Data: main}, "more.hcl": {Data: more}, "base.hcl": {Data: base}}
 		c, r := Load([]Root{{FS: files, Name: "main.hcl"}}, nil)
 		r.Write(&bytes.Buffer{})
