--- a/limiter/reload.go
+++ b/limiter/reload.go
@@ -23,9 +23,11 @@
 // another one or is forgotten; requests can't name them, and peers are not told of them.
 func (l *Limiter) reconfigure(now float64, e Reconfigure) {
 	old := l.cfg
-	l.cfg.Classes, l.cfg.Plans, l.cfg.Rules, l.cfg.CrossPrice = slices.Clone(e.Settings.Classes), e.Settings.Plans, e.Settings.Rules, e.Settings.CrossPrice
-	l.cfg.Caps.Attempts, l.cfg.Caps.RetryAfter = e.Settings.Caps.Attempts, e.Settings.Caps.RetryAfter
-	l.cfg.Caps.MaxWaitMs, l.cfg.Caps.ConnectMs = e.Settings.Caps.MaxWaitMs, e.Settings.Caps.ConnectMs
+	s := &e.Settings
+	l.cfg.Classes, l.cfg.Plans = slices.Clone(s.Classes), s.Plans
+	l.cfg.Rules, l.cfg.CrossPrice = s.Rules, s.CrossPrice
+	l.cfg.Caps.Attempts, l.cfg.Caps.RetryAfter = s.Caps.Attempts, s.Caps.RetryAfter
+	l.cfg.Caps.MaxWaitMs, l.cfg.Caps.ConnectMs = s.Caps.MaxWaitMs, s.Caps.ConnectMs
 	l.weighPlans()
 	l.cfg.Plans = slices.Clone(l.cfg.Plans)
 	classes, plans := places(e.Classes, len(old.Classes)), places(e.Plans, len(old.Plans))
@@ -59,12 +61,13 @@
 		c.dirty = !unnamed(c)
 		return !c.dirty
 	})
-	l.usual = remap(l.usual, classes, len(l.cfg.Classes))
+	n := len(l.cfg.Classes)
+	l.usual = remap(l.usual, classes, n)
 	for _, p := range l.pools {
-		p.work, p.seen = remap(p.work, classes, len(l.cfg.Classes)), remap(p.seen, classes, len(l.cfg.Classes))
+		p.work, p.seen = remap(p.work, classes, n), remap(p.seen, classes, n)
 	}
 	for _, s := range l.order {
-		s.ills = remap(s.ills, classes, len(l.cfg.Classes))
+		s.ills = remap(s.ills, classes, n)
 	}
 }
 
--- a/limiter/servers.go
+++ b/limiter/servers.go
@@ -44,11 +44,14 @@
 		}
 		return gone
 	})
-	maps.DeleteFunc(l.pools, func(id uint64, p *pool) bool { return id != 0 && len(p.order) == 0 && p.inflight == 0 })
+	maps.DeleteFunc(l.pools, func(id uint64, p *pool) bool {
+		return id != 0 && len(p.order) == 0 && p.inflight == 0
+	})
 }
 
 // insert puts a server into a list by id.
 func insert(order []*server, s *server) []*server {
-	at, _ := slices.BinarySearchFunc(order, s.info.ID, func(o *server, id uint64) int { return cmp.Compare(o.info.ID, id) })
+	byID := func(o *server, id uint64) int { return cmp.Compare(o.info.ID, id) }
+	at, _ := slices.BinarySearchFunc(order, s.info.ID, byID)
 	return slices.Insert(order, at, s)
 }
