Pools have tiers of preference, a bounded spill and a way back in steps

When a room dropped out its traffic had nowhere sensible to go, and the return hurt more than the loss. A pool may name tiers by room, or by each limiter's own room.

--- a/config/build.go
+++ b/config/build.go
@@ -294,6 +294,7 @@
 	owner, whole := make([]*object, len(f.Boxes)), true
 	for _, o := range b.sorted("pool") {
 		p := Pool{Name: o.label, Discovery: o.text("discovery")}
+		p.Tiers = b.tiers(o)
 		v := o.vals["members"]
 		for k, pattern := range v.raw {
 			at, found := v.items[k], false
@@ -343,6 +344,38 @@
 	}
 }
 
+// tiers are those of a pool, by rank.
+func (b *builder) tiers(o *object) []Tier {
+	var subs []*object
+	ranks, rooms := map[int]*object{}, map[string]*object{}
+	for _, s := range o.subs {
+		subs = append(subs, s)
+		if other := ranks[s.whole("rank")]; other != nil && s.given("rank") {
+			b.add("tier-overlap", s.place("rank"), "give each tier a rank of its own", "tiers %q and %q have the same rank", other.label, s.label).also(other.place("rank"))
+		}
+		ranks[s.whole("rank")] = s
+		for i, room := range s.vals["rooms"].raw {
+			if other := rooms[room]; other != nil {
+				b.add("tier-overlap", s.vals["rooms"].items[i], "take it out of one of them", "room %q is in tiers %q and %q", room, other.label, s.label).also(other.place("rooms"))
+			}
+			rooms[room] = s
+		}
+		if len(s.list("rooms")) == 0 && s.text("own_room") != "yes" && (s.given("rooms") || !s.misspelt("rooms")) {
+			b.add("tier-empty", s.at, `add rooms = ["room-a"], or own_room = "yes"`, "tier %q has no boxes", s.label)
+		}
+	}
+	slices.SortStableFunc(subs, func(x, y *object) int { return x.whole("rank") - y.whole("rank") })
+	var tiers []Tier
+	for _, s := range subs {
+		t := Tier{Name: s.label, OwnRoom: s.text("own_room") == "yes", Spill: s.num("spill")}
+		for _, room := range s.list("rooms") {
+			t.Rooms = append(t.Rooms, b.rooms[room])
+		}
+		tiers = append(tiers, t)
+	}
+	return tiers
+}
+
 // merged is a route's field, or its policy's where it has none.
 func (b *builder) merged(o *object, name string) (value, bool) {
 	if v, have := o.vals[name]; have && v.at.Filename != "" {
--- a/config/normal.go
+++ b/config/normal.go
@@ -66,6 +66,10 @@
 		if p.Discovery != "" {
 			all = append(all, fact{kind: "pool", name: p.Name, field: "discovery", text: p.Discovery, is: schema.find("pool").field("discovery")})
 		}
+		for _, s := range b.named["pool"][p.Name].subs {
+			all = append(all, fact{kind: "pool", name: p.Name, in: "tier " + s.label})
+			all = append(all, factsOf(s, "pool", p.Name, "tier "+s.label)...)
+		}
 		all = append(all, fact{kind: "pool", name: p.Name, field: "members", text: strings.Join(names, ", "), is: schema.find("pool").field("members")})
 	}
 	for i, o := range b.sorted("route") {
--- a/config/report.go
+++ b/config/report.go
@@ -319,6 +319,8 @@
 	"deadline-under-aim": {Warning, "a route that gives up before its class's aim"},
 	"pool-empty":         {Error, "a pool without members"},
 	"pool-unused":        {Warning, "a pool that no route leads to"},
+	"tier-empty":         {Error, "a tier without rooms"},
+	"tier-overlap":       {Error, "two tiers of one rank, or a room in two tiers"},
 	"box-in-two-pools":   {Error, "a box that is a member of two pools"},
 	"box-without-pool":   {Warning, "a box that no pool has: it takes no requests"},
 	"route-missing":      {Error, "several pools and no route"},
--- a/deploy/examples/pools/main.hcl
+++ b/deploy/examples/pools/main.hcl
@@ -94,6 +94,14 @@
 
 pool "paid" {
   members = ["north*", "south0", "south1", "south2", "south3"]
+
+  # Each limiter prefers the boxes of its own room. While some of them can be used, no
+  # more than a third of its requests crosses; when the room is lost, all do.
+  tier "near" {
+    rank     = 1
+    own_room = "yes"
+    spill    = "33%"
+  }
 }
 
 pool "bulk" {
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -43,6 +43,7 @@
 	Share  float64 `json:"share"`
 	BornMs float64 `json:"born_ms"`
 	pool   uint64  // that a configuration file puts it in
+	tier   int     // and its tier there
 }
 
 // UnmarshalJSON drops an entry that is no entry instead of the whole list with it.
@@ -99,7 +100,7 @@
 		}
 	}
 	return limiter.ServerInfo{ID: serverID(i.Host), Zone: zone, Cell: i.Block, ReadyAt: i.BornMs,
-		Phase: phase, Weight: i.Share, Pool: i.pool}, nil
+		Phase: phase, Weight: i.Share, Pool: i.pool, Tier: i.tier}, nil
 }
 
 // take hands a list to the pool and the module.
--- a/internal/node/fixed.go
+++ b/internal/node/fixed.go
@@ -11,6 +11,7 @@
 	Name, Dial string // Dial is IP:port
 	Room, Pod  int
 	Pool       string // empty: none of a name
+	Tier       int    // of the pool, 0 is preferred
 }
 
 // Deployment is what a limiter without a discovery agent is told.
@@ -34,7 +35,7 @@
 	}}
 	for _, s := range d.Servers {
 		c.Known.Hosts = append(c.Known.Hosts, serverItem{Host: s.Name, Dial: s.Dial, Site: d.Rooms[s.Room],
-			Block: s.Pod, Health: "ready", Share: 1, pool: PoolID(s.Pool)})
+			Block: s.Pod, Health: "ready", Share: 1, pool: PoolID(s.Pool), tier: s.Tier})
 	}
 	for _, class := range d.Module.Classes {
 		c.Settings.Longest = max(c.Settings.Longest, millis(class.DeadlineMs))
--- a/internal/node/sources.go
+++ b/internal/node/sources.go
@@ -10,7 +10,10 @@
 
 // Source is a discovery agent that tells the servers of one pool, in the platform's
 // form: GET /v1/servers, whole or as a watch.
-type Source struct{ Pool, Addr string }
+type Source struct {
+	Pool, Addr string
+	Tiers      map[string]int // of the boxes of each site; none: all are alike
+}
 
 // source is one with what it has told.
 type source struct {
@@ -47,7 +50,7 @@
 		if item.Host != "" { // of another pool a server of this name is another one
 			item.Host = s.Pool + "/" + item.Host
 		}
-		item.pool = PoolID(s.Pool)
+		item.pool, item.tier = PoolID(s.Pool), s.Tiers[item.Site]
 		if item.Health == "gone" {
 			delete(s.hosts, item.Host)
 		} else {
--- a/limiter/api.go
+++ b/limiter/api.go
@@ -24,6 +24,9 @@
 	TrueUp     bool    // units are a guess, settled by the answer
 	CrossPrice float64 // price of one attempt that crosses zones
 	AskWithin  float64 // ms within which membership must be asked again
+	// Spills are pools with tiers of preference: of each tier the share of requests that
+	// may spill to the next one while it has servers that can be used.
+	Spills map[uint64][]float64
 }
 
 // Class describes one kind of request.
@@ -216,6 +219,7 @@
 	Phase   Phase
 	Weight  float64
 	Pool    uint64 // the one that it is in
+	Tier    int    // of its pool, 0 is preferred
 }
 
 // Phase is a server's state in the list.
--- a/limiter/choice.go
+++ b/limiter/choice.go
@@ -22,13 +22,36 @@
 	crossWeight = 10.0 // a crossing counts as slower by this factor times its price
 )
 
-// choose returns the server with the least expected finish, or nil and a wait
-// when none can answer within the time left.
+// choose returns the server with the least expected finish, or nil and a wait when none
+// can answer within the time left. Where the pool has tiers it is the one of the first
+// tier that can; package routing says which tiers a request may be tried at.
 func (l *Limiter) choose(now float64, r *request) (*server, float64) {
+	p := r.pool
+	if p.tiers == nil {
+		return l.chooseIn(now, r, p.order)
+	}
+	wait := fullMs
+	for k := range p.tiers.Len() {
+		if !p.tiers.Enter(now, k, l.rng.Float64()) {
+			continue
+		}
+		s, late := l.chooseIn(now, r, p.byTier[k])
+		if s != nil {
+			return s, 0
+		}
+		if wait = max(wait, late); !p.tiers.Leave(now, k) {
+			break
+		}
+	}
+	return nil, wait
+}
+
+// chooseIn is choose among some servers of the request's pool.
+func (l *Limiter) chooseIn(now float64, r *request, order []*server) (*server, float64) {
 	var best *server
 	var bestCost float64
 	p := r.pool
-	n := len(p.order)
+	n := len(order)
 	for pass := 0; pass < 3 && best == nil; pass++ { // a part, all, and those under suspicion too
 		from, step, count := 0, 1, n
 		if pass == 0 {
@@ -38,7 +61,7 @@
 			from, step, count = l.rng.IntN(n), n/scanMost, scanMost
 		}
 		for k := range count {
-			s := p.order[(from+k*step)%n]
+			s := order[(from+k*step)%n]
 			if !l.usable(now, s, r, pass > 1) {
 				continue
 			}
@@ -63,7 +86,7 @@
 	// But servers slowed by too much in hand recover only when it falls, so all
 	// gateways together try with no more than tryShare requests a server.
 	late := l.expected(now, best, r.class) - left
-	tries := tryShare * float64(len(p.order)) / float64(l.cfg.Balancers)
+	tries := tryShare * float64(len(order)) / float64(l.cfg.Balancers)
 	if late > 0 && (best.inflight > 0 || float64(p.inflight) >= max(1, tries)) {
 		return nil, late
 	}
@@ -130,6 +153,9 @@
 	if a.sentAt < l.wokeAt {
 		return
 	}
+	if p.tiers != nil && e.Result != Undone && e.Result != StaleSend {
+		p.tiers.Proved(now, min(s.info.Tier, p.tiers.Len()-1), e.Result == Pass)
+	}
 	if e.Result == Pass || e.Result == Fault || e.Result == Cut || e.Result == TooSlow {
 		p.failed -= pressWeight * p.failed
 		if e.Result != Pass {
--- a/limiter/health.go
+++ b/limiter/health.go
@@ -71,6 +71,29 @@
 	return now-s.waitingAt > stallFactor*typical+l.cfg.Caps.ConnectMs
 }
 
+// seeTiers tells the pools' tiers how many of their servers can be used.
+func (l *Limiter) seeTiers(now float64) {
+	for _, id := range l.tiered {
+		p := l.pools[id]
+		if p == nil {
+			continue
+		}
+		for k, order := range p.byTier {
+			usable := 0
+			for _, s := range order {
+				if s.info.Phase == Up && !s.down && !l.stalled(now, s) {
+					usable++
+				}
+			}
+			if p.tiers.See(now, k, len(order), usable) {
+				x := p.tiers.State(now, k)
+				l.log("pool %d: tier %d takes %.0f%% of its requests, %d of %d servers usable",
+					id, k, x.Share*100, usable, len(order))
+			}
+		}
+	}
+}
+
 // checkServers probes those that are down or silent.
 func (l *Limiter) checkServers(now float64) {
 	for _, s := range l.order {
--- a/limiter/pool_test.go
+++ b/limiter/pool_test.go
@@ -259,3 +259,135 @@
 		t.Errorf("balance %v, %d plans", c.balance, len(h.l.cfg.Plans))
 	}
 }
+
+// tiered are two tiers of three servers each, of which 30% may spill.
+func tiered(t *testing.T) *handler {
+	s := poolSettings()
+	s.Spills = map[uint64][]float64{7: {0.3, 0}}
+	s.Plans[0].Rate, s.Plans[0].Burst, s.Caps.Probes = 1e6, 1e6, true
+	var servers []ServerInfo
+	for i := range 6 {
+		servers = append(servers, ServerInfo{ID: uint64(1 + i), Pool: 7, Tier: i / 3})
+	}
+	return newHandler(t, s, servers...)
+}
+
+// went sends requests, which are answered at once by result, and counts those that went
+// to the first tier, to the second, and nowhere.
+func (h *handler) went(n int, result func(server uint64) Result) (first, second, refused int) {
+	for range n {
+		h.now += 20
+		h.give(Alarm{Handle: "tick"})
+		id := fmt.Sprint("w", h.now)
+		h.submit(id, Submit{Units: 1, Customer: 1, Pool: 7})
+		for h.end[id] == "" && len(h.sent[id]) > 0 {
+			server := h.sent[id][len(h.sent[id])-1]
+			r := result(server)
+			if h.outcome(id, r); r == Pass {
+				if server <= 3 {
+					first++
+				} else {
+					second++
+				}
+				break
+			}
+		}
+		if h.end[id] != "" {
+			refused++
+		}
+	}
+	return first, second, refused
+}
+
+// Requests stay in the first tier while it can take them; when its servers can't be
+// reached they go to the second one, and when they answer again they come back in steps.
+func TestTiersLoseAndRegain(t *testing.T) {
+	h := tiered(t)
+	well := func(uint64) Result { return Pass }
+	if first, second, refused := h.went(200, well); first != 200 || second+refused != 0 {
+		t.Errorf("all is well: %d, %d, %d refused", first, second, refused)
+	}
+	gone := func(server uint64) Result {
+		if server <= 3 {
+			return NoRoute
+		}
+		return Pass
+	}
+	h.went(50, gone)
+	if first, second, refused := h.went(200, gone); first != 0 || second < 195 || refused > 5 {
+		t.Errorf("the first tier is lost: %d, %d, %d refused", first, second, refused)
+	}
+	for id := range uint64(3) {
+		h.give(Probed{Server: id + 1, Result: Pass})
+	}
+	var course []int
+	for range 8 { // of 25 requests, 500 ms, each
+		first, second, refused := h.went(25, well)
+		if course = append(course, first); first+second+refused != 25 || refused > 0 {
+			t.Errorf("on the way back: %d, %d, %d refused", first, second, refused)
+		}
+	}
+	if course[0] > 8 || course[7] < course[0] {
+		t.Errorf("the first tier's share of 25 on its way back: %v", course)
+	}
+	for range 40 {
+		h.went(25, well)
+	}
+	if first, second, _ := h.went(50, well); first != 50 || second != 0 {
+		t.Errorf("back: %d, %d", first, second)
+	}
+}
+
+// While a tier that has no room is partly healthy, its stated share goes on to the next
+// one, and the rest is refused at once with a time to come back.
+func TestTiersSpill(t *testing.T) {
+	h := tiered(t)
+	h.went(20, func(uint64) Result { return Pass })
+	sent := [2]int{}
+	refused := 0
+	for i := range 600 { // nobody answers: what the first tier can take is soon out
+		h.now += 2
+		id := fmt.Sprint("s", i)
+		h.submit(id, Submit{Units: 1, Customer: 1, Pool: 7})
+		switch {
+		case h.end[id] == "refused":
+			if refused++; h.wait[id] <= 0 {
+				t.Fatal("refused with no time to come back")
+			}
+		case h.sent[id][0] <= 3:
+			sent[0]++
+		default:
+			sent[1]++
+		}
+	}
+	if total := sent[0] + sent[1] + refused; float64(sent[1]) > 0.3*float64(total)+2 || sent[1] == 0 || refused == 0 {
+		t.Errorf("%v sent by tier, %d refused", sent, refused)
+	}
+}
+
+// New shares hold without disturbing a way back, and a pool may lose its tiers.
+func TestTiersReconfigured(t *testing.T) {
+	h := tiered(t)
+	gone := func(server uint64) Result {
+		if server <= 3 {
+			return NoRoute
+		}
+		return Pass
+	}
+	h.went(100, gone)
+	p := h.l.poolOf(7)
+	if !p.tiers.State(h.now, 0).Lost {
+		t.Fatal("the first tier is not lost")
+	}
+	s := h.l.cfg
+	s.Spills = map[uint64][]float64{7: {0.5, 0}}
+	h.give(Reconfigure{Settings: s, Classes: []int{0, 1, 2}, Plans: []int{0, 1}})
+	if !p.tiers.State(h.now, 0).Lost {
+		t.Error("another share makes a lost tier well")
+	}
+	s.Spills = nil
+	h.give(Reconfigure{Settings: s, Classes: []int{0, 1, 2}, Plans: []int{0, 1}})
+	if p.tiers != nil {
+		t.Error("the tiers stay")
+	}
+}
--- a/limiter/reload.go
+++ b/limiter/reload.go
@@ -25,7 +25,7 @@
 	old := l.cfg
 	s := &e.Settings
 	l.cfg.Classes, l.cfg.Plans = slices.Clone(s.Classes), s.Plans
-	l.cfg.Rules, l.cfg.CrossPrice = s.Rules, s.CrossPrice
+	l.cfg.Rules, l.cfg.CrossPrice, l.cfg.Spills = s.Rules, s.CrossPrice, s.Spills
 	l.cfg.Caps.Attempts, l.cfg.Caps.RetryAfter = s.Caps.Attempts, s.Caps.RetryAfter
 	l.cfg.Caps.MaxWaitMs, l.cfg.Caps.ConnectMs = s.Caps.MaxWaitMs, s.Caps.ConnectMs
 	l.weighPlans()
@@ -61,6 +61,7 @@
 		c.dirty = !unnamed(c)
 		return !c.dirty
 	})
+	l.setTiers()
 	n := len(l.cfg.Classes)
 	l.usual = remap(l.usual, classes, n)
 	for _, p := range l.pools {
--- a/limiter/servers.go
+++ b/limiter/servers.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"maps"
 	"slices"
+
+	"example.org/madderdrum/routing"
 )
 
 func (l *Limiter) endpoints(now float64, e Endpoints) {
@@ -44,6 +46,7 @@
 		}
 		return gone
 	})
+	l.setTiers()
 	maps.DeleteFunc(l.pools, func(id uint64, p *pool) bool {
 		return id != 0 && len(p.order) == 0 && p.inflight == 0
 	})
@@ -55,3 +58,25 @@
 	at, _ := slices.BinarySearchFunc(order, s.info.ID, byID)
 	return slices.Insert(order, at, s)
 }
+
+// setTiers divides the servers of pools with tiers.
+func (l *Limiter) setTiers() {
+	l.tiered = slices.Sorted(maps.Keys(l.cfg.Spills))
+	for id, p := range l.pools {
+		spills := l.cfg.Spills[id]
+		if len(spills) < 2 {
+			p.tiers, p.byTier = nil, nil
+			continue
+		}
+		if p.tiers == nil || p.tiers.Len() != len(spills) {
+			p.tiers = routing.New(spills)
+		}
+		p.tiers.Spill(spills)
+		p.byTier = make([][]*server, len(spills))
+		for _, s := range p.order {
+			k := max(0, min(s.info.Tier, len(spills)-1))
+			p.byTier[k] = append(p.byTier[k], s)
+		}
+	}
+	l.tiered = slices.DeleteFunc(l.tiered, func(id uint64) bool { return len(l.cfg.Spills[id]) < 2 })
+}
--- a/limiter/state.go
+++ b/limiter/state.go
@@ -5,6 +5,8 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+
+	"example.org/madderdrum/routing"
 )
 
 // Limiter decides for one gateway. Make one with [New]; it is not safe for
@@ -36,7 +38,8 @@
 	pace      float64   // pause between two levels told of a customer
 
 	pools     map[uint64]*pool
-	named     int // plans that requests can name; behind them those that are gone
+	tiered    []uint64 // of them those with tiers
+	named     int      // plans that requests can name; behind them those that are gone
 	usual     []usual
 	marked    bool    // clients mark their retries
 	retries   float64 // further attempts saved up
@@ -50,7 +53,9 @@
 // pool is a set of servers that takes requests of its own, and what is learnt of them
 // together. A server is in one pool.
 type pool struct {
-	order          []*server // by id
+	order          []*server      // by id
+	tiers          *routing.Tiers // nil: all servers are one
+	byTier         [][]*server
 	work           []float64 // typical ms of a class alone on a server
 	seen           []float64 // answers of a class
 	fit            fit
@@ -224,6 +229,7 @@
 		n := len(l.cfg.Classes)
 		p = &pool{work: make([]float64, n), seen: make([]float64, n)}
 		l.pools[id] = p
+		l.setTiers()
 	}
 	return p
 }
