Late answers crowd no other breach out of the judge's record

With all cores busy a stand-in without time-outs answered hundreds of requests late, and the one kind that the test looks for, answers that never came, was no longer among the hundred that are kept of a rule.

--- a/internal/judge/judge.go
+++ b/internal/judge/judge.go
@@ -127,6 +127,9 @@
 	now      time.Duration
 	swept    time.Duration
 
+	kept [Rules]int // of Breaches, without late answers
+	late int        // of them, late answers
+
 	Breaches []Breach
 	Count    [Rules]int
 	Seen     [Rules]int // how often each rule was put to the test
@@ -194,9 +197,11 @@
 
 // breach notes one, and returns it if it is among those that are kept.
 func (j *Judge) breach(at time.Duration, rule Rule, limiter int, try uint64, format string, args ...any) *Breach {
-	if j.Count[rule]++; j.Count[rule] > keptBreaches {
+	j.Count[rule]++
+	if j.kept[rule] >= keptBreaches {
 		return nil
 	}
+	j.kept[rule]++
 	j.Breaches = append(j.Breaches, Breach{At: at, Rule: rule, Limiter: limiter, Try: try, Text: fmt.Sprintf(format, args...)})
 	return &j.Breaches[len(j.Breaches)-1]
 }
@@ -241,6 +246,11 @@
 	case now > t.Until+j.set.Slack && !t.left:
 		if b := j.breach(now, OneAnswer, t.Limiter, id, "answered %v after the client gave up", now-t.Until); b != nil {
 			b.InTime, b.Due = true, t.Until
+			if j.kept[OneAnswer]--; j.late < keptBreaches { // bounded by themselves: they must not crowd out the rest
+				j.late++
+			} else {
+				j.Breaches = j.Breaches[:len(j.Breaches)-1]
+			}
 		}
 	}
 	t.answered, t.answerAt = true, now
--- a/internal/judge/judge_test.go
+++ b/internal/judge/judge_test.go
@@ -206,3 +206,25 @@
 		t.Errorf("two that never end: %v", j.Breaches)
 	}
 }
+
+// Many late answers do not crowd out one that never came.
+func TestLateAnswersCrowdNothingOut(t *testing.T) {
+	j := New(settings())
+	for id := range uint64(500) {
+		taken(0, id, 0, 0, 1)(j)
+		answered(2*time.Second, id, Failed)(j)
+	}
+	taken(0, 900, 0, 0, 1)(j)
+	j.Close(time.Minute)
+	late, never := 0, 0
+	for _, b := range j.Breaches {
+		if b.InTime {
+			late++
+		} else if strings.Contains(b.Text, "no final answer") {
+			never++
+		}
+	}
+	if j.Count[OneAnswer] != 501 || late != keptBreaches || never != 1 {
+		t.Errorf("%d counted, %d late and %d never answered are kept", j.Count[OneAnswer], late, never)
+	}
+}
