An account keeps the plan that it has named; the log names pools by their numbers

Since plans may change in service, an account took the plan of each request: one that named a plan without a ceiling now and then passed 301 units in 4 s through a ceiling that gives 48. The plan that a request has named stays until it is gone from the configuration or the account is forgotten; only a peer's word gives way. A start and a reload write the numbers of pools and the names of their tiers, by which the log speaks.

--- a/cmd/madderdrum/serve.go
+++ b/cmd/madderdrum/serve.go
@@ -117,6 +117,7 @@
 		go func() { front <- r.front.Run(ctx) }()
 		logger.Info("answering proxies", "listen", r.front.Addr().String(), "proxies", len(asks.Proxies))
 	}
+	r.tellPools()
 	logger.Info("serving", "listen", strings.Join(cfg.Listens(position), " "), "boxes", len(f.Boxes), "pools", len(cfg.Pools), "routes", len(cfg.Routes), "peers", len(nc.Peers))
 	go func() {
 		for range hup {
@@ -173,6 +174,7 @@
 		apply(nil)
 	}
 	r.cfg = next
+	r.tellPools()
 	for i := range d.Changes {
 		if i == mostLogged {
 			r.log.Info("and more changes", "of", len(d.Changes))
@@ -191,6 +193,17 @@
 	r.log.Info("the new configuration holds", "changes", len(d.Changes), "grade", d.Grade(), "took", time.Since(begun).Round(time.Millisecond).String())
 }
 
+// tellPools writes the numbers by which the log speaks of pools and tiers.
+func (r *reloader) tellPools() {
+	for _, p := range r.cfg.Pools {
+		var tiers []string
+		for k, t := range p.Tiers {
+			tiers = append(tiers, fmt.Sprintf("%d=%s", k, t.Name))
+		}
+		r.log.Info("pool", "name", p.Name, "number", node.PoolID(p.Name), "boxes", len(p.Boxes), "tiers", strings.Join(tiers, " "))
+	}
+}
+
 // servable checks that the limiter at a position can be run on sockets: it and all boxes
 // need addresses.
 func servable(c *config.Config, position int) error {
--- a/limiter/pool_test.go
+++ b/limiter/pool_test.go
@@ -391,3 +391,28 @@
 		t.Error("the tiers stay")
 	}
 }
+
+// An account does not escape its ceiling by naming a plan without one.
+func TestPlanStays(t *testing.T) {
+	s := poolSettings()
+	s.Plans[0].Rate, s.Plans[0].Burst = 1e6, 1e6
+	s.Plans[1].Rate, s.Plans[1].Burst = 1e6, 1e6
+	h := newHandler(t, s, ServerInfo{ID: 1}, ServerInfo{ID: 2})
+	h.now += 60_000
+	passed := 0
+	for i := range 400 { // 4 s: the ceiling gives 16 and 8 a second
+		h.now += 10
+		id := fmt.Sprint("r", i)
+		plan := 1
+		if i%4 > 0 {
+			plan = 0
+		}
+		if h.submit(id, Submit{Units: 1, Customer: 5, Plan: plan}); len(h.sent[id]) > 0 {
+			h.outcome(id, Pass)
+			passed++
+		}
+	}
+	if passed > 16+4*8+1 {
+		t.Errorf("%d units passed a ceiling that gives 48", passed)
+	}
+}
--- a/limiter/requests.go
+++ b/limiter/requests.go
@@ -55,10 +55,15 @@
 		l.join(now, c, e.Spread, e.First)
 	}
 	l.refill(now, c)
-	if c.plan != e.Plan { // what is left of one plan is what another begins with
+	// The plan of a peer's word, which may go by another configuration, or one that is
+	// gone gives way to what the request says: what is left of it is what that begins
+	// with. The plan that a request has named stays: an account must not escape its
+	// ceiling by naming another one now and then.
+	if c.plan != e.Plan && (!c.named || c.plan >= l.named) {
 		c.plan, c.countsOut = e.Plan, l.cfg.Plans[e.Plan].AtOnce > 0
 		l.refill(now, c)
 	}
+	c.named = true
 	l.release(c)
 	c.seenAt = now
 	units := max(0, e.Units)
--- a/limiter/state.go
+++ b/limiter/state.go
@@ -125,6 +125,7 @@
 	leased  float64 // of them what is out on leases; it keeps its place in both stores
 	out     int
 	seeded  bool    // a peer has told its level
+	named   bool    // a request here has named its plan
 	held    float64 // part of the burst not granted until peers are heard
 	views   []view  // of the gateways heard of or told
 
