One file by two spellings, folders and stray braces are told; no field that nothing reads

Tried as a new user: main.hcl given twice as ./main.hcl ended in 22 definitions that are there twice, and a folder counted as a mistake in a file (exit code 1, now 2). The catalogue of diagnostics has a named type; a field and a value that nothing read are gone.

--- a/cmd/madderdrum/config_test.go
+++ b/cmd/madderdrum/config_test.go
@@ -42,6 +42,8 @@
 		{"an error", []string{"check", bad}, 1, bad + ":13:10: error: work = \"38/s\" is not a time [unit-mismatch]\n    work = \"38/s\"\n           ^^^^^^\n  fix: write a number"},
 		{"no such file", []string{"check", filepath.Join(dir, "none.hcl")}, 2, "none.hcl: no such file or directory"},
 		{"no such folder", []string{"check", filepath.Join(dir, "none", "x.hcl")}, 2, "no such file or directory"},
+		{"a folder", []string{"check", dir}, 2, "a folder; write the first file in it"},
+		{"one file by two spellings", []string{"check", good, filepath.Dir(good) + "/./good.hcl"}, 1, "good.hcl is included a second time"},
 		{"several files", []string{"check", good, write("more.hcl", "policy \"x\" {}\n")}, 0, "policy \"x\" is used by no route [unused]"},
 		{"a variable", []string{"check", "--var", "tries=2", limited}, 0, "sound: 1 files"},
 		{"a variable without a value", []string{"check", limited}, 1, "var.tries has no value"},
--- a/config/config.go
+++ b/config/config.go
@@ -9,6 +9,7 @@
 package config
 
 import (
+	"errors"
 	"fmt"
 	"io/fs"
 	"os"
@@ -164,6 +165,7 @@
 func LoadFiles(paths []string, vars map[string]string) (*Config, *Report, error) {
 	var roots []Root
 	for _, p := range paths {
+		p = filepath.Clean(p) // one file by two spellings is told as such
 		dir, name := filepath.Split(p)
 		root, err := os.OpenRoot(filepath.Clean("./" + dir))
 		if filepath.IsAbs(p) {
@@ -173,7 +175,11 @@
 			return nil, nil, fmt.Errorf("configuration: %w", err)
 		}
 		defer root.Close()
-		if _, err := fs.Stat(root.FS(), name); err != nil {
+		info, err := fs.Stat(root.FS(), name)
+		if err == nil && info.IsDir() {
+			err = errors.New("a folder; write the first file in it")
+		}
+		if err != nil {
 			return nil, nil, fmt.Errorf("configuration: %s: %w", p, cause(err))
 		}
 		roots = append(roots, Root{FS: root.FS(), Name: name, Show: dir})
--- a/config/reference.go
+++ b/config/reference.go
@@ -20,7 +20,7 @@
 	b.WriteString("\n## Which route takes a request\n\nOf the routes whose conditions a request meets, the one with the higher priority; then the\nmore exact host (a name, then `*.` with more labels, then any); then the more exact path (a\nwhole path, then the longer prefix); then one with accounts, with plans, with more headers,\nwith methods. The order in the file never counts: two routes that are equal in all of this\nand can meet in one request are a mistake (`route-ambiguous`), and so is a route that a\nhigher priority hides (`route-unreachable`).\n")
 	b.WriteString("\n## Diagnostics\n\n| code | | meaning |\n| --- | --- | --- |\n")
 	for _, c := range Codes() {
-		fmt.Fprintf(&b, "| `%s` | %s | %s |\n", c.Code, c.Severity, c.Meaning)
+		fmt.Fprintf(&b, "| `%s` | %s | %s |\n", c.Name, c.Severity, c.Meaning)
 	}
 	return b.String()
 }
--- a/config/report.go
+++ b/config/report.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 	"strings"
 	"unicode/utf8"
@@ -209,27 +210,19 @@
 	}
 }
 
-// Codes lists the catalogue: every diagnostic that can be given, with what it means.
-func Codes() []struct {
-	Code, Meaning string
-	Severity      Severity
-} {
-	var all []struct {
-		Code, Meaning string
-		Severity      Severity
-	}
-	for code, c := range codes {
-		all = append(all, struct {
-			Code, Meaning string
-			Severity      Severity
-		}{code, c.meaning, c.severity})
+// Code is an entry of the catalogue of diagnostics.
+type Code struct {
+	Name     string
+	Severity Severity
+	Meaning  string
+}
+
+// Codes lists the catalogue by name: every diagnostic that can be given.
+func Codes() []Code {
+	var all []Code
+	for _, name := range slices.Sorted(maps.Keys(codes)) {
+		all = append(all, Code{name, codes[name].severity, codes[name].meaning})
 	}
-	slices.SortFunc(all, func(a, b struct {
-		Code, Meaning string
-		Severity      Severity
-	}) int {
-		return cmp.Compare(a.Code, b.Code)
-	})
 	return all
 }
 
--- a/config/schema.go
+++ b/config/schema.go
@@ -1,9 +1,6 @@
 package config
 
-import (
-	"cmp"
-	"math"
-)
+import "cmp"
 
 // kind is what a field takes.
 type kind int
@@ -82,7 +79,6 @@
 	label  string // what the label is; empty: none
 	labels bool   // the label need not be a plain name
 	single bool   // at most one
-	sim    bool   // for replays alone
 	doc    string
 	fields []field
 	blocks []*block
@@ -251,7 +247,7 @@
 		dur("list_most", "2s", 0, longestTime, "most time"),
 		dur("silent_notice", "6s", 0, longestTime, "so much later for a box that vanished silently"),
 		dur("front_notice", "2s", 0, longestTime, "until the front sees that a limiter died")}},
-	{kind: "traffic", single: true, sim: true, doc: "What accounts send where a trace does not say, and how clients behave.", fields: []field{
+	{kind: "traffic", single: true, doc: "What accounts send where a trace does not say, and how clients behave.", fields: []field{
 		dur("max_advice", "500ms", 0, longestTime, "the longest `Retry-After` that clients heed; 0 is none").grow(Safe, "refused clients are told to stay away up to %s").fall(Care, "refused clients are told to come back within %s"),
 		count("accounts", "100", 1, 1<<31-1, "accounts"),
 		rate("rate", "100/s", "requests that they ask for").over(),
@@ -300,9 +296,6 @@
 						number("units", "0", 0, 1e6, "0 is one").atStart()}}}}}},
 }}
 
-// unbounded stands for no bound above.
-var unbounded = math.Inf(1)
-
 // find returns the block of a kind, or nil.
 func (b *block) find(kind string) *block {
 	for _, c := range b.blocks {
--- a/config/source.go
+++ b/config/source.go
@@ -223,7 +223,7 @@
 func unquoted(data []byte, at hcl.Range) string {
 	name, value, ok := strings.Cut(lineOf(data, at), "=")
 	value = strings.Trim(strings.TrimSuffix(strings.TrimSpace(value), ";"), "' ")
-	if !ok || value == "" || strings.ContainsAny(value, "\"[{(") || len(value) > 60 {
+	if !ok || value == "" || strings.ContainsAny(value, "\"[]{}()") || len(value) > 60 {
 		return ""
 	}
 	return fmt.Sprintf(` Did you mean %s = %q?`, strings.TrimSpace(name), value)
