--- a/cmd/madderdrum/serve.go
+++ b/cmd/madderdrum/serve.go
@@ -235,21 +235,10 @@
 		t.Plans = append(t.Plans, p.Name)
 	}
 	if len(c.Routes) > 0 || len(c.Pools) > 0 {
-		table, pools := route.New(c.Matches()), poolNames(c)
+		router := node.NewRouter(routesOf(c))
 		t.Route = func(q *route.Request) (forwardauth.Target, bool) {
-			if len(c.Routes) == 0 {
-				return forwardauth.Target{Pool: node.PoolID(pools[0]), Class: -1}, true
-			}
-			i := table.Find(q)
-			if i < 0 {
-				return forwardauth.Target{}, false
-			}
-			r := &c.Routes[i]
-			to := forwardauth.Target{Class: r.Class, Deadline: r.Deadline}
-			if r.Pool >= 0 {
-				to.Pool = node.PoolID(pools[r.Pool])
-			}
-			return to, true
+			to, ok := router.Find(q)
+			return forwardauth.Target{Pool: to.ID, Class: to.Class, Deadline: to.Deadline}, ok
 		}
 	}
 	return t
@@ -262,6 +251,23 @@
 	return names
 }
 
+// routesOf are the routes of a configuration, as the node and the front for proxies take
+// them.
+func routesOf(c *config.Config) node.Routes {
+	r, pools := node.Routes{Matches: c.Matches()}, poolNames(c)
+	if len(pools) > 0 {
+		r.Pool = pools[0]
+	}
+	for _, x := range c.Routes {
+		t := node.Target{Class: x.Class, Deadline: x.Deadline, Attempts: x.Attempts, MaxBody: int64(x.MaxBody)}
+		if x.Pool >= 0 {
+			t.Pool = pools[x.Pool]
+		}
+		r.Targets = append(r.Targets, t)
+	}
+	return r
+}
+
 // deploymentOf is what the limiter at a position of a configuration is told.
 func deploymentOf(c *config.Config, position int) node.Deployment {
 	f := c.Fleet
@@ -307,17 +313,7 @@
 		}
 		d.Sources = append(d.Sources, s)
 	}
-	d.Routes.Matches = c.Matches()
-	if len(pools) > 0 {
-		d.Routes.Pool = pools[0]
-	}
-	for _, r := range c.Routes {
-		t := node.Target{Class: r.Class, Deadline: r.Deadline, Attempts: r.Attempts, MaxBody: int64(r.MaxBody)}
-		if r.Pool >= 0 {
-			t.Pool = pools[r.Pool]
-		}
-		d.Routes.Targets = append(d.Routes.Targets, t)
-	}
+	d.Routes = routesOf(c)
 	return d
 }
 
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -292,7 +292,7 @@
 	if err := checkMethod(v.settings.Module.Classes[class].Repeat, hr, once); err != nil {
 		return nil, ev, err
 	}
-	ev = limiter.Submit{ID: id, Class: class, Plan: plan, Retry: h.Get("X-Retried") == "1", Customer: customer, Pool: to.pool, Attempts: to.Attempts}
+	ev = limiter.Submit{ID: id, Class: class, Plan: plan, Retry: h.Get("X-Retried") == "1", Customer: customer, Pool: to.ID, Attempts: to.Attempts}
 	if err := parseQuotaInfo(h.Get("Quota-Info"), v.settings.Module.Balancers, v.settings.MostUnits, &ev); err != nil {
 		return nil, ev, err
 	}
--- a/internal/node/version.go
+++ b/internal/node/version.go
@@ -16,9 +16,7 @@
 // the module has it.
 type version struct {
 	settings Settings
-	table    *route.Table // nil: all requests go to the pool
-	targets  []Target     // by route
-	pool     uint64       // where there are no routes
+	*Router
 }
 
 // Target is where a route leads, and what holds there.
@@ -28,8 +26,7 @@
 	Deadline time.Duration // 0: the class's
 	Attempts int           // 0: what the deployment allows
 	MaxBody  int64         // bytes; below 0: what the protocol allows
-
-	pool uint64
+	ID       uint64        // the module's number of the pool, set by NewRouter
 }
 
 // Routes are the conditions and targets of a deployment's routes; none is one pool.
@@ -39,16 +36,37 @@
 	Pool    string // where all requests go without routes
 }
 
-func newVersion(s Settings, r Routes) *version {
-	v := &version{settings: s, pool: PoolID(r.Pool)}
+func newVersion(s Settings, r Routes) *version { return &version{s, NewRouter(r)} }
+
+// Router finds the targets of requests, for every front alike. It never changes.
+type Router struct {
+	table   *route.Table // nil: all requests go to rest
+	targets []Target     // by route
+	rest    Target
+}
+
+// NewRouter returns one for a deployment's routes.
+func NewRouter(r Routes) *Router {
+	x := &Router{rest: Target{Pool: r.Pool, ID: PoolID(r.Pool), Class: -1, MaxBody: -1}}
 	if len(r.Matches) > 0 {
-		v.table = route.New(r.Matches)
+		x.table = route.New(r.Matches)
 		for _, t := range r.Targets {
-			t.pool = PoolID(t.Pool)
-			v.targets = append(v.targets, t)
+			t.ID = PoolID(t.Pool)
+			x.targets = append(x.targets, t)
 		}
 	}
-	return v
+	return x
+}
+
+// Find returns the target of a request, or false if no route takes it.
+func (x *Router) Find(q *route.Request) (Target, bool) {
+	if x.table == nil {
+		return x.rest, true
+	}
+	if i := x.table.Find(q); i >= 0 {
+		return x.targets[i], true
+	}
+	return Target{}, false
 }
 
 // PoolID is the module's number of a pool; no name is 0.
@@ -67,8 +85,8 @@
 // target finds where a request goes. It looks at what routes have conditions on before
 // the protocol is checked: what no route takes need not speak it.
 func (v *version) target(hr *http.Request) (Target, error) {
-	if v.table == nil {
-		return Target{Class: -1, MaxBody: -1, pool: v.pool}, nil
+	if v.table == nil { // the request is not looked at
+		return v.rest, nil
 	}
 	path, err := route.Canonical(hr.URL)
 	if err != nil {
@@ -79,11 +97,11 @@
 	if key := hr.URL.Query()["key"]; len(key) == 1 {
 		q.Account, _ = strconv.ParseUint(key[0], 16, 64) // what is no number is no account of a route
 	}
-	i := v.table.Find(&q)
-	if i < 0 {
+	to, ok := v.Find(&q)
+	if !ok {
 		return Target{}, errNoRoute
 	}
-	return v.targets[i], nil
+	return to, nil
 }
 
 // one is the value of a header that stands there once.
