--- a/internal/forwardauth/forwardauth_test.go
+++ b/internal/forwardauth/forwardauth_test.go
@@ -23,6 +23,7 @@
 	"example.org/madderdrum/deploy"
 	"example.org/madderdrum/grant"
 	"example.org/madderdrum/limiter"
+	"example.org/madderdrum/route"
 )
 
 const (
@@ -613,3 +614,44 @@
 		t.Errorf("%+v", l)
 	}
 }
+
+// What is asked goes by the routes of what is carried: pool, class and time of the route,
+// and no for what no route takes or a box could read as another path.
+func TestAsksGoByRoutes(t *testing.T) {
+	b := &bank{level: 1000}
+	s := serve(t, b, proxyBlock("traefik", "asked-only", ""))
+	routed := tier
+	routed.Route = func(q *route.Request) (Target, bool) {
+		if q.Method != "POST" || q.Account != 7 {
+			t.Errorf("routed by %+v", q)
+		}
+		return Target{Pool: 9, Class: 2, Deadline: 300 * time.Millisecond}, q.Host == "north.example" && strings.HasPrefix(q.Path, "/bulk/")
+	}
+	s.Swap(routed, func(done func()) { done() })
+	for i, c := range []struct {
+		host, uri string
+		want      int
+	}{
+		{"north.example", "/bulk/x?key=7", 200},
+		{"south.example", "/bulk/x?key=7", 400},
+		{"north.example", "/other?key=7", 400},
+		{"north.example", "/bulk/../other?key=7", 400},
+		{"north.example", "/bulk%2fx?key=7", 400},
+	} {
+		code := asking(t, s, headers(fmt.Sprint("routed-", i)), func(q *http.Request) {
+			q.Header.Set("X-Forwarded-Host", c.host)
+			q.Header.Set("X-Forwarded-Uri", c.uri)
+			q.Header.Set("X-Forwarded-Method", "POST")
+			q.Header.Del("X-Priority-Class")
+		}).StatusCode
+		if code != c.want {
+			t.Errorf("%s%s: %d, want %d", c.host, c.uri, code, c.want)
+		}
+	}
+	if _, _, n := b.state(); n != 1 {
+		t.Fatalf("%d asks came to the module", n)
+	}
+	if a := b.asks[0]; a.Pool != 9 || a.Class != 2 || a.ExpiresMs != 300 {
+		t.Errorf("asked %+v", a)
+	}
+}
