--- a/cmd/madderdrum/reload_test.go
+++ b/cmd/madderdrum/reload_test.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"os"
 	"os/exec"
@@ -17,7 +16,6 @@
 	"time"
 
 	"example.org/madderdrum/config"
-	"example.org/madderdrum/deploy"
 	"example.org/madderdrum/internal/judge"
 	"example.org/madderdrum/internal/loopback"
 	"example.org/madderdrum/internal/world"
@@ -131,39 +129,10 @@
 
 // startReloadable writes the first file of a limiter and starts it.
 func startReloadable(bin, dir, path string, n int) (*reloadable, error) {
-	data, err := os.ReadFile(path)
+	whole, err := loopback.ServeText(path, n)
 	if err != nil {
 		return nil, err
 	}
-	var c struct {
-		Listen string
-		Peers  []string
-		Known  struct {
-			Hosts []struct {
-				Host, Dial, Site string
-				Block            int
-			}
-		}
-	}
-	if err := json.Unmarshal(data, &c); err != nil {
-		return nil, err
-	}
-	text := string(deploy.Bluebird)
-	cut, rest := strings.Index(text, `limiter "n0"`), strings.Index(text, "rules {")
-	var b strings.Builder
-	b.WriteString(text[:cut])
-	for i, peer := range c.Peers {
-		listen := c.Listen
-		if i != n {
-			listen = fmt.Sprintf("127.0.0.1:%d", 1+i) // the others' is of no matter here
-		}
-		fmt.Fprintf(&b, "limiter \"n%d\" {\n room = %q\n listen = %q\n peer = %q\n}\n", i, []string{"room-a", "room-b"}[i%2], listen, peer)
-	}
-	for _, h := range c.Known.Hosts {
-		fmt.Fprintf(&b, "box %q {\n room = %q\n pod = %d\n dial = %q\n cores = 2\n slots = 16\n queue = 40\n}\n", h.Host, h.Site, h.Block, h.Dial)
-	}
-	b.WriteString(text[rest:])
-	whole := b.String()
 	s := &reloadable{file: filepath.Join(dir, fmt.Sprintf("n%d.hcl", n)), log: &replies{news: make(chan struct{}, 1)}, done: make(chan struct{}),
 		text: func(version int) string {
 			routes, rest := versions[version%len(versions)](reloadRoutes, whole)
--- a/internal/forwardauth/mixed_test.go
+++ b/internal/forwardauth/mixed_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -19,7 +18,6 @@
 	"time"
 
 	"example.org/madderdrum/config"
-	"example.org/madderdrum/deploy"
 	"example.org/madderdrum/internal/fleet"
 	"example.org/madderdrum/internal/forwardauth"
 	"example.org/madderdrum/internal/judge"
@@ -47,41 +45,13 @@
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return nil, err
 	}
-	data, err := os.ReadFile(config)
+	text, err := loopback.ServeText(config, n)
 	if err != nil {
 		return nil, err
 	}
-	var c struct {
-		Listen string
-		Peers  []string
-		Known  struct {
-			Hosts []struct {
-				Host, Dial, Site string
-				Block            int
-			}
-		}
-	}
-	if err := json.Unmarshal(data, &c); err != nil {
-		return nil, err
-	}
-	text := string(deploy.Bluebird)
-	cut, rest := strings.Index(text, `limiter "n0"`), strings.Index(text, "rules {")
-	var b strings.Builder
-	b.WriteString(text[:cut])
-	for i, peer := range c.Peers {
-		listen := c.Listen
-		if i != n {
-			listen = fmt.Sprintf("127.0.0.1:%d", 1+i) // the others' is of no matter here
-		}
-		fmt.Fprintf(&b, "limiter \"n%d\" {\n room = %q\n listen = %q\n peer = %q\n}\n", i, []string{"room-a", "room-b"}[i%2], listen, peer)
-	}
-	for _, h := range c.Known.Hosts {
-		fmt.Fprintf(&b, "box %q {\n room = %q\n pod = %d\n dial = %q\n cores = 2\n slots = 16\n queue = 40\n}\n", h.Host, h.Site, h.Block, h.Dial)
-	}
-	b.WriteString(text[rest:])
 	fleetFile, askFile := filepath.Join(dir, fmt.Sprint("fleet", n, ".hcl")), filepath.Join(dir, fmt.Sprint("ask", n, ".hcl"))
 	asks := fmt.Sprintf("forward_auth \"n%d\" {\n listen = %q\n keys_file = %q\n", n, ask, filepath.Join(dir, "keys"))
-	files := map[string]string{fleetFile: b.String(), filepath.Join(dir, "keys"): "k " + strings.Repeat("k", 20)}
+	files := map[string]string{fleetFile: text, filepath.Join(dir, "keys"): "k " + strings.Repeat("k", 20)}
 	for _, dialect := range forwardauth.DialectNames() {
 		for _, mode := range []string{"asked-only", "ask-then-carry"} {
 			path := filepath.Join(dir, dialect+mode)
