The judge bounds kinds of breaches in one place; the bound on spill says what it means

Late answers were kept and taken off the list again to bound them by themselves; note counts and keeps by a counter of the kind. The first request of a tier that may spill at all is told from the rest by a line of its own.

--- a/internal/judge/judge.go
+++ b/internal/judge/judge.go
@@ -111,7 +111,8 @@
 	return fmt.Sprintf("%.3fs limiter %d: %s: %s", b.At.Seconds(), b.Limiter, b.Rule, b.Text)
 }
 
-// keptBreaches bounds the breaches of each rule that are kept in full; all are counted.
+// keptBreaches bounds the breaches of each rule that are kept in full, and late answers
+// by themselves; all are counted.
 const keptBreaches = 100
 
 // Judge keeps what the rules need.
@@ -127,8 +128,8 @@
 	now      time.Duration
 	swept    time.Duration
 
-	kept [Rules]int // of Breaches, without late answers
-	late int        // of them, late answers
+	kept [Rules]int // of Breaches, but for late answers
+	late int        // late answers among them
 
 	Breaches []Breach
 	Count    [Rules]int
@@ -195,15 +196,17 @@
 	return n
 }
 
-// breach notes one, and returns it if it is among those that are kept.
-func (j *Judge) breach(at time.Duration, rule Rule, limiter int, try uint64, format string, args ...any) *Breach {
-	j.Count[rule]++
-	if j.kept[rule] >= keptBreaches {
-		return nil
+func (j *Judge) breach(at time.Duration, rule Rule, limiter int, try uint64, format string, args ...any) {
+	j.note(Breach{At: at, Rule: rule, Limiter: limiter, Try: try, Text: fmt.Sprintf(format, args...)}, &j.kept[rule])
+}
+
+// note counts a breach, and keeps it if no more than keptBreaches of its kind are kept.
+func (j *Judge) note(b Breach, kept *int) {
+	j.Count[b.Rule]++
+	if *kept < keptBreaches {
+		*kept++
+		j.Breaches = append(j.Breaches, b)
 	}
-	j.kept[rule]++
-	j.Breaches = append(j.Breaches, Breach{At: at, Rule: rule, Limiter: limiter, Try: try, Text: fmt.Sprintf(format, args...)})
-	return &j.Breaches[len(j.Breaches)-1]
 }
 
 // Excuse takes back those of the kept breaches for which a driver finds that the judge
@@ -244,14 +247,9 @@
 		j.breach(now, OneAnswer, t.Limiter, id, "answered a second time")
 		return
 	case now > t.Until+j.set.Slack && !t.left:
-		if b := j.breach(now, OneAnswer, t.Limiter, id, "answered %v after the client gave up", now-t.Until); b != nil {
-			b.InTime, b.Due = true, t.Until
-			if j.kept[OneAnswer]--; j.late < keptBreaches { // bounded by themselves: they must not crowd out the rest
-				j.late++
-			} else {
-				j.Breaches = j.Breaches[:len(j.Breaches)-1]
-			}
-		}
+		// Bounded by themselves: they must not crowd out the rest.
+		j.note(Breach{At: now, Rule: OneAnswer, Limiter: t.Limiter, Try: id, InTime: true, Due: t.Until,
+			Text: fmt.Sprintf("answered %v after the client gave up", now-t.Until)}, &j.late)
 	}
 	t.answered, t.answerAt = true, now
 	class := j.set.Classes[t.Class]
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -95,7 +95,11 @@
 		return true
 	}
 	x.fade(now)
-	if x.leaves+1 > x.spill*max(x.asked, 1/max(x.spill, 1e-9)) && x.spill < 1 {
+	room := x.spill * x.asked
+	if x.spill > 0 { // the first may go, however few have come
+		room = max(1, room)
+	}
+	if x.spill < 1 && x.leaves+1 > room {
 		return false
 	}
 	x.leaves++
