Tiers by what is seen of them: failing, slow, held down, panic, a proven way back

A tier was lost only when no box of it could be used, came back by steps that knew nothing of strain, and kept 70% of its requests back with one box of six left. A returning room whose list was late was taken to be warm.

Boxes that answer again after they were down are taken to be cold until discovery tells. A keyed repeat goes to the pod that remembers it, whatever the tier.

--- a/cmd/madderdrum/serve.go
+++ b/cmd/madderdrum/serve.go
@@ -287,7 +287,7 @@
 				continue // no request can go there
 			}
 			s.Pool = pools[of[i]]
-			s.Tier = c.Pools[of[i]].TierOf(b.Room, f.Limiters[position].Room)
+			s.Tier = c.Pools[of[i]].Tiers.Of(b.Room, f.Limiters[position].Room)
 		}
 		d.Servers = append(d.Servers, s)
 	}
@@ -296,20 +296,21 @@
 			d.Peers = append(d.Peers, netip.MustParseAddrPort(l.Peer))
 		}
 	}
+	d.Module.Spills = nil
 	for i := range c.Pools {
 		p := &c.Pools[i]
 		if len(p.Tiers) > 0 {
 			if d.Module.Spills == nil {
 				d.Module.Spills = map[uint64][]float64{}
 			}
-			d.Module.Spills[node.PoolID(p.Name)] = p.Spills()
+			d.Module.Spills[node.PoolID(p.Name)] = p.Tiers.Spills()
 		}
 		if p.Discovery == "" {
 			continue
 		}
 		s := node.Source{Pool: p.Name, Addr: p.Discovery, Tiers: map[string]int{}}
 		for room, name := range f.Rooms {
-			s.Tiers[name] = p.TierOf(room, f.Limiters[position].Room)
+			s.Tiers[name] = p.Tiers.Of(room, f.Limiters[position].Room)
 		}
 		d.Sources = append(d.Sources, s)
 	}
--- a/config/build.go
+++ b/config/build.go
@@ -332,6 +332,9 @@
 		slices.Sort(p.Boxes)
 		b.c.Pools = append(b.c.Pools, p)
 	}
+	if len(b.c.Pools) == 1 && len(b.c.Pools[0].Boxes) == len(f.Boxes) {
+		f.Tiers = b.c.Pools[0].Tiers
+	}
 	told := map[*object]bool{}
 	if whole && len(b.c.Pools) > 0 && !b.partial {
 		for i, o := range owner {
@@ -345,7 +348,7 @@
 }
 
 // tiers are those of a pool, by rank.
-func (b *builder) tiers(o *object) []Tier {
+func (b *builder) tiers(o *object) fleet.Tiers {
 	var subs []*object
 	ranks, rooms := map[int]*object{}, map[string]*object{}
 	for _, s := range o.subs {
@@ -365,9 +368,9 @@
 		}
 	}
 	slices.SortStableFunc(subs, func(x, y *object) int { return x.whole("rank") - y.whole("rank") })
-	var tiers []Tier
+	var tiers fleet.Tiers
 	for _, s := range subs {
-		t := Tier{Name: s.label, OwnRoom: s.text("own_room") == "yes", Spill: s.num("spill")}
+		t := fleet.Tier{Name: s.label, OwnRoom: s.text("own_room") == "yes", Spill: s.num("spill")}
 		for _, room := range s.list("rooms") {
 			t.Rooms = append(t.Rooms, b.rooms[room])
 		}
--- a/config/config.go
+++ b/config/config.go
@@ -14,7 +14,6 @@
 	"io/fs"
 	"os"
 	"path/filepath"
-	"slices"
 	"time"
 
 	"github.com/hashicorp/hcl/v2"
@@ -41,40 +40,9 @@
 // Pool is a set of boxes that takes requests of its own.
 type Pool struct {
 	Name      string
-	Boxes     []int  // of the fleet, rising
-	Discovery string // of an agent that tells of more; empty: none
-	Tiers     []Tier // by rank; none: all boxes are alike
-}
-
-// Tier is a part of a pool's boxes that is preferred to those after it.
-type Tier struct {
-	Name    string
-	Rooms   []int // of the fleet
-	OwnRoom bool  // and the limiter's own
-	Spill   float64
-}
-
-// TierOf is the tier of a box that stands in a room, for a limiter; those of no tier come
-// after all.
-func (p *Pool) TierOf(room, limiterRoom int) int {
-	for k, t := range p.Tiers {
-		if t.OwnRoom && room == limiterRoom || slices.Contains(t.Rooms, room) {
-			return k
-		}
-	}
-	return len(p.Tiers)
-}
-
-// Spills are the shares that may leave each tier, with a last one for the boxes of none.
-func (p *Pool) Spills() []float64 {
-	if len(p.Tiers) == 0 {
-		return nil
-	}
-	var all []float64
-	for _, t := range p.Tiers {
-		all = append(all, t.Spill)
-	}
-	return append(all, 0)
+	Boxes     []int       // of the fleet, rising
+	Discovery string      // of an agent that tells of more; empty: none
+	Tiers     fleet.Tiers // by rank; none: all boxes are alike
 }
 
 // Route takes the requests that meet its conditions to a pool.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -7,6 +7,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -25,6 +26,41 @@
 	Network  Network
 	Traffic  Traffic
 	Limits   Limits
+	Tiers    Tiers // of the one pool that has all boxes, by rank; none: all are alike
+}
+
+// Tier is a part of a pool's boxes that is preferred to those after it.
+type Tier struct {
+	Name    string
+	Rooms   []int // of the fleet
+	OwnRoom bool  // and the limiter's own
+	Spill   float64
+}
+
+// Tiers are those of a pool by rank.
+type Tiers []Tier
+
+// Of is the tier of a box that stands in a room, for a limiter; those of no tier come
+// after all.
+func (t Tiers) Of(room, limiterRoom int) int {
+	for k := range t {
+		if t[k].OwnRoom && room == limiterRoom || slices.Contains(t[k].Rooms, room) {
+			return k
+		}
+	}
+	return len(t)
+}
+
+// Spills are the shares that may leave each tier, with a last one for the boxes of none.
+func (t Tiers) Spills() []float64 {
+	if len(t) == 0 {
+		return nil
+	}
+	var all []float64
+	for k := range t {
+		all = append(all, t[k].Spill)
+	}
+	return append(all, 0)
 }
 
 // Class is one kind of request.
@@ -169,6 +205,9 @@
 		s.Plans = append(s.Plans, limiter.Plan{Rate: p.Rate, Burst: p.Burst, CeilingRate: p.CeilingRate,
 			CeilingBurst: p.CeilingBurst, Price: p.Price, BeyondEarns: p.BeyondEarns, OverrunCost: p.OverrunCost})
 	}
+	if len(f.Tiers) > 0 {
+		s.Spills = map[uint64][]float64{0: f.Tiers.Spills()}
+	}
 	return s
 }
 
--- a/internal/judge/judge.go
+++ b/internal/judge/judge.go
@@ -50,6 +50,7 @@
 	DrainGrace   time.Duration
 	FallFactor   float64
 	FallFor      time.Duration
+	PushFor      time.Duration // the window of Judge.Push; 0: it is not measured
 	CeilingSlack float64       // share of the ceiling
 	MostUnits    float64       // of the largest request
 	Longest      time.Duration // deadline of any class
@@ -131,6 +132,10 @@
 	kept [Rules]int // of Breaches, but for late answers
 	late int        // late answers among them
 
+	// Push is the most work that came to a cold box within PushFor, but for the largest
+	// job in it, over what the box could do in that time.
+	Push float64
+
 	Breaches []Breach
 	Count    [Rules]int
 	Seen     [Rules]int // how often each rule was put to the test
@@ -172,6 +177,7 @@
 	work []time.Duration
 	sum  time.Duration
 	told bool // once for one fall
+	from int  // the first of those within PushFor
 }
 
 // ceiling is an account's: two buckets, as the slack is a share or one request,
@@ -445,7 +451,8 @@
 		p.sum -= p.work[n]
 		n++
 	}
-	p.at, p.work = p.at[n:], p.work[n:]
+	p.at, p.work, p.from = p.at[n:], p.work[n:], max(0, p.from-n)
+	j.push(now, p, capacity)
 	over := p.sum.Seconds() > j.set.FallFactor*capacity*(j.set.FallFor+j.set.Slack).Seconds()
 	if over && !p.told {
 		limiter := -1
@@ -457,6 +464,21 @@
 	p.told = over
 }
 
+// push measures Push.
+func (j *Judge) push(now time.Duration, p *push, capacity float64) {
+	if j.set.PushFor <= 0 {
+		return
+	}
+	for p.at[p.from] <= now-j.set.PushFor {
+		p.from++
+	}
+	var sum, most time.Duration
+	for _, w := range p.work[p.from:] {
+		sum, most = sum+w, max(most, w)
+	}
+	j.Push = max(j.Push, (sum-most).Seconds()/(capacity*j.set.PushFor.Seconds()))
+}
+
 // Fell tells that a cold box fell over by what it was sent.
 func (j *Judge) Fell(now time.Duration, box int) {
 	j.clock(now)
--- a/internal/virtual/virtual.go
+++ b/internal/virtual/virtual.go
@@ -52,6 +52,8 @@
 	Started func(w *world.World)
 	// Watch, if set, sees every action of the world before it is carried out.
 	Watch func(now time.Duration, a world.Action)
+	// PushFor is the window over which the judge measures what cold boxes are sent; 0: none.
+	PushFor time.Duration
 	// Unguarded takes away what the hosts themselves guard against, whatever the
 	// policy wants: boxes that drain or are gone, attempts past the most, requests
 	// that are over or held to the end. Tests show with it what the judge sees.
@@ -129,7 +131,9 @@
 	d := &driver{o: o, rng: rand.New(rand.NewPCG(o.Seed, 0xd1)), attempts: map[uint64]*attempt{}}
 	d.w = world.New(o.Fleet, world.Options{Seed: o.Seed, Source: o.Source, Faults: o.Faults, Sample: o.Sample,
 		Way: func(call uint64) int { return int(wayOf(o, call)) }})
-	d.j = judge.New(JudgeSettings(o.Fleet, judgeSlack))
+	rules := JudgeSettings(o.Fleet, judgeSlack)
+	rules.PushFor = o.PushFor
+	d.j = judge.New(rules)
 	if o.Started != nil {
 		o.Started(d.w)
 	}
--- a/internal/world/scenario.go
+++ b/internal/world/scenario.go
@@ -44,7 +44,7 @@
 var verbs = map[Target]map[string]string{
 	AtBox: {"hangs": "", "dies": "", "vanishes": "", "drains": "", "restarts": "", "replaced": "", "leaves": "", "joins": "",
 		"slows": "factor", "fails": "share", "garbles": "share", "halves": "share", "stalls": "share", "cuts": "share"},
-	AtRoom:     {"lost": "", "parted": ""},
+	AtRoom:     {"lost": "", "parted": "", "unlisted": ""},
 	AtFleet:    {"slows": "factor"},
 	AtLimiter:  {"killed": "", "restarts": "", "loses": "room"},
 	AtPeers:    {"cut": "", "lose": "share"},
@@ -65,6 +65,7 @@
 //	box a0 restarts at 5s                  its process ends and starts anew, cold
 //	box a0 is replaced at 5s               another box takes its address
 //	room room-a is lost from 8s to 20s silently with limiters
+//	room room-a is unlisted from 8s to 20s discovery drops its boxes, which are well
 //	fleet slows 2.5 from 3s to 9s          what all boxes depend on
 //	limiter n2 is killed at 8s for 2s
 //	limiter n0 loses room room-b from 3s to 9s
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -654,7 +654,11 @@
 			return
 		}
 		for i, b := range w.Boxes {
-			if b.Spec.Room == x.Index && w.addrs[w.addrOf[i]] == i {
+			switch {
+			case b.Spec.Room != x.Index || w.addrs[w.addrOf[i]] != i:
+			case x.Verb == "unlisted":
+				w.publish(i, Gone, 0)
+			default:
 				w.lose(i, x.Silent)
 			}
 		}
@@ -770,7 +774,13 @@
 			return
 		}
 		for i, b := range w.Boxes {
-			if b.Spec.Room == x.Index && w.addrs[w.addrOf[i]] == i && b.condition != Fallen {
+			switch {
+			case b.Spec.Room != x.Index || w.addrs[w.addrOf[i]] != i || b.condition == Fallen:
+			case x.Verb == "unlisted":
+				if b.condition == Running {
+					w.publish(i, Ready, 0)
+				}
+			default:
 				w.start(i)
 			}
 		}
--- a/limiter/choice.go
+++ b/limiter/choice.go
@@ -19,6 +19,7 @@
 	// a random one on: with all of them a choice costs as much as there are servers, and
 	// the best of so many is nearly as good.
 	scanMost    = 64
+	seenWell    = 20.0 // answers of a class from which its typical work can be gone by
 	crossWeight = 10.0 // a crossing counts as slower by this factor times its price
 )
 
@@ -26,21 +27,27 @@
 // can answer within the time left. Where the pool has tiers it is the one of the first
 // tier that can; package routing says which tiers a request may be tried at.
 func (l *Limiter) choose(now float64, r *request) (*server, float64) {
-	p := r.pool
-	if p.tiers == nil {
-		return l.chooseIn(now, r, p.order)
+	p, class := r.pool, &l.cfg.Classes[r.class]
+	if p.tiers == nil || r.ran != nil && class.Repeat == Keyed && class.Group != GroupAll {
+		return l.chooseIn(now, r, p.order) // a repeat goes to those that remember, in any tier
 	}
-	wait := fullMs
-	for k := range p.tiers.Len() {
-		if !p.tiers.Enter(now, k, l.rng.Float64()) {
+	once := class.Repeat == Unsafe
+	wait, kept := fullMs, false
+	for k := 0; k < p.tiers.Len() && !kept; k++ {
+		if !p.tiers.Enter(now, k, l.rng.Float64(), once) {
 			continue
 		}
 		s, late := l.chooseIn(now, r, p.byTier[k])
 		if s != nil {
 			return s, 0
 		}
-		if wait = max(wait, late); !p.tiers.Leave(now, k) {
-			break
+		wait, kept = max(wait, late), !p.tiers.Leave(now, k, r.factor)
+	}
+	for k := 0; k < p.tiers.Len() && !kept; k++ {
+		if p.tiers.Resort(k, once) {
+			if s, _ := l.chooseIn(now, r, p.byTier[k]); s != nil {
+				return s, 0
+			}
 		}
 	}
 	return nil, wait
@@ -154,7 +161,11 @@
 		return
 	}
 	if p.tiers != nil && e.Result != Undone && e.Result != StaleSend {
-		p.tiers.Proved(now, min(s.info.Tier, p.tiers.Len()-1), e.Result == Pass)
+		took := 1.0
+		if p.seen[r.class] >= seenWell {
+			took = e.SpentMs / max(1, p.work[r.class]*p.curve(a.load)) * l.warmth(now, s)
+		}
+		p.tiers.Proved(now, p.tierOf(s), e.Result == Pass, took)
 	}
 	if e.Result == Pass || e.Result == Fault || e.Result == Cut || e.Result == TooSlow {
 		p.failed -= pressWeight * p.failed
--- a/limiter/cold.go
+++ b/limiter/cold.go
@@ -24,8 +24,11 @@
 	if w >= 1 {
 		return true
 	}
-	rate := max(coldUse*w*s.pool.recent(now)/float64(len(s.pool.order))*2/illMs,
-		coldLeast/float64(l.cfg.Balancers)/max(1, l.cfg.Rules.FallMs))
+	rate := s.pool.recent(now) / float64(len(s.pool.order)) * 2 / illMs
+	if s.pool.tiers != nil { // of late nothing may have been sent there
+		rate = max(rate, s.pool.tiers.Rate(s.pool.tierOf(s)))
+	}
+	rate = max(coldUse*w*rate, coldLeast/float64(l.cfg.Balancers)/max(1, l.cfg.Rules.FallMs))
 	s.cold, s.coldAt = min(1, max(0, s.cold)+rate*(now-s.coldAt)), now
 	return s.cold >= 1
 }
--- a/limiter/health.go
+++ b/limiter/health.go
@@ -79,17 +79,21 @@
 			continue
 		}
 		for k, order := range p.byTier {
-			usable := 0
+			usable, cold := 0, 0
 			for _, s := range order {
 				if s.info.Phase == Up && !s.down && !l.stalled(now, s) {
 					usable++
+					if l.warmth(now, s) < 1 {
+						cold++
+					}
 				}
 			}
-			if p.tiers.See(now, k, len(order), usable) {
-				x := p.tiers.State(now, k)
-				l.log("pool %d: tier %d takes %.0f%% of its requests, %d of %d servers usable",
-					id, k, x.Share*100, usable, len(order))
-			}
+			p.tiers.See(now, k, len(order), usable, cold)
+		}
+		for _, k := range p.tiers.Step(now) {
+			x := p.tiers.State(now, k)
+			l.log("pool %d: tier %d is %v and takes %.0f%% of its requests, %d of %d servers usable; next: %s",
+				id, k, x.Phase, x.Share*100, x.Usable, x.Boxes, x.Next)
 		}
 	}
 }
@@ -119,6 +123,9 @@
 		s.waitingAt = now
 		if s.down {
 			s.down, s.noRoute = false, 0
+			if s.pool.tiers != nil { // it may be another process, and the list is late
+				s.info.ReadyAt = now
+			}
 			l.log("server %d answers again", s.info.ID)
 		}
 	case TooSlow, NoRoute, Cut:
--- a/limiter/pool_test.go
+++ b/limiter/pool_test.go
@@ -1,6 +1,7 @@
 package limiter
 
 import (
+	"example.org/madderdrum/routing"
 	"fmt"
 	"math"
 	"testing"
@@ -376,13 +377,13 @@
 	}
 	h.went(100, gone)
 	p := h.l.poolOf(7)
-	if !p.tiers.State(h.now, 0).Lost {
+	if p.tiers.State(h.now, 0).Phase != routing.Lost {
 		t.Fatal("the first tier is not lost")
 	}
 	s := h.l.cfg
 	s.Spills = map[uint64][]float64{7: {0.5, 0}}
 	h.give(Reconfigure{Settings: s, Classes: []int{0, 1, 2}, Plans: []int{0, 1}})
-	if !p.tiers.State(h.now, 0).Lost {
+	if p.tiers.State(h.now, 0).Phase != routing.Lost {
 		t.Error("another share makes a lost tier well")
 	}
 	s.Spills = nil
@@ -416,3 +417,78 @@
 		t.Errorf("%d units passed a ceiling that gives 48", passed)
 	}
 }
+
+// A keyed request's repeat goes to the pod that remembers it, in whatever tier and state
+// that is, and an unsafe one nowhere.
+func TestTiersKeepRepeats(t *testing.T) {
+	for name, c := range map[string]struct {
+		class int
+		sent  int // attempts
+	}{"keyed": {1, 2}, "unsafe": {2, 1}} {
+		h := tiered(t)
+		well := func(uint64) Result { return Pass }
+		h.went(50, well)
+		gone := func(server uint64) Result {
+			if server <= 3 {
+				return NoRoute
+			}
+			return Pass
+		}
+		h.went(100, gone)
+		id := "repeat"
+		h.submit(id, Submit{Units: 1, Customer: 1, Pool: 7, Class: c.class})
+		if len(h.sent[id]) != 1 || h.sent[id][0] <= 3 {
+			t.Fatalf("%s: sent to %v", name, h.sent[id])
+		}
+		h.outcome(id, Cut)
+		for _, s := range h.sent[id] {
+			if s <= 3 {
+				t.Errorf("%s: sent to %v, where none of it is known", name, h.sent[id])
+			}
+		}
+		if len(h.sent[id]) != c.sent {
+			t.Errorf("%s: sent to %v", name, h.sent[id])
+		}
+	}
+}
+
+// A server of a pool with tiers that answers again after it was down is taken to be cold
+// until discovery tells when it started: its process may be a new one.
+func TestTiersPresumeCold(t *testing.T) {
+	h := tiered(t)
+	h.l.cfg.Rules = Rules{ColdShare: 0.25, ColdMs: 12_000, FallMs: 1500, OverloadFactor: 3}
+	h.went(100, func(uint64) Result { return Pass })
+	h.went(100, func(server uint64) Result {
+		if server <= 3 {
+			return NoRoute
+		}
+		return Pass
+	})
+	for id := range uint64(3) {
+		h.give(Probed{Server: id + 1, Result: Pass})
+	}
+	s := h.l.servers[1]
+	if w := h.l.warmth(h.now, s); w > 0.3 {
+		t.Errorf("its warmth is %v", w)
+	}
+	first, _, refused := h.went(100, func(uint64) Result { return Pass }) // in 2 s
+	if first > 40 || refused > 0 {
+		t.Errorf("%d of 100 go to three servers that may be cold, %d refused", first, refused)
+	}
+	info := s.info
+	info.ReadyAt = 1 // discovery tells that it has long been there
+	h.give(Endpoints{Scope: Partial, Servers: []ServerInfo{info}})
+	if at := h.l.servers[1].info.ReadyAt; at != 1 {
+		t.Errorf("discovery says when it started, and %v holds", at)
+	}
+}
+
+// What operators see of tiers.
+func TestTiersShown(t *testing.T) {
+	h := tiered(t)
+	h.went(100, func(uint64) Result { return Pass })
+	all := h.l.Tiers(h.now)
+	if len(all) != 2 || all[0].Pool != 7 || all[1].Tier != 1 || all[0].Usable != 3 || all[0].Share != 1 || all[0].Next != "up to 30% may spill" {
+		t.Errorf("%+v", all)
+	}
+}
--- a/limiter/servers.go
+++ b/limiter/servers.go
@@ -74,7 +74,7 @@
 		p.tiers.Spill(spills)
 		p.byTier = make([][]*server, len(spills))
 		for _, s := range p.order {
-			k := max(0, min(s.info.Tier, len(spills)-1))
+			k := p.tierOf(s)
 			p.byTier[k] = append(p.byTier[k], s)
 		}
 	}
--- a/limiter/state.go
+++ b/limiter/state.go
@@ -235,6 +235,28 @@
 	return p
 }
 
+// tierOf is the tier of a server, in a pool with tiers.
+func (p *pool) tierOf(s *server) int { return max(0, min(s.info.Tier, len(p.byTier)-1)) }
+
+// TierState is a tier of a pool as this limiter sees it.
+type TierState struct {
+	Pool uint64
+	Tier int
+	routing.State
+}
+
+// Tiers returns those of all pools that have tiers, in the order of pools and ranks.
+func (l *Limiter) Tiers(now float64) (all []TierState) {
+	for _, id := range l.tiered {
+		if p := l.pools[id]; p != nil && p.tiers != nil {
+			for k := range p.tiers.Len() {
+				all = append(all, TierState{id, k, p.tiers.State(now, k)})
+			}
+		}
+	}
+	return all
+}
+
 // sortedRequests lists the requests in hand in an order that is always the same.
 func (l *Limiter) sortedRequests() []string {
 	ids := make([]string, 0, len(l.requests))
