--- a/internal/replay/compare.go
+++ b/internal/replay/compare.go
@@ -6,6 +6,7 @@
 	"math"
 	"text/tabwriter"
 
+	"example.org/madderdrum/internal/paired"
 	"example.org/madderdrum/internal/policies"
 )
 
@@ -19,11 +20,6 @@
 	Real       bool // more than noise
 }
 
-// student is the 97.5% point of Student's t for 1 to 30 degrees of freedom (R. A.
-// Fisher, F. Yates: Statistical Tables); beyond that it is as good as 2.
-var student = [...]float64{12.706, 4.303, 3.182, 2.776, 2.571, 2.447, 2.365, 2.306, 2.262, 2.228, 2.201, 2.179, 2.160, 2.145, 2.131,
-	2.120, 2.110, 2.101, 2.093, 2.086, 2.080, 2.074, 2.069, 2.064, 2.060, 2.056, 2.052, 2.048, 2.045, 2.042}
-
 // figures are what is compared of each run.
 var figures = []struct {
 	name string
@@ -75,16 +71,7 @@
 			differences = append(differences, y-x)
 			c.Difference += (y - x) / n
 		}
-		square := 0.0
-		for _, d := range differences {
-			square += (d - c.Difference) * (d - c.Difference)
-		}
-		if len(seeds) > 1 {
-			t := 2.0
-			if k := len(seeds) - 2; k < len(student) {
-				t = student[k]
-			}
-			c.Noise = t * math.Sqrt(square/(n-1)/n)
+		if c.Noise = paired.Noise(differences); len(seeds) > 1 {
 			c.Real = math.Abs(c.Difference) > max(c.Noise, 1e-9)
 		}
 		all = append(all, c)
