--- a/cmd/madderdrum/config.go
+++ b/cmd/madderdrum/config.go
@@ -18,18 +18,18 @@
 	"example.org/madderdrum/config"
 )
 
-// status ends the program with a code of its own, and with no more words.
-type status int
+// exitStatus ends the program with a code of its own, and with no more words.
+type exitStatus int
 
-func (s status) Error() string { return fmt.Sprintf("exit code %d", int(s)) }
+func (s exitStatus) Error() string { return fmt.Sprintf("exit code %d", int(s)) }
 
 // ExitCode is the program's.
-func (s status) ExitCode() int { return int(s) }
+func (s exitStatus) ExitCode() int { return int(s) }
 
 // The exit codes of check, fmt and diff.
 const (
-	differs  status = 1 // or: has errors
-	unusable status = 2 // the question could not be answered
+	differs  exitStatus = 1 // or: has errors
+	unusable exitStatus = 2 // the question could not be answered
 )
 
 // checkCommand tells all that is wrong with a configuration.
--- /dev/null
+++ b/cmd/madderdrum/drill.go
@@ -0,0 +1,118 @@
+//go:build !platform
+
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"example.org/madderdrum/internal/drill"
+)
+
+// drillCommand loses and regains rooms.
+type drillCommand struct {
+	Case     []string `help:"Cases to play, with commas; all if left out."`
+	Rule     []string `help:"Rules to play, with commas: tiers, none, failover, priority; all if left out."`
+	Seeds    int      `default:"10" help:"Play so many seeds from --seed on."`
+	Seed     uint64   `default:"1" help:"The first seed; equal seeds give equal days."`
+	Boxes    int      `default:"12" help:"Boxes, as those of the built-in fleet; traffic and accounts grow with them."`
+	Limiters int      `default:"3" help:"Limiters."`
+	JSON     string   `help:"Write the table as JSON." placeholder:"FILE"`
+	HTML     string   `help:"Write one page with the charts of the first case and seed, by each rule, and the table." placeholder:"FILE"`
+	Sockets  bool     `help:"Play one case once in real time on loopback sockets, round this very program as the limiters; needs --html."`
+	List     bool     `help:"List the cases and end."`
+}
+
+// Help is the long help text.
+func (drillCommand) Help() string {
+	return `Has a stand-in fleet lose and regain a room in every hard way that is known, in virtual
+time with the real limiters before it, and tells what that cost with tiers of
+preference and with plain rules on the same days. If the limiter breaks one of the five
+rules, the exit code is 2.
+
+  madderdrum drill --case lost --html drill.html   one case, with charts
+  madderdrum drill --seeds 50 --json drill.json    all of them
+  madderdrum drill --sockets --case lost --html drill.html
+  madderdrum drill --boxes 120 --limiters 30 --case flap-twice`
+}
+
+// Run is the command.
+func (c *drillCommand) Run() error {
+	cases, err := drill.Find(c.Case)
+	if err != nil {
+		return fmt.Errorf("--case: %w", err)
+	}
+	if c.List {
+		for _, x := range cases {
+			fmt.Printf("%-12s %s\n", x.Name, x.Text)
+		}
+		return nil
+	}
+	rules, err := drill.FindRules(c.Rule)
+	if err != nil {
+		return fmt.Errorf("--rule: %w", err)
+	}
+	switch {
+	case c.Seeds < 1 || c.Seeds > 1000:
+		return fmt.Errorf("--seeds %d: from 1 to 1000", c.Seeds)
+	case c.Boxes < 12 || c.Boxes > 12_000:
+		return fmt.Errorf("--boxes %d: from 12 to 12000", c.Boxes)
+	case c.Limiters < 2 || c.Limiters > 1000:
+		return fmt.Errorf("--limiters %d: from 2 to 1000", c.Limiters)
+	}
+	if c.Sockets && (len(c.Case) != 1 || c.HTML == "" || len(c.Rule) > 0 || c.JSON != "") {
+		return errors.New("--sockets plays one --case, by the limiter's own rule, and writes --html alone")
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if c.Sockets {
+		program, err := os.Executable()
+		if err != nil {
+			return fmt.Errorf("--sockets: %w", err)
+		}
+		return drill.WritePage(ctx, c.HTML, program, cases[0], nil, 0, 0, c.Seed, nil)
+	}
+	var jobs []drill.Job
+	for _, x := range cases {
+		for _, r := range rules {
+			for k := range c.Seeds {
+				jobs = append(jobs, drill.Job{Case: x, Rule: r, Boxes: c.Boxes, Limiters: c.Limiters, Seed: c.Seed + uint64(k)})
+			}
+		}
+	}
+	bar, done := newProgress(), 0
+	err = drill.RunAll(ctx, jobs, func() {
+		done++
+		bar.played(float64(done) / float64(len(jobs)))
+	})
+	bar.end()
+	if err != nil {
+		return err
+	}
+	rows := drill.Summary(jobs)
+	if err := drill.Write(os.Stdout, rows); err != nil {
+		return err
+	}
+	if c.JSON != "" {
+		if err := drill.Save(c.JSON, rows); err != nil {
+			return err
+		}
+	}
+	if c.HTML != "" {
+		if err := drill.WritePage(ctx, c.HTML, "", cases[0], rules, c.Boxes, c.Limiters, c.Seed, rows); err != nil {
+			return err
+		}
+	}
+	broken := 0
+	for _, r := range rows {
+		broken += r.Broken
+	}
+	if broken > 0 {
+		return fmt.Errorf("%w: %d times", errBroken, broken)
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/madderdrum/rooms_test.go
@@ -0,0 +1,92 @@
+//go:build !platform
+
+package main
+
+import (
+	"context"
+	"os"
+	"os/exec"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"example.org/madderdrum/internal/drill"
+	"example.org/madderdrum/internal/fleet"
+	"example.org/madderdrum/internal/status"
+)
+
+// A room goes and comes back before three real limiters: each sees it lost, gives it its
+// share back in steps until it is well, and breaks no rule.
+func TestRoomLostAndRegained(t *testing.T) {
+	bin := program(t)
+	for name, how := range map[string]string{"killed": "", "silent": " silently"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			ctx, stop := context.WithTimeout(t.Context(), 2*time.Minute)
+			defer stop()
+			c := drill.Case{Name: name, Loss: 3 * time.Second, Back: 7 * time.Second, Length: time.Hour, Load: 0.6,
+				Faults: func(*fleet.Fleet) string { return "room room-a is lost from 3s to 7s" + how }}
+			wasLost := make([]bool, 3)
+			enough := func(at time.Duration, all [][]status.Tier) bool {
+				well := at > c.Back
+				for n, tiers := range all {
+					for _, x := range tiers {
+						wasLost[n] = wasLost[n] || x.Phase == "lost"
+						well = well && x.Phase == "well"
+					}
+					well = well && len(tiers) == 2
+				}
+				return well && wasLost[0] && wasLost[2]
+			}
+			r, err := drill.Sockets(ctx, c, bin, 4, enough)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, b := range r.Breaches {
+				t.Error(b)
+			}
+			for _, n := range []int{0, 2} { // those in the room
+				near := r.Phases[n][0]
+				lost, back := slices.Index(near, "lost"), slices.Index(near, "well")
+				if lost < 0 || !slices.Contains(near[lost:], "returning") && !slices.Contains(near[lost:], "held down") || near[len(near)-1] != "well" || back != 0 {
+					t.Errorf("limiter %d saw its room: %v", n, near)
+				}
+			}
+			if far := r.Phases[1][0]; slices.Contains(far, "lost") {
+				t.Errorf("limiter 1 saw its own room: %v", far)
+			}
+			t.Logf("service %.3f, most work to a warming box in 0.5 s %.2f of what it could do, phases %v", r.Figures.Service, r.Figures.Push, r.Phases)
+		})
+	}
+}
+
+// The command's page is written, and bad input is told.
+func TestDrill(t *testing.T) {
+	bin := program(t)
+	page, table := t.TempDir()+"/drill.html", t.TempDir()+"/drill.json"
+	out, err := exec.Command(bin, "drill", "--case", "half", "--rule", "tiers,none", "--seeds", "2", "--html", page, "--json", table).CombinedOutput()
+	if err != nil || !strings.Contains(string(out), "half  none") {
+		t.Errorf("%v\n%s", err, out)
+	}
+	for _, path := range []string{page, table} {
+		if data, err := os.ReadFile(path); err != nil || !strings.Contains(string(data), "half") {
+			t.Errorf("%s: %v", path, err)
+		}
+	}
+	for want, args := range map[string][]string{
+		`there is no "nix"`:         {"--case", "nix"},
+		`there is no "best"`:        {"--rule", "best"},
+		"from 1 to 1000":            {"--seeds", "0"},
+		"from 12 to 12000":          {"--boxes", "1"},
+		"from 2 to 1000":            {"--limiters", "1"},
+		"--sockets plays one":       {"--sockets"},
+		"played in virtual time":    {"--sockets", "--case", "one-box", "--html", page},
+		"no such file or directory": {"--case", "half", "--seeds", "1", "--json", "/nonexistent/x"},
+	} {
+		out, err := exec.Command(bin, append([]string{"drill"}, args...)...).CombinedOutput()
+		if err == nil || !strings.Contains(string(out), want) {
+			t.Errorf("%v: %v\n%s", args, err, out)
+		}
+	}
+}
--- a/cmd/madderdrum/serve.go
+++ b/cmd/madderdrum/serve.go
@@ -15,12 +15,14 @@
 	"runtime"
 	"runtime/debug"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
 	"example.org/madderdrum/config"
 	"example.org/madderdrum/internal/forwardauth"
 	"example.org/madderdrum/internal/node"
+	"example.org/madderdrum/internal/status"
 	"example.org/madderdrum/route"
 )
 
@@ -44,6 +46,7 @@
 	configFiles
 	Limiter string `short:"l" help:"Which of the configuration's limiters to run; the first one if left out."`
 	Forward string `name:"forward-auth" help:"One more configuration file, with forward_auth blocks; see docs/forwardauth.md." placeholder:"FILE"`
+	Status  string `help:"Show the state of tiers on an address of its own, such as 127.0.0.1:9190: GET /tiers; see docs/rooms.md." placeholder:"HOST:PORT"`
 	Check   bool   `help:"Check the files and end; see also madderdrum check."`
 }
 
@@ -117,6 +120,17 @@
 		go func() { front <- r.front.Run(ctx) }()
 		logger.Info("answering proxies", "listen", r.front.Addr().String(), "proxies", len(asks.Proxies))
 	}
+	looks := make(chan error, 1)
+	looks <- nil
+	if c.Status != "" {
+		s, err := status.Listen(c.Status, r.state, logger)
+		if err != nil {
+			return fmt.Errorf("--status %s: %w", c.Status, err)
+		}
+		<-looks
+		go func() { looks <- s.Run(ctx) }()
+		logger.Info("showing the state of tiers", "listen", s.Addr().String())
+	}
 	r.tellPools()
 	logger.Info("serving", "listen", strings.Join(cfg.Listens(position), " "), "boxes", len(f.Boxes), "pools", len(cfg.Pools), "routes", len(cfg.Routes), "peers", len(nc.Peers))
 	go func() {
@@ -124,13 +138,14 @@
 			r.reload()
 		}
 	}()
-	return errors.Join(n.Run(ctx), <-front)
+	return errors.Join(n.Run(ctx), <-front, <-looks)
 }
 
 // reloader has a running limiter take new versions of its configuration.
 type reloader struct {
 	files    configFiles
 	position int
+	mu       sync.Mutex // round cfg
 	cfg      *config.Config
 	node     *node.Node
 	front    *forwardauth.Service // nil: nobody asks
@@ -173,7 +188,9 @@
 	} else {
 		apply(nil)
 	}
+	r.mu.Lock()
 	r.cfg = next
+	r.mu.Unlock()
 	r.tellPools()
 	for i := range d.Changes {
 		if i == mostLogged {
@@ -193,6 +210,28 @@
 	r.log.Info("the new configuration holds", "changes", len(d.Changes), "grade", d.Grade(), "took", time.Since(begun).Round(time.Millisecond).String())
 }
 
+// state is what operators see of tiers.
+func (r *reloader) state() status.State {
+	r.mu.Lock()
+	c := r.cfg
+	r.mu.Unlock()
+	s := status.State{Limiter: c.Fleet.Limiters[r.position].Name, Tiers: []status.Tier{}}
+	pools := map[uint64]*config.Pool{}
+	for i := range c.Pools {
+		pools[node.PoolID(c.Pools[i].Name)] = &c.Pools[i]
+	}
+	for _, x := range r.node.Tiers() {
+		t := status.Tier{Tier: "the others", Phase: x.Phase.String(), Sole: x.Sole, Share: x.Share, Spilled: x.Spilled, Boxes: x.Boxes, Usable: x.Usable, Next: x.Next}
+		if p := pools[x.Pool]; p != nil { // a new version may hold by now
+			if t.Pool = p.Name; x.Tier < len(p.Tiers) {
+				t.Tier = p.Tiers[x.Tier].Name
+			}
+			s.Tiers = append(s.Tiers, t)
+		}
+	}
+	return s
+}
+
 // tellPools writes the numbers by which the log speaks of pools and tiers.
 func (r *reloader) tellPools() {
 	for _, p := range r.cfg.Pools {
--- a/internal/loopback/limiters.go
+++ b/internal/loopback/limiters.go
@@ -295,10 +295,15 @@
 func startProgram(program, config string, log func(int) *os.File, n int) (Process, error) {
 	cmd := exec.Command(program)
 	cmd.Env = []string{"NODE_CONFIG=" + config}
-	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // nothing is left behind
 	if log != nil {
 		cmd.Stderr = log(n)
 	}
+	return StartCommand(cmd)
+}
+
+// StartCommand starts a command as a limiter's process, which is killed with this one.
+func StartCommand(cmd *exec.Cmd) (Process, error) {
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // nothing is left behind
 	if err := cmd.Start(); err != nil {
 		return nil, fmt.Errorf("starting the program: %w", err)
 	}
--- a/internal/loopback/served.go
+++ b/internal/loopback/served.go
@@ -45,7 +45,7 @@
 		fmt.Fprintf(&b, "limiter \"n%d\" {\n room = %q\n listen = %q\n peer = %q\n}\n", i, []string{"room-a", "room-b"}[i%2], listen, peer)
 	}
 	for _, h := range c.Known.Hosts {
-		fmt.Fprintf(&b, "box %q {\n room = %q\n pod = %d\n dial = %q\n cores = 2\n slots = 16\n queue = 40\n}\n", h.Host, h.Site, h.Block, h.Dial)
+		fmt.Fprintf(&b, "box %q {\n room = %q\n pod = %d\n dial = %q\n cores = 2\n slots = 16\n queue = 40\n cold_from = \"25%%\"\n cold_for = \"12s\"\n}\n", h.Host, h.Site, h.Block, h.Dial)
 	}
 	b.WriteString(text[rest:])
 	return b.String(), nil
--- a/internal/node/asks.go
+++ b/internal/node/asks.go
@@ -56,6 +56,13 @@
 	}
 }
 
+// Tiers returns the tiers of all pools as they are now.
+func (n *Node) Tiers() []limiter.TierState {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.limiter.Tiers(n.now())
+}
+
 // Tell sends a datagram to another limiter, which may be lost.
 func (n *Node) Tell(to int, data []byte) {
 	n.mu.Lock()
--- a/internal/policies/priority.go
+++ b/internal/policies/priority.go
@@ -75,6 +75,7 @@
 func newPriority(s limiter.Settings, seed uint64, pick func([]float64, float64) int) (virtual.Policy, error) {
 	tiers := len(s.Spills[0])
 	s.Spills = nil
+	s.Rules.ColdShare = 0 // its rule for cold boxes would give them hardly anything: that goes by the pool's traffic
 	inner, err := limiter.New(s, seed)
 	if err != nil {
 		return nil, err
