Tiers choose boxes by labels too

Tiers knew rooms alone. A box has labels, a tier those that it chooses; a box that several tiers choose is in the one of the lowest rank. A label that no box has, or that is in two tiers, is told with its place. Boxes of an agent have no labels: the platform's form of a list knows none.

--- a/cmd/madderdrum/serve.go
+++ b/cmd/madderdrum/serve.go
@@ -326,7 +326,7 @@
 				continue // no request can go there
 			}
 			s.Pool = pools[of[i]]
-			s.Tier = c.Pools[of[i]].Tiers.Of(b.Room, f.Limiters[position].Room)
+			s.Tier = c.Pools[of[i]].Tiers.Of(b.Room, b.Labels, f.Limiters[position].Room)
 		}
 		d.Servers = append(d.Servers, s)
 	}
@@ -349,7 +349,7 @@
 		}
 		s := node.Source{Pool: p.Name, Addr: p.Discovery, Tiers: map[string]int{}}
 		for room, name := range f.Rooms {
-			s.Tiers[name] = p.Tiers.Of(room, f.Limiters[position].Room)
+			s.Tiers[name] = p.Tiers.Of(room, nil, f.Limiters[position].Room)
 		}
 		d.Sources = append(d.Sources, s)
 	}
--- a/config/build.go
+++ b/config/build.go
@@ -213,7 +213,7 @@
 	rules := b.only("rules")
 	for _, o := range b.each("box") {
 		n := max(1, o.whole("count"))
-		x := fleet.Box{Name: o.label, Room: b.rooms[o.text("room")], Pod: o.whole("pod"), Dial: o.text("dial"), Cores: o.num("cores"), Speed: o.num("speed"),
+		x := fleet.Box{Name: o.label, Room: b.rooms[o.text("room")], Labels: o.list("labels"), Pod: o.whole("pod"), Dial: o.text("dial"), Cores: o.num("cores"), Speed: o.num("speed"),
 			Slots: o.whole("slots"), Queue: o.whole("queue"), Thrash: o.num("thrash"), ThrashAt: o.num("thrash_at"), Connections: o.whole("connections"),
 			Handshake: o.dur("handshake"), ColdFrom: o.num("cold_from"), ColdFor: o.dur("cold_for"), WarmAfter: o.whole("warm_after"),
 			Report:    fleet.Report{Every: o.dur("report_every"), Delay: o.dur("report_delay"), Noise: o.num("report_noise")},
@@ -350,7 +350,12 @@
 // tiers are those of a pool, by rank.
 func (b *builder) tiers(o *object) fleet.Tiers {
 	var subs []*object
-	ranks, rooms := map[int]*object{}, map[string]*object{}
+	ranks, rooms, labels, known := map[int]*object{}, map[string]*object{}, map[string]*object{}, map[string]bool{}
+	for _, x := range b.c.Fleet.Boxes {
+		for _, label := range x.Labels {
+			known[label] = true
+		}
+	}
 	for _, s := range o.subs {
 		subs = append(subs, s)
 		if other := ranks[s.whole("rank")]; other != nil && s.given("rank") {
@@ -363,14 +368,26 @@
 			}
 			rooms[room] = s
 		}
-		if len(s.list("rooms")) == 0 && s.text("own_room") != "yes" && (s.given("rooms") || !s.misspelt("rooms")) {
-			b.add("tier-empty", s.at, `add rooms = ["room-a"], or own_room = "yes"`, "tier %q has no boxes", s.label)
+		for i, label := range s.vals["labels"].raw {
+			if other := labels[label]; other != nil {
+				b.add("tier-overlap", s.vals["labels"].items[i], "take it out of one of them", "label %q is in tiers %q and %q", label, other.label, s.label).also(other.place("labels"))
+			}
+			if labels[label] = s; !known[label] && !b.partial {
+				fix := fmt.Sprintf("add labels = [%q] to the boxes that the tier is to have", label)
+				if len(known) > 0 {
+					fix = instead(label, slices.Sorted(maps.Keys(known)))
+				}
+				b.add("unknown-name", s.vals["labels"].items[i], fix, "no box has the label %q", label)
+			}
+		}
+		if len(s.list("rooms")) == 0 && len(s.list("labels")) == 0 && s.text("own_room") != "yes" && (s.given("rooms") || !s.misspelt("rooms")) {
+			b.add("tier-empty", s.at, `add rooms = ["room-a"], labels = ["rack-7"] or own_room = "yes"`, "tier %q has no boxes", s.label)
 		}
 	}
 	slices.SortStableFunc(subs, func(x, y *object) int { return x.whole("rank") - y.whole("rank") })
 	var tiers fleet.Tiers
 	for _, s := range subs {
-		t := fleet.Tier{Name: s.label, OwnRoom: s.text("own_room") == "yes", Spill: s.num("spill")}
+		t := fleet.Tier{Name: s.label, Labels: s.list("labels"), OwnRoom: s.text("own_room") == "yes", Spill: s.num("spill")}
 		for _, room := range s.list("rooms") {
 			t.Rooms = append(t.Rooms, b.rooms[room])
 		}
--- a/config/schema.go
+++ b/config/schema.go
@@ -188,6 +188,7 @@
 	{kind: "box", label: "name", doc: "A sender box, or with `count` several: NAME0, NAME1 and so on, on ports in a row.", fields: []field{
 		count("count", "1", 1, maxCount, "how many"),
 		ref("room", "room", "where it stands").must(),
+		{name: "labels", kind: kText, list: true, example: `"rack-7"`, doc: "by which tiers of pools may choose it", change: effect{Care, "tiers choose it by the labels %s"}},
 		address("dial", "where it listens; with `count`, the first of them").turn(Care, "requests for it go to %s"),
 		count("pod", "0", 0, maxCount, "boxes of one pod drop each other's repeats of a key"),
 		count("pod_size", "100000", 1, maxCount, "with `count`: so many to a pod"),
@@ -209,11 +210,12 @@
 	{kind: "pool", label: "name", doc: "Boxes that take requests of their own. A box is in one pool. Where there is no pool, all boxes are one.", fields: []field{
 		{name: "members", kind: kText, list: true, example: `"a*"`, doc: "names of boxes, or patterns with * and ? such as \"a*\"", change: effect{Care, "its requests go to %s"}},
 		address("discovery", "of a discovery agent that tells its boxes, in the platform's form (`GET /v1/servers`); each box's `site` is a room").atStart()},
-		blocks: []*block{{kind: "tier", label: "name", doc: "Boxes that are preferred by their rooms. A request goes to the tier of the lowest rank that can take it; boxes that no tier has come last. A tier that was lost is given its traffic back in steps.", fields: []field{
+		blocks: []*block{{kind: "tier", label: "name", doc: "Boxes that are preferred, by their rooms or labels. A box that several tiers choose is in the one of the lowest rank. A request goes to the tier of the lowest rank that can take it; boxes that no tier has come last. A tier that was lost is given its traffic back in steps.", fields: []field{
 			count("rank", "", 1, 16, "1 is preferred").must().turn(Care, "its boxes are tried in another order"),
 			ref("rooms", "room", "whose boxes it has").many().turn(Care, "requests are tried first, or later, in %s"),
+			{name: "labels", kind: kText, list: true, example: `"rack-7"`, doc: "whose boxes it has", change: effect{Care, "requests are tried first, or later, at boxes with the labels %s"}},
 			word("own_room", "no", []string{"no", "yes"}, "whether it has the boxes of the limiter's own room, each limiter's another").turn(Care, "each limiter prefers its own room: %s"),
-			share("spill", "100%", 1, "of its requests that may go on to the next tier while some box of it can be used; the others are refused at once").grow(Care, "up to %s of its requests go on to the next tier").fall(Care, "no more than %s of its requests go on; more are refused")}}}},
+			share("spill", "100%", 1, "of its requests that may go on to the next tier while half of its boxes can be used; the others are refused at once, those worth least first").grow(Care, "up to %s of its requests go on to the next tier").fall(Care, "no more than %s of its requests go on; more are refused")}}}},
 	{kind: "policy", label: "name", doc: "Settings that routes share by name; a route's own fields go before.", fields: policyFields},
 	{kind: "route", label: "name", doc: "Takes the requests that meet all its conditions to a pool. Which of several routes takes a request is told below; the order in the file never counts. A request that no route takes is answered 404. Where there is no route, all requests go to the one pool.", fields: append([]field{
 		{name: "host", kind: kHost, doc: "condition: `Host`, as a name, or `*.` and a domain"},
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -32,19 +32,21 @@
 // Tier is a part of a pool's boxes that is preferred to those after it.
 type Tier struct {
 	Name    string
-	Rooms   []int // of the fleet
-	OwnRoom bool  // and the limiter's own
+	Rooms   []int    // of the fleet
+	OwnRoom bool     // and the limiter's own
+	Labels  []string // and boxes with one of these
 	Spill   float64
 }
 
 // Tiers are those of a pool by rank.
 type Tiers []Tier
 
-// Of is the tier of a box that stands in a room, for a limiter; those of no tier come
-// after all.
-func (t Tiers) Of(room, limiterRoom int) int {
+// Of is the tier of a box with labels that stands in a room, for a limiter: the first that
+// has it. Those of no tier come after all.
+func (t Tiers) Of(room int, labels []string, limiterRoom int) int {
 	for k := range t {
-		if t[k].OwnRoom && room == limiterRoom || slices.Contains(t[k].Rooms, room) {
+		if t[k].OwnRoom && room == limiterRoom || slices.Contains(t[k].Rooms, room) ||
+			slices.ContainsFunc(labels, func(l string) bool { return slices.Contains(t[k].Labels, l) }) {
 			return k
 		}
 	}
@@ -104,6 +106,7 @@
 type Box struct {
 	Name        string
 	Room        int
+	Labels      []string
 	Pod         int // boxes of one pod drop each other's repeats
 	Dial        string
 	Cores       float64
--- /dev/null
+++ b/internal/fleet/tiers_test.go
@@ -0,0 +1,24 @@
+package fleet
+
+import "testing"
+
+// A box is in the first tier that has its room, one of its labels, or is the limiter's own
+// room; those that none has come after all.
+func TestTiersOf(t *testing.T) {
+	tiers := Tiers{{Name: "new", Labels: []string{"new", "rack-1"}}, {Name: "own", OwnRoom: true}, {Name: "b", Rooms: []int{1}}}
+	for _, x := range []struct {
+		room    int
+		labels  []string
+		limiter int
+		want    int
+	}{
+		{0, nil, 0, 1}, {1, nil, 0, 2}, {1, nil, 1, 1}, {2, nil, 0, 3}, {2, []string{"old", "rack-1"}, 0, 0}, {1, []string{"new"}, 1, 0}, {2, []string{"old"}, 0, 3},
+	} {
+		if got := tiers.Of(x.room, x.labels, x.limiter); got != x.want {
+			t.Errorf("%+v: tier %d", x, got)
+		}
+	}
+	if s := tiers.Spills(); len(s) != 4 || s[3] != 0 {
+		t.Errorf("spills %v", s)
+	}
+}
--- a/internal/virtual/host.go
+++ b/internal/virtual/host.go
@@ -516,7 +516,7 @@
 		info := limiter.ServerInfo{ID: uint64(e.Box + 1), Zone: spec.Room, Cell: spec.Pod, Weight: 1,
 			Phase: [...]limiter.Phase{limiter.Up, limiter.Draining, limiter.Removed}[e.Health]}
 		if f := h.d.o.Fleet; len(f.Tiers) > 0 {
-			info.Tier = f.Tiers.Of(spec.Room, f.Limiters[h.n].Room)
+			info.Tier = f.Tiers.Of(spec.Room, spec.Labels, f.Limiters[h.n].Room)
 		}
 		if e.Born >= 0 {
 			info.ReadyAt = ms(e.Born)
