--- a/limiter/choice.go
+++ b/limiter/choice.go
@@ -165,7 +165,9 @@
 		if p.seen[r.class] >= seenWell {
 			took = e.SpentMs / max(1, p.work[r.class]*p.curve(a.load)) * l.warmth(now, s)
 		}
-		p.tiers.Proved(now, p.tierOf(s), e.Result == Pass, took)
+		if e.Result != TooSlow || took >= 2 { // clients in a hurry say nothing of a tier
+			p.tiers.Proved(now, p.tierOf(s), e.Result == Pass, took)
+		}
 	}
 	if e.Result == Pass || e.Result == Fault || e.Result == Cut || e.Result == TooSlow {
 		p.failed -= pressWeight * p.failed
--- a/limiter/choice_test.go
+++ b/limiter/choice_test.go
@@ -137,3 +137,61 @@
 		})
 	}
 }
+
+// The cost of one request, from its coming to its end, with all servers alike and in two
+// tiers, and of a tick, which looks at each server.
+func BenchmarkTiers(b *testing.B) {
+	for _, n := range []int{12, 120, 1200} {
+		for _, kind := range []string{"alike", "tiers", "returning"} {
+			set := func(b *testing.B) (*Limiter, float64) {
+				cfg := testSettings()
+				cfg.Plans = []Plan{{Rate: 1e9, Burst: 1e9, Price: 1}}
+				if cfg.Balancers = 3; kind != "alike" {
+					cfg.Spills = map[uint64][]float64{0: {0.3, 0}}
+				}
+				l, err := New(cfg, 1)
+				if err != nil {
+					b.Fatal(err)
+				}
+				servers := fleet(n)
+				for i := range servers {
+					servers[i].Tier = i % 2
+				}
+				l.Handle(1000, Endpoints{Scope: Persisted, Servers: servers})
+				l.Handle(1050, Alarm{Handle: "tick"})
+				if kind == "returning" {
+					for _, s := range l.order {
+						s.down = s.info.Tier == 0
+					}
+					l.Handle(1100, Alarm{Handle: "tick"})
+					for _, s := range l.order {
+						s.down = false
+					}
+					l.Handle(1150, Alarm{Handle: "tick"})
+				}
+				return l, 1200
+			}
+			b.Run(fmt.Sprintf("request/servers=%d/%s", n, kind), func(b *testing.B) {
+				l, now := set(b)
+				b.ReportAllocs()
+				for k := range b.N {
+					now += 0.01
+					id := fmt.Sprint(k)
+					for _, a := range l.Handle(now, Submit{ID: id, ExpiresMs: 900, Units: 1, Customer: uint64(k % 300), Spread: 3}) {
+						if p, ok := a.(PassOn); ok {
+							l.Handle(now, Outcome{ID: id, Server: p.Server, Result: Pass, SpentMs: 20, Done: true})
+							break
+						}
+					}
+				}
+			})
+			b.Run(fmt.Sprintf("tick/servers=%d/%s", n, kind), func(b *testing.B) {
+				l, now := set(b)
+				for range b.N {
+					now += 50
+					l.Handle(now, Alarm{Handle: "tick"})
+				}
+			})
+		}
+	}
+}
--- a/limiter/pool_test.go
+++ b/limiter/pool_test.go
@@ -492,3 +492,21 @@
 		t.Errorf("%+v", all)
 	}
 }
+
+// Clients that give their requests hardly any time do not make a tier fail.
+func TestTiersHurriedClients(t *testing.T) {
+	h := tiered(t)
+	h.went(100, func(uint64) Result { return Pass })
+	for i := range 200 {
+		h.now += 100
+		id := fmt.Sprint("hurried", i)
+		h.give(Submit{ID: id, Spread: 1, Units: 1, Customer: 1, Pool: 7, ExpiresMs: 15})
+		if len(h.sent[id]) > 0 && h.end[id] == "" {
+			h.outcome(id, TooSlow)
+		}
+		h.give(Alarm{Handle: "tick"})
+	}
+	if x := h.l.Tiers(h.now)[0]; x.Phase != routing.Well {
+		t.Errorf("%+v", x)
+	}
+}
