--- a/cmd/madderdrum/reload_test.go
+++ b/cmd/madderdrum/reload_test.go
@@ -180,7 +180,7 @@
 	f := config.Bluebird()
 	over, reloaded := make(chan struct{}), make(chan error, 1)
 	var early, late [3]int
-	o := loopback.Options{Fleet: f, Seed: 3, Program: bin, Source: &until{Source: world.NewSynthetic(f, 3, time.Hour), over: over},
+	o := loopback.Options{Fleet: f, Seed: 3, Program: bin, Source: world.Until(world.NewSynthetic(f, 3, time.Hour), over),
 		Start: func(config string, n int) (loopback.Process, error) {
 			s, err := startReloadable(bin, dir, config, n)
 			limiters[n] = s
@@ -249,18 +249,3 @@
 	}
 	t.Logf("%v: %d asked, service %.3f, memory %v to %v KiB, %v", r.Length.Round(time.Millisecond), m.Total.Asked, m.Figure().Whole, early, late, r.World.Notes)
 }
-
-// until is a source that ends with a channel.
-type until struct {
-	world.Source
-	over <-chan struct{}
-}
-
-func (u *until) Next() (world.Arrival, bool) {
-	select {
-	case <-u.over:
-		return world.Arrival{}, false
-	default:
-		return u.Source.Next()
-	}
-}
--- a/internal/drill/sockets.go
+++ b/internal/drill/sockets.go
@@ -68,7 +68,7 @@
 	looking, stop := context.WithCancel(ctx)
 	defer stop()
 	var tasks sync.WaitGroup
-	o := loopback.Options{Fleet: f, Seed: seed, Source: &until{Source: world.NewSynthetic(f, seed, c.Length), over: over}, Faults: faults,
+	o := loopback.Options{Fleet: f, Seed: seed, Source: world.Until(world.NewSynthetic(f, seed, c.Length), over), Faults: faults,
 		Program: program, Start: l.start, Sample: sampleEvery, PushFor: pushFor,
 		Ready: func(r *loopback.Run) {
 			tasks.Go(func() {
@@ -187,18 +187,3 @@
 	defer w.Body.Close()
 	return s, json.NewDecoder(io.LimitReader(w.Body, 1<<20)).Decode(&s)
 }
-
-// until is a source that ends with a channel.
-type until struct {
-	world.Source
-	over <-chan struct{}
-}
-
-func (u *until) Next() (world.Arrival, bool) {
-	select {
-	case <-u.over:
-		return world.Arrival{}, false
-	default:
-		return u.Source.Next()
-	}
-}
--- a/internal/world/clients.go
+++ b/internal/world/clients.go
@@ -286,3 +286,20 @@
 	a.Work = s.draw.Work(a.Class)
 	return a, true
 }
+
+// Until returns a source that ends when a channel is closed, if not before.
+func Until(s Source, over <-chan struct{}) Source { return &until{s, over} }
+
+type until struct {
+	Source
+	over <-chan struct{}
+}
+
+func (u *until) Next() (Arrival, bool) {
+	select {
+	case <-u.over:
+		return Arrival{}, false
+	default:
+		return u.Source.Next()
+	}
+}
