--- a/limiter/health.go
+++ b/limiter/health.go
@@ -92,8 +92,8 @@
 		}
 		for _, k := range p.tiers.Step(now) {
 			x := p.tiers.State(now, k)
-			l.log("pool %d: tier %d is %v and takes %.0f%% of its requests, %d of %d servers usable; next: %s",
-				id, k, x.Phase, x.Share*100, x.Usable, x.Boxes, x.Next)
+			l.log("pool %d: tier %d is %v and takes %.0f%% of its requests, %d of %d servers usable",
+				id, k, x.Phase, x.Share*100, x.Usable, x.Boxes)
 		}
 	}
 }
