--- a/plugin/plugin.go
+++ b/plugin/plugin.go
@@ -285,7 +285,7 @@
 	}
 	defer p.calls.Done()
 	p.Counts.Calls.Add(1)
-	i, err := p.take(ctx)
+	i, err := p.take()
 	if err == nil {
 		a, err = p.ask(ctx, i, r)
 	}
@@ -316,26 +316,37 @@
 	}
 }
 
-// take takes a free instance, or makes one while there is a place.
-func (p *Plugin) take(ctx context.Context) (*instance, error) {
+// take takes a free instance. With none free it has a further one started, while there is a
+// place, and does not wait for it: a start is no part of a request's budget.
+func (p *Plugin) take() (*instance, error) {
 	select {
 	case i := <-p.free:
 		return i, nil
 	default:
 	}
 	select {
-	case i := <-p.free:
-		return i, nil
 	case p.taken <- struct{}{}:
-		i, err := p.start(ctx)
+		p.more()
+	default:
+	}
+	p.Counts.Busy.Add(1)
+	return nil, ErrBusy
+}
+
+// more starts an instance, whose place is taken, beside the requests. It is called while
+// a call is counted, so that Close waits for it.
+func (p *Plugin) more() {
+	p.calls.Add(1)
+	go func() {
+		defer p.calls.Done()
+		i, err := p.start(context.Background())
 		if err != nil {
 			<-p.taken
+			p.ended(false)
+			return
 		}
-		return i, err
-	default:
-		p.Counts.Busy.Add(1)
-		return nil, ErrBusy
-	}
+		p.free <- i
+	}()
 }
 
 // ask makes one call. An instance that did not end it in good order is thrown away: what it
@@ -344,7 +355,7 @@
 	defer func() {
 		if err != nil {
 			i.module.Close(context.WithoutCancel(ctx))
-			<-p.taken
+			p.more()
 			return
 		}
 		p.free <- i
