--- a/internal/drill/drill.go
+++ b/internal/drill/drill.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"runtime"
 	"slices"
@@ -62,18 +63,17 @@
 // day with faults that stay.
 func Run(ctx context.Context, c Case, r Rule, boxes, limiters int, seed uint64) (Figures, error) {
 	c = c.times()
-	day, err := play(ctx, c, r, boxes, limiters, seed, asItIs, 0)
-	if err != nil {
-		return Figures{}, err
+	var all [kinds]*played
+	var errs [kinds]error
+	var group sync.WaitGroup
+	for as := range kinds {
+		group.Go(func() { all[as], errs[as] = play(ctx, c, r, boxes, limiters, seed, as, 0) })
 	}
-	calm, err := play(ctx, c, r, boxes, limiters, seed, calm, 0)
-	if err != nil {
-		return Figures{}, err
-	}
-	away, err := play(ctx, c, r, boxes, limiters, seed, staying, 0)
-	if err != nil {
+	group.Wait()
+	if err := errors.Join(errs[:]...); err != nil {
 		return Figures{}, err
 	}
+	day, calm, away := all[asItIs], all[calm], all[staying]
 	f := day.figures
 	usual := calm.earned(0, c.Length) / c.Length.Seconds()
 	f.AtLoss = (calm.earned(c.Loss, c.Back) - day.earned(c.Loss, c.Back)) / usual
@@ -115,6 +115,7 @@
 	asItIs  kind = iota
 	calm         // without its faults
 	staying      // with faults that do not end when the room returns
+	kinds
 )
 
 // played is one play of a day.
