A call that was not made does not let a benched plug-in back

A trial that found no free instance, or whose client left, counted as a success: the plug-in was back in service, and a row of faults was forgotten. Such calls now say nothing.

--- a/plugin/breaker.go
+++ b/plugin/breaker.go
@@ -55,6 +55,10 @@
 	return change
 }
 
+// Void takes in that a call that was allowed says nothing of the plug-in: it was not made,
+// or its client left. A trial is still to come then.
+func (b *Breaker) Void() { b.trial = false }
+
 // Reset lets a plug-in back at once.
 func (b *Breaker) Reset() { *b = Breaker{} }
 
--- a/plugin/offer.go
+++ b/plugin/offer.go
@@ -43,7 +43,7 @@
 		return p.counters.Add(p.now(), data, amount, time.Duration(ms*float64(time.Millisecond)))
 	}).Export("count")
 	b.NewFunctionBuilder().WithFunc(func(ctx context.Context, m api.Module, text, size uint32) {
-		p.logged1(p.read(ctx, m, text, size))
+		p.says(p.read(ctx, m, text, size))
 	}).Export("log")
 	b.NewFunctionBuilder().WithFunc(func(ctx context.Context) int64 {
 		used(ctx, p.limits.HostCalls)
@@ -81,8 +81,8 @@
 	return data
 }
 
-// logged1 passes a line on while the budget lasts.
-func (p *Plugin) logged1(text []byte) {
+// says passes a line on while the budget lasts.
+func (p *Plugin) says(text []byte) {
 	text = text[:min(len(text), mostLine)]
 	p.mu.Lock()
 	now := p.now()
--- a/plugin/plugin.go
+++ b/plugin/plugin.go
@@ -290,7 +290,9 @@
 		a, err = p.ask(ctx, i, r)
 	}
 	if errors.Is(err, ErrBusy) || err != nil && ctx.Err() != nil { // not its fault
-		p.ended(true)
+		p.mu.Lock()
+		p.breaker.Void()
+		p.mu.Unlock()
 		return advice.Advice{}, err
 	}
 	p.ended(err == nil)
--- a/plugin/plugin_test.go
+++ b/plugin/plugin_test.go
@@ -268,6 +268,17 @@
 	fail(0)
 	fail(0)
 	b.Done(0, true) // one that goes well ends the row
+	fail(0)
+	b.Void() // and one that says nothing does not
+	fail(0)
+	if !b.Allow(0) {
+		t.Error("benched after two faults")
+	}
+	fail(0)
+	if b.Allow(0) {
+		t.Error("not benched after three")
+	}
+	b.Reset()
 	for range 3 {
 		fail(time.Second)
 	}
@@ -282,7 +293,14 @@
 		pause = min(mostPause, 2*pause)
 	}
 	now += pause
-	if !b.Allow(now) || !b.Done(now, true) || !b.Allow(now) {
+	if !b.Allow(now) {
+		t.Error("no trial")
+	}
+	b.Void() // its client left: that is no success
+	if _, benched := b.Benched(); !benched {
+		t.Error("let back by a trial that was not made")
+	}
+	if !b.Allow(now) || b.Allow(now) || !b.Done(now, true) || !b.Allow(now) {
 		t.Error("not let back")
 	}
 }
