--- a/plugin/counters.go
+++ b/advice/counters.go
@@ -1,4 +1,4 @@
-package plugin
+package advice
 
 import (
 	"math"
@@ -18,10 +18,12 @@
 	at    time.Duration
 }
 
+// MostHalf is the longest half-life of a sum.
+const MostHalf = time.Hour
+
 const (
 	mostKey   = 64 // bytes
 	leastHalf = 10 * time.Millisecond
-	mostHalf  = time.Hour
 	mostSum   = 1e15
 )
 
@@ -35,7 +37,7 @@
 	if len(key) > mostKey || math.IsNaN(amount) || math.IsInf(amount, 0) {
 		return 0
 	}
-	half = max(leastHalf, min(mostHalf, half))
+	half = max(leastHalf, min(MostHalf, half))
 	s, have := c.sums[string(key)]
 	if have {
 		s.value *= math.Exp2(-float64(now-s.at) / float64(s.half))
--- a/cmd/madderdrum/serve.go
+++ b/cmd/madderdrum/serve.go
@@ -105,8 +105,7 @@
 		return err
 	}
 	r := &reloader{files: c.configFiles, position: position, cfg: cfg, node: n, log: logger}
-	front := make(chan error, 1)
-	front <- nil
+	var beside []func(context.Context) error // what runs beside the node
 	for i := range cfg.ForwardAuth {
 		if cfg.ForwardAuth[i].Limiter != nc.Name {
 			continue
@@ -116,19 +115,15 @@
 			return err
 		}
 		n.Attach(r.front)
-		<-front
-		go func() { front <- r.front.Run(ctx) }()
+		beside = append(beside, r.front.Run)
 		logger.Info("answering proxies", "listen", r.front.Addr().String(), "proxies", len(asks.Proxies))
 	}
-	looks := make(chan error, 1)
-	looks <- nil
 	if c.Status != "" {
 		s, err := status.Listen(c.Status, r.state, logger)
 		if err != nil {
 			return fmt.Errorf("--status %s: %w", c.Status, err)
 		}
-		<-looks
-		go func() { looks <- s.Run(ctx) }()
+		beside = append(beside, s.Run)
 		logger.Info("showing the state of tiers", "listen", s.Addr().String())
 	}
 	r.tellPools()
@@ -138,7 +133,14 @@
 			r.reload()
 		}
 	}()
-	return errors.Join(n.Run(ctx), <-front, <-looks)
+	errs := make([]error, len(beside))
+	var tasks sync.WaitGroup
+	for i, run := range beside {
+		tasks.Go(func() { errs[i] = run(ctx) })
+	}
+	err = n.Run(ctx)
+	tasks.Wait()
+	return errors.Join(append(errs, err)...)
 }
 
 // reloader has a running limiter take new versions of its configuration.
--- a/plugin/offer.go
+++ b/plugin/offer.go
@@ -10,6 +10,8 @@
 
 	"github.com/tetratelabs/wazero/api"
 	"github.com/tetratelabs/wazero/imports/wasi_snapshot_preview1"
+
+	"example.org/madderdrum/advice"
 )
 
 // hostFunctions are what a module may import from hostModule.
@@ -34,7 +36,7 @@
 	b := p.runtime.NewHostModuleBuilder(hostModule)
 	b.NewFunctionBuilder().WithFunc(func(ctx context.Context, m api.Module, key, size uint32, amount, half float64) float64 {
 		data := p.read(ctx, m, key, size)
-		ms := max(0, min(half, float64(mostHalf/time.Millisecond)))
+		ms := max(0, min(half, float64(advice.MostHalf/time.Millisecond)))
 		if math.IsNaN(ms) {
 			ms = 0
 		}
--- a/plugin/plugin.go
+++ b/plugin/plugin.go
@@ -85,7 +85,7 @@
 
 	mu       sync.Mutex // round what follows
 	breaker  Breaker
-	counters *Counters
+	counters *advice.Counters
 	rng      *rand.Rand
 	logged   int
 	loggedAt time.Duration
@@ -136,7 +136,7 @@
 	}
 	begun := time.Now()
 	p := &Plugin{name: o.Name, limits: limits, now: o.Now, log: o.Log, free: make(chan *instance, limits.Instances),
-		taken: make(chan struct{}, limits.Instances), counters: NewCounters(limits.Counters), rng: rand.New(rand.NewPCG(o.Seed, 0x9a))}
+		taken: make(chan struct{}, limits.Instances), counters: advice.NewCounters(limits.Counters), rng: rand.New(rand.NewPCG(o.Seed, 0x9a))}
 	if p.now == nil {
 		p.now = func() time.Duration { return time.Since(begun) }
 	}
