--- a/cmd/madderdrum/reload_test.go
+++ b/cmd/madderdrum/reload_test.go
@@ -23,17 +23,13 @@
 
 // reloadable is a limiter that runs as `madderdrum serve` of a file that changes.
 type reloadable struct {
+	loopback.Process
 	cmd  *exec.Cmd
 	file string
 	log  *replies
-	done chan struct{}
 	text func(version int) string
 }
 
-func (s *reloadable) Done() <-chan struct{} { return s.done }
-func (s *reloadable) Kill()                 { s.cmd.Process.Kill() }
-func (s *reloadable) Stop()                 { s.cmd.Process.Signal(syscall.SIGTERM) }
-
 // replies counts the lines in which a limiter says what came of a reload.
 type replies struct {
 	mu     sync.Mutex
@@ -133,7 +129,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &reloadable{file: filepath.Join(dir, fmt.Sprintf("n%d.hcl", n)), log: &replies{news: make(chan struct{}, 1)}, done: make(chan struct{}),
+	s := &reloadable{file: filepath.Join(dir, fmt.Sprintf("n%d.hcl", n)), log: &replies{news: make(chan struct{}, 1)},
 		text: func(version int) string {
 			routes, rest := versions[version%len(versions)](reloadRoutes, whole)
 			return routes + rest
@@ -142,15 +138,10 @@
 		return nil, err
 	}
 	s.cmd = exec.Command(bin, "serve", s.file, "--limiter", fmt.Sprint("n", n))
-	s.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	s.cmd.Stderr = s.log
-	if err := s.cmd.Start(); err != nil {
+	if s.Process, err = loopback.StartCommand(s.cmd); err != nil {
 		return nil, err
 	}
-	go func() {
-		s.cmd.Wait()
-		close(s.done)
-	}()
 	return s, nil
 }
 
--- a/internal/forwardauth/mixed_test.go
+++ b/internal/forwardauth/mixed_test.go
@@ -13,7 +13,6 @@
 	"path/filepath"
 	"strings"
 	"sync"
-	"syscall"
 	"testing"
 	"time"
 
@@ -25,16 +24,6 @@
 	"example.org/madderdrum/internal/world"
 )
 
-// served is a limiter that runs as `madderdrum serve --forward-auth`.
-type served struct {
-	cmd  *exec.Cmd
-	done chan struct{}
-}
-
-func (s *served) Done() <-chan struct{} { return s.done }
-func (s *served) Kill()                 { s.cmd.Process.Kill() }
-func (s *served) Stop()                 { s.cmd.Process.Signal(syscall.SIGTERM) }
-
 // secretOf is what a stand-in proxy of a dialect shows.
 func secretOf(dialect, mode string) string { return "the-secret-of-" + dialect + "-" + mode }
 
@@ -66,19 +55,11 @@
 			return nil, err
 		}
 	}
-	s := &served{cmd: exec.Command(program, "serve", fleetFile, "--limiter", fmt.Sprint("n", n), "--forward-auth", askFile), done: make(chan struct{})}
-	s.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	cmd := exec.Command(program, "serve", fleetFile, "--limiter", fmt.Sprint("n", n), "--forward-auth", askFile)
 	if os.Getenv("LOOPBACK_LOG") != "" {
-		s.cmd.Stderr = os.Stderr
-	}
-	if err := s.cmd.Start(); err != nil {
-		return nil, err
+		cmd.Stderr = os.Stderr
 	}
-	go func() {
-		s.cmd.Wait()
-		close(s.done)
-	}()
-	return s, nil
+	return loopback.StartCommand(cmd)
 }
 
 // Three limiters of the built program, a killed one among them, peers' messages lost at
