--- a/advice/advice.go
+++ b/advice/advice.go
@@ -19,13 +19,15 @@
 	Avoid    string
 }
 
-// Failure is what becomes of a request when a plug-in fails.
-type Failure int
+// Failures are the ways in which a plug-in may give no advice.
+type Failures uint8
 
-// What may become of it.
+// The ways. A request for which a plug-in fails in a way that is not in its [Grant] goes on
+// as if it had no opinion.
 const (
-	GoOn   Failure = iota // as if the plug-in had no opinion
-	Refuse                // the plug-in guards something
+	OnFault   Failures = 1 << iota // it trapped, ran past its budget, or said what can't be read
+	OnBenched                      // it is not asked for a while, after faults
+	OnBusy                         // it had no instance free, or no time was left for it
 )
 
 // Grant is what the operator lets a plug-in say. The zero value grants nothing.
@@ -36,7 +38,7 @@
 	Raise      float64 // the greatest factor; 0 or 1: it may not raise one
 	Label      bool
 	Tiers      bool
-	OnFailure  Failure
+	RefuseOn   Failures // what becomes a refusal, of a plug-in that guards something
 }
 
 // within brings advice within a grant. NaN and infinities are no opinion.
@@ -112,10 +114,10 @@
 	return !c.Refuse
 }
 
-// Failed takes in that the plug-in at a place failed.
-func (c *Combined) Failed(place int, g *Grant) (more bool) {
-	if g.OnFailure == Refuse {
-		c.Refuse, c.By, c.Reason = true, place, "the plug-in failed"
+// Failed takes in that the plug-in at a place failed in some way.
+func (c *Combined) Failed(place int, g *Grant, how Failures) (more bool) {
+	if g.RefuseOn&how != 0 {
+		c.Refuse, c.By, c.Reason = true, place, "a plug-in that guards this has failed"
 	}
 	return !c.Refuse
 }
--- a/advice/wire.go
+++ b/advice/wire.go
@@ -12,8 +12,8 @@
 const Version = 1
 
 // Layout of the request, little-endian. All texts come after the header, in this order,
-// each without an end mark: plan, class, method, path, and then name and value of each
-// header.
+// each without an end mark: plan, class, method, path, then name and value of each header,
+// and the body where one is shown.
 //
 //	 0 u16 version            24 f64 units
 //	 2 u16 size of the header 32 f64 balance, units left in the account's bucket
@@ -24,16 +24,26 @@
 //	20 u16 headers            52 u16 ... of the method
 //	22 u16 0                  54 u16 ... of the path
 //	                          56 and for each header u16 name, u16 value
+//	                             and last, if flag 2 is set, u32 length of the body
 const (
 	requestHeader = 56
 	flagRetry     = 1
+	flagBody      = 2
 )
 
-// MostRequest is the most bytes that a request takes; what is longer loses headers, and
-// then the end of its path.
-const MostRequest = 16 << 10
+// MostRequest is the most bytes that a request takes without its body; what is longer
+// loses headers, and then the end of its path. MostBody bounds the body in bytes, which is
+// as long as the protocol lets one be.
+const (
+	MostRequest = 16 << 10
+	MostBody    = 64 << 10
+)
 
-// Request is what plug-ins see of a request. There is no body and no secret in it.
+// WantsBody is the bit in what a module's manifest says (the export madderdrum_wants) that
+// asks for bodies.
+const WantsBody = 1
+
+// Request is what plug-ins see of a request. There is no secret in it.
 type Request struct {
 	Account     uint64
 	Plan, Class int
@@ -47,6 +57,7 @@
 	Pressure    float64
 	LeftMs      float64
 	Retry       bool
+	Body        []byte // nil unless the plug-in asks for it and the operator grants it
 }
 
 // Append writes the request after what a buffer holds.
@@ -67,8 +78,14 @@
 	if r.Retry {
 		flags |= flagRetry
 	}
+	header, body := requestHeader+4*len(headers), r.Body
+	if body != nil {
+		flags |= flagBody
+		header += 4
+		body = body[:min(len(body), MostBody)]
+	}
 	b = le.AppendUint16(b, Version)
-	b = le.AppendUint16(b, uint16(requestHeader+4*len(headers)))
+	b = le.AppendUint16(b, uint16(header))
 	b = le.AppendUint32(b, flags)
 	b = le.AppendUint64(b, r.Account)
 	b = le.AppendUint16(b, uint16(r.Plan))
@@ -85,11 +102,14 @@
 	for _, h := range headers {
 		b = le.AppendUint16(le.AppendUint16(b, uint16(len(h[0]))), uint16(len(h[1])))
 	}
+	if body != nil {
+		b = le.AppendUint32(b, uint32(len(body)))
+	}
 	b = append(append(append(append(b, r.PlanName...), r.ClassName...), r.Method...), path...)
 	for _, h := range headers {
 		b = append(append(b, h[0]...), h[1]...)
 	}
-	return b
+	return append(b, body...)
 }
 
 // DecodeRequest reads a request, for plug-ins of the SDK. What its header has beyond this
@@ -103,10 +123,12 @@
 		return r, fmt.Errorf("%w: a request of version %d", ErrVersion, v)
 	}
 	header, headers := int(le.Uint16(b[2:])), int(le.Uint16(b[20:]))
-	if header < requestHeader+4*headers || header > len(b) {
+	flags, fixed := le.Uint32(b[4:]), requestHeader+4*headers
+	withBody := flags&flagBody != 0
+	if header < fixed || withBody && header < fixed+4 || header > len(b) {
 		return r, fmt.Errorf("%w: a header of %d bytes", ErrLayout, header)
 	}
-	r.Retry = le.Uint32(b[4:])&flagRetry != 0
+	r.Retry = flags&flagRetry != 0
 	r.Account = le.Uint64(b[8:])
 	r.Plan, r.Class = int(le.Uint16(b[16:])), int(le.Uint16(b[18:]))
 	r.Units, r.Balance = math.Float64frombits(le.Uint64(b[24:])), math.Float64frombits(le.Uint64(b[32:]))
@@ -128,6 +150,13 @@
 		h[1] = text(int(le.Uint16(b[58+4*k:])))
 		r.Headers = append(r.Headers, h)
 	}
+	if withBody {
+		n := int(le.Uint32(b[fixed:]))
+		if n > len(b)-at {
+			return r, fmt.Errorf("%w: a body beyond its end", ErrLayout)
+		}
+		r.Body = append([]byte{}, b[at:at+n]...)
+	}
 	return r, err
 }
 
--- a/cmd/madderdrum/plugin.go
+++ b/cmd/madderdrum/plugin.go
@@ -160,7 +160,7 @@
 			return fmt.Errorf("%s:%d: %w", c.Requests, n, err)
 		}
 		begun := time.Now()
-		a, err := p.Advise(ctx, w.request())
+		a, err := p.Advise(w.request(), 0)
 		took := time.Since(begun).Round(100 * time.Nanosecond)
 		if err != nil {
 			failed++
@@ -234,7 +234,7 @@
 	failed := 0
 	for range c.Calls {
 		begun := time.Now()
-		_, err := p.Advise(ctx, r)
+		_, err := p.Advise(r, 0)
 		took = append(took, time.Since(begun))
 		if errors.Is(err, plugin.ErrBenched) {
 			return fmt.Errorf("%s: benched after %d calls, %d faults", c.Module, len(took), failed)
--- a/limiter/api.go
+++ b/limiter/api.go
@@ -116,6 +116,7 @@
 	// Vouched tells that another gateway has leased units for it: the quota has had its
 	// say there. It pays here all the same, and the ceiling here has to have room.
 	Vouched bool
+	Advice  Advice // what plug-ins say of it
 }
 
 // Ask asks whether a request may go that this gateway does not carry: the same
--- a/limiter/choice.go
+++ b/limiter/choice.go
@@ -34,8 +34,8 @@
 	once := class.Repeat == Unsafe
 	var spare *server
 	wait, kept := fullMs, false
-	for k := 0; k < p.tiers.Len() && !kept; k++ {
-		if !p.tiers.Enter(now, k, l.rng.Float64(), once) {
+	for _, k := range p.tiers.Order(r.advice.Prefer, r.advice.Avoid) {
+		if kept || !p.tiers.Enter(now, k, l.rng.Float64(), once) {
 			continue
 		}
 		s, late := l.chooseIn(now, r, p.byTier[k])
--- a/limiter/requests.go
+++ b/limiter/requests.go
@@ -72,10 +72,13 @@
 	if e.Leased == 0 {
 		wait, ok = l.allows(c, units, e.Vouched)
 	}
+	if e.Advice.Refuse {
+		wait, ok = max(wait, e.Advice.WaitMs), false
+	}
 	switch {
 	case ok && aim > 0:
 		r := &request{id: e.ID, class: e.Class, units: units, customer: c, aimAt: now + aim,
-			pool: l.poolOf(e.Pool), most: l.cfg.Caps.Attempts}
+			pool: l.poolOf(e.Pool), most: l.cfg.Caps.Attempts, advice: e.Advice}
 		if e.Attempts > 0 {
 			r.most = min(r.most, e.Attempts)
 		}
@@ -132,7 +135,7 @@
 	p.weighed++
 	r.factor = 1
 	if p.worth > 0 {
-		r.factor += (max(leastWorth, min(mostWorth, worth/p.worth)) - 1) * min(1, 2*p.pressure)
+		r.factor += (max(leastWorth, min(mostWorth, r.advice.weighed(worth)/p.worth)) - 1) * min(1, 2*p.pressure)
 	}
 }
 
--- a/limiter/state.go
+++ b/limiter/state.go
@@ -96,6 +96,7 @@
 	most     int // attempts
 	aimAt    float64
 	factor   float64 // by what it is worth: how much of its spare time it may wait
+	advice   Advice
 	endsAt   float64
 	attempts []attempt
 	live     int     // attempts out
@@ -257,6 +258,24 @@
 	return all
 }
 
+// Glance is what a limiter knows of an account and a pool, for those that advise on a
+// request: the units that the account has left here, and the share of requests that the
+// pool refused of late for want of servers. Nothing changes by looking.
+func (l *Limiter) Glance(now float64, account uint64, plan int, pool uint64) (balance, pressure float64) {
+	if p := l.pools[pool]; p != nil {
+		pressure = p.pressure
+	}
+	if plan < 0 || plan >= len(l.cfg.Plans) {
+		return 0, pressure
+	}
+	c := l.customers[account]
+	if c == nil {
+		return l.cfg.Plans[plan].Burst, pressure
+	}
+	p := l.cfg.Plans[c.plan]
+	return min(p.Burst-c.leased, c.balance+(now-c.at)/1000*p.Rate), pressure
+}
+
 // sortedRequests lists the requests in hand in an order that is always the same.
 func (l *Limiter) sortedRequests() []string {
 	ids := make([]string, 0, len(l.requests))
--- a/plugin/offer.go
+++ b/plugin/offer.go
@@ -87,12 +87,7 @@
 func (p *Plugin) says(text []byte) {
 	text = text[:min(len(text), mostLine)]
 	p.mu.Lock()
-	now := p.now()
-	if now-p.loggedAt >= time.Second {
-		p.loggedAt, p.logged = now, 0
-	}
-	p.logged += len(text) + 1
-	within := p.logged <= p.limits.LogBytes
+	within := p.logged.take(p.now(), len(text)+1, p.limits.LogBytes)
 	p.mu.Unlock()
 	if !within {
 		return
--- a/plugin/plugin.go
+++ b/plugin/plugin.go
@@ -2,7 +2,7 @@
 // sees what package advice writes for it and nothing else: no files, no network, no clock
 // but a coarse one, no randomness but a seeded one. Each call has a budget of time, memory
 // and host calls; what passes it is stopped and its instance thrown away. The ABI is in
-// docs/design/plugins.md.
+// docs/plugins-abi.md.
 package plugin
 
 import (
@@ -28,6 +28,7 @@
 type Limits struct {
 	Call      time.Duration // of one request; default 5 ms
 	Start     time.Duration // of one instance's start; default 500 ms
+	PerSecond int           // calls; default 20,000
 	Memory    int           // bytes of one instance, in whole pages of 64 KiB; default 4 MiB
 	HostCalls int           // of one request; default 64
 	Counters  int           // keys of its store; default 1024
@@ -38,7 +39,7 @@
 
 // Defaults are the budget of a plug-in of which nothing is said.
 func Defaults() Limits {
-	return Limits{Call: 5 * time.Millisecond, Start: 500 * time.Millisecond, Memory: 4 << 20, HostCalls: 64, Counters: 1024,
+	return Limits{Call: 5 * time.Millisecond, Start: 500 * time.Millisecond, PerSecond: 20_000, Memory: 4 << 20, HostCalls: 64, Counters: 1024,
 		LogBytes: 4 << 10, Instances: 16, Module: 8 << 20}
 }
 
@@ -46,6 +47,7 @@
 func (l Limits) or(d Limits) Limits {
 	fill(&l.Call, d.Call)
 	fill(&l.Start, d.Start)
+	fill(&l.PerSecond, d.PerSecond)
 	fill(&l.Memory, d.Memory)
 	fill(&l.HostCalls, d.HostCalls)
 	fill(&l.Counters, d.Counters)
@@ -67,8 +69,10 @@
 	Name   string
 	Limits Limits
 	Seed   uint64
+	Body   bool                 // bodies are shown, if its manifest asks for them
 	Now    func() time.Duration // since some start; time.Since of the load if nil
 	Log    func(line string)    // what the plug-in logs, a line a call; nil: nothing
+	Cache  *Cache               // of compiled modules; nil: none
 }
 
 // Plugin is a module that is loaded. Its methods are safe for concurrent use.
@@ -87,15 +91,36 @@
 	breaker  Breaker
 	counters *advice.Counters
 	rng      *rand.Rand
-	logged   int
-	loggedAt time.Duration
+	logged   window
+	called   window
 	closed   bool
 
+	wantsBody bool // by its manifest, and granted; set by the first start
+	inputSize uint32
+	body      bool // granted
+
 	Counts Counts
 }
 
-// Counts are sums since the load.
-type Counts struct{ Calls, Faults, Benched, Busy atomic.Uint64 }
+// Counts are sums since the load: calls, those of them that failed, times that it was
+// benched, requests that went by because it was benched, and those for which it had no
+// instance free or had been called as often as it may.
+type Counts struct{ Calls, Faults, Benched, Skipped, Busy atomic.Uint64 }
+
+// window counts what a second may have of something.
+type window struct {
+	at   time.Duration
+	used int
+}
+
+// take uses some of it, if that much is left.
+func (w *window) take(now time.Duration, n, most int) bool {
+	if now-w.at >= time.Second {
+		w.at, w.used = now, 0
+	}
+	w.used += n
+	return w.used <= most
+}
 
 // The errors of a module that can't be loaded, and of a call.
 var (
@@ -123,10 +148,28 @@
 	exportABI    = "madderdrum_abi"
 	exportInput  = "madderdrum_input"
 	exportAdvise = "madderdrum_advise"
+	exportWants  = "madderdrum_wants"
 	exportStart  = "_initialize"
 )
 
-var cache = sync.OnceValue(wazero.NewCompilationCache)
+// Cache keeps compiled modules, so that one is compiled once. It is safe for concurrent use.
+type Cache struct{ modules wazero.CompilationCache }
+
+// NewCache returns a cache in a folder, which other processes of the same build may use
+// too, or in memory if dir is empty.
+func NewCache(dir string) (*Cache, error) {
+	if dir == "" {
+		return &Cache{wazero.NewCompilationCache()}, nil
+	}
+	c, err := wazero.NewCompilationCacheWithDir(dir)
+	if err != nil {
+		return nil, fmt.Errorf("cache of plug-ins: %w", err)
+	}
+	return &Cache{c}, nil
+}
+
+// Close lets go of what is in memory, after the plug-ins that were loaded with it.
+func (c *Cache) Close() error { return c.modules.Close(context.Background()) }
 
 // Load compiles a module, checks it against the ABI and starts one instance of it.
 func Load(ctx context.Context, module []byte, o Options) (*Plugin, error) {
@@ -135,7 +178,7 @@
 		return nil, fmt.Errorf("plug-in %s: %w: %d bytes, %d at most", o.Name, ErrModule, len(module), limits.Module)
 	}
 	begun := time.Now()
-	p := &Plugin{name: o.Name, limits: limits, now: o.Now, log: o.Log, free: make(chan *instance, limits.Instances),
+	p := &Plugin{name: o.Name, limits: limits, now: o.Now, log: o.Log, body: o.Body, inputSize: advice.MostRequest, free: make(chan *instance, limits.Instances),
 		taken: make(chan struct{}, limits.Instances), counters: advice.NewCounters(limits.Counters), rng: rand.New(rand.NewPCG(o.Seed, 0x9a))}
 	if p.now == nil {
 		p.now = func() time.Duration { return time.Since(begun) }
@@ -143,8 +186,11 @@
 	if p.log == nil {
 		p.log = func(string) {}
 	}
-	p.runtime = wazero.NewRuntimeWithConfig(ctx, wazero.NewRuntimeConfig().WithCompilationCache(cache()).
-		WithMemoryLimitPages(uint32(max(1, limits.Memory>>16))).WithCloseOnContextDone(true).WithDebugInfoEnabled(false))
+	config := wazero.NewRuntimeConfig().WithMemoryLimitPages(uint32(max(1, limits.Memory>>16))).WithCloseOnContextDone(true).WithDebugInfoEnabled(false)
+	if o.Cache != nil {
+		config = config.WithCompilationCache(o.Cache.modules)
+	}
+	p.runtime = wazero.NewRuntimeWithConfig(ctx, config)
 	if err := p.load(ctx, module); err != nil {
 		p.runtime.Close(ctx)
 		return nil, fmt.Errorf("plug-in %s: %w", o.Name, err)
@@ -166,6 +212,13 @@
 	if err != nil {
 		return err
 	}
+	if p.body && i.wants&advice.WantsBody != 0 { // there has to be room for one
+		i.module.Close(ctx)
+		p.wantsBody, p.inputSize = true, advice.MostRequest+advice.MostBody
+		if i, err = p.start(ctx); err != nil {
+			return err
+		}
+	}
 	p.taken <- struct{}{}
 	p.free <- i
 	return nil
@@ -202,6 +255,9 @@
 			return fmt.Errorf("%w: %s has other types", ErrExport, want.name)
 		}
 	}
+	if f := all[exportWants]; f != nil && (len(f.ParamTypes()) > 0 || !slices.Equal(f.ResultTypes(), []api.ValueType{api.ValueTypeI32})) {
+		return fmt.Errorf("%w: %s has other types", ErrExport, exportWants)
+	}
 	return nil
 }
 
@@ -210,10 +266,12 @@
 	module api.Module
 	advise api.Function
 	memory api.Memory
+	wants  uint32
 	input  uint32
 	buffer []byte
 	stack  [1]uint64
 	calls  int // of host functions, for this request
+	call   callContext
 }
 
 // instanceKey finds the instance in a host function's context.
@@ -241,16 +299,24 @@
 	if uint32(v[0]) != advice.Version {
 		return nil, fmt.Errorf("%w: %d, this is %d", ErrVersion, uint32(v[0]), advice.Version)
 	}
+	if f := i.module.ExportedFunction(exportWants); f != nil {
+		i.calls = 0
+		if v, err = f.Call(ctx); err != nil {
+			return nil, fmt.Errorf("starting: %w", p.cause(ctx, err))
+		}
+		i.wants = uint32(v[0])
+	}
 	i.calls = 0
-	v, err = i.module.ExportedFunction(exportInput).Call(ctx, advice.MostRequest)
+	v, err = i.module.ExportedFunction(exportInput).Call(ctx, uint64(p.inputSize))
 	if err != nil {
 		return nil, fmt.Errorf("starting: %w", p.cause(ctx, err))
 	}
 	i.input, i.memory, i.advise = uint32(v[0]), i.module.Memory(), i.module.ExportedFunction(exportAdvise)
-	if _, ok := i.memory.Read(i.input, advice.MostRequest); !ok {
+	if _, ok := i.memory.Read(i.input, p.inputSize); !ok {
 		return nil, fmt.Errorf("starting: %w: input at %d", ErrBounds, i.input)
 	}
 	i.buffer = make([]byte, 0, 512)
+	i.call.init(i)
 	return i, nil
 }
 
@@ -267,15 +333,23 @@
 	return fmt.Errorf("%w: %s", ErrTrap, text)
 }
 
-// Advise asks about one request. An error is a fault of the plug-in's, or that it was not
-// asked: ErrBenched, ErrBusy, ErrClosed. ctx ends the call early, which is no fault.
-func (p *Plugin) Advise(ctx context.Context, r *advice.Request) (a advice.Advice, err error) {
+// Advise asks about one request. The call has within, or the plug-in's own budget where
+// that is less or within is 0. An error is a fault of the plug-in's, or that it was not
+// asked: ErrBenched, ErrBusy, ErrClosed. A client that leaves does not end the call: else
+// clients could have instances thrown away.
+func (p *Plugin) Advise(r *advice.Request, within time.Duration) (a advice.Advice, err error) {
 	p.mu.Lock()
+	now := p.now()
 	switch {
 	case p.closed:
 		err = ErrClosed
-	case !p.breaker.Allow(p.now()):
+	case !p.breaker.Allow(now):
+		p.Counts.Skipped.Add(1)
 		err = ErrBenched
+	case !p.called.take(now, 1, p.limits.PerSecond):
+		p.Counts.Busy.Add(1)
+		p.breaker.Void()
+		err = ErrBusy
 	default:
 		p.calls.Add(1)
 	}
@@ -284,21 +358,32 @@
 		return a, err
 	}
 	defer p.calls.Done()
-	p.Counts.Calls.Add(1)
 	i, err := p.take()
-	if err == nil {
-		a, err = p.ask(ctx, i, r)
+	if err != nil { // not its fault
+		p.void()
+		return a, err
 	}
-	if errors.Is(err, ErrBusy) || err != nil && ctx.Err() != nil { // not its fault
-		p.mu.Lock()
-		p.breaker.Void()
-		p.mu.Unlock()
-		return advice.Advice{}, err
+	p.Counts.Calls.Add(1)
+	cut := within > 0 && within < p.limits.Call
+	if !cut {
+		within = p.limits.Call
+	}
+	a, err = p.ask(i, r, within)
+	if cut && errors.Is(err, ErrTime) { // it had less than it was promised
+		p.void()
+		return a, err
 	}
 	p.ended(err == nil)
 	return a, err
 }
 
+// void tells the breaker that a call says nothing of the plug-in.
+func (p *Plugin) void() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.breaker.Void()
+}
+
 // ended tells the breaker.
 func (p *Plugin) ended(ok bool) {
 	if !ok {
@@ -353,10 +438,11 @@
 
 // ask makes one call. An instance that did not end it in good order is thrown away: what it
 // holds can't be trusted.
-func (p *Plugin) ask(ctx context.Context, i *instance, r *advice.Request) (a advice.Advice, err error) {
+func (p *Plugin) ask(i *instance, r *advice.Request, within time.Duration) (a advice.Advice, err error) {
+	sound := false
 	defer func() {
-		if err != nil {
-			i.module.Close(context.WithoutCancel(ctx))
+		if !sound {
+			i.module.Close(context.Background())
 			p.more()
 			return
 		}
@@ -367,23 +453,31 @@
 	if !i.memory.Write(i.input, i.buffer) {
 		return a, fmt.Errorf("%w: its input", ErrBounds)
 	}
-	call, stop := context.WithTimeout(context.WithValue(ctx, instanceKey{}, i), p.limits.Call)
-	defer stop()
 	i.stack[0] = uint64(len(i.buffer))
-	if err := i.advise.CallWithStack(call, i.stack[:]); err != nil {
-		return a, p.cause(call, err)
-	}
-	at, size := uint32(i.stack[0]>>32), uint32(i.stack[0])
-	if i.stack[0] == 0 {
-		return a, nil
+	i.call.begin(within)
+	err = i.advise.CallWithStack(&i.call, i.stack[:])
+	inTime := i.call.end()
+	if err != nil {
+		return a, p.cause(&i.call, err)
 	}
-	data, ok := i.memory.Read(at, min(size, advice.MostAdvice+1))
-	if !ok {
-		return a, fmt.Errorf("%w: advice of %d bytes at %d", ErrBounds, size, at)
+	if i.stack[0] != 0 {
+		at, size := uint32(i.stack[0]>>32), uint32(i.stack[0])
+		data, ok := i.memory.Read(at, min(size, advice.MostAdvice+1))
+		if !ok {
+			return a, fmt.Errorf("%w: advice of %d bytes at %d", ErrBounds, size, at)
+		}
+		if a, err = advice.Decode(data); err != nil {
+			return a, err
+		}
 	}
-	return advice.Decode(data)
+	sound = inTime // else its context has ended with the call, and can't be used again
+	return a, nil
 }
 
+// WantsBody tells that bodies are to be shown: the manifest asks for them, and the operator
+// grants it.
+func (p *Plugin) WantsBody() bool { return p.wantsBody }
+
 // Reset lets a benched plug-in back at once.
 func (p *Plugin) Reset() {
 	p.mu.Lock()
@@ -391,6 +485,27 @@
 	p.breaker.Reset()
 }
 
+// State is what operators see of a plug-in.
+type State struct {
+	Name                                  string
+	Calls, Faults, Benched, Skipped, Busy uint64
+	BenchedFor                            time.Duration // from now on; 0: it is asked
+	Counters                              int           // keys in its store
+	Instances                             int
+}
+
+// State returns that of now.
+func (p *Plugin) State() State {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := State{Name: p.name, Calls: p.Counts.Calls.Load(), Faults: p.Counts.Faults.Load(), Benched: p.Counts.Benched.Load(),
+		Skipped: p.Counts.Skipped.Load(), Busy: p.Counts.Busy.Load(), Counters: p.counters.Len(), Instances: len(p.taken)}
+	if until, benched := p.breaker.Benched(); benched {
+		s.BenchedFor = max(time.Millisecond, until-p.now())
+	}
+	return s
+}
+
 // Close unloads a plug-in once the calls that are in it have ended.
 func (p *Plugin) Close() error {
 	p.mu.Lock()
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -86,6 +86,8 @@
 	sole  int // the tier that takes all it can while none is well; -1: not so
 	// Answers a millisecond and box of all tiers in service, averaged over usualMs.
 	usual mean
+	order []int // of Order
+	first int   // the tier that Order put before those it comes after by rank; -1: none
 }
 
 type tier struct {
@@ -121,7 +123,7 @@
 // New returns tiers, of each of which the given share of requests may spill to the next
 // one; none is known to be lost.
 func New(spill []float64) *Tiers {
-	t := &Tiers{sole: -1}
+	t := &Tiers{sole: -1, first: -1}
 	for _, s := range spill {
 		t.tiers = append(t.tiers, tier{spill: s, share: 1})
 	}
@@ -325,6 +327,30 @@
 	return float64(x.usable) / max(1, x.size) * (x.good + 1) / (x.good + x.bad + 2)
 }
 
+// Order is the order in which a request is to be tried at the tiers: by rank, but one that
+// is preferred, by its place from 1, goes first if it is well, and those to be avoided, a
+// bit each, come last. Whoever gives advice moves requests beside the bound on spill by it:
+// a preferred tier that has no room keeps nothing back. Everything else holds as without
+// advice. The result is valid until the next call.
+func (t *Tiers) Order(prefer int, avoid uint32) []int {
+	t.order, t.first = t.order[:0], -1
+	if k := prefer - 1; k > 0 && k < len(t.tiers) && t.tiers[k].phase == Well && avoid&(1<<k) == 0 {
+		t.first = k
+		t.order = append(t.order, k)
+	}
+	for _, last := range [2]bool{false, true} {
+		for k := range t.tiers {
+			if k != t.first && avoid&(1<<k) != 0 == last {
+				t.order = append(t.order, k)
+			}
+		}
+		if avoid == 0 {
+			break
+		}
+	}
+	return t.order
+}
+
 // Enter tells whether a request may be tried at a tier; u is a random number from 0 to
 // 1. What a tier on its way back does not take goes on to the next one, and is no spill.
 // Once is set for requests that can't be repeated: they do not go where others are to
@@ -354,6 +380,9 @@
 func (t *Tiers) Leave(now float64, k int, worth float64) bool {
 	x := &t.tiers[k]
 	x.full++
+	if k == t.first {
+		return true
+	}
 	if k == t.sole && t.panics() {
 		return false
 	}
