--- a/cmd/madderdrum/plugins.go
+++ b/cmd/madderdrum/plugins.go
@@ -7,9 +7,11 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"path/filepath"
 	"strings"
 	"sync"
 
+	"example.org/madderdrum/advice"
 	"example.org/madderdrum/config"
 	"example.org/madderdrum/internal/status"
 	"example.org/madderdrum/plugin"
@@ -120,3 +122,45 @@
 		set.Leave(nil)
 	}
 }
+
+// anyGrant is what a module may say that comes to a replay without a plugin block.
+var anyGrant = advice.Grant{Refuse: true, MostWaitMs: 1000, Lower: advice.LeastFactor, Raise: advice.MostFactor, Label: true, Tiers: true}
+
+// replayPlugins are those of modules and configuration files. Files that are no whole
+// configuration are read behind that of the fleet.
+func replayPlugins(paths []string, fleet string) (all []plugin.Spec, err error) {
+	for _, path := range paths {
+		if filepath.Ext(path) == ".hcl" {
+			cfg, err := (&configFiles{Files: []string{path}}).load()
+			if err != nil && fleet != "" {
+				cfg, err = (&configFiles{Files: []string{fleet, path}}).load()
+			}
+			if err != nil {
+				return nil, fmt.Errorf("--plugin %s (a file that is no whole configuration needs --fleet): %w", path, err)
+			}
+			if len(cfg.Plugins) == 0 {
+				return nil, fmt.Errorf("--plugin %s: it has no plugin block", path)
+			}
+			all = append(all, cfg.Plugins...)
+			continue
+		}
+		data, err := (&moduleFile{Module: path}).read()
+		if err != nil {
+			return nil, fmt.Errorf("--plugin: %w", err)
+		}
+		name := strings.TrimSuffix(filepath.Base(path), filepath.Ext(path))
+		all = append(all, plugin.Spec{Name: name, Order: len(all) + 1, Module: data, Seed: 1, Grant: anyGrant, Limits: plugin.Limits{Memory: 16 << 20}})
+	}
+	names := map[string]bool{}
+	for i := range all {
+		if names[all[i].Name] {
+			return nil, fmt.Errorf("--plugin: two plug-ins are called %q", all[i].Name)
+		}
+		names[all[i].Name] = true
+	}
+	set, err := plugin.LoadSet(context.Background(), all, nil, plugin.SetOptions{}) // mistakes are told before anything is played
+	if err != nil {
+		return nil, fmt.Errorf("--plugin: %w", err)
+	}
+	return all, set.Leave(nil)
+}
--- a/cmd/madderdrum/replay.go
+++ b/cmd/madderdrum/replay.go
@@ -40,6 +40,7 @@
 	Policy     []string      `default:"limiter" help:"Who decides: limiter, or for scale random, bucket, least; several with commas."`
 	Generate   time.Duration `help:"Play so much of the fleet file's own traffic instead of a trace."`
 	Asked      float64       `help:"Share of the requests whose proxy asks whether they may go (docs/forwardauth.md), from 0 to 1; in virtual time, with the limiter."`
+	Plugin     []string      `help:"Play the limiter without and with these, and tell what they change: modules (.wasm), which may then say all there is, or configuration files with plugin blocks (.hcl); in virtual time." placeholder:"FILE" type:"path"`
 	Sockets    bool          `help:"Play in real time on loopback sockets, round this very program as the limiters; the policy is then the limiter."`
 	JSON       string        `help:"Write the report as JSON." placeholder:"FILE"`
 	HTML       string        `help:"Write the report as one HTML page with charts." placeholder:"FILE"`
@@ -59,6 +60,7 @@
   madderdrum replay -s google-2011-task-events part-00000.csv.gz \
       google-2011-machine-events=machine_events.csv.gz --for 10m
   madderdrum replay --sockets --for 20s           in real time, round the real program
+  madderdrum replay --plugin friday.wasm         what would a plug-in change?
   madderdrum replay --seeds 5 --json a.json      for a comparison
   madderdrum replay --compare a.json b.json      what changed, and is it more than noise?
 
@@ -92,6 +94,9 @@
 	if c.Seeds < 1 || c.Seeds > 1000 {
 		return fmt.Errorf("--seeds %d: from 1 to 1000", c.Seeds)
 	}
+	if len(c.Plugin) > 0 {
+		c.Policy = append(c.Policy, replay.WithPlugins)
+	}
 	report := replay.NewReport(plan)
 	total, done := c.Seeds*len(c.Policy), 0
 	for _, policy := range c.Policy {
@@ -106,6 +111,7 @@
 		}
 	}
 	bar.end()
+	report.Advised()
 	if err := report.Text(os.Stdout); err != nil {
 		return err
 	}
@@ -182,6 +188,14 @@
 		return nil, errors.New("--asked takes a share from 0 to 1, without --sockets and --policy")
 	}
 	o.Asked = c.Asked
+	if len(c.Plugin) > 0 {
+		if c.Sockets || len(c.Policy) != 1 || c.Policy[0] != "limiter" {
+			return nil, errors.New("--plugin plays the limiter without and with plug-ins, in virtual time: leave out --sockets and --policy")
+		}
+		if o.Plugins, err = replayPlugins(c.Plugin, c.Fleet); err != nil {
+			return nil, err
+		}
+	}
 	if c.Sockets && (len(c.Policy) != 1 || c.Policy[0] != "limiter") {
 		return nil, errors.New("--sockets plays the real program alone: leave out --policy")
 	}
--- a/internal/node/advise.go
+++ b/internal/node/advise.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"example.org/madderdrum/advice"
+	"example.org/madderdrum/advice/counsel"
 	"example.org/madderdrum/limiter"
 )
 
@@ -38,16 +39,10 @@
 		return Counsel{}
 	}
 	all := t.Adviser.Advise(ctx, s, max(time.Microsecond, left/advisePart))
-	c := Counsel{Labels: all.Labels, Advice: limiter.Advice{Refuse: all.Refuse, WaitMs: all.WaitMs, Factor: all.Factor}}
+	c := Counsel{Labels: all.Labels, Advice: counsel.Of(&all, t.Tiers)}
 	if all.Refuse {
 		c.By, c.Reason = t.Adviser.Name(all.By), all.Reason
 	}
-	c.Advice.Prefer = slices.Index(t.Tiers, all.Prefer) + 1
-	for _, name := range all.Avoid {
-		if k := slices.Index(t.Tiers, name); k >= 0 {
-			c.Advice.Avoid |= 1 << k
-		}
-	}
 	return c
 }
 
--- a/internal/replay/plan.go
+++ b/internal/replay/plan.go
@@ -16,6 +16,7 @@
 	"example.org/madderdrum/internal/fleet"
 	"example.org/madderdrum/internal/trace"
 	"example.org/madderdrum/internal/world"
+	"example.org/madderdrum/plugin"
 )
 
 // Input is the files of one layout, in order.
@@ -38,6 +39,7 @@
 	Seed       uint64        // draws what the trace leaves open of times, for the check
 	Asked      float64       // share of the requests whose proxy only asks; in virtual time
 	Scenario   string        // faults besides the trace's own
+	Plugins    []plugin.Spec // asked in runs WithPlugins
 }
 
 // Origin says where a quantity comes from.
--- /dev/null
+++ b/internal/replay/plugins.go
@@ -0,0 +1,244 @@
+package replay
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"io"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"example.org/madderdrum/internal/paired"
+	"example.org/madderdrum/internal/policies"
+	"example.org/madderdrum/internal/service"
+	"example.org/madderdrum/internal/virtual"
+	"example.org/madderdrum/plugin"
+)
+
+// WithPlugins is what a run of the limiter with the plug-ins of a plan is called; one of the
+// limiter alone is played beside it.
+const WithPlugins = "limiter with plug-ins"
+
+// replayCall is the least time that a call of a plug-in has in a replay: a busy machine must
+// not make two replays differ.
+const replayCall = time.Second
+
+// advisers are the plug-ins of one life of one limiter.
+type advisers struct {
+	plugin.Chain
+	set  *plugin.Set
+	done func([]plugin.State)
+}
+
+// Close ends them, and tells what became of them.
+func (a *advisers) Close() error {
+	a.done(a.set.States())
+	return a.set.Leave(nil)
+}
+
+// advise has the limiters of a run ask the plan's plug-ins. What it returns gives their sums
+// once the run is over, and lets go of what they held.
+func advise(ctx context.Context, p *Plan, o *virtual.Options) (func() []PluginSum, error) {
+	cache, err := plugin.NewCache("")
+	if err != nil {
+		return nil, fmt.Errorf("replaying with plug-ins: %w", err)
+	}
+	specs := slices.Clone(p.Options.Plugins)
+	for i := range specs {
+		l := &specs[i].Limits
+		l.Call, l.Start = max(l.Call, replayCall), max(l.Start, 10*replayCall)
+	}
+	sums := map[string]*PluginSum{}
+	o.Advisers = func(_ int, now func() time.Duration) (virtual.Adviser, error) {
+		set, err := plugin.LoadSet(ctx, specs, nil, plugin.SetOptions{Now: now, Cache: cache, Wait: true})
+		if err != nil {
+			return nil, err
+		}
+		return &advisers{set.Chain(true), set, func(states []plugin.State) {
+			for _, s := range states {
+				x := sums[s.Name]
+				if x == nil {
+					x = &PluginSum{Name: s.Name}
+					sums[s.Name] = x
+				}
+				x.Calls, x.Refused, x.Faults, x.Skipped, x.Busy = x.Calls+s.Calls, x.Refused+s.Refused, x.Faults+s.Faults, x.Skipped+s.Skipped, x.Busy+s.Busy
+				x.LastFault = cmp.Or(s.LastFault, x.LastFault)
+			}
+		}}, nil
+	}
+	return func() (all []PluginSum) {
+		cache.Close()
+		for _, name := range slices.Sorted(maps.Keys(sums)) {
+			all = append(all, *sums[name])
+		}
+		return all
+	}, nil
+}
+
+// PluginSum is what became of a plug-in in a run, over all limiters.
+type PluginSum struct {
+	Name      string `json:"name"`
+	Calls     uint64 `json:"calls"`
+	Refused   uint64 `json:"refused"` // tries that it had refused
+	Faults    uint64 `json:"faults"`
+	Skipped   uint64 `json:"skipped"`
+	Busy      uint64 `json:"busy"`
+	LastFault string `json:"last_fault,omitempty"`
+}
+
+// LabelSum is how many tries got a label.
+type LabelSum struct {
+	Label   string `json:"label"`
+	Given   int    `json:"given"`
+	Refused int    `json:"refused_by_plugins"`
+}
+
+// AdviceReport is what plug-ins changed, over the seeds that were played without and with
+// them.
+type AdviceReport struct {
+	Seeds    int             `json:"seeds"`
+	Changes  []AdviceChange  `json:"changes"`
+	Plugins  []PluginSum     `json:"plugins"`
+	Labels   []LabelSum      `json:"labels"`
+	Accounts []AccountChange `json:"accounts"` // of the first seed; those that changed most
+	Others   int             `json:"accounts_left_out"`
+}
+
+// AdviceChange is how all requests, or those of a class or plan, fared.
+type AdviceChange struct {
+	Name           string  `json:"name"`
+	Without        float64 `json:"service_without"`
+	With           float64 `json:"service_with"`
+	Difference     float64 `json:"difference"`
+	Noise          float64 `json:"noise"` // that chance alone stays under 19 times in 20; 0 with one seed
+	Asked          int     `json:"asked"`
+	RefusedWithout int     `json:"refused_without"`
+	RefusedWith    int     `json:"refused_with"`
+}
+
+// AccountChange is how one account fared.
+type AccountChange struct {
+	Account        string  `json:"account"`
+	Asked          int     `json:"asked"`
+	Without        float64 `json:"worth_earned_without"`
+	With           float64 `json:"worth_earned_with"`
+	RefusedWithout int     `json:"refused_without"`
+	RefusedWith    int     `json:"refused_with"`
+}
+
+// mostAccounts bounds the accounts that a report lists.
+const mostAccounts = 20
+
+// Advised sets what the plug-ins changed, from the runs of the report. It does nothing where
+// none was played with plug-ins.
+func (r *Report) Advised() {
+	without, with := map[uint64]*Run{}, map[uint64]*Run{}
+	for _, run := range r.Runs {
+		switch run.Policy {
+		case policies.Names()[0]:
+			without[run.Seed] = run
+		case WithPlugins:
+			with[run.Seed] = run
+		}
+	}
+	seeds := slices.Sorted(maps.Keys(with))
+	seeds = slices.DeleteFunc(seeds, func(s uint64) bool { return without[s] == nil })
+	if len(seeds) == 0 {
+		return
+	}
+	a := &AdviceReport{Seeds: len(seeds), Plugins: []PluginSum{}, Labels: []LabelSum{}, Accounts: []AccountChange{}}
+	row := func(name string, of func(*Run) *Tally) {
+		x := AdviceChange{Name: name}
+		var differences []float64
+		for _, seed := range seeds {
+			before, after := of(without[seed]), of(with[seed])
+			n := float64(len(seeds))
+			x.Without, x.With = x.Without+before.Service/n, x.With+after.Service/n
+			x.Asked, x.RefusedWithout, x.RefusedWith = x.Asked+before.Asked, x.RefusedWithout+before.Refused, x.RefusedWith+after.Refused
+			differences = append(differences, after.Service-before.Service)
+		}
+		x.Without, x.With = round(x.Without, 6), round(x.With, 6)
+		x.Difference, x.Noise = round(x.With-x.Without, 6), round(paired.Noise(differences), 6)
+		a.Changes = append(a.Changes, x)
+	}
+	first := with[seeds[0]]
+	row("all", func(r *Run) *Tally { return &r.Total })
+	for i := range first.Classes {
+		row(first.Classes[i].Name, func(r *Run) *Tally { return &r.Classes[i] })
+	}
+	for i := range first.Plans {
+		row(first.Plans[i].Name, func(r *Run) *Tally { return &r.Plans[i] })
+	}
+	for _, seed := range seeds {
+		for _, p := range with[seed].Plugins {
+			k := slices.IndexFunc(a.Plugins, func(x PluginSum) bool { return x.Name == p.Name })
+			if k < 0 {
+				a.Plugins = append(a.Plugins, p)
+				continue
+			}
+			x := &a.Plugins[k]
+			x.Calls, x.Refused, x.Faults, x.Skipped, x.Busy = x.Calls+p.Calls, x.Refused+p.Refused, x.Faults+p.Faults, x.Skipped+p.Skipped, x.Busy+p.Busy
+		}
+		for _, p := range with[seed].Labels {
+			k := slices.IndexFunc(a.Labels, func(x LabelSum) bool { return x.Label == p.Label })
+			if k < 0 {
+				a.Labels = append(a.Labels, p)
+				continue
+			}
+			a.Labels[k].Given, a.Labels[k].Refused = a.Labels[k].Given+p.Given, a.Labels[k].Refused+p.Refused
+		}
+	}
+	a.accounts(without[seeds[0]].accounts, first.accounts)
+	r.Advice = a
+}
+
+// accounts lists those that fared most differently.
+func (a *AdviceReport) accounts(before, after map[uint64]*service.Tally) {
+	none := &service.Tally{}
+	for _, id := range slices.Sorted(maps.Keys(after)) {
+		x, y := before[id], after[id]
+		if x == nil {
+			x = none
+		}
+		if x.Earned != y.Earned || x.By != y.By {
+			a.Accounts = append(a.Accounts, AccountChange{fmt.Sprintf("%016x", id), y.Asked, round(x.Earned, 3), round(y.Earned, 3), x.By[service.Refused], y.By[service.Refused]})
+		}
+	}
+	slices.SortStableFunc(a.Accounts, func(x, y AccountChange) int {
+		return cmp.Compare(math.Abs(y.With-y.Without), math.Abs(x.With-x.Without))
+	})
+	if n := len(a.Accounts); n > mostAccounts {
+		a.Others = n - mostAccounts
+		a.Accounts = a.Accounts[:mostAccounts]
+	}
+}
+
+// text writes what the plug-ins changed.
+func (a *AdviceReport) text(w io.Writer) {
+	fmt.Fprintf(w, "\nwhat the plug-ins changed, %d seeds\twithout\twith\tdifference\tnoise\tasked\trefused without\twith\n", a.Seeds)
+	for _, x := range a.Changes {
+		noise := fmt.Sprintf("%.4f", x.Noise)
+		if a.Seeds == 1 {
+			noise = "one seed can't tell"
+		}
+		fmt.Fprintf(w, "service of %s\t%.4f\t%.4f\t%+.4f\t%s\t%d\t%d\t%d\n", x.Name, x.Without, x.With, x.Difference, noise, x.Asked, x.RefusedWithout, x.RefusedWith)
+	}
+	fmt.Fprintf(w, "\nplug-in\tcalls\trefused\tfaults\tskipped\tbusy\tlast fault\n")
+	for _, p := range a.Plugins {
+		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%s\n", p.Name, p.Calls, p.Refused, p.Faults, p.Skipped, p.Busy, cmp.Or(p.LastFault, "-"))
+	}
+	for _, l := range a.Labels {
+		fmt.Fprintf(w, "label %q\tgiven %d\trefused %d\n", l.Label, l.Given, l.Refused)
+	}
+	if len(a.Accounts) > 0 {
+		fmt.Fprintf(w, "\naccount, first seed\tasked\tworth earned without\twith\trefused without\twith\n")
+	}
+	for _, x := range a.Accounts {
+		fmt.Fprintf(w, "%s\t%d\t%.1f\t%.1f\t%d\t%d\n", x.Account, x.Asked, x.Without, x.With, x.RefusedWithout, x.RefusedWith)
+	}
+	if a.Others > 0 {
+		fmt.Fprintf(w, "and %d more accounts, less than these\n", a.Others)
+	}
+}
--- a/internal/replay/report.go
+++ b/internal/replay/report.go
@@ -5,8 +5,10 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"math"
 	"os"
+	"slices"
 	"time"
 
 	"example.org/madderdrum/internal/fleet"
@@ -34,6 +36,8 @@
 	Scale   Scale        `json:"scale"`
 	Origins []Origin     `json:"origins"`
 	Runs    []*Run       `json:"runs"`
+	// Advice is what plug-ins changed, where runs without and with them were played.
+	Advice *AdviceReport `json:"advice,omitempty"`
 }
 
 // FleetReport names the fleet.
@@ -64,6 +68,10 @@
 	Boxes    []BoxSeries    `json:"boxes,omitempty"`
 	SampleS  float64        `json:"sample_s,omitempty"`
 	Notes    []Note         `json:"notes,omitempty"`
+	Plugins  []PluginSum    `json:"plugins,omitempty"`
+	Labels   []LabelSum     `json:"labels,omitempty"` // that plug-ins gave
+
+	accounts map[uint64]*service.Tally
 }
 
 // Service is the figure and its parts, each the worth answered in time over the
@@ -235,7 +243,11 @@
 
 // Virtual plays a plan in virtual time with a policy.
 func Virtual(ctx context.Context, p *Plan, policy string, seed uint64, series bool, progress func(done float64)) (*Run, error) {
-	decide, err := policies.ByName(policy)
+	name := policy
+	if policy == WithPlugins {
+		name = policies.Names()[0]
+	}
+	decide, err := policies.ByName(name)
 	if err != nil {
 		return nil, err
 	}
@@ -245,6 +257,13 @@
 	}
 	defer source.Close()
 	o := virtual.Options{Fleet: p.Options.Fleet, Seed: seed, Source: source, Faults: p.Faults, Policy: decide, Asked: p.Options.Asked}
+	o.Accounts = len(p.Options.Plugins) > 0
+	plugins := func() []PluginSum { return nil }
+	if policy == WithPlugins {
+		if plugins, err = advise(ctx, p, &o); err != nil {
+			return nil, err
+		}
+	}
 	if series {
 		o.Sample = sampleEvery(p.Length)
 	}
@@ -252,6 +271,7 @@
 		o.Progress = func(now time.Duration) { progress(min(1, float64(now)/float64(p.Length))) }
 	}
 	res, err := virtual.Run(ctx, o)
+	sums := plugins()
 	if err == nil {
 		err = source.Err()
 	}
@@ -260,6 +280,10 @@
 	}
 	run := newRun(p.Options.Fleet, res.World, res.Judge, res.Length, o.Sample, series)
 	run.Driver, run.Policy, run.Seed = "virtual", policy, seed
+	run.Plugins, run.accounts = sums, res.World.Meter.Accounts
+	for _, label := range slices.Sorted(maps.Keys(res.Labels)) {
+		run.Labels = append(run.Labels, LabelSum{label, res.Labels[label].Given, res.Labels[label].Refused})
+	}
 	c := res.Counts
 	run.Traffic = Traffic{c.Attempts, c.Crossings, c.Connects, c.Probes, c.Messages, res.Events, c.Asks, c.Grants}
 	return run, nil
@@ -315,7 +339,7 @@
 	n := 0
 	for _, run := range r.Runs {
 		for _, rule := range run.Rules {
-			if run.Policy == policies.Names()[0] {
+			if run.Policy == policies.Names()[0] || run.Policy == WithPlugins {
 				n += rule.Broken
 			}
 		}
--- a/internal/replay/text.go
+++ b/internal/replay/text.go
@@ -101,6 +101,9 @@
 		}
 		fmt.Fprintf(w, "  broken: %s\n", b)
 	}
+	if r.Advice != nil {
+		r.Advice.text(w)
+	}
 	if len(first.Seconds) > 0 {
 		r.charts(w, first)
 	}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -85,8 +85,13 @@
 	Plans   []Tally
 	Ways    [Ways]Tally
 	Seconds []Second
+	// Accounts are sums by account, if KeepAccounts was called before the first request.
+	Accounts map[uint64]*Tally
 }
 
+// KeepAccounts has sums kept for each account, which takes memory for each.
+func (m *Meter) KeepAccounts() { m.Accounts = map[uint64]*Tally{} }
+
 // Ways is how many ways of going are told apart.
 const Ways = 3
 
@@ -212,6 +217,14 @@
 	f(&m.Classes[r.Class])
 	f(&m.Plans[r.Plan])
 	f(&m.Ways[r.Way])
+	if m.Accounts != nil {
+		t := m.Accounts[r.Account]
+		if t == nil {
+			t = &Tally{}
+			m.Accounts[r.Account] = t
+		}
+		f(t)
+	}
 }
 
 func (m *Meter) second(at time.Duration) *Second {
--- /dev/null
+++ b/internal/virtual/advise_test.go
@@ -0,0 +1,93 @@
+package virtual_test
+
+import (
+	"context"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"example.org/madderdrum/advice"
+	"example.org/madderdrum/config"
+	"example.org/madderdrum/internal/fleet"
+	"example.org/madderdrum/internal/virtual"
+)
+
+// liar says whatever comes to it, by way of the bytes that a plug-in writes.
+type liar struct {
+	r    *rand.Rand
+	said *int
+}
+
+func (l *liar) Close() error { return nil }
+
+func (l *liar) Advise(_ context.Context, s *advice.Subject, _ time.Duration) advice.Combined {
+	*l.said++
+	all := advice.Start()
+	grant := &advice.Grant{Refuse: true, MostWaitMs: 1e6, Lower: 0.01, Raise: 100, Label: true, Tiers: true}
+	odd := []float64{0, -1, 1e300, math.NaN(), math.Inf(1), 0.1, 10}
+	pick := func() float64 { return odd[l.r.IntN(len(odd))] }
+	names := []string{"", "near", "far", "nowhere"}
+	a := advice.Advice{Refuse: l.r.IntN(5) == 0, WaitMs: pick(), Priority: pick(), Label: names[l.r.IntN(4)], Prefer: names[l.r.IntN(4)], Avoid: names[l.r.IntN(4)]}
+	b := a.Append(nil)
+	if l.r.IntN(4) == 0 {
+		b[l.r.IntN(len(b))] ^= byte(1 << l.r.IntN(8))
+	}
+	if got, err := advice.Decode(b); err == nil {
+		all.Add(0, grant, got)
+	}
+	return all
+}
+
+// Whatever plug-ins say, in a pool with tiers and through all troubles at once, the judge
+// finds no rule broken, and what they refuse is refused.
+func TestRulesHoldWithLyingPlugins(t *testing.T) {
+	for seed := range uint64(4) {
+		said := 0
+		r := play(t, seed, 55*time.Second, rough, func(o *virtual.Options) {
+			f := *config.Bluebird()
+			f.Tiers = fleet.Tiers{{Name: "near", OwnRoom: true, Spill: 0.3}, {Name: "far", Rooms: []int{0}, Spill: 0.5}}
+			o.Fleet = &f
+			o.Asked = 0.2
+			o.Advisers = func(n int, now func() time.Duration) (virtual.Adviser, error) {
+				return &liar{rand.New(rand.NewPCG(seed, uint64(n))), &said}, nil
+			}
+		})
+		for _, b := range r.Judge.Breaches {
+			t.Errorf("seed %d: %v", seed, b)
+		}
+		if c := r.Counts; said < 3000 || c.Advised < said/8 || r.Labels["near"].Given < said/20 || r.World.Meter.Total.By[0] < 1000 {
+			t.Errorf("seed %d: asked %d times, %+v, %+v, %+v", seed, said, c, r.Labels, r.World.Meter.Total)
+		}
+	}
+}
+
+// What plug-ins are shown of accounts and pools is what the module knows.
+func TestWhatPluginsAreShown(t *testing.T) {
+	var balances, pressures, tight int
+	play(t, 1, 20*time.Second, "room room-b is lost from 3s to 15s\n", func(o *virtual.Options) {
+		o.Advisers = func(int, func() time.Duration) (virtual.Adviser, error) {
+			return looker{&balances, &pressures, &tight}, nil
+		}
+	})
+	if balances < 1000 || pressures < 100 || tight == 0 {
+		t.Errorf("balances other than a full bucket %d, pressures above 0 %d, retries %d", balances, pressures, tight)
+	}
+}
+
+type looker struct{ balances, pressures, retries *int }
+
+func (looker) Close() error { return nil }
+
+func (l looker) Advise(_ context.Context, s *advice.Subject, _ time.Duration) advice.Combined {
+	if s.Balance != 7 && s.Balance != 15 && s.Balance != 70 {
+		*l.balances++
+	}
+	if s.Pressure > 0 {
+		*l.pressures++
+	}
+	if s.Retry {
+		*l.retries++
+	}
+	return advice.Start()
+}
--- a/internal/virtual/asks.go
+++ b/internal/virtual/asks.go
@@ -60,10 +60,12 @@
 	d, c := h.d, t.Call
 	waits := t.Until - d.w.Now()
 	spread, first := d.w.Entrance(c.Account)
-	h.asked = &asked{}
 	d.res.Counts.Asks++
-	h.handle(limiter.Ask{Lease: how == leased, Submit: limiter.Submit{ID: askID, ExpiresMs: float64(waits.Microseconds()) / 1000,
-		Units: c.Units, Class: c.Class, Plan: c.Plan, Retry: t.Retry, Customer: c.Account, Spread: spread, First: first}})
+	s := limiter.Submit{ID: askID, ExpiresMs: float64(waits.Microseconds()) / 1000,
+		Units: c.Units, Class: c.Class, Plan: c.Plan, Retry: t.Retry, Customer: c.Account, Spread: spread, First: first}
+	h.advise(&s)
+	h.asked = &asked{}
+	h.handle(limiter.Ask{Lease: how == leased, Submit: s})
 	answer := h.asked
 	h.asked = nil
 	if !answer.granted {
--- a/internal/virtual/host.go
+++ b/internal/virtual/host.go
@@ -29,6 +29,8 @@
 	busy   bool
 	desk   *grant.Desk
 	asked  *asked // the Ask that the policy answers just now
+
+	adviser Adviser
 }
 
 // conn is a kept connection.
@@ -69,6 +71,9 @@
 	if err != nil {
 		return err
 	}
+	if err := h.adviseFrom(); err != nil {
+		return err
+	}
 	h.epoch++
 	h.policy, h.up, h.taking = p, true, true
 	h.known, h.reqs, h.byTry, h.idle = map[int]world.Entry{}, map[string]*req{}, map[uint64]*req{}, map[int][]conn{}
@@ -224,8 +229,12 @@
 		}
 	})
 	spread, first := h.d.w.Entrance(c.Account)
-	h.handle(limiter.Submit{ID: r.id, ExpiresMs: float64((r.stopAt - now).Microseconds()) / 1000, Units: c.Units, Class: c.Class,
-		Plan: c.Plan, Retry: t.Retry, Customer: c.Account, Spread: spread, First: first, Leased: leased, Vouched: vouched})
+	s := limiter.Submit{ID: r.id, ExpiresMs: float64((r.stopAt - now).Microseconds()) / 1000, Units: c.Units, Class: c.Class,
+		Plan: c.Plan, Retry: t.Retry, Customer: c.Account, Spread: spread, First: first, Leased: leased, Vouched: vouched}
+	if leased == 0 && !vouched { // a lease was put to the plug-ins when it was asked for
+		h.advise(&s)
+	}
+	h.handle(s)
 }
 
 // conclude gives the final answer of the limiter's own.
--- a/internal/virtual/virtual.go
+++ b/internal/virtual/virtual.go
@@ -45,6 +45,10 @@
 	// rather than sending them through it: half of these are asked only, half are carried
 	// with a lease, through whichever limiter the front picks then.
 	Asked float64
+	// Advisers, if set, makes the plug-ins of each life of a limiter.
+	Advisers NewAdviser
+	// Accounts has the world's meter keep sums by account.
+	Accounts bool
 	// Progress, if set, is called now and then with the virtual time.
 	Progress func(now time.Duration)
 	// Started, if set, is given the world before anything happens in it, to look at
@@ -66,6 +70,7 @@
 type Counts struct {
 	Attempts, Crossings, Connects, Probes, Messages int
 	Asks, Grants                                    int
+	Advised                                         int // tries that plug-ins had refused
 }
 
 // Result is what came of a run.
@@ -73,7 +78,8 @@
 	World   *world.World
 	Judge   *judge.Judge
 	Counts  Counts
-	Length  time.Duration // virtual
+	Labels  map[string]LabelCount // of plug-ins
+	Length  time.Duration         // virtual
 	Events  uint64
 	MostOut int // calls open at once at most
 }
@@ -120,6 +126,7 @@
 	attempts map[uint64]*attempt
 	ids      uint64
 	resets   []int // by box: how often its connections were reset
+	tiers    []string
 	res      *Result
 	failed   error // a limiter that did not start again
 }
@@ -140,7 +147,18 @@
 		o.Started(d.w)
 	}
 	d.resets = make([]int, len(d.w.Boxes))
-	d.res = &Result{World: d.w, Judge: d.j}
+	d.res = &Result{World: d.w, Judge: d.j, Labels: map[string]LabelCount{}}
+	for _, t := range o.Fleet.Tiers {
+		d.tiers = append(d.tiers, t.Name)
+	}
+	if o.Accounts {
+		d.w.Meter.KeepAccounts()
+	}
+	defer func() {
+		for _, h := range d.hosts {
+			h.adviseNoMore()
+		}
+	}()
 	for i := range o.Fleet.Limiters {
 		h := &host{d: d, n: i}
 		d.hosts = append(d.hosts, h)
--- a/plugin/plugin.go
+++ b/plugin/plugin.go
@@ -73,6 +73,9 @@
 	Now    func() time.Duration // since some start; time.Since of the load if nil
 	Log    func(line string)    // what the plug-in logs, a line a call; nil: nothing
 	Cache  *Cache               // of compiled modules; nil: none
+	// Wait has a call that finds no instance free wait until one is started, rather than be
+	// ErrBusy: replays are to come to the same each time.
+	Wait bool
 }
 
 // Plugin is a module that is loaded. Its methods are safe for concurrent use.
@@ -99,6 +102,7 @@
 	wantsBody bool // by its manifest, and granted; set by the first start
 	inputSize uint32
 	body      bool // granted
+	wait      bool
 
 	Counts Counts
 }
@@ -179,7 +183,7 @@
 		return nil, fmt.Errorf("plug-in %s: %w: %d bytes, %d at most", o.Name, ErrModule, len(module), limits.Module)
 	}
 	begun := time.Now()
-	p := &Plugin{name: o.Name, limits: limits, now: o.Now, log: o.Log, body: o.Body, inputSize: advice.MostRequest, free: make(chan *instance, limits.Instances),
+	p := &Plugin{name: o.Name, limits: limits, now: o.Now, log: o.Log, body: o.Body, wait: o.Wait, inputSize: advice.MostRequest, free: make(chan *instance, limits.Instances),
 		taken: make(chan struct{}, limits.Instances), counters: advice.NewCounters(limits.Counters), rng: rand.New(rand.NewPCG(o.Seed, 0x9a))}
 	if p.now == nil {
 		p.now = func() time.Duration { return time.Since(begun) }
@@ -360,9 +364,13 @@
 	}
 	defer p.calls.Done()
 	i, err := p.take()
-	if err != nil { // not its fault
+	switch {
+	case errors.Is(err, ErrBusy): // not its fault
 		p.void()
 		return a, err
+	case err != nil:
+		p.ended(err)
+		return a, err
 	}
 	p.Counts.Calls.Add(1)
 	cut := within > 0 && within < p.limits.Call
@@ -417,6 +425,13 @@
 	}
 	select {
 	case p.taken <- struct{}{}:
+		if p.wait {
+			i, err := p.start(context.Background())
+			if err != nil {
+				<-p.taken
+			}
+			return i, err
+		}
 		p.more()
 	default:
 	}
@@ -447,7 +462,11 @@
 	defer func() {
 		if !sound {
 			i.module.Close(context.Background())
-			p.more()
+			if p.wait {
+				<-p.taken
+			} else {
+				p.more()
+			}
 			return
 		}
 		p.free <- i
--- a/plugin/set.go
+++ b/plugin/set.go
@@ -49,6 +49,7 @@
 	Log   func(line string)
 	Now   func() time.Duration // nil: real time
 	Cache *Cache               // nil: modules are compiled at each load
+	Wait  bool                 // see Options.Wait
 }
 
 // LoadError is that a plug-in can't be loaded.
@@ -87,7 +88,7 @@
 		h := held{name: x.Name, made: made{sha256.Sum256(x.Module), x.Limits.or(Defaults()), x.Seed, x.Sight.Body}}
 		h.Grant, h.Sight = x.Grant, x.Sight
 		if h.Plugin = before.find(x.Name, h.made); h.Plugin == nil {
-			p, err := Load(ctx, x.Module, Options{Name: x.Name, Limits: x.Limits, Seed: x.Seed, Body: x.Sight.Body, Now: o.Now, Log: o.Log, Cache: o.Cache})
+			p, err := Load(ctx, x.Module, Options{Name: x.Name, Limits: x.Limits, Seed: x.Seed, Body: x.Sight.Body, Now: o.Now, Log: o.Log, Cache: o.Cache, Wait: o.Wait})
 			if err != nil {
 				errs = append(errs, &LoadError{x.Name, err})
 				continue
