--- a/cmd/madderdrum/plugin.go
+++ b/cmd/madderdrum/plugin.go
@@ -98,7 +98,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return plugin.Load(ctx, data, plugin.Options{Name: m.Module, Seed: b.Seed, Log: func(line string) { fmt.Fprintln(os.Stderr, line) },
+	return plugin.Load(ctx, data, plugin.Options{Name: m.Module, Seed: b.Seed, Body: true, Log: func(line string) { fmt.Fprintln(os.Stderr, line) },
 		Limits: plugin.Limits{Call: b.Call, Memory: b.Memory << 20, PerSecond: 1 << 40}, Wait: true})
 }
 
@@ -112,21 +112,30 @@
 // written is a request as a file has it.
 type written struct {
 	Account  uint64            `json:"account"`
-	Plan     string            `json:"plan"`
-	Class    string            `json:"class"`
-	Method   string            `json:"method"`
-	Path     string            `json:"path"`
-	Headers  map[string]string `json:"headers"`
-	Units    float64           `json:"units"`
-	Balance  float64           `json:"balance"`
-	Pressure float64           `json:"pressure"`
-	LeftMs   float64           `json:"left_ms"`
-	Retry    bool              `json:"retry"`
+	Plan     string            `json:"plan,omitempty"`
+	Class    string            `json:"class,omitempty"`
+	Method   string            `json:"method,omitempty"`
+	Path     string            `json:"path,omitempty"`
+	Headers  map[string]string `json:"headers,omitempty"`
+	Units    float64           `json:"units,omitempty"`
+	Balance  float64           `json:"balance,omitempty"`
+	Pressure float64           `json:"pressure,omitempty"`
+	LeftMs   float64           `json:"left_ms,omitempty"`
+	Retry    bool              `json:"retry,omitempty"`
+	Body     string            `json:"body,omitempty"`
+}
+
+func writtenOf(r *advice.Request) *written {
+	return &written{Account: r.Account, Plan: r.PlanName, Class: r.ClassName, Method: r.Method, Path: r.Path, Units: r.Units, Balance: r.Balance,
+		Pressure: r.Pressure, LeftMs: r.LeftMs, Retry: r.Retry}
 }
 
 func (w *written) request() *advice.Request {
 	r := &advice.Request{Account: w.Account, PlanName: w.Plan, ClassName: w.Class, Method: w.Method, Path: w.Path, Units: w.Units,
 		Balance: w.Balance, Pressure: w.Pressure, LeftMs: w.LeftMs, Retry: w.Retry}
+	if w.Body != "" {
+		r.Body = []byte(w.Body)
+	}
 	for k, v := range w.Headers {
 		r.Headers = append(r.Headers, [2]string{k, v})
 	}
@@ -164,7 +173,11 @@
 			return fmt.Errorf("%s:%d: %w", c.Requests, n, err)
 		}
 		begun := time.Now()
-		a, err := p.Advise(w.request(), 0)
+		r := w.request()
+		if !p.WantsBody() {
+			r.Body = nil
+		}
+		a, err := p.Advise(r, 0)
 		took := time.Since(begun).Round(100 * time.Nanosecond)
 		if err != nil {
 			failed++
--- a/cmd/madderdrum/replay.go
+++ b/cmd/madderdrum/replay.go
@@ -3,7 +3,9 @@
 package main
 
 import (
+	"bufio"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -17,6 +19,7 @@
 	"github.com/schollz/progressbar/v3"
 	"golang.org/x/term"
 
+	"example.org/madderdrum/advice"
 	"example.org/madderdrum/config"
 	"example.org/madderdrum/internal/policies"
 	"example.org/madderdrum/internal/replay"
@@ -41,6 +44,7 @@
 	Generate   time.Duration `help:"Play so much of the fleet file's own traffic instead of a trace."`
 	Asked      float64       `help:"Share of the requests whose proxy asks whether they may go (docs/forwardauth.md), from 0 to 1; in virtual time, with the limiter."`
 	Plugin     []string      `help:"Play the limiter without and with these, and tell what they change: modules (.wasm), which may then say all there is, or configuration files with plugin blocks (.hcl); in virtual time." placeholder:"FILE" type:"path"`
+	Record     string        `help:"Write what plug-ins would be shown of the first 10,000 tries, for madderdrum plugin test, and end." placeholder:"FILE" type:"path"`
 	Sockets    bool          `help:"Play in real time on loopback sockets, round this very program as the limiters; the policy is then the limiter."`
 	JSON       string        `help:"Write the report as JSON." placeholder:"FILE"`
 	HTML       string        `help:"Write the report as one HTML page with charts." placeholder:"FILE"`
@@ -94,6 +98,9 @@
 	if c.Seeds < 1 || c.Seeds > 1000 {
 		return fmt.Errorf("--seeds %d: from 1 to 1000", c.Seeds)
 	}
+	if c.Record != "" {
+		return c.record(ctx, plan)
+	}
 	if len(c.Plugin) > 0 {
 		c.Policy = append(c.Policy, replay.WithPlugins)
 	}
@@ -131,6 +138,28 @@
 	return nil
 }
 
+// mostRecorded bounds the tries of --record.
+const mostRecorded = 10_000
+
+// record writes the requests of a plan as plugin test reads them.
+func (c *replayCommand) record(ctx context.Context, plan *replay.Plan) error {
+	f, err := os.Create(c.Record)
+	if err != nil {
+		return fmt.Errorf("--record: %w", err)
+	}
+	w := bufio.NewWriter(f)
+	lines, n := json.NewEncoder(w), 0
+	err = replay.Record(ctx, plan, c.Seed, mostRecorded, func(r *advice.Request) {
+		n++
+		lines.Encode(writtenOf(r)) // what can't be written shows at the flush
+	})
+	if err = errors.Join(err, w.Flush(), f.Close()); err != nil {
+		return fmt.Errorf("--record: %w", err)
+	}
+	fmt.Printf("%s: %d requests, for madderdrum plugin test MODULE -r %s\n", c.Record, n, c.Record)
+	return nil
+}
+
 // play plays one seed with one policy.
 func (c *replayCommand) play(ctx context.Context, plan *replay.Plan, policy string, seed uint64, series bool, progress func(float64)) (*replay.Run, error) {
 	if !c.Sockets {
--- a/internal/replay/plugins.go
+++ b/internal/replay/plugins.go
@@ -10,6 +10,7 @@
 	"slices"
 	"time"
 
+	"example.org/madderdrum/advice"
 	"example.org/madderdrum/internal/paired"
 	"example.org/madderdrum/internal/policies"
 	"example.org/madderdrum/internal/service"
@@ -77,6 +78,48 @@
 	}, nil
 }
 
+// recorder notes what plug-ins would be shown, and has no opinion.
+type recorder struct {
+	note func(*advice.Request)
+	left *int
+}
+
+// Advise is the recorder's.
+func (r recorder) Advise(_ context.Context, s *advice.Subject, _ time.Duration) advice.Combined {
+	if *r.left > 0 {
+		*r.left--
+		r.note(&s.Request)
+	}
+	return advice.Start()
+}
+
+// Close does nothing.
+func (recorder) Close() error { return nil }
+
+// Record plays a plan with the limiter in virtual time and hands over what its plug-ins would
+// be shown, in order, most requests at most.
+func Record(ctx context.Context, p *Plan, seed uint64, most int, note func(*advice.Request)) error {
+	source, err := p.Source(seed)
+	if err != nil {
+		return err
+	}
+	defer source.Close()
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	left := most
+	o := virtual.Options{Fleet: p.Options.Fleet, Seed: seed, Source: source, Faults: p.Faults, Asked: p.Options.Asked,
+		Advisers: func(int, func() time.Duration) (virtual.Adviser, error) { return recorder{note, &left}, nil },
+		Progress: func(time.Duration) {
+			if left == 0 {
+				stop()
+			}
+		}}
+	if _, err := virtual.Run(ctx, o); err != nil && left > 0 {
+		return fmt.Errorf("recording with seed %d: %w", seed, err)
+	}
+	return nil
+}
+
 // PluginSum is what became of a plug-in in a run, over all limiters.
 type PluginSum struct {
 	Name      string `json:"name"`
--- a/plugin/plugin_test.go
+++ b/plugin/plugin_test.go
@@ -198,6 +198,22 @@
 	}
 }
 
+// A module that takes more memory at each call is thrown away when it has none left, and
+// the next instance begins anew: others' requests lose one advice now and then, and it is
+// not benched.
+func TestLeakingModule(t *testing.T) {
+	grow := join(constI32(1), []byte{0x40, 0x00}, constI32(-1), []byte{0x46, 0x04, 0x40}, trap, []byte{0x0b}, none)
+	p := load(t, asm{Advise: grow}.Build(), Options{Limits: Limits{Memory: 1 << 20}, Wait: true})
+	for range 100 {
+		if _, err := ask(t, p); err != nil && !errors.Is(err, ErrTrap) {
+			t.Fatal(err)
+		}
+	}
+	if s := p.State(); s.Calls != 100 || s.Faults != 6 || s.BenchedFor > 0 || s.Skipped > 0 { // each 16th: 15 pages are left
+		t.Errorf("%+v", s)
+	}
+}
+
 // An unloaded plug-in waits for the calls in it and takes no more.
 func TestClose(t *testing.T) {
 	p := load(t, asm{Advise: join(forever(), none)}.Build(), Options{Limits: Limits{Call: 200 * time.Millisecond}})
