--- a/limiter/requests.go
+++ b/limiter/requests.go
@@ -135,7 +135,8 @@
 	p.weighed++
 	r.factor = 1
 	if p.worth > 0 {
-		r.factor += (max(leastWorth, min(mostWorth, r.advice.weighed(worth)/p.worth)) - 1) * min(1, 2*p.pressure)
+		worth = r.advice.weighed(worth)
+		r.factor += (max(leastWorth, min(mostWorth, worth/p.worth)) - 1) * min(1, 2*p.pressure)
 	}
 }
 
