--- a/cmd/madderdrum/replay.go
+++ b/cmd/madderdrum/replay.go
@@ -44,6 +44,7 @@
 	Generate   time.Duration `help:"Play so much of the fleet file's own traffic instead of a trace."`
 	Asked      float64       `help:"Share of the requests whose proxy asks whether they may go (docs/forwardauth.md), from 0 to 1; in virtual time, with the limiter."`
 	Plugin     []string      `help:"Play the limiter without and with these, and tell what they change: modules (.wasm), which may then say all there is, or configuration files with plugin blocks (.hcl); in virtual time." placeholder:"FILE" type:"path"`
+	Remember   time.Duration `help:"Limiters keep what they have learnt so often, such as 500ms, and go on from it when they start again; in virtual time. They forget if left out."`
 	Record     string        `help:"Write what plug-ins would be shown of the first 10,000 tries, for madderdrum plugin test, and end." placeholder:"FILE" type:"path"`
 	Sockets    bool          `help:"Play in real time on loopback sockets, round this very program as the limiters; the policy is then the limiter."`
 	JSON       string        `help:"Write the report as JSON." placeholder:"FILE"`
@@ -194,8 +195,10 @@
 	switch {
 	case !(c.Speed >= 1e-3 && c.Speed <= 1e6):
 		return nil, fmt.Errorf("--speed %g: write a factor from 0.001 to 1000000, such as 2", c.Speed)
-	case c.From < 0 || c.For < 0 || c.Reorder < 0 || c.Generate < 0:
-		return nil, errors.New("--from, --for, --reorder and --generate can't be below 0")
+	case c.From < 0 || c.For < 0 || c.Reorder < 0 || c.Generate < 0 || c.Remember < 0:
+		return nil, errors.New("--from, --for, --reorder, --generate and --remember can't be below 0")
+	case c.Remember > 0 && (c.Remember < 10*time.Millisecond || c.Sockets):
+		return nil, errors.New("--remember takes a time from 10ms on, without --sockets")
 	case c.Generate > 0 && len(c.Trace) > 0:
 		return nil, errors.New("--generate plays no trace: leave out the files, or --generate")
 	}
@@ -216,7 +219,7 @@
 	if !(c.Asked >= 0 && c.Asked <= 1) || c.Asked > 0 && (c.Sockets || len(c.Policy) != 1 || c.Policy[0] != "limiter") {
 		return nil, errors.New("--asked takes a share from 0 to 1, without --sockets and --policy")
 	}
-	o.Asked = c.Asked
+	o.Asked, o.Remember = c.Asked, c.Remember
 	if len(c.Plugin) > 0 {
 		if c.Sockets || len(c.Policy) != 1 || c.Policy[0] != "limiter" {
 			return nil, errors.New("--plugin plays the limiter without and with plug-ins, in virtual time: leave out --sockets and --policy")
--- a/cmd/madderdrum/serve.go
+++ b/cmd/madderdrum/serve.go
@@ -22,6 +22,7 @@
 	"example.org/madderdrum/advice"
 	"example.org/madderdrum/config"
 	"example.org/madderdrum/internal/forwardauth"
+	"example.org/madderdrum/internal/memory"
 	"example.org/madderdrum/internal/node"
 	"example.org/madderdrum/internal/status"
 	"example.org/madderdrum/limiter"
@@ -112,6 +113,12 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
+	var k *memory.Keeper
+	if cfg.Memory.Folder != "" {
+		if k, err = memory.Open(memory.Options{Folder: cfg.Memory.Folder, Limiter: nc.Name, Every: cfg.Memory.Every, Log: logger}); err != nil {
+			return err
+		}
+	}
 	n, err := node.New(nc, logger)
 	if err != nil {
 		return err
@@ -138,6 +145,12 @@
 		beside = append(beside, s.Run)
 		logger.Info("showing the state of tiers and plug-ins", "listen", s.Addr().String())
 	}
+	ended := func() error { return nil }
+	if k != nil {
+		k.Recall(n, r.classes())
+		beside = append(beside, func(ctx context.Context) error { return k.Run(ctx, n, r.classes) })
+		ended = func() error { return k.Close(n, r.classes()) }
+	}
 	r.tellPools()
 	logger.Info("serving", "listen", strings.Join(cfg.Listens(position), " "), "boxes", len(f.Boxes), "pools", len(cfg.Pools), "routes", len(cfg.Routes), "peers", len(nc.Peers))
 	go func() {
@@ -152,7 +165,17 @@
 	}
 	err = n.Run(ctx)
 	tasks.Wait()
-	return errors.Join(append(errs, err)...)
+	return errors.Join(append(errs, err, ended())...)
+}
+
+// classes are the names of the configuration's classes.
+func (r *reloader) classes() (names []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, c := range r.cfg.Fleet.Classes {
+		names = append(names, c.Name)
+	}
+	return names
 }
 
 // reloader has a running limiter take new versions of its configuration.
--- a/config/config.go
+++ b/config/config.go
@@ -33,7 +33,8 @@
 	Listeners   []Listener
 	ForwardAuth []ForwardAuth
 	Plugins     []plugin.Spec // by name
-	Files       []string      // that were read, as they are shown
+	Memory      Memory
+	Files       []string // that were read, as they are shown
 
 	facts  []fact
 	places map[string]hcl.Range
@@ -65,6 +66,12 @@
 	Limiter       int
 }
 
+// Memory is where limiters keep what they have learnt; no folder: nowhere.
+type Memory struct {
+	Folder string
+	Every  time.Duration
+}
+
 // ForwardAuth is where other proxies ask a limiter.
 type ForwardAuth struct {
 	Limiter, Listen, Keys string
--- a/config/normal.go
+++ b/config/normal.go
@@ -95,6 +95,10 @@
 			}
 		}
 	}
+	for _, o := range b.each("memory") {
+		there("memory", "")
+		all = append(all, factsOf(o, "memory", "", "")...)
+	}
 	for i, o := range b.sorted("plugin") {
 		there("plugin", o.label)
 		for _, f := range factsOf(o, "plugin", o.label, "") {
--- a/config/schema.go
+++ b/config/schema.go
@@ -287,6 +287,9 @@
 		number("cores", "0", 0, 4096, "that it uses at most; 0 is no limit").atStart(),
 		{name: "memory", kind: kSize, def: "0B", most: 1 << 50, doc: "the heap is kept below a part of it; 0 is no limit", restart: true},
 		count("sockets", "0", 0, 1<<20, "descriptors that it may hold; 0 is 1,024").atStart()}},
+	{kind: "memory", single: true, doc: "Keeps what limiters have learnt over restarts; see memory.md.", fields: []field{
+		{name: "folder", kind: kFile, required: true, example: `"/var/lib/madderdrum"`, doc: "that lasts; each limiter has a folder of its name in it", restart: true},
+		dur("every", "500ms", 0.05, 60, "it is written so often").atStart()}},
 	{kind: "forward_auth", label: "limiter", doc: "A listener where other proxies ask; see forwardauth.md.", fields: []field{
 		address("listen", "where proxies ask").must().atStart(),
 		{name: "keys_file", kind: kFile, doc: "keys for tokens, `id secret` a line, the first signs; needed by ask-then-carry", restart: true},
--- /dev/null
+++ b/durable/durable.go
@@ -0,0 +1,468 @@
+// Package durable keeps what a process has learnt in a folder, so that the next one can go on
+// from it: a snapshot, and a log of what changed since. Whatever moment the power fails at, a
+// folder holds a sound state or is known to hold none; nothing is ever half written in place.
+//
+// A snapshot is written aside, synced, renamed and the folder synced; then a new log begins
+// and the generation before the last is taken away, so that the last sound one is kept. Each
+// record has a checksum. A log that breaks off, as a killed process leaves it, counts up to
+// its last whole record; a snapshot counts whole or not at all.
+//
+// One process at a time owns a folder. The lock is the system's (flock), which ends with the
+// process that holds it, however that ends.
+package durable
+
+import (
+	"bufio"
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+)
+
+// Stamp says who wrote a file, and when by which clocks.
+type Stamp struct {
+	Generation uint64 `json:"generation"`
+	Owner      string `json:"owner"`   // of the folder: another one's is not read
+	Wall       int64  `json:"wall_ms"` // Unix time
+	Boot       string `json:"boot"`    // of the machine's start; see Up
+	Up         int64  `json:"up_ms"`   // since that start, also while it slept
+	Inode      uint64 `json:"inode"`   // of the file itself: a copy has another
+}
+
+// Options are what a folder is opened with.
+type Options struct {
+	Owner string           // who keeps what in it, such as a limiter's name
+	Now   func() time.Time // time.Now if nil
+	Boot  func() (id string, up time.Duration)
+}
+
+// Recovered is what was found in a folder.
+type Recovered struct {
+	Found bool  // else it begins anew
+	Stamp Stamp // of the snapshot
+	// Clean tells that the process before ended in good order, after its last record, and
+	// that this one is the first to go on from there: it is so once for each such end, and
+	// never of copies or after the machine has started anew.
+	Clean   bool
+	Moved   bool          // the files are copies, or the machine has started anew since
+	Age     time.Duration // of the snapshot
+	Down    time.Duration // with Clean: since that end, by a clock that nobody sets
+	Records []Record      // in the order in which they were written: the last of a key holds
+	Notes   []string      // what was passed over, and why
+}
+
+// Folder is one that this process owns. Its methods are not safe for concurrent use.
+type Folder struct {
+	dir   string
+	o     Options
+	lock  *os.File
+	log   *os.File
+	gen   uint64
+	size  int64 // bytes of the log
+	whole int64 // bytes of the snapshot
+	buf   []byte
+	err   error // the first of a write: nothing is written any more
+}
+
+// Errors of opening.
+var (
+	ErrInUse = errors.New("is in use by another process")
+	ErrOwner = errors.New("belongs to another owner")
+)
+
+const (
+	lockName   = "lock"
+	snapSuffix = ".snapshot"
+	logSuffix  = ".log"
+	partSuffix = ".part"
+)
+
+// Open takes a folder, which is made if it is not there, and reads what is in it. What can't
+// be used is passed over with a note, and never an error; errors are of the folder itself.
+func Open(dir string, o Options) (*Folder, *Recovered, error) {
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	if o.Boot == nil {
+		o.Boot = bootOf
+	}
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return nil, nil, fmt.Errorf("durable: %w", err)
+	}
+	lock, err := os.OpenFile(filepath.Join(dir, lockName), os.O_RDWR|os.O_CREATE, 0o600)
+	if err != nil {
+		return nil, nil, fmt.Errorf("durable: %w", err)
+	}
+	if err := syscall.Flock(int(lock.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		lock.Close()
+		if errors.Is(err, syscall.EWOULDBLOCK) {
+			return nil, nil, fmt.Errorf("durable: %s %w", dir, ErrInUse)
+		}
+		return nil, nil, fmt.Errorf("durable: lock of %s: %w", dir, err)
+	}
+	f := &Folder{dir: dir, o: o, lock: lock}
+	r, err := f.recover()
+	if err == nil && r.Clean {
+		err = f.take(r.Stamp.Generation)
+	}
+	if err != nil {
+		lock.Close()
+		return nil, nil, err
+	}
+	return f, r, nil
+}
+
+func (f *Folder) path(gen uint64, suffix string) string {
+	return filepath.Join(f.dir, fmt.Sprintf("%016x%s", gen, suffix))
+}
+
+// generations are those of which a file is there, the latest first.
+func (f *Folder) generations() ([]uint64, error) {
+	entries, err := os.ReadDir(f.dir)
+	if err != nil {
+		return nil, fmt.Errorf("durable: %w", err)
+	}
+	var all []uint64
+	for _, e := range entries {
+		name, ok := strings.CutSuffix(e.Name(), snapSuffix)
+		if !ok {
+			name, ok = strings.CutSuffix(e.Name(), logSuffix)
+		}
+		if gen, err := strconv.ParseUint(name, 16, 64); ok && err == nil && len(name) == 16 && !slices.Contains(all, gen) {
+			all = append(all, gen)
+		}
+		if strings.HasSuffix(e.Name(), partSuffix) { // of a process that was killed
+			os.Remove(filepath.Join(f.dir, e.Name()))
+		}
+	}
+	slices.Sort(all)
+	slices.Reverse(all)
+	return all, nil
+}
+
+// recover reads the latest sound generation.
+func (f *Folder) recover() (*Recovered, error) {
+	all, err := f.generations()
+	if err != nil {
+		return nil, err
+	}
+	r := &Recovered{}
+	if len(all) > 0 {
+		f.gen = all[0] // a new one is written above all that there are
+	}
+	for _, gen := range all {
+		if f.read(gen, r) {
+			break
+		}
+	}
+	return r, nil
+}
+
+// take marks the end of a log as gone on from, on the disk, before anybody does.
+func (f *Folder) take(gen uint64) error {
+	log, err := os.OpenFile(f.path(gen, logSuffix), os.O_WRONLY|os.O_APPEND, 0)
+	if err == nil {
+		_, err = log.Write(appendRecord(nil, Record{Kind: kindTaken}))
+		err = errors.Join(err, log.Sync(), log.Close())
+	}
+	if err != nil {
+		return fmt.Errorf("durable: taking over: %w", err)
+	}
+	return nil
+}
+
+// read reads one generation and tells whether it is sound.
+func (f *Folder) read(gen uint64, r *Recovered) bool {
+	note := func(name string, err error) {
+		r.Notes = append(r.Notes, fmt.Sprintf("%s: %v", filepath.Base(name), err))
+	}
+	name := f.path(gen, snapSuffix)
+	stamp, records, inode, err := readFile(name, true)
+	if err == nil && stamp.Owner != f.o.Owner {
+		err = fmt.Errorf("%w: %q, this is %q", ErrOwner, stamp.Owner, f.o.Owner)
+	}
+	if err != nil {
+		if !errors.Is(err, fs.ErrNotExist) {
+			note(name, err)
+		}
+		return false
+	}
+	boot, up := f.o.Boot()
+	r.Found, r.Stamp, r.Records = true, stamp, records
+	r.Moved = inode != stamp.Inode || boot == "" || boot != stamp.Boot
+	r.Age = f.o.Now().Sub(time.UnixMilli(stamp.Wall))
+	if boot != "" && boot == stamp.Boot { // a clock that nobody sets
+		r.Age = up - time.Duration(stamp.Up)*time.Millisecond
+	}
+	name = f.path(gen, logSuffix)
+	logged, more, inode, err := readFile(name, false)
+	switch {
+	case errors.Is(err, fs.ErrNotExist):
+	case err != nil && more == nil:
+		note(name, err)
+	case logged.Owner != f.o.Owner || logged.Generation != gen:
+		note(name, fmt.Errorf("%w: it belongs to another snapshot", ErrDamaged))
+	default:
+		if err != nil {
+			note(name, fmt.Errorf("%w, after %d whole records", err, len(more)))
+		}
+		r.Moved = r.Moved || inode != logged.Inode
+		if last := len(more) - 1; err == nil && !r.Moved && last >= 0 && more[last].Kind == kindClean && len(more[last].Value) == 8 {
+			r.Down = up - time.Duration(binary.LittleEndian.Uint64(more[last].Value))*time.Millisecond
+			r.Clean = r.Down >= 0
+		}
+		for _, x := range more {
+			if x.Kind < firstOwn {
+				r.Records = append(r.Records, x)
+			}
+		}
+	}
+	return true
+}
+
+// readFile reads a snapshot, whole, or a log up to its last whole record: then records are
+// returned with an error.
+func readFile(name string, whole bool) (stamp Stamp, records []Record, inode uint64, err error) {
+	file, err := os.Open(name)
+	if err != nil {
+		return stamp, nil, 0, err
+	}
+	defer file.Close()
+	info, err := file.Stat()
+	if err != nil {
+		return stamp, nil, 0, err
+	}
+	inode = inodeOf(info)
+	in := bufio.NewReaderSize(file, 64<<10)
+	head, err := readHeader(in)
+	if err == nil {
+		if e := json.Unmarshal(head, &stamp); e != nil {
+			err = fmt.Errorf("%w: its stamp: %w", ErrDamaged, e)
+		}
+	}
+	if err != nil {
+		return stamp, nil, inode, err
+	}
+	records = []Record{}
+	var r Record
+	var buffer []byte
+	for {
+		if r, buffer, err = readRecord(in, buffer); err != nil {
+			if err == io.EOF && !whole {
+				err = nil
+			} else if err == io.EOF {
+				err = fmt.Errorf("%w: it has no end", ErrDamaged)
+			}
+			return stamp, records, inode, err
+		}
+		if r.Kind == kindEnd {
+			if _, e := in.ReadByte(); r.Key != uint64(len(records)) || e != io.EOF || !whole {
+				return stamp, records, inode, fmt.Errorf("%w: its end says %d records, there are %d", ErrDamaged, r.Key, len(records))
+			}
+			return stamp, records, inode, nil
+		}
+		if len(records) >= mostRecords {
+			return stamp, nil, inode, fmt.Errorf("%w: too many records", ErrDamaged)
+		}
+		r.Value = slices.Clone(r.Value)
+		records = append(records, r)
+	}
+}
+
+func inodeOf(info fs.FileInfo) uint64 {
+	if s, ok := info.Sys().(*syscall.Stat_t); ok {
+		return s.Ino
+	}
+	return 0
+}
+
+// stamp is that of a file that is begun now.
+func (f *Folder) stamp(gen uint64, file *os.File) ([]byte, error) {
+	info, err := file.Stat()
+	if err != nil {
+		return nil, err
+	}
+	boot, up := f.o.Boot()
+	return json.Marshal(Stamp{Generation: gen, Owner: f.o.Owner, Wall: f.o.Now().UnixMilli(), Boot: boot, Up: up.Milliseconds(), Inode: inodeOf(info)})
+}
+
+// Snapshot writes all that is remembered, and begins a new log. all hands over each record;
+// what it was told before counts until the snapshot is whole on the disk.
+func (f *Folder) Snapshot(all func(put func(Record) error) error) error {
+	if f.err != nil {
+		return f.err
+	}
+	if err := f.snapshot(all); err != nil {
+		f.err = fmt.Errorf("durable: snapshot: %w", err)
+	}
+	return f.err
+}
+
+func (f *Folder) snapshot(all func(put func(Record) error) error) error {
+	gen := f.gen + 1
+	name := f.path(gen, snapSuffix)
+	part, err := os.OpenFile(name+partSuffix, os.O_WRONLY|os.O_CREATE|os.O_EXCL, 0o600)
+	if err != nil {
+		return err
+	}
+	defer os.Remove(name + partSuffix) // of no effect once it was renamed
+	defer part.Close()
+	stamp, err := f.stamp(gen, part)
+	if err != nil {
+		return err
+	}
+	out := bufio.NewWriterSize(part, 256<<10)
+	n := uint64(0)
+	f.whole = 0
+	put := func(r Record) error {
+		f.buf = appendRecord(f.buf[:0], r)
+		f.whole += int64(len(f.buf))
+		_, err := out.Write(f.buf)
+		return err
+	}
+	if _, err := out.Write(appendHeader(nil, stamp)); err != nil {
+		return err
+	}
+	err = all(func(r Record) error {
+		if r.Kind >= firstOwn || len(r.Value) > MostValue {
+			return fmt.Errorf("a record of kind %d with %d bytes", r.Kind, len(r.Value))
+		}
+		n++
+		return put(r)
+	})
+	if err == nil {
+		err = put(Record{Kind: kindEnd, Key: n})
+	}
+	if err = errors.Join(err, out.Flush()); err != nil {
+		return err
+	}
+	if err := errors.Join(part.Sync(), part.Close()); err != nil {
+		return err
+	}
+	// The log is there before the snapshot counts, so that a snapshot without one means
+	// that nothing has changed since.
+	log, size, err := f.begin(gen)
+	if err != nil {
+		return err
+	}
+	if err := os.Rename(name+partSuffix, name); err != nil {
+		log.Close()
+		return err
+	}
+	if err := f.syncDir(); err != nil {
+		log.Close()
+		return err
+	}
+	if f.log != nil {
+		f.log.Close()
+	}
+	old := f.gen
+	f.log, f.size, f.gen = log, size, gen
+	gens, err := f.generations()
+	if err != nil {
+		return err
+	}
+	for _, g := range gens { // the one before is kept
+		if g < old {
+			os.Remove(f.path(g, snapSuffix))
+			os.Remove(f.path(g, logSuffix))
+		}
+	}
+	return nil
+}
+
+// begin begins a log.
+func (f *Folder) begin(gen uint64) (*os.File, int64, error) {
+	log, err := os.OpenFile(f.path(gen, logSuffix), os.O_WRONLY|os.O_CREATE|os.O_TRUNC, 0o600)
+	if err != nil {
+		return nil, 0, err
+	}
+	stamp, err := f.stamp(gen, log)
+	if err == nil {
+		head := appendHeader(nil, stamp)
+		if _, err = log.Write(head); err == nil {
+			if err = log.Sync(); err == nil {
+				return log, int64(len(head)), nil
+			}
+		}
+	}
+	log.Close()
+	return nil, 0, err
+}
+
+func (f *Folder) syncDir() error {
+	d, err := os.Open(f.dir)
+	if err != nil {
+		return err
+	}
+	defer d.Close()
+	return d.Sync()
+}
+
+// Append writes what has changed to the log and waits until it is on the disk. After an
+// error nothing is written any more: what stands there is sound up to then.
+func (f *Folder) Append(records []Record) error {
+	switch {
+	case f.err != nil:
+		return f.err
+	case f.log == nil:
+		return errors.New("durable: no snapshot was written yet")
+	}
+	f.buf = f.buf[:0]
+	for _, r := range records {
+		if (r.Kind >= firstOwn && r.Kind != kindClean) || len(r.Value) > MostValue {
+			return fmt.Errorf("durable: a record of kind %d with %d bytes", r.Kind, len(r.Value))
+		}
+		f.buf = appendRecord(f.buf, r)
+	}
+	_, err := f.log.Write(f.buf)
+	if err == nil {
+		err = f.log.Sync()
+	}
+	if err != nil {
+		f.err = fmt.Errorf("durable: log: %w", err)
+		return f.err
+	}
+	f.size += int64(len(f.buf))
+	return nil
+}
+
+// Due tells that the log has grown past the snapshot, so that a new one is worth its cost.
+func (f *Folder) Due() bool { return f.size > max(f.whole, 64<<10) }
+
+// clean is the record of an end in good order.
+func (f *Folder) clean() Record {
+	_, up := f.o.Boot()
+	return Record{Kind: kindClean, Value: binary.LittleEndian.AppendUint64(nil, uint64(up.Milliseconds()))}
+}
+
+// Close ends the log in good order, with what has changed last, and lets go of the folder.
+func (f *Folder) Close(last []Record) error {
+	var err error
+	if f.log != nil && f.err == nil {
+		err = f.Append(append(slices.Clone(last), f.clean()))
+	}
+	if f.log != nil {
+		err = errors.Join(err, f.log.Close())
+	}
+	return errors.Join(err, f.lock.Close())
+}
+
+// Abandon lets go of the folder as a killed process would: what was written stands, and it
+// does not count as ended in good order.
+func (f *Folder) Abandon() error {
+	var err error
+	if f.log != nil {
+		err = f.log.Close()
+	}
+	return errors.Join(err, f.lock.Close())
+}
--- /dev/null
+++ b/durable/durable_test.go
@@ -0,0 +1,417 @@
+package durable
+
+import (
+	"bufio"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+)
+
+// clock is a machine's, as a test sets it.
+type clock struct {
+	boot string
+	up   time.Duration
+	wall time.Time
+}
+
+func (c *clock) options(owner string) Options {
+	return Options{Owner: owner, Now: func() time.Time { return c.wall }, Boot: func() (string, time.Duration) { return c.boot, c.up }}
+}
+
+func open(t testing.TB, dir string, o Options) (*Folder, *Recovered) {
+	t.Helper()
+	f, r, err := Open(dir, o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return f, r
+}
+
+// state is what records come to: the last of each key.
+func state(all []Record) map[string]string {
+	m := map[string]string{}
+	for _, r := range all {
+		key := fmt.Sprint(r.Kind, "/", r.Key)
+		if len(r.Value) == 0 {
+			delete(m, key)
+		} else {
+			m[key] = string(r.Value)
+		}
+	}
+	return m
+}
+
+func rec(key uint64, value string) Record { return Record{Kind: 1, Key: key, Value: []byte(value)} }
+
+// snapshot writes records as a snapshot.
+func snapshot(t testing.TB, f *Folder, all ...Record) {
+	t.Helper()
+	err := f.Snapshot(func(put func(Record) error) error {
+		for _, r := range all {
+			if err := put(r); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+func appends(t testing.TB, f *Folder, all ...Record) {
+	t.Helper()
+	if err := f.Append(all); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// What was written is found again, with how the process before ended and how old it is.
+func TestRemembers(t *testing.T) {
+	dir, c := filepath.Join(t.TempDir(), "a", "b"), &clock{"boot-1", time.Hour, time.Unix(1e9, 0)}
+	f, r := open(t, dir, c.options("n0"))
+	if r.Found || len(r.Notes) > 0 {
+		t.Errorf("of nothing: %+v", r)
+	}
+	if err := f.Append(nil); err == nil {
+		t.Error("a log without a snapshot")
+	}
+	snapshot(t, f, rec(1, "one"), rec(2, "two"))
+	appends(t, f, rec(2, "deux"), rec(3, "trois"))
+	appends(t, f, rec(1, ""))
+	if _, _, err := Open(dir, c.options("n0")); !errors.Is(err, ErrInUse) {
+		t.Errorf("two at once: %v", err)
+	}
+	if err := f.Close([]Record{rec(4, "last")}); err != nil {
+		t.Fatal(err)
+	}
+	c.up, c.wall = c.up+10*time.Second, c.wall.Add(-time.Hour) // a clock that went back
+	f, r = open(t, dir, c.options("n0"))
+	if got := fmt.Sprint(state(r.Records)); !r.Found || !r.Clean || r.Moved || r.Age != 10*time.Second || got != "map[1/2:deux 1/3:trois 1/4:last]" || len(r.Notes) > 0 {
+		t.Errorf("%+v, %s", r, got)
+	}
+	if r.Down != 10*time.Second {
+		t.Errorf("down for %v", r.Down)
+	}
+	// What was handed over is had once: the one that took it may have been killed.
+	f.lock.Close()
+	if f, r = open(t, dir, c.options("n0")); r.Clean || fmt.Sprint(state(r.Records)) != "map[1/2:deux 1/3:trois 1/4:last]" {
+		t.Errorf("taken over again: %+v", r)
+	}
+	// A process that is killed leaves no clean end, and two generations.
+	snapshot(t, f, rec(7, "seven"))
+	appends(t, f, rec(8, "eight"))
+	f.lock.Close()
+	f, r = open(t, dir, c.options("n0"))
+	if got := fmt.Sprint(state(r.Records)); r.Clean || got != "map[1/7:seven 1/8:eight]" {
+		t.Errorf("%+v, %s", r, got)
+	}
+	for range 5 {
+		snapshot(t, f, rec(9, "nine"))
+	}
+	if all, _ := f.generations(); len(all) != 2 {
+		t.Errorf("%d generations", len(all))
+	}
+	if f.Due() {
+		t.Error("a new snapshot is due at once")
+	}
+	for range 70 {
+		appends(t, f, Record{Kind: 1, Key: 5, Value: make([]byte, 1000)})
+	}
+	if !f.Due() {
+		t.Error("70 KB of log, and no snapshot is due")
+	}
+	for _, bad := range []Record{{Kind: kindEnd}, {Kind: firstOwn}, {Value: make([]byte, MostValue+1)}} {
+		if err := f.Append([]Record{bad}); err == nil {
+			t.Errorf("kind %d with %d bytes is taken", bad.Kind, len(bad.Value))
+		}
+	}
+}
+
+// Another owner's folder, a copy and a machine that has started anew are known for what
+// they are.
+func TestMoved(t *testing.T) {
+	dir, c := t.TempDir(), &clock{"boot-1", time.Hour, time.Unix(1e9, 0)}
+	f, _ := open(t, dir, c.options("n0"))
+	snapshot(t, f, rec(1, "one"))
+	if err := f.Close(nil); err != nil {
+		t.Fatal(err)
+	}
+	copied := t.TempDir()
+	if err := os.CopyFS(copied, os.DirFS(dir)); err != nil {
+		t.Fatal(err)
+	}
+	f, r := open(t, copied, c.options("n0"))
+	if !r.Found || !r.Moved || r.Clean {
+		t.Errorf("a copy: %+v", r)
+	}
+	f.lock.Close()
+	later := *c
+	later.boot, later.up, later.wall = "boot-2", time.Minute, c.wall.Add(48*time.Hour)
+	f, r = open(t, dir, later.options("n0"))
+	if !r.Found || !r.Moved || r.Age != 48*time.Hour || r.Clean {
+		t.Errorf("after the machine's start: %+v", r)
+	}
+	f.lock.Close()
+	f, r = open(t, dir, c.options("n1"))
+	if r.Found || len(r.Notes) != 1 || !strings.Contains(r.Notes[0], `belongs to another owner: "n0", this is "n1"`) {
+		t.Errorf("another's: %+v", r)
+	}
+	f.lock.Close()
+	if _, _, err := Open(filepath.Join(dir, lockName, "x"), c.options("n0")); err == nil {
+		t.Error("a folder in a file")
+	}
+}
+
+// written is a folder with two generations, and the states that may come of it: that of the
+// last one after each of its records, and that of the one before.
+func written(t testing.TB, dir string) (files []string, states []string) {
+	c := &clock{"boot-1", time.Hour, time.Unix(1e9, 0)}
+	f, _ := open(t, dir, c.options("n0"))
+	all := []Record{rec(1, "old one"), rec(2, "old two")}
+	snapshot(t, f, all...)
+	states = append(states, "map[]", fmt.Sprint(state(all)))
+	for _, r := range []Record{rec(2, "older"), rec(5, "five")} {
+		appends(t, f, r)
+		all = append(all, r)
+		states = append(states, fmt.Sprint(state(all)))
+	}
+	all = []Record{rec(1, "new one"), rec(2, "new two"), rec(3, strings.Repeat("x", 300))}
+	snapshot(t, f, all...)
+	states = append(states, fmt.Sprint(state(all)))
+	for _, r := range []Record{rec(4, "four"), rec(1, ""), rec(4, "vier")} {
+		appends(t, f, r)
+		all = append(all, r)
+		states = append(states, fmt.Sprint(state(all)))
+	}
+	if err := f.Close(nil); err != nil {
+		t.Fatal(err)
+	}
+	entries, err := os.ReadDir(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, e := range entries {
+		if e.Name() != lockName {
+			files = append(files, e.Name())
+		}
+	}
+	return files, states
+}
+
+// Whatever a power failure or a bad disk does to one file - cut at any byte, any bit changed,
+// gone, zeroes at its end - what is found is a state that was, or nothing, and a new process
+// goes on from there.
+func TestDamage(t *testing.T) {
+	from := t.TempDir()
+	files, states := written(t, from)
+	if len(files) != 4 {
+		t.Fatalf("%v", files)
+	}
+	data := map[string][]byte{}
+	for _, name := range files {
+		b, err := os.ReadFile(filepath.Join(from, name))
+		if err != nil {
+			t.Fatal(err)
+		}
+		data[name] = b
+	}
+	c := &clock{"boot-1", time.Hour, time.Unix(1e9, 0)}
+	dir := t.TempDir()
+	tried := 0
+	try := func(what string, name string, b []byte) {
+		t.Helper()
+		tried++
+		for n, d := range data {
+			if n == name {
+				d = b
+			}
+			path := filepath.Join(dir, n)
+			if d == nil {
+				os.Remove(path)
+			} else if err := os.WriteFile(path, d, 0o600); err != nil {
+				t.Fatal(err)
+			}
+		}
+		f, r := open(t, dir, c.options("n0"))
+		defer f.lock.Close()
+		if got := fmt.Sprint(state(r.Records)); !slices.Contains(states, got) || r.Clean && got != states[len(states)-1] {
+			t.Fatalf("%s of %s: %s, clean %v", what, name, got, r.Clean)
+		}
+		if tried%97 == 0 { // and it goes on
+			snapshot(t, f, rec(1, "again"))
+			f.lock.Close()
+			f, r := open(t, dir, c.options("n0"))
+			if got := fmt.Sprint(state(r.Records)); got != "map[1/1:again]" {
+				t.Fatalf("%s of %s: after it %s, %v", what, name, got, r.Notes)
+			}
+			f.lock.Close()
+			os.RemoveAll(dir)
+			os.MkdirAll(dir, 0o700)
+		}
+	}
+	for name, b := range data {
+		try("the loss", name, nil)
+		for n := range len(b) {
+			try(fmt.Sprintf("the first %d bytes", n), name, b[:n])
+			try(fmt.Sprintf("zeroes from %d on", n), name, append(slices.Clone(b[:n]), make([]byte, len(b)-n)...))
+			for bit := range 8 {
+				x := slices.Clone(b)
+				x[n] ^= 1 << bit
+				try(fmt.Sprintf("bit %d of byte %d", bit, n), name, x)
+			}
+		}
+		try("zeroes behind", name, append(slices.Clone(b), make([]byte, 4096)...))
+	}
+	t.Logf("%d damaged folders", tried)
+}
+
+// A file of a later version is not read, and the generation before it is; a value from the
+// future stays where it is.
+func TestLaterVersion(t *testing.T) {
+	dir := t.TempDir()
+	files, states := written(t, dir)
+	slices.Sort(files)
+	last := filepath.Join(dir, files[len(files)-1])
+	b, err := os.ReadFile(last)
+	if err != nil {
+		t.Fatal(err)
+	}
+	binary.LittleEndian.PutUint16(b[len(magic):], Version+1)
+	if err := os.WriteFile(last, b, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	c := &clock{"boot-1", time.Hour, time.Unix(1e9, 0)}
+	f, r := open(t, dir, c.options("n0"))
+	defer f.lock.Close()
+	if got := fmt.Sprint(state(r.Records)); got != states[3] || len(r.Notes) != 1 || !strings.Contains(r.Notes[0], "later version: 2") {
+		t.Errorf("%s, %v", got, r.Notes)
+	}
+	if _, err := os.Stat(last); err != nil {
+		t.Errorf("the file of the later version: %v", err)
+	}
+}
+
+// child is the process that TestKilled kills: it remembers a number in two records that
+// belong together, and says each number once it is on the disk.
+func child(dir string) {
+	f, r, err := Open(dir, Options{Owner: "n0"})
+	if err != nil {
+		fmt.Println("error", err)
+		os.Exit(1)
+	}
+	n := uint64(0)
+	if s := state(r.Records); s["1/1"] != "" {
+		n, _ = strconv.ParseUint(s["1/1"], 10, 64)
+	}
+	all := func(put func(Record) error) error {
+		return errors.Join(put(rec(1, fmt.Sprint(n))), put(rec(2, fmt.Sprint(n))))
+	}
+	if err := f.Snapshot(all); err != nil {
+		fmt.Println("error", err)
+		os.Exit(1)
+	}
+	for {
+		n++
+		if n%7 == 0 {
+			err = f.Snapshot(all)
+		} else {
+			err = f.Append([]Record{rec(2, fmt.Sprint(n)), rec(1, fmt.Sprint(n))})
+		}
+		if err != nil {
+			fmt.Println("error", err)
+			os.Exit(1)
+		}
+		fmt.Println(n)
+	}
+}
+
+func TestMain(m *testing.M) {
+	if dir := os.Getenv("DURABLE_CHILD"); dir != "" {
+		child(dir)
+	}
+	os.Exit(m.Run())
+}
+
+// A process that is killed at a thousand random points: each next one finds what the last one
+// said was on the disk, or what it was just writing, and never anything else.
+func TestKilled(t *testing.T) {
+	kills := 1000
+	if testing.Short() {
+		kills = 50
+	}
+	dir, r := t.TempDir(), rand.New(rand.NewPCG(1, 1))
+	said, mid := uint64(0), 0
+	for k := range kills {
+		cmd := exec.Command(os.Args[0])
+		cmd.Env = append(os.Environ(), "DURABLE_CHILD="+dir)
+		out, err := cmd.StdoutPipe()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := cmd.Start(); err != nil {
+			t.Fatal(err)
+		}
+		lines := bufio.NewScanner(out)
+		for range 1 + r.IntN(20) { // it is killed some way into what comes behind one of these
+			if !lines.Scan() {
+				t.Fatalf("%d: the child ended", k)
+			}
+			n, err := strconv.ParseUint(lines.Text(), 10, 64)
+			if err != nil {
+				t.Fatalf("%d: %s", k, lines.Text())
+			}
+			said = n
+		}
+		time.Sleep(time.Duration(r.IntN(300)) * time.Microsecond)
+		cmd.Process.Kill()
+		for lines.Scan() { // what it still said
+			if n, err := strconv.ParseUint(lines.Text(), 10, 64); err == nil {
+				said = n
+			}
+		}
+		cmd.Wait()
+		f, found, err := Open(dir, Options{Owner: "n0"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		s := state(found.Records)
+		one, _ := strconv.ParseUint(s["1/1"], 10, 64)
+		two, _ := strconv.ParseUint(s["1/2"], 10, 64)
+		if !found.Found || found.Clean || one < said || one > said+1 || two < one || two > one+1 {
+			t.Fatalf("%d: said %d, found %d and %d: %+v", k, said, one, two, found.Notes)
+		}
+		if one != said || two != one || len(found.Notes) > 0 {
+			mid++
+		}
+		f.lock.Close()
+	}
+	t.Logf("%d kills, %d of them in the midst of a write", kills, mid)
+}
+
+// FuzzRead: whatever is in a file, reading it ends, and what it gives passes the checksums.
+func FuzzRead(f *testing.F) {
+	b := appendHeader(nil, []byte(`{"generation":1,"owner":"n0"}`))
+	b = appendRecord(b, rec(1, "one"))
+	f.Add(appendRecord(slices.Clone(b), Record{Kind: kindEnd, Key: 1}), true)
+	f.Add(b, false)
+	f.Fuzz(func(t *testing.T, b []byte, whole bool) {
+		path := filepath.Join(t.TempDir(), "x")
+		if err := os.WriteFile(path, b, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		_, records, _, err := readFile(path, whole)
+		if err == nil && whole && len(records) > len(b) {
+			t.Errorf("%d records of %d bytes", len(records), len(b))
+		}
+	})
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -46,6 +46,8 @@
 	sources []*source
 	grants  Grants // nil where nobody asks
 
+	recalled *limiter.Memory // of the limiter before this one
+
 	reload    chan struct{} // the configuration is to be read again
 	discovery chan string   // a new address of discovery
 
@@ -170,6 +172,10 @@
 	defer tasks.Wait()
 	defer stop()
 	n.take(limiter.Persisted, n.cfg.Known)
+	if n.recalled != nil {
+		n.dispatch(limiter.Recall{Memory: n.recalled})
+		n.recalled = nil
+	}
 	if n.cfg.Discovery != "" { // else the list is fixed
 		tasks.Go(func() { n.follow(background) })
 		tasks.Go(func() { n.reloads(background) })
--- a/internal/virtual/host.go
+++ b/internal/virtual/host.go
@@ -31,6 +31,9 @@
 	asked  *asked // the Ask that the policy answers just now
 
 	adviser Adviser
+
+	memory     *limiter.Memory // of this life or the one before
+	rememberAt time.Duration
 }
 
 // conn is a kept connection.
@@ -79,6 +82,7 @@
 	h.known, h.reqs, h.byTry, h.idle = map[int]world.Entry{}, map[string]*req{}, map[uint64]*req{}, map[int][]conn{}
 	h.past, h.desk = map[string]*req{}, grant.NewDesk(h.n, len(h.d.o.Fleet.Limiters), leasesMost)
 	h.listed(limiter.Persisted, h.d.w.Known(h.n))
+	h.recall()
 	h.d.w.LimiterUp(h.n)
 	return nil
 }
@@ -122,6 +126,7 @@
 	})
 	h.d.after(stopTime, func() {
 		if h.epoch == epoch {
+			h.handOver()
 			h.kill()
 		}
 	})
--- a/internal/virtual/virtual.go
+++ b/internal/virtual/virtual.go
@@ -49,6 +49,9 @@
 	Advisers NewAdviser
 	// Accounts has the world's meter keep sums by account.
 	Accounts bool
+	// Remember has limiters keep what they have learnt so often, and go on from it when they
+	// start again; 0: they forget. Only a policy that can is asked to.
+	Remember time.Duration
 	// Progress, if set, is called now and then with the virtual time.
 	Progress func(now time.Duration)
 	// Started, if set, is given the world before anything happens in it, to look at
--- a/limiter/api.go
+++ b/limiter/api.go
@@ -94,7 +94,7 @@
 
 // Event is something that happened. The event types are [Submit], [Ask],
 // [Settle], [Outcome], [Aborted], [FirstByte], [Alarm], [Endpoints], [Probed],
-// [PeerMessage] and [Reconfigure].
+// [PeerMessage], [Recall] and [Reconfigure].
 type Event interface{ event() }
 
 // Submit is a client's request, which is now owed one final answer.
@@ -188,7 +188,12 @@
 	Classes, Plans []int
 }
 
+// Recall hands over what a limiter before this one has learnt, aged by whoever kept it. It is
+// to come once, behind the first list of servers.
+type Recall struct{ Memory *Memory }
+
 func (Submit) event()      {}
+func (Recall) event()      {}
 func (Reconfigure) event() {}
 func (Settle) event()      {}
 func (Outcome) event()     {}
--- a/limiter/gossip.go
+++ b/limiter/gossip.go
@@ -30,7 +30,8 @@
 func (l *Limiter) join(now float64, c *customer, spread, first int) {
 	n, p := l.cfg.Balancers, l.cfg.Plans[c.plan]
 	c.spread, c.first = max(1, min(spread, n)), ((first%n)+n)%n
-	c.share = min(p.CeilingBurst, p.CeilingRate*(now-l.startedAt)/1000) / float64(c.spread)
+	c.share = min(p.CeilingBurst, p.CeilingRate*(now-l.knownFrom)/1000) / float64(c.spread)
+	l.resume(now, c)
 	from, step, count := 0, 1, c.spread
 	if c.large() {
 		h := mix(c.id)
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -33,7 +33,7 @@
 func (l *Limiter) Handle(now float64, ev Event) []Action {
 	l.out = l.out[:0]
 	if !l.started {
-		l.started, l.startedAt, l.sweptAt = true, now, now
+		l.started, l.startedAt, l.knownFrom, l.sweptAt = true, now, now, now
 		l.hintPause = 1000 * float64(len(l.peers)) / (hintShare * max(1, l.cfg.PeerInPerS))
 		l.hintAt = now + l.hintPause*l.rng.Float64() // not all at once
 		if l.cfg.AskMembers {
@@ -76,6 +76,8 @@
 		l.probed(now, e)
 	case PeerMessage:
 		l.heard(now, e)
+	case Recall:
+		l.recall(now, e.Memory)
 	case Reconfigure:
 		l.reconfigure(now, e)
 	}
--- /dev/null
+++ b/limiter/memory_test.go
@@ -0,0 +1,233 @@
+package limiter
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"reflect"
+	"testing"
+)
+
+// learnt is a limiter that has seen a slow server, one that fails a class, and one that is
+// down.
+func learnt(t *testing.T) *handler {
+	h := newHandler(t, poolSettings(), ServerInfo{ID: 1, Pool: 7, ReadyAt: 50}, ServerInfo{ID: 2, Pool: 7}, ServerInfo{ID: 3, Pool: 7}, ServerInfo{ID: 4, Pool: 7})
+	h.l.cfg.Plans[0].Rate, h.l.cfg.Plans[0].Burst = 1e6, 1e6
+	for i := range 400 {
+		h.now += 5
+		id := fmt.Sprint("r", i)
+		h.submit(id, Submit{Units: 1, Customer: 1, Pool: 7, Class: i % 2})
+		for h.end[id] == "" && len(h.sent[id]) > 0 {
+			try := len(h.sent[id]) - 1
+			server := h.sent[id][try]
+			e := Outcome{ID: id, Try: try, Server: server, Result: Pass, SpentMs: 20, Done: true, Load: Load{-1, -1, -1}}
+			switch {
+			case server == 1:
+				e.SpentMs = 80
+			case server == 2 && i%2 == 1 && i > 300:
+				e.Result, e.Done = Fault, false
+			case server == 4:
+				e.Result, e.Done = NoRoute, false
+			}
+			h.give(e)
+			if e.Done {
+				break
+			}
+		}
+	}
+	return h
+}
+
+// What one limiter has learnt the next one goes by, in its first decision.
+func TestRecall(t *testing.T) {
+	h := learnt(t)
+	m := h.l.Remember(h.now)
+	again := h.l.Remember(h.now)
+	if !reflect.DeepEqual(m, again) {
+		t.Error("remembering changes what is remembered")
+	}
+	if len(m.Boxes) != 4 || len(m.Pools) == 0 || !m.Boxes[3].Down || m.Boxes[1].Ills[1].LeftMs <= 0 || m.Boxes[0].Spent/m.Boxes[0].Had < 2 {
+		t.Fatalf("%+v", m)
+	}
+	next := newHandler(t, poolSettings(), ServerInfo{ID: 1, Pool: 7, ReadyAt: 50}, ServerInfo{ID: 2, Pool: 7}, ServerInfo{ID: 3, Pool: 7}, ServerInfo{ID: 4, Pool: 7})
+	next.now = 9e6 // another clock
+	next.l.cfg.Plans[0].Rate, next.l.cfg.Plans[0].Burst = 1e6, 1e6
+	next.give(Recall{Memory: m})
+	old, now := h.l.servers, next.l.servers
+	if p, q := h.l.pools[7], next.l.pools[7]; !reflect.DeepEqual(p.work, q.work) || p.fit != q.fit || p.worth != q.worth {
+		t.Errorf("%v %v, %v %v", p.work, q.work, p.fit, q.fit)
+	}
+	if a, b := old[1].slowness(h.now), now[1].slowness(next.now); math.Abs(a-b) > 1e-6 || b < 1.5 {
+		t.Errorf("a slow server: %v, then %v", a, b)
+	}
+	for i := range 30 {
+		id := fmt.Sprint("n", i)
+		next.submit(id, Submit{Units: 1, Customer: 1, Pool: 7, Class: 1})
+		if s := next.sent[id]; len(s) != 1 || s[0] != 3 && s[0] != 1 {
+			t.Fatalf("sent to %v, where 2 fails this class and 4 is down", s)
+		}
+		next.outcome(id, Pass)
+	}
+	// Another process at the same address is a stranger, and so is one that is not listed.
+	next = newHandler(t, poolSettings(), ServerInfo{ID: 1, Pool: 7, ReadyAt: 60}, ServerInfo{ID: 5, Pool: 7})
+	next.give(Recall{Memory: m})
+	if s := next.l.servers[1]; s.had != 0 || s.down || len(next.l.servers) != 2 {
+		t.Errorf("another process: %+v, %d servers", s, len(next.l.servers))
+	}
+	// What it has learnt itself goes before.
+	before := h.l.Remember(h.now)
+	h.give(Recall{Memory: &Memory{Usual: []UsualMemory{{1, 100}, {1, 100}, {}}, Pools: []PoolMemory{{ID: 7, Work: []WorkMemory{{1, 9}, {1, 9}, {1, 9}}}},
+		Boxes: []BoxMemory{{ID: 2, Spent: 50, Had: 1, Ills: make([]IllMemory, 3)}}}})
+	if !reflect.DeepEqual(before, h.l.Remember(h.now)) {
+		t.Error("a memory replaces what is known")
+	}
+	h.give(Recall{})
+}
+
+// randomMemory is what no limiter learns.
+func randomMemory(r *rand.Rand, classes int) *Memory {
+	odd := []float64{0, 1, -1, 200, 1e300, -1e300, 1e-300, math.NaN(), math.Inf(1), math.Inf(-1), 50, 3}
+	pick := func() float64 { return odd[r.IntN(len(odd))] }
+	m := &Memory{}
+	n := classes + r.IntN(3)/2
+	for range n {
+		m.Usual = append(m.Usual, UsualMemory{pick(), pick()})
+	}
+	for id := range uint64(3) {
+		p := PoolMemory{ID: id, Fit: [5]float64{pick(), pick(), pick(), pick(), pick()}, Worth: pick(), Weight: pick()}
+		for range n {
+			p.Work = append(p.Work, WorkMemory{pick(), pick()})
+		}
+		m.Pools = append(m.Pools, p)
+	}
+	for id := range uint64(10) {
+		b := BoxMemory{ID: id, Spent: pick(), Had: pick(), Down: r.IntN(2) == 0}
+		for range n {
+			b.Ills = append(b.Ills, IllMemory{pick(), pick()})
+		}
+		m.Boxes = append(m.Boxes, b)
+	}
+	return m
+}
+
+// Whatever a memory says, what is gone by afterwards are figures.
+func TestRecallOfNonsense(t *testing.T) {
+	r := rand.New(rand.NewPCG(3, 3))
+	for range 3000 {
+		h := newHandler(t, poolSettings(), ServerInfo{ID: 1, Pool: 1}, ServerInfo{ID: 2, Pool: 1})
+		h.give(Recall{Memory: randomMemory(r, 3)})
+		p := h.l.poolOf(1)
+		for _, s := range p.order {
+			for class := range 3 {
+				if x := h.l.expected(h.now, s, class); !(x > 0) || math.IsInf(x, 0) {
+					t.Fatalf("an answer is expected after %v ms: %+v %+v", x, p, s)
+				}
+			}
+			if s.ills[0].to > h.now+illMs {
+				t.Fatalf("kept off for %v ms", s.ills[0].to-h.now)
+			}
+		}
+		for i := range 40 { // and after some answers it goes on as ever
+			h.now += 300
+			h.give(Alarm{Handle: "tick"})
+			for id := range uint64(2) {
+				h.give(Probed{Server: id + 1, Result: Pass})
+			}
+			id := fmt.Sprint("r", i)
+			h.submit(id, Submit{Units: 1, Customer: uint64(i), Pool: 1})
+			if len(h.sent[id]) > 0 {
+				h.outcome(id, Pass)
+			}
+		}
+		if len(h.sent["r39"]) == 0 {
+			t.Fatalf("still refused after 12 s: %+v", p)
+		}
+	}
+}
+
+// handover ends a limiter and begins another one some time later.
+func handover(t *testing.T, h *handler, s Settings, down float64, change func(*Handover)) *handler {
+	m := h.l.HandOver(h.now)
+	m.Handover.DownMs = down
+	if change != nil {
+		change(m.Handover)
+	}
+	next := newHandler(t, s, ServerInfo{ID: 1})
+	next.give(Recall{Memory: m})
+	return next
+}
+
+// passes counts how many units of an account pass at once.
+func (h *handler) passes(account uint64, plan int) (n int) {
+	for i := range 60 {
+		id := fmt.Sprint("p", account, "-", i, "-", h.now)
+		h.submit(id, Submit{Units: 1, Customer: account, Plan: plan})
+		if len(h.sent[id]) > 0 {
+			h.outcome(id, Pass)
+			n++
+		}
+	}
+	return n
+}
+
+// A part of a ceiling goes on from what was left, and is never there twice: neither by a
+// start, nor by a handover of another position, tier or plan.
+func TestHandover(t *testing.T) {
+	s := poolSettings()
+	s.Plans[1].Rate, s.Plans[1].Burst = 1e6, 1e6 // the ceiling alone: 8 a second, 16 at once
+	begin := func() *handler {
+		h := newHandler(t, s, ServerInfo{ID: 1})
+		h.now += 60_000
+		if n := h.passes(5, 1); n != 16 {
+			t.Fatalf("%d of a full ceiling", n)
+		}
+		h.now += 500 // 4 units more
+		return h
+	}
+	plain := newHandler(t, s, ServerInfo{ID: 1})
+	if n := plain.passes(5, 1); n != 0 {
+		t.Errorf("a fresh limiter grants %d of a ceiling", n)
+	}
+	for name, c := range map[string]struct {
+		down         float64
+		change       func(*Handover)
+		spent, fresh int // of the account that was spent, and of one that never came
+	}{
+		"at once":              {0, nil, 4, 16},
+		"after a second":       {1000, nil, 12, 16},
+		"after an hour":        {3.6e6, nil, 16, 16},
+		"another position":     {1000, func(h *Handover) { h.Position = 1 }, 0, 0},
+		"another tier":         {1000, func(h *Handover) { h.Balancers = 3 }, 0, 0},
+		"another plan":         {1000, func(h *Handover) { h.Plans[1].CeilingRate = 9 }, 0, 0},
+		"a time that is none":  {1000, func(h *Handover) { h.DownMs = math.NaN() }, 0, 0},
+		"a share that is none": {1000, func(h *Handover) { h.Accounts[0].Share = math.NaN() }, 0, 16},
+		"a share too large":    {1000, func(h *Handover) { h.Accounts[0].Share = 1e9 }, 16, 16},
+		"other limiters":       {1000, func(h *Handover) { h.Accounts[0].Spread = 2 }, 0, 16},
+	} {
+		next := handover(t, begin(), s, c.down, c.change)
+		if n, m := next.passes(5, 1), next.passes(6, 1); n != c.spent || m != c.fresh {
+			t.Errorf("%s: %d and %d units, want %d and %d", name, n, m, c.spent, c.fresh)
+		}
+	}
+	// Three in a row hand on what they hold, and a new configuration gives it up.
+	h := begin()
+	for range 3 {
+		h = handover(t, h, s, 100, nil)
+	}
+	if n := h.passes(5, 1); n != 6 {
+		t.Errorf("%d units after three handovers in 300 ms, want 6", n)
+	}
+	h = handover(t, begin(), s, 1000, nil)
+	h.give(Reconfigure{Settings: s, Classes: []int{0, 1, 2}, Plans: []int{0, 1}})
+	if n := h.passes(5, 1); n != 0 {
+		t.Errorf("%d units after another configuration", n)
+	}
+	h = handover(t, begin(), s, 1000, nil)
+	for range 200 {
+		h.now += 100
+		h.give(Alarm{Handle: "tick"})
+	}
+	if h.l.resumed != nil {
+		t.Errorf("%d accounts are kept for ever", len(h.l.resumed))
+	}
+}
--- a/limiter/property_test.go
+++ b/limiter/property_test.go
@@ -28,6 +28,7 @@
 	done     int
 	advised  bool // plug-ins say whatever comes to them
 	refused  int  // requests that they refused
+	handed   int  // accounts from one limiter to the next
 }
 
 type chaosReq struct {
@@ -67,6 +68,9 @@
 	c.limiters[i], c.open[i], c.told[i] = l, map[string]*chaosReq{}, map[uint64]ServerInfo{}
 	c.sends[i] = map[uint64][]float64{}
 	c.tellList(i, Persisted)
+	if c.advised { // and whatever a file says that one before it has learnt
+		c.event(i, Recall{Memory: randomMemory(c.rng, len(cfg.Classes))})
+	}
 }
 
 func (c *chaos) list() (s []ServerInfo) {
@@ -310,7 +314,14 @@
 			}
 		}
 	case u < 0.815: // the gateway dies and comes back with its last list
+		if c.rng.IntN(2) == 0 {
+			c.start(i)
+			break
+		}
+		m := c.limiters[i].HandOver(c.now) // or in good order, and the next one goes on from it
 		c.start(i)
+		c.event(i, Recall{Memory: m})
+		c.handed += len(m.Handover.Accounts)
 	case u < 0.83: // a server drains, goes, restarts or comes
 		id := uint64(1 + c.rng.IntN(8))
 		info := c.servers[id]
@@ -348,8 +359,8 @@
 
 func TestRulesUnderRandomEvents(t *testing.T) { underRandomEvents(t, false) }
 
-// Whatever plug-ins say, the rules hold: here in pools with tiers, where all that they may
-// say counts.
+// Whatever plug-ins say, and whatever is remembered, the rules hold: here in pools with tiers,
+// where all that plug-ins may say counts.
 func TestRulesUnderRandomAdvice(t *testing.T) { underRandomEvents(t, true) }
 
 func underRandomEvents(t *testing.T, advised bool) {
@@ -376,6 +387,9 @@
 			for range 6000 {
 				c.step()
 			}
+			if c.handed < 20 {
+				t.Errorf("%d accounts were handed over", c.handed)
+			}
 			if c.done < 3000 || advised != (c.refused > 200) {
 				t.Errorf("only %d requests were answered, %d refused by plug-ins", c.done, c.refused)
 			}
--- a/limiter/quota.go
+++ b/limiter/quota.go
@@ -98,6 +98,7 @@
 			c.balance >= p.Burst && (c.spread == 0 || p.CeilingRate <= 0 ||
 			c.share*float64(c.spread) >= p.CeilingBurst*(1-1e-9))
 	}
+	l.fadeResumed(now)
 	l.kept = slices.DeleteFunc(l.kept, idle)
 	l.listed = slices.DeleteFunc(l.listed, func(c *customer) bool {
 		drop := idle(c)
--- a/limiter/reload.go
+++ b/limiter/reload.go
@@ -24,6 +24,7 @@
 func (l *Limiter) reconfigure(now float64, e Reconfigure) {
 	old := l.cfg
 	s := &e.Settings
+	l.forgo(now)
 	l.cfg.Classes, l.cfg.Plans = slices.Clone(s.Classes), s.Plans
 	l.cfg.Rules, l.cfg.CrossPrice, l.cfg.Spills = s.Rules, s.CrossPrice, s.Spills
 	l.cfg.Caps.Attempts, l.cfg.Caps.RetryAfter = s.Caps.Attempts, s.Caps.RetryAfter
--- a/limiter/state.go
+++ b/limiter/state.go
@@ -17,6 +17,9 @@
 	mark      uint32 // this incarnation
 	started   bool
 	startedAt float64
+	knownFrom float64                  // since when all that was spent through this position is known
+	resumed   map[uint64]AccountMemory // of the limiter before this one, not come back yet
+	resumedAt float64                  // when that one ended
 	sweptAt   float64
 	anyOut    bool // some plan limits attempts out
 
--- /dev/null
+++ b/recall/recall_test.go
@@ -0,0 +1,67 @@
+package recall
+
+import (
+	"reflect"
+	"testing"
+	"time"
+
+	"example.org/madderdrum/limiter"
+)
+
+func memory() *limiter.Memory {
+	return &limiter.Memory{
+		Usual: []limiter.UsualMemory{{Ms: 700, Votes: 200}, {Ms: 900, Votes: 3}},
+		Pools: []limiter.PoolMemory{{ID: 7, Work: []limiter.WorkMemory{{Ms: 40, Seen: 9000}, {Ms: 80, Seen: 2}}, Fit: [5]float64{9000, 3, 1.5, 10, 5}, Worth: 2, Weight: 9000}},
+		Boxes: []limiter.BoxMemory{{ID: 1, ReadyAt: 50, Spent: 40, Had: 20, Down: true, Ills: []limiter.IllMemory{{LeftMs: 3000}, {Failures: 0}}}},
+	}
+}
+
+var names = Names{"check", "bulk"}
+
+// Trust falls with age as is stated, each kind by its own half-life.
+func TestAged(t *testing.T) {
+	for _, c := range []struct {
+		age                           time.Duration
+		down                          bool
+		had, left, failures, seen, us float64
+	}{
+		{-time.Hour, true, 20, 3000, 1, 200, 200}, // a clock that went back
+		{0, true, 20, 3000, 1, 200, 200},
+		{2 * time.Second, true, 19.097, 1000, 1, 199.995, 199.995},
+		{30 * time.Second, true, 10, 0, 1, 199.952, 199.952},
+		{time.Minute, false, 5, 0, 1, 199.904, 199.904},
+		{10*time.Minute - 1, false, 0, 0, 1, 199.04, 199.04},
+		{10 * time.Minute, false, 0, 0, 0, 199.04, 199.04},
+		{24 * time.Hour, false, 0, 0, 0, 100, 100},
+		{7 * 24 * time.Hour, false, 0, 0, 0, 1.5625, 1.5625},
+		{30 * 24 * time.Hour, false, 0, 0, 0, 0, 0},
+	} {
+		m := memory()
+		got := Aged(m, c.age, names, names)
+		b, near := got.Boxes[0], func(x, y float64) bool { return x > y-0.01 && x < y+0.01 }
+		if b.Down != c.down || !near(b.Had, c.had) || !near(b.Spent, 2*c.had) || !near(b.Ills[0].LeftMs, c.left) || b.Ills[0].Failures != c.failures ||
+			!near(got.Pools[0].Work[0].Seen, c.seen) || !near(got.Pools[0].Fit[0], c.seen) || !near(got.Usual[0].Votes, c.us) {
+			t.Errorf("after %v: %+v", c.age, got)
+		}
+		if b.Ills[1] != (limiter.IllMemory{}) {
+			t.Errorf("after %v a class that never failed: %+v", c.age, b.Ills[1])
+		}
+		if !reflect.DeepEqual(m, memory()) {
+			t.Fatal("the memory itself is changed")
+		}
+	}
+}
+
+// Classes that come, go and change their places take what is theirs along, and nothing else.
+func TestOtherClasses(t *testing.T) {
+	got := Aged(memory(), 0, names, Names{"new", "bulk", "check"})
+	w := got.Pools[0].Work
+	if w[0] != (limiter.WorkMemory{}) || w[1].Ms != 80 || w[2].Ms != 40 || got.Usual[2].Ms != 700 || got.Usual[0].Votes != 0 || got.Boxes[0].Ills[2].LeftMs != 3000 || got.Boxes[0].Ills[1].LeftMs != 0 {
+		t.Errorf("%+v", got)
+	}
+	short := memory() // of fewer classes than it says
+	short.Usual, short.Pools[0].Work, short.Boxes[0].Ills = nil, nil, nil
+	if got := Aged(short, 0, names, names); len(got.Usual) != 2 || len(got.Pools[0].Work) != 2 || len(got.Boxes[0].Ills) != 2 {
+		t.Errorf("%+v", got)
+	}
+}
