--- a/limiter/memory.go
+++ b/limiter/memory.go
@@ -89,12 +89,16 @@
 		}
 		return 1
 	})
+	m.Boxes = make([]BoxMemory, 0, len(l.order))
+	all := make([]IllMemory, 0, len(l.order)*len(l.cfg.Classes)) // one for all: the limiter is held meanwhile
 	for _, s := range l.order {
 		f := math.Exp((s.statAt - now) / speedMs)
 		x := BoxMemory{ID: s.info.ID, ReadyAt: s.info.ReadyAt, Spent: s.spent * f, Had: s.had * f, Down: s.down}
+		from := len(all)
 		for _, e := range s.ills {
-			x.Ills = append(x.Ills, IllMemory{float64(e.n), max(0, e.to-now)})
+			all = append(all, IllMemory{float64(e.n), max(0, e.to-now)})
 		}
+		x.Ills = all[from:len(all):len(all)]
 		m.Boxes = append(m.Boxes, x)
 	}
 	return m
@@ -103,7 +107,8 @@
 // HandOver is Remember for a limiter that has ended: it must not be given any event after it.
 func (l *Limiter) HandOver(now float64) *Memory {
 	m := l.Remember(now)
-	h := &Handover{Position: l.cfg.Position, Balancers: l.cfg.Balancers, Plans: slices.Clone(l.cfg.Plans[:l.named]), KnownMs: now - l.knownFrom}
+	h := &Handover{Position: l.cfg.Position, Balancers: l.cfg.Balancers, Plans: slices.Clone(l.cfg.Plans[:l.named]), KnownMs: now - l.knownFrom,
+		Accounts: make([]AccountMemory, 0, len(l.listed)+len(l.resumed))}
 	for _, c := range l.listed {
 		if c.spread == 0 || c.plan >= l.named {
 			continue // nothing of it has passed here, or its plan is gone
--- a/limiter/scale_test.go
+++ b/limiter/scale_test.go
@@ -382,3 +382,35 @@
 		l.Handle(now+50, Alarm{Handle: "tick"})
 	}
 }
+
+// BenchmarkRemember is how long a limiter is held while it tells what it has learnt, by boxes,
+// and all that it holds, by accounts.
+func BenchmarkRemember(b *testing.B) {
+	for _, n := range []int{12, 120, 1200} {
+		b.Run(fmt.Sprint("boxes/", n), func(b *testing.B) {
+			l, err := New(testSettings(), 1)
+			if err != nil {
+				b.Fatal(err)
+			}
+			l.Handle(1, Endpoints{Scope: Complete, Servers: fleet(n)})
+			for b.Loop() {
+				l.Remember(2)
+			}
+		})
+	}
+	for _, n := range []int{1000, 10_000, 100_000} {
+		b.Run(fmt.Sprint("handover/", n), func(b *testing.B) {
+			l, err := New(testSettings(), 1)
+			if err != nil {
+				b.Fatal(err)
+			}
+			l.Handle(1, Endpoints{Scope: Complete, Servers: fleet(12)})
+			for i := range n {
+				l.Handle(1, Submit{ID: fmt.Sprint(i), ExpiresMs: 900, Units: 1, Customer: uint64(i), Spread: 1})
+			}
+			for b.Loop() {
+				l.HandOver(2)
+			}
+		})
+	}
+}
