The test of a moved watch waits until the new list holds

It asked for answers as soon as the old watch had ended; while the new list was not in yet, a request went to the server that answers nobody, and waited there for its 12 s, which the one in hand did not have. With a discovery that takes 0.5 s for its first answer it failed each time, and passes now. The test was at fault, the limiter was not.

--- a/internal/node/reload_test.go
+++ b/internal/node/reload_test.go
@@ -45,6 +45,9 @@
 	r.rewrite(configText(next.addr))
 	r.node.Reload()
 	until(t, "the old watch ends", func() bool { return r.discovery.open.Load() == 0 })
+	// Until the new list holds requests go to the server that has not answered yet, and
+	// wait there as long as they may: longer than what is in hand has left.
+	until(t, "the new list holds", func() bool { return strings.Contains(r.log.String(), "host=s-b") })
 	r.served("b")
 	next.mu.Lock()
 	if next.first != "/v1/servers" {
