--- a/internal/memory/memory.go
+++ b/internal/memory/memory.go
@@ -47,10 +47,8 @@
 	o       Options
 	folder  *durable.Folder
 	found   *limiter.Memory
-	age     time.Duration
+	how     recall.Found
 	names   recall.Names // that it was learnt by
-	clean   bool
-	down    time.Duration
 	seed    maphash.Seed
 	written map[[2]uint64]uint64 // by kind and key: a hash of the value on the disk
 	broken  bool
@@ -63,7 +61,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("memory: %w", err)
 	}
-	k := &Keeper{o: o, folder: f, seed: maphash.MakeSeed(), written: map[[2]uint64]uint64{}, age: r.Age, clean: r.Clean, down: r.Down}
+	k := &Keeper{o: o, folder: f, seed: maphash.MakeSeed(), written: map[[2]uint64]uint64{}, how: recall.Found{Age: r.Age, Clean: r.Clean, Down: r.Down}}
 	for _, note := range r.Notes {
 		o.Log.Warn("memory: passed over", "file", note)
 	}
@@ -76,11 +74,8 @@
 		k.found = nil
 		return k, nil
 	}
-	if !r.Clean { // the limiter may have gone on spending after it was written
-		k.found.Handover = nil
-	}
 	o.Log.Info("memory: going on from what was learnt", "age", r.Age.Round(time.Millisecond).String(), "boxes", len(k.found.Boxes),
-		"handed_over", k.found.Handover != nil, "copied_or_rebooted", r.Moved)
+		"handed_over", r.Clean && k.found.Handover != nil, "copied_or_rebooted", r.Moved)
 	return k, nil
 }
 
@@ -90,12 +85,8 @@
 	if k.found == nil {
 		return
 	}
-	m := recall.Aged(k.found, k.age, k.names, classes)
-	if m.Handover != nil {
-		m.Handover.DownMs = float64(k.down) / float64(time.Millisecond)
-	}
+	l.Recall(recall.Aged(k.found, k.how, k.names, classes))
 	k.found = nil
-	l.Recall(m)
 }
 
 // Run keeps what the limiter learns until the context ends.
--- a/internal/virtual/remember.go
+++ b/internal/virtual/remember.go
@@ -31,10 +31,8 @@
 		for _, c := range h.d.o.Fleet.Classes {
 			names = append(names, c.Name)
 		}
-		m := recall.Aged(h.memory, now-h.rememberAt, names, names)
-		if m.Handover != nil {
-			m.Handover.DownMs = ms(now) - ms(h.rememberAt)
-		}
+		since := now - h.rememberAt
+		m := recall.Aged(h.memory, recall.Found{Age: since, Clean: true, Down: since}, names, names)
 		h.memory = nil // it may be had once
 		h.handle(limiter.Recall{Memory: m})
 	}
--- a/recall/recall.go
+++ b/recall/recall.go
@@ -47,10 +47,23 @@
 	return math.Exp2(-float64(max(0, age)) / float64(half))
 }
 
-// Aged is what is left of a memory after a time, for a configuration with other classes than
-// the one that it was learnt by. The memory itself is not changed.
-func Aged(m *limiter.Memory, age time.Duration, from, to Names) *limiter.Memory {
-	out := &limiter.Memory{Handover: m.Handover}
+// Found is how a memory was found.
+type Found struct {
+	Age   time.Duration // since it was taken
+	Clean bool          // its limiter had ended, and nobody else has gone on or goes on from it
+	Down  time.Duration // with Clean: since that end, by a clock that nobody sets
+}
+
+// Aged is what is left of a memory that was found, for a configuration with other classes than
+// the one that it was learnt by. What was held of quotas counts only of a limiter that is known
+// to have ended. The memory itself is not changed.
+func Aged(m *limiter.Memory, found Found, from, to Names) *limiter.Memory {
+	out, age := &limiter.Memory{}, found.Age
+	if m.Handover != nil && found.Clean && found.Down >= 0 {
+		h := *m.Handover
+		h.DownMs = float64(found.Down) / float64(time.Millisecond)
+		out.Handover = &h
+	}
 	place := make([]int, len(to)) // of each class in the memory
 	for k, name := range to {
 		place[k] = slices.Index(from, name)
--- a/recall/recall_test.go
+++ b/recall/recall_test.go
@@ -37,7 +37,7 @@
 		{30 * 24 * time.Hour, false, 0, 0, 0, 0, 0},
 	} {
 		m := memory()
-		got := Aged(m, c.age, names, names)
+		got := Aged(m, Found{Age: c.age}, names, names)
 		b, near := got.Boxes[0], func(x, y float64) bool { return x > y-0.01 && x < y+0.01 }
 		if b.Down != c.down || !near(b.Had, c.had) || !near(b.Spent, 2*c.had) || !near(b.Ills[0].LeftMs, c.left) || b.Ills[0].Failures != c.failures ||
 			!near(got.Pools[0].Work[0].Seen, c.seen) || !near(got.Pools[0].Fit[0], c.seen) || !near(got.Usual[0].Votes, c.us) {
@@ -54,14 +54,29 @@
 
 // Classes that come, go and change their places take what is theirs along, and nothing else.
 func TestOtherClasses(t *testing.T) {
-	got := Aged(memory(), 0, names, Names{"new", "bulk", "check"})
+	got := Aged(memory(), Found{}, names, Names{"new", "bulk", "check"})
 	w := got.Pools[0].Work
 	if w[0] != (limiter.WorkMemory{}) || w[1].Ms != 80 || w[2].Ms != 40 || got.Usual[2].Ms != 700 || got.Usual[0].Votes != 0 || got.Boxes[0].Ills[2].LeftMs != 3000 || got.Boxes[0].Ills[1].LeftMs != 0 {
 		t.Errorf("%+v", got)
 	}
 	short := memory() // of fewer classes than it says
 	short.Usual, short.Pools[0].Work, short.Boxes[0].Ills = nil, nil, nil
-	if got := Aged(short, 0, names, names); len(got.Usual) != 2 || len(got.Pools[0].Work) != 2 || len(got.Boxes[0].Ills) != 2 {
+	if got := Aged(short, Found{}, names, names); len(got.Usual) != 2 || len(got.Pools[0].Work) != 2 || len(got.Boxes[0].Ills) != 2 {
 		t.Errorf("%+v", got)
 	}
 }
+
+// What was held of quotas goes on after an end in good order alone.
+func TestHandover(t *testing.T) {
+	m := memory()
+	m.Handover = &limiter.Handover{Position: 2, DownMs: 7}
+	for _, c := range []struct {
+		found Found
+		want  bool
+	}{{Found{Clean: true, Down: time.Second}, true}, {Found{Clean: true}, true}, {Found{Down: time.Second}, false}, {Found{Clean: true, Down: -1}, false}} {
+		got := Aged(m, c.found, names, names).Handover
+		if (got != nil) != c.want || got != nil && (got.DownMs != float64(c.found.Down.Milliseconds()) || got.Position != 2) || m.Handover.DownMs != 7 {
+			t.Errorf("%+v: %+v", c.found, got)
+		}
+	}
+}
