--- a/advice/counsel/counsel.go
+++ b/advice/counsel/counsel.go
@@ -24,3 +24,7 @@
 	}
 	return a
 }
+
+// Due tells whether a request is to be put to plug-ins: not one with a lease, as the ask that
+// it was leased by has been.
+func Due(s *limiter.Submit) bool { return s.Leased <= 0 && !s.Vouched }
--- a/advice/counsel/counsel_test.go
+++ b/advice/counsel/counsel_test.go
@@ -24,3 +24,10 @@
 		}
 	}
 }
+
+// What was leased is not put to plug-ins a second time.
+func TestDue(t *testing.T) {
+	if !Due(&limiter.Submit{}) || Due(&limiter.Submit{Leased: 1}) || Due(&limiter.Submit{Vouched: true}) {
+		t.Error("due")
+	}
+}
--- a/internal/node/advise.go
+++ b/internal/node/advise.go
@@ -57,7 +57,7 @@
 // whether its client still waits. Of one that has left nothing may go on: it would get past
 // a plug-in that guards something.
 func (n *Node) advise(hr *http.Request, v *version, r *request, ev *limiter.Submit) bool {
-	if r.to.Adviser == nil || ev.Leased > 0 || ev.Vouched { // a lease was put to them when it was asked for
+	if r.to.Adviser == nil || !counsel.Due(ev) {
 		return true
 	}
 	s := &advice.Subject{Whole: r.body, Header: func(name string) string { return one(hr.Header, name) },
--- a/internal/virtual/advise.go
+++ b/internal/virtual/advise.go
@@ -26,7 +26,7 @@
 // advise asks the plug-ins about what goes to the policy next, as a limiter on sockets does.
 // Real time plays no part: a call has all of its plug-in's budget.
 func (h *host) advise(s *limiter.Submit) {
-	if h.adviser == nil {
+	if h.adviser == nil || !counsel.Due(s) {
 		return
 	}
 	f := h.d.o.Fleet
