--- a/cmd/madderdrum/replay.go
+++ b/cmd/madderdrum/replay.go
@@ -44,6 +44,7 @@
 	Generate   time.Duration `help:"Play so much of the fleet file's own traffic instead of a trace."`
 	Asked      float64       `help:"Share of the requests whose proxy asks whether they may go (docs/forwardauth.md), from 0 to 1; in virtual time, with the limiter."`
 	Plugin     []string      `help:"Play the limiter without and with these, and tell what they change: modules (.wasm), which may then say all there is, or configuration files with plugin blocks (.hcl); in virtual time." placeholder:"FILE" type:"path"`
+	Best       bool          `help:"Bound what any policy could have earned that knew the future and kept the rules, and tell why the rest was not; in virtual time. See docs/capacity.md."`
 	Remember   time.Duration `help:"Limiters keep what they have learnt so often, such as 500ms, and go on from it when they start again; in virtual time. They forget if left out."`
 	Record     string        `help:"Write what plug-ins would be shown of the first 10,000 tries, for madderdrum plugin test, and end." placeholder:"FILE" type:"path"`
 	Sockets    bool          `help:"Play in real time on loopback sockets, round this very program as the limiters; the policy is then the limiter."`
@@ -123,6 +124,9 @@
 	if err := report.Text(os.Stdout); err != nil {
 		return err
 	}
+	if err := report.WriteBest(os.Stdout); err != nil {
+		return err
+	}
 	if c.JSON != "" {
 		if err := report.Save(c.JSON); err != nil {
 			return err
@@ -219,7 +223,10 @@
 	if !(c.Asked >= 0 && c.Asked <= 1) || c.Asked > 0 && (c.Sockets || len(c.Policy) != 1 || c.Policy[0] != "limiter") {
 		return nil, errors.New("--asked takes a share from 0 to 1, without --sockets and --policy")
 	}
-	o.Asked, o.Remember = c.Asked, c.Remember
+	if c.Best && (c.Sockets || c.Asked > 0) {
+		return nil, errors.New("--best goes with virtual time and carried requests: leave out --sockets and --asked")
+	}
+	o.Asked, o.Remember, o.Best = c.Asked, c.Remember, c.Best
 	if len(c.Plugin) > 0 {
 		if c.Sockets || len(c.Policy) != 1 || c.Policy[0] != "limiter" {
 			return nil, errors.New("--plugin plays the limiter without and with plug-ins, in virtual time: leave out --sockets and --policy")
--- /dev/null
+++ b/internal/replay/best.go
@@ -0,0 +1,355 @@
+package replay
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"math"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"example.org/madderdrum/capacity"
+	"example.org/madderdrum/internal/fleet"
+	"example.org/madderdrum/internal/service"
+	"example.org/madderdrum/internal/virtual"
+	"example.org/madderdrum/internal/world"
+	"example.org/madderdrum/limiter"
+)
+
+// Best is the most that any policy could have earned on a run's day, had it known the future
+// and kept the rules, and where the run fell short of it.
+type Best struct {
+	Total    float64 `json:"total"` // bounds on the figures of Service
+	Whole    float64 `json:"whole"`
+	Worst10s float64 `json:"worst_10s"`
+	Plan     float64 `json:"worst_plan"`
+	Gap      float64 `json:"gap"`   // by how much Whole may be too high, as a share of it
+	Share    float64 `json:"share"` // the run's total over the bound's
+	// Causes add up to the worth asked for within quota that the run did not earn.
+	Causes  []Cause     `json:"causes"`
+	Prices  []float64   `json:"prices"` // of a second of work, by StepS
+	StepS   float64     `json:"step_s"`
+	Seconds [][]float64 `json:"lost_by_second"` // by cause
+}
+
+// Cause is why worth was not earned.
+type Cause struct {
+	Name     string  `json:"name"`
+	Due      bool    `json:"due"` // no policy could have earned it
+	Requests int     `json:"requests"`
+	Worth    float64 `json:"worth"`
+	Share    float64 `json:"share"` // of the worth asked for within quota
+}
+
+// The causes.
+const (
+	causeDue      = "capacity was not there"
+	causeQuota    = "the quota was split over limiters"
+	causeCeiling  = "the ceiling was split over limiters"
+	causePeers    = "peers were not heard yet"
+	causeCold     = "cold boxes' allowance was used up"
+	causeSpill    = "a bound on spill"
+	causeWellIll  = "a healthy box was taken for ill"
+	causeIllWell  = "an ill box was taken for healthy"
+	causeUnlisted = "a healthy box was not listed yet"
+	causeBusy     = "every healthy box was busy just then"
+	causeRoom     = "refused though a box was idle"
+	causeLate     = "late or failed at a healthy box"
+	causeAway     = "the limiter was away"
+	causeAdvice   = "plug-ins refused it"
+	causeBeyond   = "sent on or served beyond the quota"
+)
+
+// bestStep is a step of the bound.
+const bestStep = 100 * time.Millisecond
+
+// watcher gathers what the bound and the causes need while a run is under way.
+type watcher struct {
+	f     *fleet.Fleet
+	w     *world.World
+	calls []*world.Call
+	cause map[*world.Call]string // of its first refusal
+	last  map[*world.Call]string // of what came of its latest attempt, if it fails
+}
+
+func watch(f *fleet.Fleet, o *virtual.Options) *watcher {
+	x := &watcher{f: f, cause: map[*world.Call]string{}, last: map[*world.Call]string{}}
+	started, seen := o.Started, o.Watch
+	o.Started = func(w *world.World) {
+		x.w = w
+		if started != nil {
+			started(w)
+		}
+	}
+	o.Watch = func(now time.Duration, a world.Action) {
+		if a, ok := a.(world.ClientSends); ok && !a.Try.Retry {
+			x.calls = append(x.calls, a.Try.Call)
+		}
+		if seen != nil {
+			seen(now, a)
+		}
+	}
+	o.Refused = x.refused
+	o.SentTo = func(t *world.Try, box int) {
+		b := x.w.Boxes[box]
+		x.last[t.Call] = causeLate
+		if !b.Well() {
+			x.last[t.Call] = causeIllWell
+		} else if b.Warmth(x.w.Now()) < 1 {
+			x.last[t.Call] = causeCold
+		}
+	}
+	return x
+}
+
+// regarder is a policy that tells what it takes a server for.
+type regarder interface {
+	Regards(now float64, id uint64, class int) limiter.Regard
+}
+
+// refused finds why a try is refused, by what is true at that moment.
+func (x *watcher) refused(n int, p virtual.Policy, t *world.Try, a limiter.Refuse) {
+	if _, have := x.cause[t.Call]; have {
+		return
+	}
+	cause := causeRoom
+	switch a.Why {
+	case limiter.QuotaShort, limiter.AtOnceShort:
+		cause = causeQuota
+	case limiter.PeersUnheard:
+		cause = causePeers
+	case limiter.CeilingShort:
+		cause = causeCeiling
+	case limiter.Advised:
+		cause = causeAdvice
+	case limiter.AfterAttempts:
+		if cause = x.last[t.Call]; cause == "" {
+			cause = causeRoom
+		}
+	default:
+		cause = x.room(n, p, t)
+	}
+	x.cause[t.Call] = cause
+}
+
+// room tells why no server was found for a try.
+func (x *watcher) room(n int, p virtual.Policy, t *world.Try) string {
+	sees, ok := p.(regarder)
+	counts := map[limiter.Regard]int{}
+	spill := true
+	for i, b := range x.w.Boxes {
+		if !b.Well() || !b.Idle() || !x.w.Reaches(n, i) {
+			continue
+		}
+		r := limiter.Usable
+		if ok {
+			r = sees.Regards(virtual.Clock(x.w.Now()), uint64(i+1), t.Call.Class)
+		}
+		counts[r]++
+		if r == limiter.Usable && (len(x.f.Tiers) == 0 || x.f.Tiers.Of(b.Spec.Room, b.Spec.Labels, x.f.Limiters[n].Room) == 0) {
+			spill = false
+		}
+	}
+	ill := counts[limiter.TakenDown] + counts[limiter.TakenIll] + counts[limiter.Silent] + counts[limiter.Full]
+	switch {
+	case counts[limiter.Usable] > 0 && spill:
+		return causeSpill
+	case counts[limiter.Usable] > 0:
+		return causeRoom
+	case counts[limiter.TooCold] > 0:
+		return causeCold
+	case ill > 0:
+		return causeWellIll
+	case counts[limiter.Unlisted] > 0:
+		return causeUnlisted
+	}
+	return causeBusy
+}
+
+// problem is the day as the bound takes it; counts says which requests are of worth in it.
+func (x *watcher) problem(s *world.Supply, counts func(*world.Call) bool) *capacity.Problem {
+	p := &capacity.Problem{Supply: capacity.Supply{Step: s.Step.Seconds(), Work: s.Work, Core: s.Core}}
+	accounts := map[uint64]int{}
+	for _, c := range x.calls {
+		plan, class := &x.f.Plans[c.Plan], &x.f.Classes[c.Class]
+		a, have := accounts[c.Account]
+		if !have {
+			a = len(p.Quotas)
+			accounts[c.Account] = a
+			p.Quotas = append(p.Quotas, capacity.Quota{Rate: plan.Rate, Burst: plan.Burst})
+		}
+		if !counts(c) {
+			continue
+		}
+		p.Needs = append(p.Needs, capacity.Need{At: c.At.Seconds(), Aim: class.Aim.Seconds(), Deadline: class.Deadline.Seconds(), Work: c.Work.Seconds(),
+			Worth: c.Worth, Late: class.Late, Beyond: c.Worth * (plan.BeyondEarns - plan.OverrunCost), Units: c.Units, Account: a})
+	}
+	return p
+}
+
+// ErrOverBound tells that a run earned more than the bound says anybody could: a defect of the
+// bound.
+var ErrOverBound = errors.New("a run earned more than its upper bound")
+
+// best bounds a run's day and finds the causes.
+func (x *watcher) best(ctx context.Context, faults []world.Fault, seed uint64, length time.Duration) (*Best, error) {
+	m := x.w.Meter
+	for _, c := range x.f.Classes {
+		length = max(length, time.Duration(len(m.Seconds))*time.Second+c.Deadline)
+	}
+	s := world.SupplyOf(x.f, seed, faults, bestStep, length)
+	stop := func() bool { return ctx.Err() != nil }
+	solve := func(rounds int, counts func(*world.Call) bool) (*capacity.Bound, float64) {
+		asked := 0.0
+		for _, c := range x.calls {
+			if c.Within && counts(c) {
+				asked += c.Worth
+			}
+		}
+		return capacity.Solve(x.problem(s, counts), capacity.Options{Rounds: rounds, Stop: stop}), max(1e-12, asked)
+	}
+	all, asked := solve(0, func(*world.Call) bool { return true })
+	b := &Best{Whole: all.Value / asked, Gap: round(all.Gap(), 6), StepS: bestStep.Seconds(), Worst10s: math.Inf(1), Plan: math.Inf(1)}
+	// The worst window of any policy is no better than any one window's best.
+	type window struct {
+		from   int
+		earned float64
+	}
+	var windows []window
+	mean := m.Total.Worth / float64(max(1, len(m.Seconds))) * service.WorstSeconds
+	for from := 0; from+service.WorstSeconds <= len(m.Seconds); from++ {
+		worth, earned := 0.0, 0.0
+		for _, sec := range m.Seconds[from : from+service.WorstSeconds] {
+			worth, earned = worth+sec.Worth, earned+sec.Earned
+		}
+		if worth > mean/10 {
+			windows = append(windows, window{from, earned / worth})
+		}
+	}
+	slices.SortFunc(windows, func(a, b window) int { return cmp.Compare(a.earned, b.earned) })
+	var tried []int
+	for _, w := range windows {
+		if len(tried) == 3 {
+			break
+		}
+		if slices.ContainsFunc(tried, func(at int) bool { return max(at-w.from, w.from-at) < 5 }) {
+			continue
+		}
+		tried = append(tried, w.from)
+		from := time.Duration(w.from) * time.Second
+		bound, asked := solve(60, func(c *world.Call) bool { return c.At >= from && c.At < from+service.WorstSeconds*time.Second })
+		b.Worst10s = min(b.Worst10s, bound.Value/asked)
+	}
+	if math.IsInf(b.Worst10s, 1) {
+		b.Worst10s = b.Whole
+	}
+	for k := range x.f.Plans {
+		if m.Plans[k].Asked == 0 {
+			continue
+		}
+		bound, asked := solve(60, func(c *world.Call) bool { return c.Plan == k })
+		b.Plan = min(b.Plan, bound.Value/asked)
+	}
+	if math.IsInf(b.Plan, 1) {
+		b.Plan = b.Whole
+	}
+	b.Total = service.WholeWeight*b.Whole + service.WorstWeight*b.Worst10s + service.PlanWeight*b.Plan
+	got := m.Figure()
+	b.Share = got.Total / b.Total
+	x.causes(b, all.Prices, asked)
+	for _, p := range all.Prices {
+		b.Prices = append(b.Prices, round(p, 3))
+	}
+	const rounding = 1e-9
+	for name, pair := range map[string][2]float64{"whole": {got.Whole, b.Whole}, "worst 10 s": {got.Worst, b.Worst10s}, "worst plan": {got.Plan, b.Plan}} {
+		if pair[0] > pair[1]+rounding {
+			return b, fmt.Errorf("%w: %s, %.6f over %.6f", ErrOverBound, name, pair[0], pair[1])
+		}
+	}
+	b.Total, b.Whole, b.Worst10s, b.Plan, b.Share = round(b.Total, 6), round(b.Whole, 6), round(b.Worst10s, 6), round(b.Plan, 6), round(b.Share, 6)
+	return b, nil
+}
+
+// causes attributes what was not earned, request by request.
+func (x *watcher) causes(b *Best, prices []float64, asked float64) {
+	type sum struct {
+		n     int
+		worth float64
+	}
+	sums, by := map[string]*sum{}, map[string][]float64{}
+	for _, c := range x.calls {
+		lost, cause := -c.Earned, causeBeyond
+		if c.Within {
+			if lost += c.Worth; lost <= 1e-12 {
+				continue
+			}
+			cause = x.causeOf(c, prices)
+		} else if lost == 0 {
+			continue
+		}
+		if sums[cause] == nil {
+			sums[cause], by[cause] = &sum{}, make([]float64, len(x.w.Meter.Seconds))
+		}
+		sums[cause].n++
+		sums[cause].worth += lost
+		by[cause][min(len(by[cause])-1, int(c.At/time.Second))] += lost
+	}
+	names := slices.SortedFunc(maps.Keys(sums), func(p, q string) int {
+		return cmp.Or(cmp.Compare(sums[q].worth, sums[p].worth), cmp.Compare(p, q))
+	})
+	for _, name := range names {
+		b.Causes = append(b.Causes, Cause{name, name == causeDue, sums[name].n, round(sums[name].worth, 3), round(sums[name].worth/asked, 6)})
+		for i := range by[name] {
+			by[name][i] = round(by[name][i], 3)
+		}
+		b.Seconds = append(b.Seconds, by[name])
+	}
+}
+
+// causeOf is why a request did not earn its worth. Where its work cost more than it was worth
+// to the best plan, that is why.
+func (x *watcher) causeOf(c *world.Call, prices []float64) string {
+	class := &x.f.Classes[c.Class]
+	from, to := int(c.At/bestStep), min(len(prices)-1, int((c.At+class.Aim)/bestStep))
+	cheap := math.Inf(1)
+	for k := from; k <= to; k++ {
+		cheap = min(cheap, prices[k])
+	}
+	if c.Work.Seconds()*cheap >= c.Worth*(1-1e-6) {
+		return causeDue
+	}
+	switch cause := x.cause[c]; {
+	case cause != "":
+		return cause
+	case x.last[c] != "":
+		return x.last[c]
+	}
+	return causeAway
+}
+
+// WriteBest writes the bounds and the causes as text, where there are any.
+func (r *Report) WriteBest(out io.Writer) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	for _, run := range r.Runs {
+		b := run.Best
+		if b == nil {
+			continue
+		}
+		fmt.Fprintf(w, "\nthe best possible, %s, seed %d\ttotal\twhole\tworst 10 s\tworst plan\n", run.Policy, run.Seed)
+		fmt.Fprintf(w, "  upper bound (too high by %.1f%% at most)\t%.3f\t%.3f\t%.3f\t%.3f\n", 100*b.Gap, b.Total, b.Whole, b.Worst10s, b.Plan)
+		fmt.Fprintf(w, "  share of it\t%.1f%%\t%.1f%%\t%.1f%%\t%.1f%%\n", 100*b.Share, 100*run.Service.Whole/b.Whole, 100*run.Service.Worst10s/b.Worst10s, 100*run.Service.WorstPlan/b.Plan)
+		fmt.Fprintf(w, "  worth not earned\trequests\tof what was asked\n")
+		for _, c := range b.Causes {
+			name := c.Name
+			if c.Due {
+				name += " (due)"
+			}
+			fmt.Fprintf(w, "    %s\t%d\t%.2f%%\n", name, c.Requests, 100*c.Share)
+		}
+	}
+	return w.Flush()
+}
--- a/internal/replay/plan.go
+++ b/internal/replay/plan.go
@@ -40,6 +40,7 @@
 	Asked      float64       // share of the requests whose proxy only asks; in virtual time
 	Scenario   string        // faults besides the trace's own
 	Plugins    []plugin.Spec // asked in runs WithPlugins
+	Best       bool          // bound what any policy could have earned
 	Remember   time.Duration // limiters keep what they have learnt so often; 0: they forget at a restart
 }
 
--- a/internal/replay/report.go
+++ b/internal/replay/report.go
@@ -68,6 +68,7 @@
 	Boxes    []BoxSeries    `json:"boxes,omitempty"`
 	SampleS  float64        `json:"sample_s,omitempty"`
 	Notes    []Note         `json:"notes,omitempty"`
+	Best     *Best          `json:"best,omitempty"`
 	Plugins  []PluginSum    `json:"plugins,omitempty"`
 	Labels   []LabelSum     `json:"labels,omitempty"` // that plug-ins gave
 
@@ -270,6 +271,10 @@
 	if progress != nil {
 		o.Progress = func(now time.Duration) { progress(min(1, float64(now)/float64(p.Length))) }
 	}
+	var watched *watcher
+	if p.Options.Best {
+		watched = watch(p.Options.Fleet, &o)
+	}
 	res, err := virtual.Run(ctx, o)
 	sums := plugins()
 	if err == nil {
@@ -286,6 +291,11 @@
 	}
 	c := res.Counts
 	run.Traffic = Traffic{c.Attempts, c.Crossings, c.Connects, c.Probes, c.Messages, res.Events, c.Asks, c.Grants}
+	if watched != nil {
+		if run.Best, err = watched.best(ctx, p.Faults, seed, res.Length); err != nil {
+			return nil, fmt.Errorf("replaying %s with seed %d: %w", policy, seed, err)
+		}
+	}
 	return run, nil
 }
 
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -48,6 +48,9 @@
 
 	Within bool    // the quota had room when it was asked
 	Worth  float64 // in full
+	Over   bool    // it has ended ...
+	End    End     // ... so
+	Earned float64 // and earned this, below 0 where it cost more
 	beyond bool    // some try was sent on beyond the quota
 	sent   bool
 }
@@ -193,6 +196,7 @@
 	if r.beyond {
 		earned = earned*p.BeyondEarns - r.Worth*p.OverrunCost
 	}
+	r.Over, r.End, r.Earned = true, end, earned
 	m.each(r, func(t *Tally) {
 		t.By[end]++
 		t.Earned += earned
--- a/internal/virtual/host.go
+++ b/internal/virtual/host.go
@@ -159,6 +159,9 @@
 			h.asked.wait = time.Duration(a.WaitMs * float64(time.Millisecond))
 			return
 		}
+		if r := h.find(a.ID); r != nil && h.d.o.Refused != nil {
+			h.d.o.Refused(h.n, h.policy, r.try, a)
+		}
 		h.conclude(h.find(a.ID), judge.Refused, time.Duration(a.WaitMs*float64(time.Millisecond)))
 	case limiter.Fail:
 		h.conclude(h.find(a.ID), judge.Failed, 0)
@@ -308,6 +311,9 @@
 		return
 	}
 	at.box = d.w.At(entry.Addr)
+	if d.o.SentTo != nil {
+		d.o.SentTo(r.try, at.box)
+	}
 	r.out = at
 	stopAt := r.stopAt
 	if a.CapMs > 0 {
--- a/internal/virtual/virtual.go
+++ b/internal/virtual/virtual.go
@@ -56,6 +56,10 @@
 	// set, changes what is found.
 	RememberAge time.Duration
 	Distort     func(*limiter.Memory)
+	// Refused, if set, is told of each refusal by the module of a limiter, and SentTo of each
+	// attempt: what it sees is as it was then.
+	Refused func(limiter int, p Policy, t *world.Try, a limiter.Refuse)
+	SentTo  func(t *world.Try, box int)
 	// Progress, if set, is called now and then with the virtual time.
 	Progress func(now time.Duration)
 	// Started, if set, is given the world before anything happens in it, to look at
@@ -205,6 +209,9 @@
 	return d.res, nil
 }
 
+// Clock is a time on the limiters' clock, in ms.
+func Clock(t time.Duration) float64 { return ms(t) }
+
 // ms is a time on the limiters' clock.
 func ms(t time.Duration) float64 { return epochMs + float64(t.Microseconds())/1000 }
 
--- /dev/null
+++ b/internal/world/supply.go
@@ -0,0 +1,97 @@
+package world
+
+import (
+	"math"
+	"time"
+
+	"example.org/madderdrum/internal/fleet"
+)
+
+// Supply is the most work that boxes could do in each step, whatever limiters send them: no
+// time is lost, none has more in hand than cores, and cold ones warm up as fast as requests of
+// half the least mean work let them.
+type Supply struct {
+	Step time.Duration
+	Work []float64 // seconds of work by step
+	Core []float64 // that one core can do at most, by step
+}
+
+// SupplyOf plays faults without requests. What is true of a box at any moment of a step counts
+// for all of it.
+func SupplyOf(f *fleet.Fleet, seed uint64, faults []Fault, step, length time.Duration) *Supply {
+	w := New(f, Options{Seed: seed, Faults: faults})
+	n := int((length + step - 1) / step)
+	s := &Supply{Step: step, Work: make([]float64, n), Core: make([]float64, n)}
+	least := math.Inf(1)
+	for _, c := range f.Classes {
+		least = min(least, c.Work.Seconds()/2)
+	}
+	longest := time.Duration(0)
+	for _, c := range f.Classes {
+		longest = max(longest, c.Deadline)
+	}
+	type state struct {
+		born, drained time.Duration
+		there, drains bool
+		answered      float64
+	}
+	states := make([]state, len(w.Boxes))
+	best := make([]float64, len(w.Boxes)) // of the step
+	core := 0.0
+	look := func(now time.Duration) {
+		for len(states) < len(w.Boxes) {
+			states, best = append(states, state{}), append(best, 0)
+		}
+		for i, b := range w.Boxes {
+			x := &states[i]
+			if b.born != x.born {
+				*x = state{born: b.born}
+			}
+			if drains := b.condition == Draining; drains != x.drains {
+				x.drains, x.drained = drains, now
+			}
+			// What it had in hand when its drain began may be of worth until its clients leave.
+			x.there = b.condition == Running || b.condition == Draining && now < x.drained+longest
+			if !x.there {
+				continue
+			}
+			warm := b.Warmth(now)
+			if warm < 1 && b.Spec.WarmAfter > 0 {
+				warm = max(warm, min(1, b.Spec.ColdFrom+(1-b.Spec.ColdFrom)*x.answered/float64(b.Spec.WarmAfter)))
+			}
+			each := b.Spec.Speed * warm / (b.slow * w.shared)
+			core, best[i] = max(core, each), max(best[i], each*b.Spec.Cores)
+		}
+	}
+	for k := range n {
+		until := time.Duration(k+1) * step
+		clear(best)
+		core = 0
+		look(time.Duration(k) * step)
+		for {
+			at, ok := w.Next()
+			if !ok || at > until {
+				break
+			}
+			w.Step()
+			look(at)
+		}
+		look(until)
+		for i := range best {
+			work := best[i] * step.Seconds()
+			s.Work[k] += work
+			states[i].answered += work / least
+		}
+		s.Core[k] = core * step.Seconds()
+	}
+	return s
+}
+
+// Well tells that a box is there and works as it does on an ordinary day, but for what slows
+// all of them.
+func (b *Box) Well() bool {
+	return b.condition == Running && b.slow < 1.3 && b.errors < b.Spec.ErrorRate+0.05 && (b.spoils == Clean || b.spoilt < 0.05)
+}
+
+// Idle tells that a core of a box has nothing to do.
+func (b *Box) Idle() bool { return float64(b.Held()) < b.Spec.Cores }
--- a/limiter/api.go
+++ b/limiter/api.go
@@ -278,6 +278,7 @@
 type Refuse struct {
 	ID     string
 	WaitMs float64 // how long to stay away; 0: no advice
+	Why    Reason
 }
 
 // Fail is a final answer that promises nothing.
--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -377,7 +377,7 @@
 		t.Error("a failed list call changed the list")
 	}
 	s.do(Endpoints{Scope: Complete})
-	if _, a := s.submit(Submit{Plan: 3}); a != (Refuse{ID: "r22", WaitMs: fullMs}) {
+	if _, a := s.submit(Submit{Plan: 3}); a != (Refuse{ID: "r22", WaitMs: fullMs, Why: NoServer}) {
 		t.Errorf("with no server: %#v", a)
 	}
 }
@@ -537,7 +537,7 @@
 		s.pass(id, a)
 	}
 	before := s.l.customers[0].balance
-	if _, a := s.submit(Submit{ExpiresMs: 1400}); a != (Refuse{ID: "r6", WaitMs: 1000}) {
+	if _, a := s.submit(Submit{ExpiresMs: 1400}); a != (Refuse{ID: "r6", WaitMs: 1000, Why: NoTime}) {
 		t.Errorf("600 ms after the client began, aim 500: %#v", a)
 	}
 	if s.l.customers[0].balance != before {
--- a/limiter/requests.go
+++ b/limiter/requests.go
@@ -96,7 +96,7 @@
 		wait = l.cfg.Caps.MaxWaitMs
 	}
 	l.settle(c, e.Leased, true) // not used after all
-	l.refuse(e.ID, wait)
+	l.refuse(e.ID, wait, l.reason(c, &e, aim, ok))
 	return nil, nil
 }
 
@@ -141,11 +141,11 @@
 }
 
 // refuse turns a request away; the advice is never longer than clients heed.
-func (l *Limiter) refuse(id string, wait float64) {
+func (l *Limiter) refuse(id string, wait float64, why Reason) {
 	if !l.cfg.Caps.RetryAfter {
 		wait = 0
 	}
-	l.do(Refuse{ID: id, WaitMs: min(wait, l.cfg.Caps.MaxWaitMs)})
+	l.do(Refuse{ID: id, WaitMs: min(wait, l.cfg.Caps.MaxWaitMs), Why: why})
 }
 
 func (l *Limiter) send(now float64, r *request, s *server) {
@@ -202,7 +202,7 @@
 	}
 	harmless := r.ran == nil || class.Repeat == Safe || class.Repeat == Keyed && class.Group == GroupAll
 	if harmless && now < r.endsAt {
-		l.refuse(r.id, 0)
+		l.refuse(r.id, 0, AfterAttempts)
 	} else {
 		l.do(Fail{ID: r.id})
 	}
