--- a/internal/best/best.go
+++ b/internal/best/best.go
@@ -359,7 +359,7 @@
 }
 
 // Text is the cause in words.
-func (c *Cause) Text() string {
+func (c Cause) Text() string {
 	if c.Due {
 		return c.Name + " (due)"
 	}
--- a/internal/chart/chart.go
+++ b/internal/chart/chart.go
@@ -62,7 +62,7 @@
 }
 
 func tick(v float64) string {
-	if v == math.Trunc(v) {
+	if v == math.Trunc(v) || v >= 10 {
 		return fmt.Sprintf("%.0f", v)
 	}
 	return fmt.Sprintf("%.2g", v)
--- a/internal/replay/best_test.go
+++ b/internal/replay/best_test.go
@@ -6,6 +6,7 @@
 	"math"
 	"math/rand/v2"
 	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -127,3 +128,33 @@
 	}
 	return x
 }
+
+// The page of a run with a bound shows the causes over time.
+func TestBestOnThePage(t *testing.T) {
+	p, err := Prepare(t.Context(), Options{Fleet: config.Bluebird(), Length: 10 * time.Second, Speed: 1, Best: true}, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	run, err := Virtual(t.Context(), p, "limiter", 1, true, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := NewReport(p)
+	r.Runs = append(r.Runs, run)
+	path := filepath.Join(t.TempDir(), "page.html")
+	if err := r.HTML(path); err != nil {
+		t.Fatal(err)
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, part := range []string{"Against the best possible", "Worth not earned, each second", run.Best.Causes[0].Name} {
+		if !strings.Contains(string(data), part) {
+			t.Errorf("no %q on the page", part)
+		}
+	}
+	if len(run.Best.Seconds) != len(run.Best.Causes) || len(run.Best.Seconds[0]) != len(run.Seconds) {
+		t.Errorf("%d causes, %d series of %d seconds", len(run.Best.Causes), len(run.Best.Seconds), len(run.Best.Seconds[0]))
+	}
+}
--- a/internal/replay/html.go
+++ b/internal/replay/html.go
@@ -53,6 +53,31 @@
 	return ""
 }
 
+// drawnCauses are so many as have colours.
+const drawnCauses = 4
+
+// lost draws the worth that was not earned, each second, by its largest causes.
+func lost(run *Run) (template.HTML, []string) {
+	var names []string
+	var lines [][]float64
+	most := 1e-9
+	for i, c := range run.Best.Causes {
+		if c.Worth <= 0 || len(names) == drawnCauses {
+			continue
+		}
+		names, lines = append(names, c.Text()), append(lines, run.Best.Seconds[i])
+		for _, v := range run.Best.Seconds[i] {
+			most = max(most, v)
+		}
+	}
+	c := chart.New(run.LengthS, most, chart.Height, "")
+	c.Notes(chartNotes(run))
+	for k, line := range lines {
+		c.Line(fmt.Sprintf("room%d", k), 1, line)
+	}
+	return c.SVG(), names
+}
+
 // HTML writes the report as one page that needs nothing else.
 func (r *Report) HTML(path string) error {
 	run := r.Runs[0]
@@ -66,6 +91,8 @@
 		Tallies                       []Tally
 		Others                        []*Run
 		Reasons                       []string
+		Lost                          template.HTML
+		LostBy                        []string // the causes that are drawn
 	}
 	d := data{Report: r, Run: run, Others: r.Runs, Reasons: reasons(run.Why)}
 	for _, rule := range run.Rules {
@@ -120,6 +147,9 @@
 		}
 		d.Rooms, d.Heat, d.Left = rooms.SVG(), heat(run), max(0, len(run.Boxes)-mostRows)
 	}
+	if run.Best != nil {
+		d.Lost, d.LostBy = lost(run)
+	}
 	var b bytes.Buffer
 	if err := pageTemplate.Execute(&b, d); err != nil {
 		return fmt.Errorf("report: %w", err)
