Capacity: what is served when a lost room is back and still cold

The return hurt more than the loss this quarter: each hour of a plan now says what is served while the room's boxes do what they start with.

--- a/capacity/plan.go
+++ b/capacity/plan.go
@@ -21,6 +21,7 @@
 	Name  string
 	Boxes int
 	Each  float64 // work that one box does in a second
+	Cold  float64 // share of it that a box does that has just started; 0: all of it
 }
 
 // Fleet is what a plan is made for.
@@ -112,6 +113,7 @@
 	Served    float64 // by the fleet as it is
 	Lost      string  // the room that it is worst to lose, ...
 	ServedIn  float64 // ... and what is served without it
+	ServedUp  float64 // when it is back, and still cold
 	Boxes     int     // needed for the goal, with all rooms there
 	WithLoss  int     // and so that any one room may be lost, in as many rooms of equal size
 	OneMore   float64 // what one more box adds to ServedIn
@@ -136,6 +138,11 @@
 				h.ServedIn, h.Lost, worst = x, f.Rooms[room].Name, room
 			}
 		}
+		h.ServedUp = h.ServedIn
+		if worst >= 0 {
+			r := f.Rooms[worst]
+			h.ServedUp = f.Served(slot.High, f.capacity(worst, 0)+float64(r.Boxes)*r.Each*cmp.Or(r.Cold, 1))
+		}
 		h.OneMore = f.Served(slot.High, f.capacity(worst, 1)) - h.ServedIn
 		h.NeedWorks = f.needs(slot.High, goal)
 		h.Boxes = int(math.Ceil(h.NeedWorks/f.each() - 1e-9))
--- a/capacity/plan_test.go
+++ b/capacity/plan_test.go
@@ -89,7 +89,7 @@
 func planned() *Fleet {
 	return &Fleet{
 		Kinds: []Kind{{Name: "check", Work: 0.04, Square: 0.003, Aim: 0.3, Worth: 2}, {Name: "bulk", Work: 0.12, Square: 0.03, Aim: 1.2, Worth: 5}},
-		Rooms: []Room{{"a", 6, 2}, {"b", 6, 2}},
+		Rooms: []Room{{Name: "a", Boxes: 6, Each: 2}, {Name: "b", Boxes: 6, Each: 2}},
 	}
 }
 
@@ -121,6 +121,15 @@
 		}
 	}
 	x := hours[busiest]
+	if x.ServedUp != x.Served {
+		t.Errorf("a room that is back warm: %v of %v", x.ServedUp, x.Served)
+	}
+	for i := range f.Rooms {
+		f.Rooms[i].Cold = 0.02
+	}
+	if y := f.Plan(forecast(t, h), 0.97)[busiest]; y.ServedUp <= y.ServedIn || y.ServedUp >= y.Served {
+		t.Errorf("a room that is back cold: %v, without it %v, with it %v", y.ServedUp, y.ServedIn, y.Served)
+	}
 	if s := Clock(x.Slot.From); !strings.HasSuffix(s, " 05:00") && !strings.HasSuffix(s, " 06:00") || x.Lost == "" || x.ServedIn >= 0.97 || x.OneMore <= 0 {
 		t.Errorf("the hour that binds: %s, %+v", s, x)
 	}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -64,6 +64,7 @@
 	Served     float64 `json:"served"`
 	WorstRoom  string  `json:"worst_room"`
 	ServedLoss float64 `json:"served_without_it"`
+	ServedCold float64 `json:"served_when_it_is_back_cold"`
 	Boxes      int     `json:"boxes_needed"`
 	BoxesLoss  int     `json:"boxes_needed_with_a_room_lost"`
 	OneMore    float64 `json:"one_more_box_is_worth"`
@@ -100,10 +101,12 @@
 			if b.Room == i {
 				r.Boxes++
 				r.Each += b.Cores * b.Speed
+				r.Cold += b.ColdFrom
 			}
 		}
 		if r.Boxes > 0 {
 			r.Each /= float64(r.Boxes)
+			r.Cold /= float64(r.Boxes)
 			total += r.Boxes
 			all = append(all, r)
 		}
@@ -193,7 +196,7 @@
 		r.Rooms = append(r.Rooms, Room{x.Name, x.Boxes, x.Each})
 	}
 	for i, x := range r.plan {
-		hour := Hour{From: capacity.Clock(x.Slot.From), Work: x.Work, Use: x.Use, Served: x.Served, WorstRoom: x.Lost, ServedLoss: x.ServedIn, Boxes: x.Boxes, BoxesLoss: x.WithLoss, OneMore: x.OneMore}
+		hour := Hour{From: capacity.Clock(x.Slot.From), Work: x.Work, Use: x.Use, Served: x.Served, WorstRoom: x.Lost, ServedLoss: x.ServedIn, ServedCold: x.ServedUp, Boxes: x.Boxes, BoxesLoss: x.WithLoss, OneMore: x.OneMore}
 		if forecast.Period == 0 {
 			hour.From = "all of it"
 		}
@@ -229,13 +232,13 @@
 	for _, x := range r.Odd {
 		fmt.Fprintf(w, "left out\t%s\tout of the ordinary\n", x)
 	}
-	fmt.Fprintf(w, "\nhour\trequests/s\twork/s\tuse\tserved\tworst room lost\tserved then\tboxes needed\tif a room is lost\tone more box\n")
+	fmt.Fprintf(w, "\nhour\trequests/s\twork/s\tuse\tserved\tworst room lost\tserved then\tback cold\tboxes needed\tif a room is lost\tone more box\n")
 	for i, h := range r.Hours {
 		mark := ""
 		if i == r.Binding {
 			mark = " *"
 		}
-		fmt.Fprintf(w, "%s%s\t%.1f\t%.2f\t%.0f%%\t%.1f%%\t%s\t%.1f%%\t%d\t%d\t+%.1f%%\n", h.From, mark, h.Requests, h.Work, 100*h.Use, 100*h.Served, h.WorstRoom, 100*h.ServedLoss, h.Boxes, h.BoxesLoss, 100*h.OneMore)
+		fmt.Fprintf(w, "%s%s\t%.1f\t%.2f\t%.0f%%\t%.1f%%\t%s\t%.1f%%\t%.1f%%\t%d\t%d\t+%.1f%%\n", h.From, mark, h.Requests, h.Work, 100*h.Use, 100*h.Served, h.WorstRoom, 100*h.ServedLoss, 100*h.ServedCold, h.Boxes, h.BoxesLoss, 100*h.OneMore)
 	}
 	if err := w.Flush(); err != nil {
 		return err
