--- a/cmd/madderdrum/capacity_test.go
+++ b/cmd/madderdrum/capacity_test.go
@@ -50,6 +50,8 @@
 	}{
 		{"replay --best --for 20s", "the best possible, limiter, seed 1", 0},
 		{"drill --best --case lost --seeds 1", "share", 0},
+		{"drill --best --priced --case overload --seeds 1", "weighed by price", 0},
+		{"drill --priced", "--priced goes with --best", 1},
 		{"replay --best --sockets", "leave out --sockets", 1},
 		{"replay --best --asked 0.5", "leave out --sockets and --asked", 1},
 		{"drill --best --html x.html", "--best goes with", 1},
--- a/cmd/madderdrum/drill.go
+++ b/cmd/madderdrum/drill.go
@@ -25,6 +25,7 @@
 	HTML     string   `help:"Write one page with the charts of the first case and seed, by each rule, and the table." placeholder:"FILE"`
 	Sockets  bool     `help:"Play one case once in real time on loopback sockets, round this very program as the limiters; needs --html."`
 	Best     bool     `help:"Rather bound what any policy could have earned in each case, and tell why the limiter did not; see docs/capacity.md."`
+	Priced   bool     `help:"With --best: rather play each case again with advice by the prices of its own best plan, the most that prices could gain."`
 	Kills    int      `help:"Rather kill limiters that keep a memory so often, at random points, on loopback sockets round this very program; see docs/memory.md." placeholder:"N"`
 	Restarts bool     `help:"Rather restart and kill limiters that keep a memory among boxes that are ill, in virtual time, and tell what the memory is worth by its age."`
 	List     bool     `help:"List the cases and end."`
@@ -78,6 +79,14 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	bar := newProgress()
+	if c.Priced {
+		rows, err := drill.Priced(ctx, cases, c.Seeds, c.Seed, c.Boxes, c.Limiters, bar.played)
+		bar.end()
+		if err != nil {
+			return err
+		}
+		return drill.WritePriced(os.Stdout, rows)
+	}
 	rows, err := drill.Bests(ctx, cases, c.Seeds, c.Seed, c.Boxes, c.Limiters, bar.played)
 	bar.end()
 	if err != nil {
@@ -132,6 +141,9 @@
 	case c.Limiters < 2 || c.Limiters > 1000:
 		return fmt.Errorf("--limiters %d: from 2 to 1000", c.Limiters)
 	}
+	if c.Priced && !c.Best {
+		return errors.New("--priced goes with --best")
+	}
 	if c.Best {
 		return c.best(cases)
 	}
