--- a/capacity/forecast.go
+++ b/capacity/forecast.go
@@ -181,8 +181,9 @@
 	return f
 }
 
-// oddDays leaves out whole days that differ from others of their weekday, or from all where
-// there are fewer than three of it.
+// oddDays leaves out whole days that differ from others of their weekday; where there are fewer
+// than three of it, from all days, and from those there are. A weekday that is there once says
+// nothing.
 func (f *Forecast) oddDays(h *History, sums []float64, skip []bool) {
 	days := map[int]float64{}
 	bins := map[int]int{}
@@ -207,11 +208,14 @@
 				like = append(like, other)
 			}
 		}
-		if len(like) < 3 {
-			like = all
-		}
-		if len(like) < 5 {
+		switch {
+		case len(like) == 0 || len(all) < 5:
 			continue
+		case len(like) < 3:
+			if m := median(like); math.Abs(sum-m) <= oddShare*m {
+				continue
+			}
+			like = all
 		}
 		middle := median(like)
 		apart := make([]float64, len(like))
--- a/capacity/plan_test.go
+++ b/capacity/plan_test.go
@@ -1,6 +1,7 @@
 package capacity
 
 import (
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"strings"
@@ -68,6 +69,19 @@
 	if a, b := holiday.At(3*day + 6*hour).Mean[0], f.At(3*day + 6*hour).Mean[0]; math.Abs(a-b) > 0.05*b {
 		t.Errorf("a Thursday is %v, with a holiday in the record %v", b, a)
 	}
+	// Two weeks have two of each day: a weekend is like the other one, and a holiday is not.
+	if f := forecast(t, record(14, nil)); len(f.Odd) > 0 || f.Period != week {
+		t.Errorf("two weeks: odd days %v, period %v", f.Odd, f.Period)
+	}
+	two := forecast(t, record(14, func(at, rate float64) float64 {
+		if int(at/day) == 9 {
+			return rate * 3
+		}
+		return rate
+	}))
+	if len(two.Odd) != 1 || two.Odd[0].From != 9*day {
+		t.Errorf("two weeks with a holiday: odd days %v", two.Odd)
+	}
 	// A record that can't tell hours apart is one level, and says nothing of itself.
 	if f := forecast(t, record(1, nil)); f.Period != 0 || len(f.Slots) != 1 {
 		t.Errorf("one day: %+v", f)
@@ -177,3 +191,30 @@
 		t.Errorf("longer than the forecast: %+v", v)
 	}
 }
+
+// BenchmarkPlan is a forecast and a plan of weeks in minutes, by kinds of requests and boxes.
+func BenchmarkPlan(b *testing.B) {
+	for _, c := range []struct{ weeks, kinds, boxes int }{{1, 9, 12}, {1, 150, 1000}, {4, 150, 1000}} {
+		b.Run(fmt.Sprintf("weeks-%d/kinds-%d/boxes-%d", c.weeks, c.kinds, c.boxes), func(b *testing.B) {
+			r := rand.New(rand.NewPCG(1, 1))
+			h := &History{Bin: 60, Kinds: make([][]float64, c.kinds)}
+			f := &Fleet{Rooms: []Room{{Name: "a", Boxes: c.boxes / 2, Each: 2, Cold: 0.25}, {Name: "b", Boxes: c.boxes / 2, Each: 2, Cold: 0.25}}}
+			for k := range h.Kinds {
+				f.Kinds = append(f.Kinds, Kind{Work: 0.02 + 0.1*r.Float64(), Square: 0.01, Aim: 0.5, Worth: 1 + r.Float64()})
+				for range c.weeks * 7 * 24 * 60 {
+					h.Kinds[k] = append(h.Kinds[k], 60*float64(c.boxes)/float64(c.kinds)*10*r.Float64())
+				}
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				fc, err := NewForecast(h, 0.95)
+				if err != nil {
+					b.Fatal(err)
+				}
+				if n := len(f.Plan(fc, 0.97)); n != len(fc.Slots) {
+					b.Fatal(n)
+				}
+			}
+		})
+	}
+}
--- a/cmd/madderdrum/capacity.go
+++ b/cmd/madderdrum/capacity.go
@@ -26,6 +26,8 @@
 	Trace      []string      `help:"Trace files of what was asked for, in any layout that replay reads; the built-in Friday if left out." placeholder:"FILE"`
 	Schema     string        `short:"s" help:"Layout of the files; see replay."`
 	Rate       string        `default:"trace" help:"Requests a second, such as 170/s; 'trace' leaves the trace's own rate, 'fleet' scales to the fleet file's traffic."`
+	Duplicates string        `default:"refuse" enum:"refuse,keep,drop" help:"What becomes of rows that are there twice: refuse, keep or drop."`
+	Reorder    time.Duration `help:"Accept rows that are so much older than those before them, and put them in order."`
 	Begins     string        `default:"Mon 00:00" help:"Day and hour of the trace's first arrival, by the local clock."`
 	From       time.Duration `help:"Begin so long after the trace's first arrival."`
 	For        time.Duration `help:"Take so much of the trace; to its end if left out."`
@@ -36,6 +38,7 @@
 	Plan       []string      `help:"What if a plan were another, such as business.rate=9/s? Fields: rate, burst, ceiling_rate, ceiling_burst." placeholder:"PLAN.FIELD=VALUE"`
 	Replay     int           `help:"Replay the hour that binds on so many random days with the boxes that the plan asks for, and with one fewer in each room, a room lost." placeholder:"DAYS"`
 	JSON       string        `help:"Write the plan as JSON." placeholder:"FILE"`
+	HTML       string        `help:"Write the plan as one HTML page with charts." placeholder:"FILE"`
 }
 
 // Help is the long help text.
@@ -67,7 +70,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	read := replayCommand{Trace: c.Trace, Schema: c.Schema, Fleet: c.Fleet, Rate: c.Rate, From: c.From, For: c.For, Speed: 1, Seed: 1, Seeds: 1, Duplicates: "refuse", Policy: []string{"limiter"}}
+	read := replayCommand{Trace: c.Trace, Schema: c.Schema, Fleet: c.Fleet, Rate: c.Rate, From: c.From, For: c.For, Speed: 1, Seed: 1, Seeds: 1, Duplicates: c.Duplicates, Reorder: c.Reorder, Policy: []string{"limiter"}}
 	o, err := read.options()
 	if err != nil {
 		return err
@@ -93,6 +96,11 @@
 			return fmt.Errorf("--json: %w", err)
 		}
 	}
+	if c.HTML != "" {
+		if err := saveWith(c.HTML, r.HTML); err != nil {
+			return fmt.Errorf("--html: %w", err)
+		}
+	}
 	if c.Replay == 0 {
 		return nil
 	}
--- a/cmd/madderdrum/capacity_test.go
+++ b/cmd/madderdrum/capacity_test.go
@@ -18,7 +18,7 @@
 		code int
 	}{
 		{"", "* binds: 9 boxes, 18 if any one room may be lost", 0},
-		{"../../deploy/bluebird.hcl --json " + file, "boxes needed", 0},
+		{"../../deploy/bluebird.hcl --json " + file + " --html " + file + ".html", "boxes needed", 0},
 		{"--boxes 30 --without room-a", "room-b", 0},
 		{"--plan business.rate=70/s --for 60s", "* binds", 0},
 		{"--plan business.rate=x", "write PLAN.FIELD=VALUE", 1},
--- a/internal/chart/chart.go
+++ b/internal/chart/chart.go
@@ -41,6 +41,11 @@
 // New returns a chart of so many seconds and of values up to most, or of rows alone if that
 // is 0. unit follows the values of the scale.
 func New(length, most, height float64, unit string) *Chart {
+	return Over(length, "s", most, height, unit)
+}
+
+// Over is New for a length in other units of time, such as "h".
+func Over(length float64, time string, most, height float64, unit string) *Chart {
 	c := &Chart{length: max(1, length), most: most, height: height}
 	fmt.Fprintf(&c.b, `<svg viewBox="0 0 %g %g" role="img">`, Width, height+bottom)
 	if most > 0 {
@@ -56,7 +61,7 @@
 		step *= 2
 	}
 	for t := 0.0; t <= c.length*0.985; t += step {
-		fmt.Fprintf(&c.b, `<text class="axis" x="%.1f" y="%.1f" text-anchor="middle">%g s</text>`, c.X(t), height+16, t)
+		fmt.Fprintf(&c.b, `<text class="axis" x="%.1f" y="%.1f" text-anchor="middle">%g %s</text>`, c.X(t), height+16, t, html.EscapeString(time))
 	}
 	return c
 }
--- /dev/null
+++ b/internal/planner/page.go
@@ -0,0 +1,61 @@
+package planner
+
+import (
+	_ "embed"
+	"fmt"
+	"html/template"
+	"io"
+
+	"example.org/madderdrum/internal/chart"
+)
+
+//go:embed page.html
+var page string
+
+var pageTemplate = template.Must(template.New("plan").Funcs(template.FuncMap{
+	"percent": func(x any) string {
+		if p, ok := x.(*float64); ok {
+			x = *p
+		}
+		return fmt.Sprintf("%.1f%%", 100*x.(float64))
+	},
+	"style": func() template.CSS { return template.CSS(chart.Style) },
+}).Parse(page))
+
+// HTML writes the plan as one page that needs nothing else.
+func (r *Report) HTML(w io.Writer) error {
+	d := struct {
+		*Report
+		Total       int
+		Binds       Hour
+		Need, Serve template.HTML
+	}{Report: r, Binds: r.Hours[r.Binding]}
+	for _, x := range r.Rooms {
+		d.Total += x.Boxes
+	}
+	var need, loss, have, whole, without, cold []float64
+	most := float64(d.Total)
+	for _, h := range r.Hours {
+		need, loss, have = append(need, float64(h.Boxes)), append(loss, float64(h.BoxesLoss)), append(have, float64(d.Total))
+		whole, without, cold = append(whole, h.Served), append(without, h.ServedLoss), append(cold, h.ServedCold)
+		most = max(most, float64(h.BoxesLoss))
+	}
+	length := float64(len(r.Hours))
+	draw := func(most float64, lines ...[]float64) template.HTML {
+		c := chart.Over(length, "h", most, chart.Height, "")
+		for k, line := range lines {
+			if len(line) == 1 { // a level for all of it
+				line = []float64{line[0], line[0]}
+				c.Line(fmt.Sprintf("room%d", k), length/2, line)
+				continue
+			}
+			c.Line(fmt.Sprintf("room%d", k), 1, line)
+		}
+		return c.SVG()
+	}
+	d.Need, d.Serve = draw(most, need, loss, have), draw(1, whole, without, cold)
+	if err := pageTemplate.Execute(w, d); err != nil {
+		return fmt.Errorf("plan: %w", err)
+	}
+	return nil
+}
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -68,6 +68,10 @@
 	if err := r.Write(&data); err != nil {
 		t.Fatal(err)
 	}
+	var page bytes.Buffer
+	if err := r.HTML(&page); err != nil || !strings.Contains(page.String(), "<polyline") || !strings.Contains(page.String(), "binds") {
+		t.Errorf("the page: %v", err)
+	}
 	var back Report
 	if err := json.Unmarshal(data.Bytes(), &back); err != nil || back.Hours[0] != r.Hours[0] || !strings.Contains(text.String(), "* binds:") {
 		t.Errorf("%v\n%s", err, text.String())
