--- a/internal/memory/memory_test.go
+++ b/internal/memory/memory_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"reflect"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -358,3 +359,33 @@
 		}
 	}
 }
+
+// BenchmarkDecode is what a start pays for accounts that were written, once the folder is read.
+func BenchmarkDecode(b *testing.B) {
+	for _, n := range []int{1000, 100_000, 1_000_000} {
+		b.Run(strconv.Itoa(n), func(b *testing.B) {
+			found := &durable.Recovered{Found: true, Intact: true, Up: time.Hour}
+			head, err := record(kindReserve, 0, reserveHead{Balancers: 3, Plans: settings.Plans, KnownMs: 4000, HeadMs: 1500, UpMs: 9000})
+			if err != nil {
+				b.Fatal(err)
+			}
+			found.Records = append(found.Records, head)
+			bytes := 0
+			for id := range n {
+				r, err := record(kindLine, uint64(id), line{account{Spread: 3, First: 1, Balance: 3.251234, Share: -2.512345}, 9500.123})
+				if err != nil {
+					b.Fatal(err)
+				}
+				bytes += len(r.Value)
+				found.Records = append(found.Records, r)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				if m, _, err := decode(found); err != nil || len(m.Handover.Accounts) != n {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(bytes)/float64(n), "B/account")
+		})
+	}
+}
