--- a/cmd/madderdrum/serve.go
+++ b/cmd/madderdrum/serve.go
@@ -145,11 +145,11 @@
 		beside = append(beside, s.Run)
 		logger.Info("showing the state of tiers and plug-ins", "listen", s.Addr().String())
 	}
-	ended := func() error { return nil }
+	ended := func() {}
 	if k != nil {
 		k.Recall(n, r.classes())
 		beside = append(beside, func(ctx context.Context) error { return k.Run(ctx, n, r.classes) })
-		ended = func() error { return k.Close(n, r.classes()) }
+		ended = func() { k.Close(n, r.classes()) }
 	}
 	r.tellPools()
 	logger.Info("serving", "listen", strings.Join(cfg.Listens(position), " "), "boxes", len(f.Boxes), "pools", len(cfg.Pools), "routes", len(cfg.Routes), "peers", len(nc.Peers))
@@ -165,7 +165,8 @@
 	}
 	err = n.Run(ctx)
 	tasks.Wait()
-	return errors.Join(append(errs, err, ended())...)
+	ended()
+	return errors.Join(append(errs, err)...)
 }
 
 // classes are the names of the configuration's classes.
--- a/internal/memory/records.go
+++ b/internal/memory/records.go
@@ -1,8 +1,11 @@
 package memory
 
 import (
+	"encoding/binary"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"math"
 	"time"
 
 	"example.org/madderdrum/durable"
@@ -17,16 +20,54 @@
 	kindPool     = 3 // by the pool's number
 	kindBox      = 4 // by the box's number
 	kindHandover = 5 // behind all accounts of a limiter that has ended
-	kindAccount  = 6 // by the account
+	kindAccount  = 6 // by the account, as JSON: up to landing 9
 	kindReserve  = 7 // what the lines of accounts are counted by, while a limiter runs
-	kindLine     = 8 // by the account
+	kindLine     = 8 // by the account: see appendAccount, with when it was told
+	kindLeft     = 9 // by the account, of a limiter that has ended: the same without
 )
 
-// account is an AccountMemory without its key.
+// account is an AccountMemory as kindAccount has it.
 type account struct {
 	Plan, Spread, First int
 	Balance, Share      float64
-	Flow                float64 `json:",omitempty"`
+}
+
+// appendAccount writes an account: plan, spread and first as varints, then balance, share, flow
+// and the time at which it was told as little-endian floats. There may be a million of them, and
+// a start waits until all are read.
+func appendAccount(b []byte, a *limiter.AccountMemory, upMs float64) ([]byte, error) {
+	for _, n := range []int{a.Plan, a.Spread, a.First} {
+		b = binary.AppendUvarint(b, uint64(n))
+	}
+	for _, x := range []float64{a.Balance, a.Share, a.Flow, upMs} {
+		if math.IsNaN(x) || math.IsInf(x, 0) {
+			return nil, fmt.Errorf("memory: account %016x: %v is no figure", a.ID, x)
+		}
+		b = binary.LittleEndian.AppendUint64(b, math.Float64bits(x))
+	}
+	return b, nil
+}
+
+// errAccount tells of an account that can't be read.
+var errAccount = errors.New("not an account")
+
+// readAccount reads what appendAccount wrote.
+func readAccount(id uint64, b []byte) (a limiter.AccountMemory, upMs float64, err error) {
+	a.ID = id
+	for _, to := range []*int{&a.Plan, &a.Spread, &a.First} {
+		v, n := binary.Uvarint(b)
+		if n <= 0 || v > math.MaxInt32 {
+			return a, 0, errAccount
+		}
+		*to, b = int(v), b[n:]
+	}
+	if len(b) != 4*8 {
+		return a, 0, errAccount
+	}
+	for i, to := range []*float64{&a.Balance, &a.Share, &a.Flow, &upMs} {
+		*to = math.Float64frombits(binary.LittleEndian.Uint64(b[8*i:]))
+	}
+	return a, upMs, nil
 }
 
 // handover is a Handover without its accounts.
@@ -45,12 +86,6 @@
 	KnownMs, HeadMs, UpMs float64
 }
 
-// line is an AccountMemory of a limiter that runs.
-type line struct {
-	account
-	UpMs float64
-}
-
 // clock says by how much the time since the machine's start is ahead of a limiter's clock.
 type clock float64
 
@@ -61,8 +96,10 @@
 
 func (c clock) up(ms float64) float64 { return ms + float64(c) }
 
-func lineOf(a *limiter.AccountMemory, c clock) line {
-	return line{account{a.Plan, a.Spread, a.First, a.Balance, a.Share, a.Flow}, c.up(a.AtMs)}
+// accountRecord makes the record of an account.
+func accountRecord(kind byte, a *limiter.AccountMemory, upMs float64) (durable.Record, error) {
+	value, err := appendAccount(nil, a, upMs)
+	return durable.Record{Kind: kind, Key: a.ID, Value: value}, err
 }
 
 // record makes a record. It fails on what is no figure: then nothing is kept.
@@ -99,7 +136,22 @@
 func decode(r *durable.Recovered) (*limiter.Memory, recall.Names, error) {
 	last := map[[2]uint64][]byte{}
 	var order [][2]uint64
+	up := float64(r.Up) / float64(time.Millisecond)
+	var lines, left accountSet
 	for _, x := range r.Records {
+		if x.Kind == kindLine || x.Kind == kindLeft {
+			set := &lines
+			if x.Kind == kindLeft {
+				set = &left
+			}
+			a, upMs, err := readAccount(x.Key, x.Value)
+			if err != nil {
+				return nil, nil, fmt.Errorf("memory: kind %d, key %d: %w", x.Kind, x.Key, err)
+			}
+			a.AgoMs = up - upMs
+			set.put(a)
+			continue
+		}
 		id := [2]uint64{uint64(x.Kind), x.Key}
 		if _, have := last[id]; !have {
 			order = append(order, id)
@@ -109,8 +161,6 @@
 	m, names := &limiter.Memory{}, recall.Names{}
 	var ended *handover
 	var running *reserveHead
-	var left, lines []limiter.AccountMemory
-	up := float64(r.Up) / float64(time.Millisecond)
 	for _, id := range order {
 		var err error
 		switch value := last[id]; id[0] {
@@ -133,28 +183,36 @@
 		case kindAccount:
 			var x account
 			err = json.Unmarshal(value, &x)
-			left = append(left, x.memory(id[1]))
-		case kindLine:
-			var x line
-			err = json.Unmarshal(value, &x)
-			a := x.memory(id[1])
-			a.AgoMs = up - x.UpMs
-			lines = append(lines, a)
+			left.put(limiter.AccountMemory{ID: id[1], Plan: x.Plan, Spread: x.Spread, First: x.First, Balance: x.Balance, Share: x.Share})
 		} // others are of later versions
 		if err != nil {
 			return nil, nil, fmt.Errorf("memory: kind %d, key %d: %w", id[0], id[1], err)
 		}
 	}
 	switch {
-	case ended != nil && r.Clean && len(left) == ended.Accounts: // one that is missing would count as full
-		m.Handover = &limiter.Handover{Position: ended.Position, Balancers: ended.Balancers, Plans: ended.Plans, KnownMs: ended.KnownMs, Accounts: left}
+	case ended != nil && r.Clean && len(left.all) == ended.Accounts: // one that is missing would count as full
+		m.Handover = &limiter.Handover{Position: ended.Position, Balancers: ended.Balancers, Plans: ended.Plans, KnownMs: ended.KnownMs, Accounts: left.all}
 	case ended == nil && running != nil && r.Intact && running.HeadMs > 0:
 		m.Handover = &limiter.Handover{Position: running.Position, Balancers: running.Balancers, Plans: running.Plans, KnownMs: running.KnownMs,
-			HeadMs: running.HeadMs, DownMs: up - running.UpMs, Accounts: lines}
+			HeadMs: running.HeadMs, DownMs: up - running.UpMs, Accounts: lines.all}
 	}
 	return m, names, nil
 }
 
-func (a *account) memory(id uint64) limiter.AccountMemory {
-	return limiter.AccountMemory{ID: id, Plan: a.Plan, Spread: a.Spread, First: a.First, Balance: a.Balance, Share: a.Share, Flow: a.Flow}
+// accountSet is accounts in the order in which they were first written, each as it was last.
+type accountSet struct {
+	all   []limiter.AccountMemory
+	place map[uint64]int32
+}
+
+func (s *accountSet) put(a limiter.AccountMemory) {
+	if s.place == nil {
+		s.place = map[uint64]int32{}
+	}
+	k, have := s.place[a.ID]
+	if !have {
+		k = int32(len(s.all))
+		s.place[a.ID], s.all = k, append(s.all, limiter.AccountMemory{})
+	}
+	s.all[k] = a
 }
