--- a/internal/drill/best.go
+++ b/internal/drill/best.go
@@ -4,13 +4,12 @@
 	"context"
 	"fmt"
 	"io"
-	"runtime"
 	"slices"
 	"strings"
-	"sync"
 	"text/tabwriter"
 
 	"example.org/madderdrum/internal/best"
+	"example.org/madderdrum/internal/parallel"
 	"example.org/madderdrum/internal/virtual"
 	"example.org/madderdrum/internal/world"
 )
@@ -25,46 +24,24 @@
 
 // Bests plays cases with tiers of preference and bounds what could have been earned.
 func Bests(ctx context.Context, cases []Case, seeds int, first uint64, boxes, limiters int, progress func(done float64)) ([]BestRow, error) {
-	rows := make([]BestRow, len(cases))
-	type job struct{ c, seed int }
-	var jobs []job
-	for c := range cases {
-		rows[c].Case = cases[c].Name
-		for s := range seeds {
-			jobs = append(jobs, job{c, s})
-		}
+	type played struct {
+		service float64
+		best    *best.Best
 	}
-	var mu sync.Mutex
-	var failed error
-	next, done := 0, 0
-	var group sync.WaitGroup
-	for range runtime.GOMAXPROCS(0) {
-		group.Go(func() {
-			for {
-				mu.Lock()
-				if next == len(jobs) || failed != nil {
-					mu.Unlock()
-					return
-				}
-				j := jobs[next]
-				next++
-				mu.Unlock()
-				service, b, err := playBest(ctx, cases[j.c], first+uint64(j.seed), boxes, limiters)
-				mu.Lock()
-				if err != nil {
-					failed = err
-					mu.Unlock()
-					return
-				}
-				rows[j.c].add(service, b, 1/float64(seeds))
-				if done++; progress != nil {
-					progress(float64(done) / float64(len(jobs)))
-				}
-				mu.Unlock()
-			}
-		})
+	days := make([]played, len(cases)*seeds)
+	err := parallel.Each(ctx, len(days), progress, func(ctx context.Context, i int) (err error) {
+		days[i].service, days[i].best, err = playBest(ctx, cases[i/seeds], first+uint64(i%seeds), boxes, limiters)
+		return err
+	})
+	if err != nil {
+		return nil, err
+	}
+	rows := make([]BestRow, len(cases))
+	for i, d := range days {
+		r := &rows[i/seeds]
+		r.Case = cases[i/seeds].Name
+		r.add(d.service, d.best, 1/float64(seeds))
 	}
-	group.Wait()
 	for i := range rows {
 		slices.SortFunc(rows[i].Causes, func(a, b best.Cause) int {
 			if a.Share != b.Share {
@@ -73,7 +50,7 @@
 			return strings.Compare(a.Name, b.Name)
 		})
 	}
-	return rows, failed
+	return rows, nil
 }
 
 func (r *BestRow) add(service float64, b *best.Best, weight float64) {
--- a/internal/drill/drill.go
+++ b/internal/drill/drill.go
@@ -4,13 +4,13 @@
 	"context"
 	"errors"
 	"fmt"
-	"runtime"
 	"slices"
 	"strings"
 	"sync"
 	"time"
 
 	"example.org/madderdrum/internal/judge"
+	"example.org/madderdrum/internal/parallel"
 	"example.org/madderdrum/internal/policies"
 	"example.org/madderdrum/internal/service"
 	"example.org/madderdrum/internal/virtual"
@@ -290,31 +290,15 @@
 
 // RunAll does jobs on all cores. done, if set, is called after each, in no certain order.
 func RunAll(ctx context.Context, jobs []Job, done func()) error {
-	next, group := make(chan *Job), sync.WaitGroup{}
-	var mu sync.Mutex
-	for range min(runtime.GOMAXPROCS(0), len(jobs)) {
-		group.Go(func() {
-			for j := range next {
-				j.Figures, j.Err = Run(ctx, j.Case, j.Rule, j.Boxes, j.Limiters, j.Seed)
-				mu.Lock()
-				if done != nil {
-					done()
-				}
-				mu.Unlock()
-			}
-		})
-	}
-	for i := range jobs {
-		next <- &jobs[i]
-	}
-	close(next)
-	group.Wait()
-	for i := range jobs {
-		if jobs[i].Err != nil {
-			return jobs[i].Err
+	return parallel.Each(ctx, len(jobs), func(float64) {
+		if done != nil {
+			done()
 		}
-	}
-	return nil
+	}, func(ctx context.Context, i int) error {
+		j := &jobs[i]
+		j.Figures, j.Err = Run(ctx, j.Case, j.Rule, j.Boxes, j.Limiters, j.Seed)
+		return j.Err
+	})
 }
 
 // Find returns the cases of names; none are all.
--- a/internal/drill/restarts.go
+++ b/internal/drill/restarts.go
@@ -4,13 +4,12 @@
 	"context"
 	"fmt"
 	"io"
-	"runtime"
-	"sync"
 	"text/tabwriter"
 	"time"
 
 	"example.org/madderdrum/config"
 	"example.org/madderdrum/internal/paired"
+	"example.org/madderdrum/internal/parallel"
 	"example.org/madderdrum/internal/virtual"
 	"example.org/madderdrum/internal/world"
 	"example.org/madderdrum/limiter"
@@ -86,57 +85,36 @@
 
 // Restarts plays restarts by so many seeds.
 func Restarts(ctx context.Context, seeds int, first uint64, progress func(done float64)) ([]RestartRow, error) {
+	type day struct {
+		s10, s60       float64
+		sent, breaches int
+	}
+	of := func(kind, memory int) int { return (kind*len(restartMemories) + memory) * seeds }
+	days := make([]day, of(len(restartKinds), 0))
+	err := parallel.Each(ctx, len(days), progress, func(ctx context.Context, i int) (err error) {
+		d := &days[i]
+		row := i / seeds
+		d.s10, d.s60, d.sent, d.breaches, err = restart(ctx, row/len(restartMemories), row%len(restartMemories), first+uint64(i%seeds))
+		return err
+	})
+	if err != nil {
+		return nil, err
+	}
 	type cell struct{ s10, s60 []float64 }
-	type job struct{ kind, memory, seed int }
 	cells := make([][]cell, len(restartKinds))
 	rows := make([][]RestartRow, len(restartKinds))
-	var jobs []job
 	for k := range restartKinds {
 		cells[k], rows[k] = make([]cell, len(restartMemories)), make([]RestartRow, len(restartMemories))
 		for m := range restartMemories {
-			cells[k][m] = cell{make([]float64, seeds), make([]float64, seeds)}
-			rows[k][m].Kind, rows[k][m].Memory = restartKinds[k].name, restartMemories[m].name
-			for s := range seeds {
-				jobs = append(jobs, job{k, m, s})
+			c, r := &cells[k][m], &rows[k][m]
+			r.Kind, r.Memory = restartKinds[k].name, restartMemories[m].name
+			for _, d := range days[of(k, m) : of(k, m)+seeds] {
+				c.s10, c.s60 = append(c.s10, d.s10), append(c.s60, d.s60)
+				r.SentToSick += d.sent
+				r.Breaches += d.breaches
 			}
 		}
 	}
-	var mu sync.Mutex
-	var failed error
-	next, done := 0, 0
-	var group sync.WaitGroup
-	for range runtime.GOMAXPROCS(0) {
-		group.Go(func() {
-			for {
-				mu.Lock()
-				if failed == nil {
-					failed = ctx.Err()
-				}
-				if next == len(jobs) || failed != nil {
-					mu.Unlock()
-					return
-				}
-				j := jobs[next]
-				next++
-				mu.Unlock()
-				s10, s60, sent, breaches, err := restart(ctx, j.kind, j.memory, first+uint64(j.seed))
-				mu.Lock()
-				if err != nil && failed == nil {
-					failed = err
-				}
-				cells[j.kind][j.memory].s10[j.seed], cells[j.kind][j.memory].s60[j.seed] = s10, s60
-				rows[j.kind][j.memory].SentToSick += sent
-				rows[j.kind][j.memory].Breaches += breaches
-				if done++; progress != nil {
-					progress(float64(done) / float64(len(jobs)))
-				}
-				mu.Unlock()
-			}
-		})
-	}
-	if group.Wait(); failed != nil {
-		return nil, failed
-	}
 	var all []RestartRow
 	for k := range rows {
 		for m := range rows[k] {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -9,13 +9,12 @@
 	"io"
 	"math"
 	"math/rand/v2"
-	"runtime"
-	"sync"
 	"text/tabwriter"
 	"time"
 
 	"example.org/madderdrum/capacity"
 	"example.org/madderdrum/internal/fleet"
+	"example.org/madderdrum/internal/parallel"
 	"example.org/madderdrum/internal/replay"
 	"example.org/madderdrum/internal/service"
 	"example.org/madderdrum/internal/virtual"
@@ -299,51 +298,35 @@
 		asked += x
 	}
 	day.Traffic.Rate, day.Traffic.Swing, day.Traffic.Heavy = asked, 0, 0
+	faults, err := world.Scenario(&day, fmt.Sprintf("room %s is lost from 0s to %s", f.Rooms[count-1], 2*length))
+	if err != nil {
+		return nil, err
+	}
+	got := make([]float64, days)
+	err = parallel.Each(ctx, days, progress, func(ctx context.Context, i int) error {
+		seed := uint64(i + 1)
+		res, err := virtual.Run(ctx, virtual.Options{Fleet: &day, Seed: rand.New(rand.NewPCG(seed, 0x91a)).Uint64(), Source: world.NewSynthetic(&day, seed, length), Faults: faults})
+		if err != nil {
+			return err
+		}
+		// What the loss itself costs, until it is noticed, is not the plan's matter.
+		worth, earned := 0.0, 0.0
+		for _, s := range res.World.Meter.Seconds[min(15, len(res.World.Meter.Seconds)):] {
+			worth, earned = worth+s.Worth, earned+s.Earned
+		}
+		got[i] = earned / max(1e-12, worth)
+		return nil
+	})
+	if err != nil {
+		return nil, err
+	}
 	t := &Trial{Days: days, Boxes: boxes, Worst: math.Inf(1)}
-	var mu sync.Mutex
-	var failed error
-	next, done := 0, 0
-	var group sync.WaitGroup
-	for range runtime.GOMAXPROCS(0) {
-		group.Go(func() {
-			for {
-				mu.Lock()
-				if next == days || failed != nil {
-					mu.Unlock()
-					return
-				}
-				next++
-				seed := uint64(next)
-				mu.Unlock()
-				faults, err := world.Scenario(&day, fmt.Sprintf("room %s is lost from 0s to %s", f.Rooms[count-1], 2*length))
-				var res *virtual.Result
-				if err == nil {
-					res, err = virtual.Run(ctx, virtual.Options{Fleet: &day, Seed: rand.New(rand.NewPCG(seed, 0x91a)).Uint64(), Source: world.NewSynthetic(&day, seed, length), Faults: faults})
-				}
-				mu.Lock()
-				if err != nil {
-					failed = err
-					mu.Unlock()
-					return
-				}
-				// What the loss itself costs, until it is noticed, is not the plan's matter.
-				worth, earned := 0.0, 0.0
-				for _, s := range res.World.Meter.Seconds[min(15, len(res.World.Meter.Seconds)):] {
-					worth, earned = worth+s.Worth, earned+s.Earned
-				}
-				got := earned / max(1e-12, worth)
-				t.Mean += got / float64(days)
-				t.Worst = min(t.Worst, got)
-				if got >= r.Goal-tolerance {
-					t.Kept++
-				}
-				if done++; progress != nil {
-					progress(float64(done) / float64(days))
-				}
-				mu.Unlock()
-			}
-		})
+	for _, x := range got {
+		t.Mean += x / float64(days)
+		t.Worst = min(t.Worst, x)
+		if x >= r.Goal-tolerance {
+			t.Kept++
+		}
 	}
-	group.Wait()
-	return t, failed
+	return t, nil
 }
