Limiter: reasons and regards have tests; silence is told as the decisions tell it

What a server is taken for went by a rule of its own for silent ones, of which the copy of a server record makes the decisions' own usable without fading anything.

--- a/internal/drill/restarts.go
+++ b/internal/drill/restarts.go
@@ -122,6 +122,10 @@
 			r.After10, r.Lost10, r.Noise10 = against(c.s10, cells[k][0].s10)
 			r.After60, r.Lost60, r.Noise60 = against(c.s60, cells[k][0].s60)
 			forgets := rows[k][1]
+			if seeds < 2 { // one day can't tell a loss from chance
+				all = append(all, *r)
+				continue
+			}
 			if forgets.Lost10 > forgets.Noise10 {
 				r.Saved10 = 1 - r.Lost10/forgets.Lost10
 			}
--- a/limiter/reason.go
+++ b/limiter/reason.go
@@ -1,7 +1,5 @@
 package limiter
 
-import "math"
-
 // Reason is why a request was refused, for operators: the decisions don't go by it.
 type Reason int
 
@@ -70,7 +68,8 @@
 		return Full
 	case l.warmth(now, s) < 1 && s.cold < 1:
 		return TooCold
-	case s.inflight > 0 && now-s.waitingAt > stallFactor*math.Max(1, s.pool.workOf(class))*8+l.cfg.Caps.ConnectMs:
+	}
+	if look := *s; l.stalled(now, &look) { // which fades the sums of what it looks at
 		return Silent
 	}
 	return Usable
--- /dev/null
+++ b/limiter/reason_test.go
@@ -0,0 +1,74 @@
+package limiter
+
+import (
+	"reflect"
+	"testing"
+)
+
+// What a limiter takes servers for, by what it has seen of them; looking changes nothing.
+func TestRegards(t *testing.T) {
+	h := learnt(t)
+	h.give(Endpoints{Scope: Partial, Servers: []ServerInfo{{ID: 5, Pool: 7, ReadyAt: h.now - 1}, {ID: 6, Pool: 7, Phase: Draining}}})
+	h.l.cfg.Rules = Rules{ColdShare: 0.2, ColdMs: 10_000, OverloadFactor: 3, FallMs: 1500}
+	h.l.servers[5].cold = 0
+	h.l.servers[1].fullTo = h.now + fullMs
+	before := h.l.Remember(h.now)
+	for _, c := range []struct {
+		server uint64
+		class  int
+		want   Regard
+	}{{1, 0, Full}, {2, 0, Usable}, {2, 1, TakenIll}, {3, 1, Usable}, {4, 0, TakenDown}, {5, 0, TooCold}, {6, 0, Unlisted}, {9, 0, Unlisted}} {
+		if got := h.l.Regards(h.now, c.server, c.class); got != c.want {
+			t.Errorf("server %d, class %d: %v, want %v", c.server, c.class, got, c.want)
+		}
+	}
+	s := h.l.servers[3]
+	s.inflight, s.waitingAt = 1, h.now-1e6
+	if got := h.l.Regards(h.now, 3, 0); got != Silent {
+		t.Errorf("one that owes an answer for long: %v", got)
+	}
+	s.inflight = 0
+	if !reflect.DeepEqual(before, h.l.Remember(h.now)) {
+		t.Error("looking changes what is known")
+	}
+}
+
+// why is the reason of the next refusal of a request, or -1.
+func (h *handler) why(e Submit) Reason {
+	e.ExpiresMs = max(e.ExpiresMs, 0)
+	for _, a := range h.l.Handle(h.now, e) {
+		if r, ok := a.(Refuse); ok {
+			return r.Why
+		}
+	}
+	return -1
+}
+
+// Refusals carry what was short.
+func TestReasons(t *testing.T) {
+	s := poolSettings()
+	h := newHandler(t, s, ServerInfo{ID: 1})
+	ask := Submit{ID: "a", ExpiresMs: 900, Units: 1, Customer: 1, Plan: 1}
+	if got := h.why(ask); got != CeilingShort { // a starting limiter has nothing of the ceiling
+		t.Errorf("at the start: %v", got)
+	}
+	h.now += 60_000
+	for name, c := range map[string]struct {
+		change func(*Submit)
+		want   Reason
+	}{
+		"more than the quota":   {func(e *Submit) { e.Units = 1e7 }, QuotaShort},
+		"refused by plug-ins":   {func(e *Submit) { e.Advice.Refuse = true }, Advised},
+		"a plan that is none":   {func(e *Submit) { e.Plan = 9 }, NoReason},
+		"no time left":          {func(e *Submit) { e.ExpiresMs = 0 }, NoTime},
+		"a pool without boxes":  {func(e *Submit) { e.Pool = 99 }, NoServer},
+		"nothing that is short": {func(e *Submit) {}, -1},
+	} {
+		e := ask
+		e.ID, e.Plan, e.Customer = name, 0, 2
+		c.change(&e)
+		if got := h.why(e); got != c.want {
+			t.Errorf("%s: %v, want %v", name, got, c.want)
+		}
+	}
+}
