--- a/cmd/madderdrum/state.go
+++ b/cmd/madderdrum/state.go
@@ -133,7 +133,7 @@
 	if b.BackMs > 0 {
 		all = append(all, fmt.Sprintf("back for %.1f s, warming up", b.BackMs/1000))
 	}
-	if x := memory.Slowness(b); x >= 1.5 {
+	if x := b.Slowness(); x >= 1.5 {
 		all = append(all, fmt.Sprintf("%.1f times as slow as usual", x))
 	}
 	for k, e := range b.Ills {
--- a/internal/memory/show.go
+++ b/internal/memory/show.go
@@ -102,12 +102,9 @@
 func (v *View) Ills() (all []limiter.BoxMemory) {
 	for _, b := range v.Trusted.Boxes {
 		ill := slices.ContainsFunc(b.Ills, func(e limiter.IllMemory) bool { return e.Failures > 0 || e.LeftMs > 0 })
-		if b.Down || ill || b.BackMs > 0 || Slowness(&b) >= 1.5 {
+		if b.Down || ill || b.BackMs > 0 || b.Slowness() >= 1.5 {
 			all = append(all, b)
 		}
 	}
 	return all
 }
-
-// Slowness is the time that a box takes against the usual one.
-func Slowness(b *limiter.BoxMemory) float64 { return (b.Spent + 1) / (b.Had + 1) }
--- a/limiter/memory.go
+++ b/limiter/memory.go
@@ -77,6 +77,9 @@
 	Ills   []IllMemory // by class
 }
 
+// Slowness is the time that a server takes against the typical one; with no record it is typical.
+func (b *BoxMemory) Slowness() float64 { return (b.Spent + 1) / (b.Had + 1) }
+
 // IllMemory is what is known of failures of a class at a server.
 type IllMemory struct {
 	Failures float64 // in a row, of late
--- a/recall/recall.go
+++ b/recall/recall.go
@@ -71,9 +71,10 @@
 // nothing of one box; a limiter keeps no more than half of them off either.
 func tellsApart(boxes []limiter.BoxMemory) bool {
 	ill := 0
-	for _, b := range boxes {
+	for i := range boxes {
+		b := &boxes[i]
 		off := slices.ContainsFunc(b.Ills, func(e limiter.IllMemory) bool { return e.LeftMs > 0 })
-		if off || b.Down || b.Spent+1 > slowFactor*(b.Had+1) {
+		if off || b.Down || b.Slowness() > slowFactor {
 			ill++
 		}
 	}
