--- a/limiter/gossip.go
+++ b/limiter/gossip.go
@@ -114,13 +114,6 @@
 	}
 }
 
-// floor is the lowest level a bucket can come to: each of the customer's gateways
-// passes the whole burst before it hears of another. Guards against a peer's word
-// that would keep a customer out for long.
-func (l *Limiter) floor(c *customer) float64 {
-	return -l.cfg.Plans[c.plan].Burst * float64(max(1, c.spread))
-}
-
 // tell sends a peer what has changed, most pressing first: what is untold
 // against what is left. In small sets each figure is told once more, against loss.
 func (l *Limiter) tell(now float64, i int) {
@@ -219,48 +212,3 @@
 	c.told, c.toldAt, c.pressed = level, now, 0
 	c.margin = min(burst, float64(min(en.margin, math.MaxInt32))/unitScale)
 }
-
-// knows tells whether a peer's word on a customer is taken in.
-func (l *Limiter) knows(id uint64) bool {
-	return len(l.customers) < heardMost || l.customers[id] != nil
-}
-
-func (l *Limiter) heardOf(now float64, from int, m *peerMsg, en peerEntry) {
-	if !l.knows(en.customer) {
-		return
-	}
-	c := l.customerOf(now, en.customer, int(en.plan), int(en.spread))
-	if c.spread == 0 {
-		l.join(now, c, int(en.spread), int(en.first))
-	}
-	l.refill(now, c)
-	v := c.view(from)
-	older := float64(m.ageMs) > now-l.startedAt+askMs
-	if v.mark != m.mark {
-		// Of a peer known before, or younger than this gateway, all it has spent
-		// falls into our time; of an older one only what is new with this message, and
-		// so once customers have been forgotten here, which it may still know.
-		first := v.mark == 0
-		v.heard, v.mark, v.seq = 0, m.mark, 0
-		if first && (older || l.forgot) {
-			v.heard = en.spent - min(en.fresh, en.spent)
-		}
-	}
-	if m.seq <= v.seq {
-		return
-	}
-	v.seq, v.out = m.seq, int(min(en.out, uint64(l.cfg.Plans[c.plan].AtOnce)))
-	if en.spent < v.heard { // the peer had forgotten the customer
-		v.heard = 0
-	}
-	if units := float64(en.spent-v.heard) / unitScale; units > 0 {
-		c.balance = max(c.balance-units, min(c.balance, l.floor(c)))
-		c.fade(now)
-		c.flow += min(units, l.cfg.Plans[c.plan].Burst)
-		c.seenAt = now
-	}
-	v.heard = en.spent
-	if c.keeper && older && !c.seeded { // a keeper that just started begins with what the teller believes
-		c.seed(now, max(l.floor(c), min(l.cfg.Plans[c.plan].Burst, float64(en.level)/unitScale-c.spent)))
-	}
-}
