A healed split: spending told late is set against refill that full buckets let go

Ruled out: levels told with news (3 limiters send none), the floor alone (a lower one leaves the fall), lost fresh spending (drawn in full as before).

Change: an account counts the refill that its full bucket let go. What a peer told before, in messages that were lost (spent less heard less fresh), is set against it once, and never past the peer's own level. Fresh spending is drawn in full. The flow takes late units by the time they were spent in.

--- a/limiter/quota.go
+++ b/limiter/quota.go
@@ -39,7 +39,9 @@
 	c.at = now
 	// What is leased keeps its place, as if it were taken only when it is used: an
 	// account that leases all it has must not get as much again meanwhile.
-	c.balance = min(p.Burst-c.leased, c.balance+s*p.Rate)
+	c.balance += s * p.Rate
+	over := max(0, c.balance-(p.Burst-c.leased))
+	c.balance, c.idle = c.balance-over, c.idle+over
 	if n := float64(c.spread); n > 0 {
 		c.share = min(p.CeilingBurst/n-c.leased, c.share+s*p.CeilingRate/n)
 	}
--- a/limiter/spending.go
+++ b/limiter/spending.go
@@ -1,5 +1,7 @@
 package limiter
 
+import "example.org/madderdrum/peering"
+
 // What peers tell of their spending does to a balance here.
 
 // floor is the lowest level a bucket can come to: each of the customer's gateways
@@ -44,13 +46,26 @@
 		v.heard = 0
 	}
 	if units := float64(en.spent-v.heard) / unitScale; units > 0 {
-		c.balance = max(c.balance-units, min(c.balance, l.floor(c)))
-		c.fade(now)
-		c.flow += min(units, l.cfg.Plans[c.plan].Burst)
-		c.seenAt = now
+		l.draw(now, c, v, units, float64(min(en.fresh, en.spent-v.heard))/unitScale, float64(en.level)/unitScale)
 	}
+	v.idle, v.heardAt = c.idle, now
 	v.heard = en.spent
 	if c.keeper && older && !c.seeded { // a keeper that just started begins with what the teller believes
 		c.seed(now, max(l.floor(c), min(l.cfg.Plans[c.plan].Burst, float64(en.level)/unitScale-c.spent)))
 	}
 }
+
+// draw takes from a balance the units that a peer has spent, of which some are fresh and
+// the rest came late: it told of them before, and that was lost. A bucket that was full
+// meanwhile let refill go that would have repaid them had they been heard in time.
+// Guards against a split that heals: each side would repay all that the other passed in
+// it, however little that was, while its own bucket had stood full all the time.
+func (l *Limiter) draw(now float64, c *customer, v *view, units, fresh, level float64) {
+	burst := l.cfg.Plans[c.plan].Burst
+	repaid := peering.Repaid(units-fresh, c.idle-v.idle, level-(c.balance-units))
+	c.idle -= repaid // once: what other peers told of can't be repaid by it
+	c.balance = max(c.balance-(units-repaid), min(c.balance, l.floor(c)))
+	c.fade(now)
+	c.flow += min(burst, fresh+(units-fresh)*min(1, 1000/max(1, now-v.heardAt)))
+	c.seenAt = now
+}
--- a/limiter/state.go
+++ b/limiter/state.go
@@ -128,6 +128,7 @@
 	spread  int // 0 until one of its requests came here
 	first   int
 	balance float64
+	idle    float64 // refill that a full bucket let go, less what has repaid spending told late
 	share   float64 // this gateway's part of the ceiling's store
 	at      float64 // when both were last refilled
 	seenAt  float64
@@ -162,6 +163,8 @@
 	mark    uint32
 	heard   uint64 // told by the peer, in steps
 	seq     uint64
+	heardAt float64 // when it last told of the account ...
+	idle    float64 // ... and what refill had been let go by then
 	out     int
 	told    uint64 // told to the peer
 	before  uint64 // what it was told before that
