Terms of duties: one owner at a time, with tokens that receivers check

Broken on purpose and found: no wait, a wait without drift, no token check, a receiver that forgets.

--- /dev/null
+++ b/tenure/model_test.go
@@ -0,0 +1,309 @@
+package tenure
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// model is a fleet of candidates with clocks of their own, a log that all apply in one
+// order but at their own times, and receivers. It knows the true time, which none of them does.
+type model struct {
+	cfg       Settings
+	unfenced  bool // a build broken on purpose: receivers take whatever comes
+	now       time.Duration
+	log       []Command
+	nodes     []*process
+	receivers []*receiver
+	names     []string
+	overlaps  int // two owners at one true time
+	stale     int // an effect of a former owner after one of a later one
+	effects   int
+	paused    int
+}
+
+// process is one run of a limiter.
+type process struct {
+	*Candidate
+	reg     Registry
+	applied int
+	rate    float64 // of its clock
+	from    time.Duration
+	stopped bool  // by SIGSTOP: its clock goes on
+	about   Token // it has checked, and its effect is still to come
+}
+
+// receiver carries out effects: truth is the highest epoch of which one was carried out.
+type receiver struct {
+	fence *Fence
+	disk  map[string]uint64
+	truth map[string]uint64
+}
+
+func newModel(cfg Settings, nodes, receivers int, rates func(i int) float64) *model {
+	m := &model{cfg: cfg}
+	for i := range nodes {
+		m.names = append(m.names, fmt.Sprint("n", i))
+	}
+	for i := range nodes {
+		m.nodes = append(m.nodes, nil)
+		m.start(i, rates(i), uint64(i)+1)
+	}
+	for range receivers {
+		m.receivers = append(m.receivers, &receiver{fence: NewFence(nil), disk: map[string]uint64{}, truth: map[string]uint64{}})
+	}
+	return m
+}
+
+// start begins another process of a limiter; the one before it is gone.
+func (m *model) start(i int, rate float64, id uint64) {
+	me := Process{m.names[i], id}
+	m.nodes[i] = &process{Candidate: NewCandidate(me, m.cfg, []string{"d"}, m.names), rate: rate, from: m.now}
+}
+
+func (m *model) clock(p *process) time.Duration {
+	return time.Second + time.Duration(float64(m.now-p.from)*p.rate)
+}
+
+// apply has a process see n more entries of the log.
+func (m *model) apply(p *process, n int) {
+	for ; n > 0 && p.applied < len(m.log); n-- {
+		p.reg.Apply(m.log[p.applied])
+		p.applied++
+	}
+	p.Observe(m.clock(p), &p.reg)
+}
+
+// propose has a process ask; what it asks for comes into the log, or is lost.
+func (m *model) propose(p *process, lost bool) {
+	for _, c := range p.Step(m.clock(p)) {
+		if !lost {
+			m.log = append(m.log, c)
+		}
+	}
+}
+
+// check is the owner's last look before an effect, which follows at any later time.
+func (m *model) check(p *process) {
+	if t, ok := p.Owns(m.clock(p), "d"); ok {
+		p.about = t
+	}
+}
+
+// effect carries out what the process checked for, at a receiver.
+func (m *model) effect(p *process, r *receiver) {
+	t := p.about
+	if t.Epoch == 0 {
+		return
+	}
+	p.about = Token{}
+	if raised, err := r.fence.Admit(t); err != nil && !m.unfenced {
+		return
+	} else if raised {
+		r.disk[t.Duty] = t.Epoch // on the disk before the effect
+	}
+	m.effects++
+	if t.Epoch < r.truth[t.Duty] {
+		m.stale++
+	}
+	r.truth[t.Duty] = max(t.Epoch, r.truth[t.Duty])
+}
+
+// look counts owners by true time, stopped ones as well: they believe in it when they go on.
+func (m *model) look() {
+	owners := 0
+	for _, p := range m.nodes {
+		if _, ok := p.Owns(m.clock(p), "d"); ok {
+			owners++
+		}
+	}
+	if owners > 1 {
+		m.overlaps++
+	}
+}
+
+var modelSettings = Settings{Term: 400 * time.Millisecond, Drift: 0.05, Stagger: 40 * time.Millisecond}
+
+// step plays one random event.
+func (m *model) step(r *rand.Rand) {
+	i := r.IntN(len(m.nodes))
+	p := m.nodes[i]
+	x := r.IntN(100)
+	if p.stopped && x < 77 {
+		x = 99
+	}
+	switch {
+	case x < 25:
+		m.apply(p, 1+r.IntN(4))
+	case x < 45:
+		m.propose(p, r.IntN(5) == 0)
+	case x < 55:
+		m.check(p)
+	case x < 70:
+		m.effect(p, m.receivers[r.IntN(len(m.receivers))])
+	case x < 71:
+		if r.IntN(4) == 0 {
+			m.start(i, p.rate, r.Uint64())
+			m.apply(m.nodes[i], max(0, len(m.log)-r.IntN(20)))
+		}
+	case x < 73:
+		p.stopped = r.IntN(4) == 0
+	case x < 74:
+		if r.IntN(4) == 0 {
+			p.Resign("d")
+		}
+	case x < 75:
+		m.log = append(m.log, Command{Kind: Transfer, Duty: "d", To: m.names[r.IntN(len(m.names))]})
+	case x < 77: // a receiver starts again, with what was on its disk
+		v := m.receivers[r.IntN(len(m.receivers))]
+		v.fence = NewFence(v.disk)
+	case x < 80:
+		p.stopped = false
+	default:
+		m.now += time.Duration(r.IntN(int(20 * time.Millisecond)))
+		if r.IntN(200) == 0 { // all stand still, as on a busy machine
+			m.now += time.Duration(r.IntN(int(time.Second)))
+		}
+	}
+	m.look()
+}
+
+// run plays steps of a fleet that is drawn from the seed.
+func run(seed uint64, steps int, cfg Settings, unfenced bool) *model {
+	r := rand.New(rand.NewPCG(seed, 7))
+	m := newModel(cfg, 2+r.IntN(4), 1+r.IntN(3), func(int) float64 { return 1 + r.Float64()*modelSettings.Drift })
+	m.unfenced = unfenced
+	for range steps {
+		m.step(r)
+	}
+	return m
+}
+
+// steps is how many steps random tests play in all: TENURE_STEPS, or enough for CI.
+func steps() int {
+	if n, err := strconv.Atoi(os.Getenv("TENURE_STEPS")); err == nil {
+		return n
+	}
+	return 2_000_000
+}
+
+// One owner at a time by true time, and no effect of a former owner after one of a later
+// one, whatever is lost, late, stopped or started again.
+func TestOneOwnerUnderRandomEvents(t *testing.T) {
+	const each = 4000
+	played, effects := 0, 0
+	rapid.Check(t, func(t *rapid.T) {
+		for range max(1, steps()/each/100) {
+			m := run(rapid.Uint64().Draw(t, "seed"), each, modelSettings, false)
+			played, effects = played+each, effects+m.effects
+			if m.overlaps > 0 || m.stale > 0 {
+				t.Fatalf("two owners %d times, %d stale effects", m.overlaps, m.stale)
+			}
+		}
+	})
+	if effects < played/200 {
+		t.Errorf("only %d effects in %d steps", effects, played)
+	}
+	t.Logf("%d steps, %d effects", played, effects)
+}
+
+// found plays fleets of a build that is broken on purpose until it shows.
+func found(cfg Settings, unfenced bool, bad func(*model) bool) (seed uint64, ok bool) {
+	for seed := range uint64(300) {
+		if bad(run(seed, 4000, cfg, unfenced)) {
+			return seed, true
+		}
+	}
+	return 0, false
+}
+
+// Without the wait after a term was seen, two own a duty at once: the model finds it.
+func TestModelFindsAMissingWait(t *testing.T) {
+	cfg := modelSettings
+	cfg.Drift = -1 // no wait at all
+	if _, ok := found(cfg, false, func(m *model) bool { return m.overlaps > 0 }); !ok {
+		t.Error("no two owners were found without the wait")
+	}
+	cfg.Drift = -0.05 // as if clocks did not drift apart, while they do by 5%, and a little less
+	if _, ok := found(cfg, false, func(m *model) bool { return m.overlaps > 0 }); !ok {
+		t.Error("no two owners were found with a wait that is shorter than the drift asks for")
+	}
+}
+
+// Without the receivers' check an owner that wakes up late does harm: the model finds it.
+func TestModelFindsAMissingTokenCheck(t *testing.T) {
+	if _, ok := found(modelSettings, true, func(m *model) bool { return m.stale > 0 }); !ok {
+		t.Error("no stale effect was found without the token check")
+	}
+}
+
+// A receiver that forgets over its restart lets a former owner in: the model finds it.
+func TestModelFindsAForgetfulReceiver(t *testing.T) {
+	_, ok := found(modelSettings, false, func(m *model) bool { return m.stale > 0 })
+	if ok {
+		t.Fatal("a stale effect with receivers that remember")
+	}
+	for seed := range uint64(300) {
+		r := rand.New(rand.NewPCG(seed, 7))
+		m := newModel(modelSettings, 3, 1, func(int) float64 { return 1 })
+		for range 4000 {
+			m.step(r)
+			clear(m.receivers[0].disk)
+		}
+		if m.stale > 0 {
+			return
+		}
+	}
+	t.Error("no stale effect was found with a receiver that forgets")
+}
+
+// After an owner is gone another one has the duty within its term, the wait for drift and
+// the stagger; while nothing fails nobody else gets it.
+func TestSuccession(t *testing.T) {
+	for _, n := range []int{3, 12, 30} {
+		m := newModel(DefaultSettings(), n, 1, func(i int) float64 { return 1 + 0.005*float64(i%3) })
+		tick := func(alive func(i int) bool) (owner int) {
+			owner = -1
+			m.now += 5 * time.Millisecond
+			for i, p := range m.nodes {
+				if alive(i) {
+					m.propose(p, false)
+				}
+			}
+			for i, p := range m.nodes {
+				if alive(i) {
+					m.apply(p, len(m.log))
+					if _, ok := p.Owns(m.clock(p), "d"); ok {
+						owner = i
+					}
+				}
+			}
+			return owner
+		}
+		all := func(int) bool { return true }
+		var first int
+		for range 100 {
+			first = tick(all)
+		}
+		if first < 0 {
+			t.Fatalf("%d limiters: nobody owns the duty after 500 ms", n)
+		}
+		for range 12 * 60 * 60 / n { // an hour and more of three, with no fault
+			if got := tick(all); got != first {
+				t.Fatalf("%d limiters: %d owns it in place of %d, with no fault", n, got, first)
+			}
+		}
+		gone, worst := m.now, DefaultSettings().wait()+DefaultSettings().Stagger+20*time.Millisecond
+		for tick(func(i int) bool { return i != first }) < 0 {
+			if m.now-gone > worst {
+				t.Fatalf("%d limiters: no owner %v after the last one died", n, m.now-gone)
+			}
+		}
+		t.Logf("%d limiters: another owner after %v", n, m.now-gone)
+	}
+}
