--- /dev/null
+++ b/internal/agreement/host.go
@@ -0,0 +1,729 @@
+package agreement
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"maps"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"go.etcd.io/raft/v3/raftpb"
+	"golang.org/x/time/rate"
+)
+
+const (
+	// DefaultTick is the time of a tick: heartbeats come once in it, and a leader that
+	// was not heard for 5 to 9 of them is replaced.
+	DefaultTick = 100 * time.Millisecond
+	tendEvery   = 3 // ticks between two looks at whether members have to change
+	atWorkFor   = 3 * time.Second
+	// A member that has heard nobody for unheardFor greets anew: it may be left out, or its
+	// connections stand on a machine that is gone. Greetings are good for joinFor.
+	unheardFor  = 2 * time.Second
+	joinFor     = 10 * time.Second
+	reopenAfter = time.Second
+	eventsMost  = 1024
+)
+
+// Options say who this member is.
+type Options struct {
+	Label   string            // of the fleet
+	Name    string            // of this limiter
+	Folder  string            // its own, not shared with another one
+	Listen  string            // host:port for the other limiters
+	Peers   map[string]string // where each other limiter listens
+	Voters  []string          // limiters to ask about the fleet while this one knows none
+	Machine Machine           // called by one goroutine; whoever else looks at it needs a lock of its own
+	Changed func()            // called after entries have been applied; it must not block. nil: nobody cares
+	Tick    time.Duration     // 0: DefaultTick
+	Log     *slog.Logger
+}
+
+// Host is a member on sockets and a disk. It is safe for concurrent use.
+type Host struct {
+	o        Options
+	log      *slog.Logger
+	limit    *rate.Limiter
+	listener net.Listener
+	links    map[string]*link
+	events   chan event
+	tasks    sync.WaitGroup
+	mark     uint64
+
+	sent, sentBytes, received atomic.Int64
+
+	mu     sync.Mutex // round what follows, which the driver alone changes
+	status Status
+	member uint64
+	other  chan struct{} // closes when this member becomes another one
+
+	// The driver's own.
+	f        *folder
+	core     *Core
+	failed   error
+	waiting  map[uint64]chan error
+	reading  map[string]chan struct{}
+	welcomed map[uint64]bool   // members that have noted this start
+	names    map[uint64]string // by what was heard
+	atWork   map[string]worker
+	joiners  map[string]joining
+	heardAt  time.Time // when a message of another member came last
+	redialAt time.Time
+	asking   []string // limiters to greet while this one may not speak
+	spoke    bool
+	reopen   time.Time
+}
+
+// worker is the member at work under a limiter's name.
+type worker struct {
+	member uint64
+	at     time.Time
+}
+
+// joining is a limiter that has greeted and may want to be a member.
+type joining struct {
+	Joiner
+	at time.Time
+}
+
+// event is what the driver takes in; one group of fields is set.
+type event struct {
+	message *raftpb.Message
+	member  uint64
+	from    string
+	to      uint64
+
+	hello  *Hello
+	answer chan reply
+
+	answered *reply
+	mark     uint64
+
+	lost string
+
+	snapshotTo uint64
+	ok         bool
+
+	do func()
+}
+
+// Status is how a member stands.
+type Status struct {
+	View
+	Fleet, Generation uint64
+	Start             uint64
+	Silent            bool   // it does not speak yet: too few voters have heard that it started
+	Failed            string // why it takes no part
+	Waiting           []string
+	Sent, SentBytes   int64
+	Received          int64
+}
+
+// ErrNotBegun is why nothing can be agreed on: this limiter is in no fleet.
+var ErrNotBegun = errors.New("this limiter is in no fleet yet: begin one with fleet init, or see that its voters can be reached")
+
+// Open opens the folder and listens; Run takes part.
+func Open(o Options) (*Host, error) {
+	if o.Tick == 0 {
+		o.Tick = DefaultTick
+	}
+	h := &Host{o: o, log: o.Log, limit: rate.NewLimiter(1, 5), events: make(chan event, eventsMost), mark: rand.Uint64() | 1, other: make(chan struct{}),
+		waiting: map[uint64]chan error{}, reading: map[string]chan struct{}{}, links: map[string]*link{},
+		names: map[uint64]string{}, atWork: map[string]worker{}, joiners: map[string]joining{}}
+	for name, addr := range o.Peers {
+		if name != o.Name {
+			h.links[name] = newLink(name, addr)
+		}
+	}
+	var err error
+	if h.f, err = openFolder(o.Folder, o.Name); err != nil {
+		return nil, err
+	}
+	if err := h.openCore(); err != nil {
+		h.f.close()
+		return nil, err
+	}
+	if h.listener, err = net.Listen("tcp", o.Listen); err != nil {
+		h.f.close()
+		return nil, fmt.Errorf("fleet address: %w", err)
+	}
+	h.member = h.f.self.Member
+	h.publish()
+	return h, nil
+}
+
+// Addr is where it listens.
+func (h *Host) Addr() net.Addr { return h.listener.Addr() }
+
+func (h *Host) openCore() (err error) {
+	h.core, err = OpenCore(h.f.self.Member, h.f, h.o.Machine, h.log)
+	h.welcomed, h.spoke = map[uint64]bool{}, false
+	h.asking = slices.Clone(h.o.Voters)
+	return err
+}
+
+// Run takes part until the context ends.
+func (h *Host) Run(ctx context.Context) error {
+	defer func() {
+		h.listener.Close()
+		h.tasks.Wait()
+		if h.f != nil {
+			h.f.close()
+		}
+	}()
+	defer context.AfterFunc(ctx, func() { h.listener.Close() })()
+	h.tasks.Go(func() { h.accept(ctx) })
+	for _, l := range h.links {
+		h.tasks.Go(func() { l.run(ctx, h) })
+	}
+	h.greetAll()
+	ticker := time.NewTicker(h.o.Tick)
+	defer ticker.Stop()
+	for n := 0; ; {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			n++
+			h.tick(n)
+		case e := <-h.events:
+			h.take(e)
+			for range len(h.events) { // what has come meanwhile shares a sync
+				h.take(<-h.events)
+			}
+		}
+		h.flush()
+		h.publish()
+	}
+}
+
+// give hands the driver an event; false: it has ended.
+func (h *Host) give(ctx context.Context, e event) bool {
+	select {
+	case h.events <- e:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// ask has the driver do something and waits for it.
+func (h *Host) ask(ctx context.Context, do func()) error {
+	done := make(chan struct{})
+	if !h.give(ctx, event{do: func() { do(); close(done) }}) {
+		return ctx.Err()
+	}
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (h *Host) warn(msg string, args ...any) {
+	if h.limit.Allow() {
+		h.log.Warn(msg, args...)
+	}
+}
+
+// silent tells whether this member may not speak yet.
+func (h *Host) silent() bool {
+	return h.core == nil || !h.spoke && silent(h.core.conf.GetVoters(), h.core.id, h.welcomed)
+}
+
+// tick goes on by a tick.
+func (h *Host) tick(n int) {
+	if h.core == nil {
+		if time.Now().After(h.reopen) {
+			h.again()
+		}
+		return
+	}
+	alone := h.silent() || h.f.self.Fleet == 0 || len(h.core.conf.GetVoters()) == 0
+	if n%tendEvery == 0 && (alone || h.core.View().Leader == 0) {
+		h.greetAll()
+	}
+	if now := time.Now(); !h.core.Leads() && now.Sub(h.heardAt) > unheardFor && now.Sub(h.redialAt) > unheardFor {
+		h.redialAt = now
+		for _, l := range h.links {
+			l.again()
+		}
+		h.greetAll()
+	}
+	if alone {
+		return
+	}
+	if !h.spoke {
+		h.spoke = true
+		h.log.Info("taking part in the fleet", "fleet", fmt.Sprintf("%016x", h.f.self.Fleet), "member", fmt.Sprintf("%016x", h.core.id), "start", h.f.self.Start)
+	}
+	h.core.Tick()
+	if n%tendEvery != 0 {
+		return
+	}
+	for mark := range h.reading { // a question may have been lost
+		h.core.Read(mark)
+	}
+	if h.core.Leads() {
+		v := h.core.View()
+		var joiners []Joiner
+		maps.DeleteFunc(h.joiners, func(_ string, j joining) bool { return time.Since(j.at) > joinFor })
+		for _, name := range slices.Sorted(maps.Keys(h.joiners)) {
+			joiners = append(joiners, h.joiners[name].Joiner)
+		}
+		if x, due := h.core.roster.next(h.core.conf, joiners, v.Match, v.Applied); due {
+			if err := h.core.Change(x); err == nil {
+				h.log.Info("changing members", "limiter", x.Name, "votes", x.Voter, "leaving", len(x.Remove))
+			}
+		}
+	}
+}
+
+// greetAll connects to those that this member has to hear from.
+func (h *Host) greetAll() {
+	for _, name := range h.asking {
+		if l := h.links[name]; l != nil {
+			l.open()
+		}
+	}
+	if h.core == nil {
+		return
+	}
+	for _, id := range h.core.conf.GetVoters() {
+		if l := h.links[h.core.roster.Members[id]]; l != nil {
+			l.open()
+		}
+	}
+}
+
+// eager tells whether links should connect with nothing to send.
+func (h *Host) eager() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.status.Silent || h.status.Fleet == 0
+}
+
+// hello is what this member says first. ok is false once the driver has ended.
+func (h *Host) hello(ctx context.Context) (me Hello, ok bool) {
+	err := h.ask(ctx, func() { me = h.me() })
+	return me, err == nil && me.Member != 0
+}
+
+func (h *Host) me() Hello {
+	if h.f == nil {
+		return Hello{}
+	}
+	s := h.f.self
+	return Hello{Label: h.o.Label, Fleet: s.Fleet, Generation: s.Generation, Name: h.o.Name, Member: s.Member, Start: s.Start, Mark: h.mark}
+}
+
+// renamed closes when this member is no longer the one of that number.
+func (h *Host) renamed(member uint64) <-chan struct{} {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if member != h.member {
+		gone := make(chan struct{})
+		close(gone)
+		return gone
+	}
+	return h.other
+}
+
+// take is an event for the driver.
+func (h *Host) take(e event) {
+	switch {
+	case e.do != nil:
+		e.do()
+	case h.core == nil:
+		if e.answer != nil {
+			e.answer <- reply{Verdict: Foreign, Why: "this limiter takes no part: its disk failed"}
+		}
+	case e.hello != nil:
+		h.greeted(e)
+	case e.answered != nil:
+		h.wasAnswered(e)
+	case e.message != nil:
+		h.heardAt = time.Now()
+		h.atWork[e.from] = worker{e.member, h.heardAt}
+		if e.to != h.core.id || h.silent() {
+			return
+		}
+		if e.message.GetFrom() != e.member {
+			h.warn("dropped a message", "from", e.from, "err", "it names another sender")
+			return
+		}
+		if err := h.core.Step(e.message); err != nil {
+			h.warn("dropped a message", "from", e.from, "err", err)
+		}
+	case e.snapshotTo != 0:
+		h.core.SnapshotSent(e.snapshotTo, e.ok)
+	case e.lost != "":
+		for _, id := range h.core.roster.named(e.lost) {
+			h.core.Unreachable(id)
+		}
+	}
+}
+
+// greeted answers a hello.
+func (h *Host) greeted(e event) {
+	mine, g := h.me(), *e.hello
+	r := reply{Hello: mine}
+	for _, id := range h.core.conf.GetVoters() {
+		r.Voters = append(r.Voters, h.core.roster.Members[id])
+	}
+	if _, known := h.links[g.Name]; !known && g.Name != h.o.Name {
+		r.Verdict, r.Why = Foreign, fmt.Sprintf("the configuration here has no limiter %q", g.Name)
+		e.answer <- r
+		return
+	}
+	var other uint64
+	if w := h.atWork[g.Name]; time.Since(w.at) < atWorkFor {
+		other = w.member
+	}
+	var note bool
+	r.Verdict, r.Why, note = judge(mine, g, h.f.heardOf(g.Member), other)
+	if note {
+		if err := h.f.note(g.Member, heard{g.Start, g.Mark}); err != nil {
+			h.fail(err)
+			r.Verdict, r.Why = Foreign, "its start could not be written down"
+			e.answer <- r
+			return
+		}
+	}
+	if r.Verdict == Welcome {
+		h.names[g.Member] = g.Name
+		h.atWork[g.Name] = worker{g.Member, time.Now()}
+		h.joiners[g.Name] = joining{Joiner{g.Name, g.Member}, time.Now()}
+		if g.Fleet != 0 && mine.Fleet == 0 {
+			h.adopt(g)
+		}
+	}
+	e.answer <- r
+	if r.Verdict == Behind {
+		h.begone(r.Why)
+	}
+}
+
+// wasAnswered takes in what another one thinks of this member.
+func (h *Host) wasAnswered(e event) {
+	r := e.answered
+	if e.member != h.core.id {
+		return // it was another one then
+	}
+	for _, v := range r.Voters {
+		if !slices.Contains(h.asking, v) && h.links[v] != nil {
+			h.asking = append(h.asking, v)
+		}
+	}
+	switch r.Verdict {
+	case Welcome:
+		h.welcomed[r.Hello.Member] = true
+		h.names[r.Hello.Member] = e.from
+		if h.f.self.Fleet == 0 && r.Hello.Fleet != 0 && r.Hello.Label == h.o.Label {
+			h.adopt(r.Hello)
+		}
+	case OldFolder, Outdone:
+		h.begone(r.Why)
+	case Behind: // it sets its own folder aside and comes back
+	default:
+		h.warn("not welcome at another limiter", "limiter", e.from, "verdict", r.Verdict.String(), "why", r.Why)
+	}
+}
+
+// adopt joins the fleet of another member.
+func (h *Host) adopt(of Hello) {
+	if err := h.f.join(of.Fleet, of.Generation); err != nil {
+		h.fail(err)
+		return
+	}
+	h.log.Info("found the fleet", "fleet", fmt.Sprintf("%016x", of.Fleet), "generation", of.Generation, "at", of.Name)
+}
+
+// begone sets this member's folder aside and goes on as another one, that knows nothing.
+func (h *Host) begone(why string) {
+	h.log.Warn("setting the fleet's folder aside: this limiter learns the fleet anew and does not vote", "why", why)
+	f, err := h.f.setAside()
+	if err != nil {
+		h.fail(err)
+		return
+	}
+	h.f = f
+	h.becomeOther()
+	if err := h.openCore(); err != nil {
+		h.fail(err)
+	}
+	h.greetAll()
+}
+
+// becomeOther ends connections that were opened as the member of before.
+func (h *Host) becomeOther() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	close(h.other)
+	h.other, h.member = make(chan struct{}), h.f.self.Member
+}
+
+// fail takes no part any more until the folder has been opened again: what was said may not
+// be on the disk.
+func (h *Host) fail(err error) {
+	h.warn("takes no part in the fleet: its disk failed", "err", err, "again_in", reopenAfter)
+	h.failed, h.core, h.reopen = err, nil, time.Now().Add(reopenAfter)
+	for id, c := range h.waiting {
+		delete(h.waiting, id)
+		c <- fmt.Errorf("this limiter takes no part: %w", err)
+	}
+}
+
+// again opens the folder once more.
+func (h *Host) again() {
+	if h.f != nil {
+		h.f.close()
+	}
+	f, err := openFolder(h.o.Folder, h.o.Name)
+	h.f = f
+	if err == nil {
+		if err = h.openCore(); err == nil {
+			h.failed = nil
+			h.log.Info("takes part in the fleet again")
+			h.greetAll()
+			return
+		}
+	}
+	h.fail(err)
+}
+
+// flush saves and sends what has become due.
+func (h *Host) flush() {
+	if h.core == nil {
+		return
+	}
+	before := h.core.applied
+	out, results, err := h.core.Flush()
+	if err != nil {
+		h.fail(err)
+		return
+	}
+	for _, m := range out {
+		name := h.core.roster.Members[m.GetTo()]
+		if name == "" {
+			name = h.names[m.GetTo()]
+		}
+		l := h.links[name]
+		if l == nil || !l.send(m) {
+			h.core.Unreachable(m.GetTo())
+			if m.GetType() == raftpb.MessageType_MsgSnap {
+				h.core.SnapshotSent(m.GetTo(), false)
+			}
+		}
+	}
+	for _, r := range results {
+		if c := h.waiting[r.ID]; c != nil {
+			delete(h.waiting, r.ID)
+			c <- r.Err
+		}
+	}
+	for mark, done := range h.reading {
+		if h.core.ReadDone(mark) {
+			delete(h.reading, mark)
+			close(done)
+		}
+	}
+	if h.core.applied != before && h.o.Changed != nil {
+		h.o.Changed()
+	}
+}
+
+// publish shows how this member stands.
+func (h *Host) publish() {
+	s := Status{Sent: h.sent.Load(), SentBytes: h.sentBytes.Load(), Received: h.received.Load()}
+	if h.f != nil {
+		s.Fleet, s.Generation, s.Start = h.f.self.Fleet, h.f.self.Generation, h.f.self.Start
+	}
+	if h.core != nil {
+		s.View, s.Silent = h.core.View(), h.silent()
+	}
+	if h.failed != nil {
+		s.Failed = h.failed.Error()
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.status = s
+}
+
+// Status returns how this member stands.
+func (h *Host) Status() Status {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.status
+}
+
+// Propose has an entry agreed on and returns what the machine says to it once it is applied
+// here. When the context ends first it may be agreed on all the same.
+func (h *Host) Propose(ctx context.Context, data []byte) error {
+	return h.propose(ctx, func(id uint64) error { return h.core.Propose(id, data) })
+}
+
+// Want has the leader make a limiter a voter, or a learner again, step by step.
+func (h *Host) Want(ctx context.Context, w Wish) error {
+	return h.propose(ctx, func(id uint64) error { return h.core.ProposeRoster(id, w) })
+}
+
+func (h *Host) propose(ctx context.Context, put func(id uint64) error) error {
+	id, result := rand.Uint64(), make(chan error, 1)
+	var err error
+	if e := h.ask(ctx, func() {
+		if err = h.able(); err != nil {
+			return
+		}
+		if err = put(id); err == nil {
+			h.waiting[id] = result
+		}
+	}); e != nil {
+		return e
+	}
+	if err != nil {
+		return err
+	}
+	select {
+	case err := <-result:
+		return err
+	case <-ctx.Done():
+		h.ask(context.WithoutCancel(ctx), func() { delete(h.waiting, id) })
+		return fmt.Errorf("it was not agreed on in time: %w", ctx.Err())
+	}
+}
+
+// able tells why nothing can be proposed; the driver calls it.
+func (h *Host) able() error {
+	switch {
+	case h.core == nil:
+		return fmt.Errorf("this limiter takes no part: %w", h.failed)
+	case h.f.self.Fleet == 0 || len(h.core.conf.GetVoters()) == 0:
+		return ErrNotBegun
+	case h.silent():
+		return errors.New("this limiter has started and too few voters have heard of it yet")
+	}
+	return nil
+}
+
+// Read returns once all that was agreed on when it was called is applied here.
+func (h *Host) Read(ctx context.Context) error {
+	mark, done := fmt.Sprint(rand.Uint64()), make(chan struct{})
+	var err error
+	if e := h.ask(ctx, func() {
+		if err = h.able(); err == nil {
+			h.reading[mark] = done
+			h.core.Read(mark)
+		}
+	}); e != nil {
+		return e
+	}
+	if err != nil {
+		return err
+	}
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		h.ask(context.WithoutCancel(ctx), func() { delete(h.reading, mark) })
+		return ctx.Err()
+	}
+}
+
+// Begin makes this limiter the first of a fleet; the voters follow when they come.
+func (h *Host) Begin(ctx context.Context, voters []string) error {
+	return h.begin(ctx, func() error {
+		if h.f.self.Fleet != 0 {
+			return fmt.Errorf("this limiter is in a fleet already: %016x", h.f.self.Fleet)
+		}
+		return h.first(rand.Uint64()|1, 0, voters)
+	})
+}
+
+// BeginAnew makes this limiter the only voter of its fleet, with what it knows of the log,
+// although others may know more. before changes the machine first.
+func (h *Host) BeginAnew(ctx context.Context, before func(generation uint64)) error {
+	return h.begin(ctx, func() error {
+		if h.f.self.Fleet == 0 {
+			return ErrNotBegun
+		}
+		if s := h.core.View(); s.Leader != 0 {
+			return errors.New("the fleet has a leader: nothing is lost; add and remove voters in place of beginning anew")
+		}
+		before(h.f.self.Generation + 1)
+		return h.first(h.f.self.Fleet, h.f.self.Generation+1, nil)
+	})
+}
+
+func (h *Host) begin(ctx context.Context, do func() error) error {
+	var err error
+	if e := h.ask(ctx, func() {
+		if h.core == nil {
+			err = fmt.Errorf("this limiter takes no part: %w", h.failed)
+			return
+		}
+		if err = do(); err != nil {
+			return
+		}
+		if err = h.openCore(); err != nil {
+			h.fail(err)
+			return
+		}
+		h.core.Campaign()
+	}); e != nil {
+		return e
+	}
+	return err
+}
+
+// first writes the beginning of a fleet.
+func (h *Host) first(fleet, generation uint64, voters []string) error {
+	hard, snap, err := h.core.First(h.o.Name, voters)
+	if err != nil {
+		return err
+	}
+	return h.f.begin(fleet, generation, hard, snap)
+}
+
+// Fence are the highest epochs that this limiter has seen as a receiver, by duty.
+func (h *Host) Fence(ctx context.Context) (all map[string]uint64, err error) {
+	if e := h.ask(ctx, func() {
+		if h.f == nil {
+			err = h.failed
+			return
+		}
+		all, err = h.f.fence()
+	}); e != nil {
+		return nil, e
+	}
+	return all, err
+}
+
+// Raise notes an epoch of a duty, on the disk when it returns.
+func (h *Host) Raise(ctx context.Context, duty string, epoch uint64) (err error) {
+	if e := h.ask(ctx, func() {
+		if h.core == nil {
+			err = fmt.Errorf("this limiter's disk failed: %w", h.failed)
+			return
+		}
+		if err = h.f.raise(duty, epoch); err != nil {
+			h.fail(err)
+		}
+	}); e != nil {
+		return e
+	}
+	return err
+}
+
+// isReset tells of a connection that broke.
+func isReset(err error) bool {
+	return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, net.ErrClosed)
+}
