Limiters agree on who owns duties; rollouts over the fleet; madderdrum fleet

internal/ownership ties terms and rollouts to the agreement: proposals, the last look before each effect, the receiver's gate (caught up with the log once, the highest epoch on the disk before the effect), the conductor's calls on operators' addresses.

Seen on three real limiters and mended: a limiter that gives a duty up so that another can restart it took it again at once, 5 times a second (the first by rendezvous asks first): whoever gives up waits a term; who is ready was learnt from healthz calls alone, which nobody made; a member that greeted before the fleet was begun did not write down which fleet it is in.

--- a/cmd/madderdrum/serve.go
+++ b/cmd/madderdrum/serve.go
@@ -129,6 +129,13 @@
 			return err
 		}
 	}
+	duties, err := newDuties(cfg, position, stop, logger)
+	if err != nil {
+		return err
+	}
+	if duties != nil {
+		nc.Streams = duties.streams()
+	}
 	n, err := node.New(nc, logger)
 	if err != nil {
 		return err
@@ -155,6 +162,11 @@
 		beside = append(beside, s.Run)
 		logger.Info("showing the state of tiers and plug-ins", "listen", s.Addr().String())
 	}
+	if duties != nil {
+		duties.node.Store(n)
+		beside = append(beside, duties.service.Run)
+		logger.Info("taking part in the fleet's duties", "listen", duties.service.Addr(), "voters", strings.Join(cfg.Duties.Voters, " "))
+	}
 	ended := func() {}
 	if k != nil {
 		k.Recall(n, r.classes())
--- a/config/build.go
+++ b/config/build.go
@@ -111,7 +111,7 @@
 	b.classes()
 	b.plans()
 	for _, o := range b.each("limiter") {
-		f.Limiters = append(f.Limiters, fleet.Limiter{Name: o.label, Room: b.rooms[o.text("room")], Listen: o.text("listen"), Peer: o.text("peer"), Admin: o.text("admin")})
+		f.Limiters = append(f.Limiters, fleet.Limiter{Name: o.label, Room: b.rooms[o.text("room")], Listen: o.text("listen"), Peer: o.text("peer"), Admin: o.text("admin"), Fleet: o.text("fleet")})
 	}
 	b.boxes()
 	b.rest()
@@ -286,10 +286,22 @@
 	if o := b.named["memory"][""]; o != nil {
 		b.c.Memory = Memory{o.text("folder"), o.dur("every"), int64(o.num("max_size"))}
 	}
+	if all := b.each("fleet"); len(all) > 0 {
+		b.duties(all[0])
+	}
 	o = b.only("limits")
 	f.Limits = fleet.Limits{Cores: o.num("cores"), MemoryMB: int(o.num("memory")) >> 20, Sockets: o.whole("sockets")}
 }
 
+// duties reads the block of the fleet's duties.
+func (b *builder) duties(o *object) {
+	d := Duties{o.label, o.text("folder"), o.list("voters"), o.dur("term"), o.num("drift")}
+	if n := len(d.Voters); o.given("voters") && n%2 == 0 {
+		b.add("voters-even", o.place("voters"), "name three, five or one", "%d limiters vote: an even number survives no more losses than one less", n)
+	}
+	b.c.Duties = d
+}
+
 func (b *builder) pools() {
 	f := b.c.Fleet
 	var names []string
@@ -578,6 +590,7 @@
 			peers++
 		}
 		tcp = addTo(tcp, fmt.Sprintf("limiter %q", o.label), o, "admin")
+		tcp = addTo(tcp, fmt.Sprintf("limiter %q", o.label), o, "fleet")
 		tcp, udp = addTo(tcp, fmt.Sprintf("limiter %q", o.label), o, "listen"), addTo(udp, fmt.Sprintf("limiter %q", o.label), o, "peer")
 	}
 	for _, o := range b.sorted("forward_auth") {
@@ -591,8 +604,12 @@
 	}
 	b.apart(append(tcp, boxes...))
 	b.apart(udp)
+	fleets := b.each("fleet")
 	for _, o := range limiters {
 		_, listen := o.vals["listen"]
+		if _, has := o.vals["fleet"]; !has && len(fleets) > 0 {
+			b.add("address-missing", o.at, `add fleet = "127.0.0.1:7990"`, "limiter %q has no address for the fleet's duties, and there is a fleet block", o.label)
+		}
 		_, peer := o.vals["peer"]
 		if served && !listen && !more[o.label] {
 			b.add("address-missing", o.at, `add listen = "127.0.0.1:8080"`, "limiter %q has no address for clients, while others have", o.label)
--- a/config/config.go
+++ b/config/config.go
@@ -34,6 +34,7 @@
 	ForwardAuth []ForwardAuth
 	Plugins     []plugin.Spec // by name
 	Memory      Memory
+	Duties      Duties
 	Files       []string // that were read, as they are shown
 
 	facts  []fact
@@ -73,6 +74,15 @@
 	MaxSize int64 // bytes
 }
 
+// Duties is how limiters agree on who owns duties of the whole fleet; no folder: not at all.
+type Duties struct {
+	Label  string
+	Folder string
+	Voters []string // when the fleet begins
+	Term   time.Duration
+	Drift  float64
+}
+
 // ForwardAuth is where other proxies ask a limiter.
 type ForwardAuth struct {
 	Limiter, Listen, Keys string
--- a/config/diff.go
+++ b/config/diff.go
@@ -115,7 +115,7 @@
 }
 
 // startKinds are blocks whose coming and going takes effect at the next start only.
-var startKinds = []string{"limiter", "listener", "forward_auth", "room", "memory"}
+var startKinds = []string{"limiter", "listener", "forward_auth", "room", "memory", "fleet"}
 
 // Diff says what b changes against a, in meaning: how a file is laid out, includes,
 // the order of blocks, variables, policies and spellings of units do not matter.
--- a/config/normal.go
+++ b/config/normal.go
@@ -99,6 +99,10 @@
 		there("memory", "")
 		all = append(all, factsOf(o, "memory", "", "")...)
 	}
+	for _, o := range b.each("fleet") {
+		there("fleet", o.label)
+		all = append(all, factsOf(o, "fleet", o.label, "")...)
+	}
 	for i, o := range b.sorted("plugin") {
 		there("plugin", o.label)
 		for _, f := range factsOf(o, "plugin", o.label, "") {
--- a/config/report.go
+++ b/config/report.go
@@ -323,6 +323,7 @@
 	"address-taken":      {Error, "two listeners on one address"},
 	"address-missing":    {Error, "a limiter or box of a served deployment without its address"},
 	"peers-half":         {Error, "some limiters with an address for their peers, and some without"},
+	"voters-even":        {Error, "an even number of limiters that vote"},
 	"unused":             {Warning, "a definition that nothing uses"},
 	"secret-clear":       {Error, "a secret written into the file"},
 	"secret-likely":      {Warning, "what looks like a secret written into the file"},
--- a/config/schema.go
+++ b/config/schema.go
@@ -183,7 +183,8 @@
 		ref("room", "room", "where it stands").must().atStart(),
 		address("listen", "where clients connect").atStart(),
 		address("peer", "where the other limiters' datagrams come (UDP): all limiters have one, or none").atStart(),
-		address("admin", "where operators call (ready, show-stat, drain, resume); it asks nobody who they are, so it belongs on an operators' network").atStart()}},
+		address("admin", "where operators call (ready, show-stat, drain, resume); it asks nobody who they are, so it belongs on an operators' network").atStart(),
+		address("fleet", "where the other limiters connect (TCP) to agree on duties: with a `fleet` block all limiters have one").atStart()}},
 	{kind: "listener", label: "name", doc: "A further address where clients of a limiter connect.", fields: []field{
 		ref("limiter", "limiter", "whose it is").must().atStart(),
 		address("address", "where clients connect").must().atStart()}},
@@ -292,6 +293,11 @@
 		{name: "folder", kind: kFile, required: true, example: `"/var/lib/madderdrum"`, doc: "that lasts; each limiter has a folder of its name in it", restart: true},
 		dur("every", "500ms", 0.05, 60, "it is written so often").atStart(),
 		{name: "max_size", kind: kSize, def: "256MiB", least: 1 << 20, most: 1 << 40, doc: "of a snapshot, and of the log behind it; past it nothing is kept", restart: true}}},
+	{kind: "fleet", label: "name", single: true, doc: "Has limiters agree on who owns duties of the whole fleet; see ownership.md.", fields: []field{
+		{name: "folder", kind: kFile, required: true, example: `"/var/lib/madderdrum/fleet"`, doc: "that lasts; each limiter has a folder of its name in it", restart: true},
+		{name: "voters", kind: kRef, ref: "limiter", list: true, required: true, example: `"n0", "n1", "n2"`, doc: "that vote when the fleet begins: three or five, or one; later ones come and go by `madderdrum fleet add` and `remove`", restart: true},
+		dur("term", "1600ms", 0.1, 60, "an owner that does not renew its term for so long is followed by another").atStart(),
+		share("drift", "1%", 0.5, "by which one limiter's clock may run faster than another's").atStart()}},
 	{kind: "forward_auth", label: "limiter", doc: "A listener where other proxies ask; see forwardauth.md.", fields: []field{
 		address("listen", "where proxies ask").must().atStart(),
 		{name: "keys_file", kind: kFile, doc: "keys for tokens, `id secret` a line, the first signs; needed by ask-then-carry", restart: true},
--- a/internal/agreement/host.go
+++ b/internal/agreement/host.go
@@ -678,6 +678,10 @@
 			return
 		}
 		h.core.Campaign()
+		for _, l := range h.links { // which were opened by one that was in no fleet, or an older one
+			l.again()
+			l.open()
+		}
 	}); e != nil {
 		return e
 	}
@@ -727,3 +731,28 @@
 func isReset(err error) bool {
 	return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, net.ErrClosed)
 }
+
+// HandOver has the lead go to another voter, if this member has it.
+func (h *Host) HandOver(ctx context.Context) {
+	leads := func() (yes bool) {
+		h.ask(ctx, func() {
+			if yes = h.core != nil && h.core.Leads(); !yes {
+				return
+			}
+			v := h.core.View()
+			var to uint64
+			for _, id := range v.Voters {
+				if id != v.ID && (to == 0 || v.Match[id] > v.Match[to]) {
+					to = id
+				}
+			}
+			if yes = to != 0; yes {
+				h.core.TransferLeader(to)
+			}
+		})
+		return yes
+	}
+	for leads() && ctx.Err() == nil {
+		time.Sleep(20 * time.Millisecond)
+	}
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -101,6 +101,7 @@
 	Listen string // host:port for clients
 	Peer   string // host:port for the other limiters; empty: no talk
 	Admin  string // host:port for operators; empty: none
+	Fleet  string // host:port for the other limiters, to agree on duties; empty: none
 }
 
 // Box is one sender box.
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -82,12 +82,7 @@
 
 // health says 200 when the node can serve: it knows servers and isn't stopping.
 func (n *Node) health(w http.ResponseWriter) {
-	n.mu.Lock()
-	if n.limiter.Prepared(n.now()) {
-		n.life.Prepared()
-	}
-	ok := n.life.Healthy()
-	n.mu.Unlock()
+	_, ok := n.Phase()
 	if n.closing.Load() {
 		w.Header().Set("Connection", "close")
 	}
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -16,6 +16,7 @@
 	"strings"
 	"time"
 
+	"example.org/madderdrum/internal/admin"
 	"example.org/madderdrum/internal/wire"
 	"example.org/madderdrum/limiter"
 )
@@ -37,8 +38,9 @@
 	Routes     Routes   // none: all requests go to all servers
 	Sources    []Source // agents that tell the servers of single pools
 
-	TempDir   string              // where processes of one limiter find each other; used with AdminAddr alone
-	UseMemory func(share float64) // if set: use so much of the limit; called while another process is there
+	Streams   map[string]admin.Stream // further calls on the operators' address
+	TempDir   string                  // where processes of one limiter find each other; used with AdminAddr alone
+	UseMemory func(share float64)     // if set: use so much of the limit; called while another process is there
 
 	path            string // of the file, to read it again
 	getenv          func(string) string
--- a/internal/node/operate.go
+++ b/internal/node/operate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"example.org/madderdrum/internal/admin"
@@ -17,12 +18,17 @@
 		return nil
 	}
 	warnings := &boundedLog{to: n.log}
+	streams := maps.Clone(n.cfg.Streams)
+	if streams == nil {
+		streams = map[string]admin.Stream{}
+	}
+	streams[handoverCall] = n.serveHandover
 	n.admin, err = admin.Listen(n.cfg.AdminAddr, map[string]admin.Call{
 		"ready":     n.answerReady,
 		"show-stat": n.answerFigures,
 		"drain":     n.answerDrain,
 		"resume":    n.answerResume,
-	}, map[string]admin.Stream{handoverCall: n.serveHandover}, warnings.warn)
+	}, streams, warnings.warn)
 	n.upgrade = newUpgrade(n.cfg)
 	return err
 }
@@ -67,12 +73,28 @@
 	return line + "END\n", err
 }
 
-func (n *Node) answerDrain([]string) (string, error) {
-	return admin.Yes, n.live(func(l *lifecycle.Life) error { return l.Drain(time.Now()) })
+func (n *Node) answerDrain([]string) (string, error) { return admin.Yes, n.Drain() }
+
+func (n *Node) answerResume([]string) (string, error) { return admin.Yes, n.Resume() }
+
+// Drain sends clients away.
+func (n *Node) Drain() error {
+	return n.live(func(l *lifecycle.Life) error { return l.Drain(time.Now()) })
+}
+
+// Resume ends a drain.
+func (n *Node) Resume() error {
+	return n.live(func(l *lifecycle.Life) error { return l.Resume(time.Now()) })
 }
 
-func (n *Node) answerResume([]string) (string, error) {
-	return admin.Yes, n.live(func(l *lifecycle.Life) error { return l.Resume(time.Now()) })
+// Phase is how far the life of this process is, and whether a front should send clients here.
+func (n *Node) Phase() (phase lifecycle.Phase, healthy bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.limiter.Prepared(n.now()) {
+		n.life.Prepared()
+	}
+	return n.life.Phase(), n.life.Healthy()
 }
 
 // sendAway closes connections without a request while the life says so, until the context
--- /dev/null
+++ b/internal/ownership/conduct.go
@@ -0,0 +1,174 @@
+package ownership
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"time"
+
+	"example.org/madderdrum/rollout"
+	"example.org/madderdrum/tenure"
+)
+
+const (
+	conductEvery = 200 * time.Millisecond
+	callFor      = 900 * time.Millisecond
+	// Service is that of the last servedLooks looks; with fewer requests it is not known.
+	servedLooks = 5
+	servedLeast = 20
+)
+
+// conduct carries rollouts out while this limiter owns that duty. It begins nothing once
+// ctx is over, and ends with inner.
+func (s *Service) conduct(ctx, inner context.Context) {
+	ticker := time.NewTicker(conductEvery)
+	defer ticker.Stop()
+	var c *rollout.Conductor
+	var epoch uint64
+	var service served
+	for {
+		select {
+		case <-inner.Done():
+			return
+		case <-ticker.C:
+		}
+		t, owns := s.owns(rollout.Duty)
+		if !owns || ctx.Err() != nil {
+			c = nil
+			continue
+		}
+		if c == nil || epoch != t.Epoch {
+			c, epoch, service = rollout.NewConductor(s.me.Limiter), t.Epoch, served{}
+		}
+		p := s.machine.plan()
+		if p == nil || p.State != rollout.Running {
+			service = served{}
+			continue
+		}
+		seen, standings := s.lookAround(inner)
+		l := rollout.Look{Now: now(), Epoch: t.Epoch, Seen: seen, Served: service.look(standings)}
+		notes, calls, resign := c.Next(p, l)
+		for _, n := range notes {
+			ctx, done := context.WithTimeout(inner, proposeFor)
+			err := s.propose(ctx, entry{Rollout: &n})
+			done()
+			s.log.Info("rollout", "id", p.ID, "op", string(n.Op), "of", n.Limiter, "to", string(n.To), "why", n.Why, "token", t.String(), "err", err)
+		}
+		for _, call := range calls {
+			s.carryOut(inner, call)
+		}
+		if resign {
+			s.log.Info("rollout: this limiter is next, another one goes on", "id", p.ID)
+			s.resign(rollout.Duty)
+		}
+	}
+}
+
+// carryOut makes one call under the token that holds at that moment.
+func (s *Service) carryOut(ctx context.Context, c rollout.Call) {
+	t, owns := s.owns(rollout.Duty) // the last look; what comes after it is the receiver's to refuse
+	if !owns {
+		return
+	}
+	answer, err := call(ctx, s.o.Admins[c.Limiter], fmt.Sprintf("%s %s %v %d", Name, c.Verb, t, c.Start))
+	if err == nil && !strings.HasPrefix(answer, "YES") {
+		err = fmt.Errorf("%s", strings.TrimSpace(answer))
+	}
+	s.log.Info("rollout call", "verb", string(c.Verb), "of", c.Limiter, "token", t.String(), "err", err)
+}
+
+// lookAround asks all limiters how they are doing.
+func (s *Service) lookAround(ctx context.Context) (map[string]rollout.Seen, map[string]Standing) {
+	var mu sync.Mutex
+	var tasks sync.WaitGroup
+	seen, standings := map[string]rollout.Seen{}, map[string]Standing{}
+	for _, name := range s.admins() {
+		tasks.Go(func() {
+			var x Standing
+			answer, err := call(ctx, s.o.Admins[name], Name+" self")
+			if err == nil {
+				err = json.Unmarshal([]byte(answer), &x)
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			seen[name] = rollout.Seen{Reached: err == nil, Ready: x.Ready, Draining: x.Draining, Start: x.Start, InHand: x.InHand}
+			if err == nil {
+				standings[name] = x
+			}
+		})
+	}
+	tasks.Wait()
+	return seen, standings
+}
+
+// call makes one call on an operators' address.
+func call(ctx context.Context, addr, line string) (string, error) {
+	c, err := (&net.Dialer{Timeout: callFor}).DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return "", err
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(callFor))
+	if _, err := fmt.Fprintln(c, line); err != nil {
+		return "", err
+	}
+	answer, err := bufio.NewReader(c).ReadString('\n')
+	if err != nil {
+		return "", fmt.Errorf("no answer to %q: %w", line, err)
+	}
+	return answer, nil
+}
+
+// served is the share of requests that all limiters have served of late.
+type served struct {
+	before map[string]Standing
+	looks  [][2]int64 // passed and refused between two looks
+}
+
+// look adds what limiters say now and returns the share; below 0: too little is known.
+func (v *served) look(standings map[string]Standing) float64 {
+	var d [2]int64
+	for name, x := range standings {
+		if b, ok := v.before[name]; ok && b.Start == x.Start {
+			d[0] += x.Passed - b.Passed
+			d[1] += x.Refused - b.Refused
+		}
+	}
+	first := v.before == nil
+	if v.before = standings; first {
+		return -1
+	}
+	v.looks = append(v.looks, d)
+	if len(v.looks) > servedLooks {
+		v.looks = v.looks[1:]
+	}
+	var passed, refused int64
+	for _, l := range v.looks {
+		passed, refused = passed+l[0], refused+l[1]
+	}
+	switch {
+	case len(v.looks) < servedLooks:
+		return -1
+	case passed+refused < servedLeast:
+		return 1 // hardly anybody asks: nothing is lost
+	}
+	return float64(passed) / float64(passed+refused)
+}
+
+// token reads the token and the process that a call names.
+func token(args []string) (t tenure.Token, start uint64, err error) {
+	if len(args) != 2 {
+		return t, 0, fmt.Errorf("it needs a token and a process: %s drain rollout/12 START", Name)
+	}
+	if t, err = tenure.ParseToken(args[0]); err != nil {
+		return t, 0, err
+	}
+	if _, err = fmt.Sscanf(args[1], "%d", &start); err != nil {
+		return t, 0, fmt.Errorf("process %.30q is no number", args[1])
+	}
+	return t, start, nil
+}
--- /dev/null
+++ b/internal/ownership/ownership.go
@@ -0,0 +1,447 @@
+package ownership
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"example.org/madderdrum/internal/agreement"
+	"example.org/madderdrum/rollout"
+	"example.org/madderdrum/tenure"
+)
+
+const (
+	proposeFor = time.Second            // a proposal of this limiter's own is waited for so long
+	leaveFor   = 700 * time.Millisecond // to give up duties and the lead at an end in good order
+	askFor     = 2 * time.Second        // operators' wishes
+)
+
+// Limiter is this limiter, as its duties and the effects of others' see it.
+type Limiter interface {
+	Drain() error
+	Resume() error
+	// Leave ends the process in good order.
+	Leave()
+	// Standing is how it is doing.
+	Standing() Standing
+}
+
+// Standing is how a limiter is doing, as it says itself.
+type Standing struct {
+	Start    uint64 // of its process
+	Ready    bool   // it takes clients
+	Draining bool
+	InHand   int
+	Passed   int64 // requests served since the process began
+	Refused  int64 // refused or failed
+}
+
+// Options say what a limiter needs to know of its fleet.
+type Options struct {
+	Agreement agreement.Options // but for the machine and what is called
+	Terms     tenure.Settings
+	Limiters  []string          // all of the fleet
+	Admins    map[string]string // where operators call them
+	Limiter   Limiter
+	Log       *slog.Logger
+}
+
+// Service is a limiter's part in the duties of its fleet. It is safe for concurrent use.
+type Service struct {
+	o       Options
+	log     *slog.Logger
+	me      tenure.Process
+	host    *agreement.Host
+	machine *machine
+
+	mu        sync.Mutex
+	candidate *tenure.Candidate
+	owned     map[string]uint64 // epochs, for the log
+	news      chan struct{}
+
+	gate    sync.Mutex // round the effects of others
+	fence   *tenure.Fence
+	current bool // this process has caught up with what was agreed on before it started
+}
+
+// Duties are those that limiters are candidates for.
+func Duties() []string { return []string{rollout.Duty} }
+
+// Open opens the folder and listens; Run takes part.
+func Open(o Options) (*Service, error) {
+	if err := o.Terms.Check(); err != nil {
+		return nil, err
+	}
+	s := &Service{o: o, log: o.Log, machine: &machine{}, owned: map[string]uint64{}, news: make(chan struct{}, 1),
+		me: tenure.Process{Limiter: o.Agreement.Name, Start: rand.Uint64() | 1}}
+	s.candidate = tenure.NewCandidate(s.me, o.Terms, Duties(), o.Limiters)
+	a := o.Agreement
+	a.Machine, a.Changed, a.Log = s.machine, s.changed, o.Log
+	var err error
+	s.host, err = agreement.Open(a)
+	return s, err
+}
+
+// Start is the number of this process, which the limiter's Standing has to tell.
+func (s *Service) Start() uint64 { return s.me.Start }
+
+// Addr is where other limiters connect.
+func (s *Service) Addr() string { return s.host.Addr().String() }
+
+// now is the time by a clock that goes on while the machine is suspended and knows no jumps.
+func now() time.Duration {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
+		unix.ClockGettime(unix.CLOCK_MONOTONIC, &t)
+	}
+	return time.Duration(t.Nano())
+}
+
+// Run takes part until the context ends; then it gives up what it owns.
+func (s *Service) Run(ctx context.Context) error {
+	inner, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	var tasks sync.WaitGroup
+	var err error
+	tasks.Go(func() {
+		defer stop()
+		err = s.host.Run(inner)
+	})
+	tasks.Go(func() { s.keep(inner) })
+	tasks.Go(func() { s.conduct(ctx, inner) })
+	select {
+	case <-ctx.Done():
+		s.leave(inner)
+	case <-inner.Done():
+	}
+	stop()
+	tasks.Wait()
+	return err
+}
+
+// changed takes in what has been agreed on; the agreement's driver calls it.
+func (s *Service) changed() {
+	at := now()
+	s.mu.Lock()
+	s.machine.look(func(st *state) { s.candidate.Observe(at, &st.Terms) })
+	for _, d := range Duties() {
+		t, owns := s.candidate.Owns(at, d)
+		switch was := s.owned[d]; {
+		case owns && was != t.Epoch:
+			s.log.Info("owns a duty", "duty", d, "epoch", t.Epoch)
+			s.owned[d] = t.Epoch
+		case !owns && was != 0:
+			s.log.Info("owns a duty no more", "duty", d, "epoch", was)
+			delete(s.owned, d)
+		}
+	}
+	s.mu.Unlock()
+	select {
+	case s.news <- struct{}{}:
+	default:
+	}
+}
+
+// owns is the last look before an effect.
+func (s *Service) owns(duty string) (tenure.Token, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.candidate.Owns(now(), duty)
+}
+
+// keep takes, renews and gives up terms.
+func (s *Service) keep(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.news:
+		case <-timer.C:
+		}
+		s.mu.Lock()
+		commands := s.candidate.Step(now())
+		wake := s.candidate.Wake(now())
+		s.mu.Unlock()
+		for _, c := range commands {
+			c.AtMs = time.Now().UnixMilli()
+			go func() {
+				ctx, done := context.WithTimeout(ctx, proposeFor)
+				defer done()
+				if err := s.propose(ctx, entry{Term: &c}); err != nil {
+					s.log.Debug("a term was not agreed on", "kind", string(c.Kind), "duty", c.Duty, "err", err)
+				}
+			}()
+		}
+		timer.Reset(max(5*time.Millisecond, wake-now()))
+	}
+}
+
+func (s *Service) propose(ctx context.Context, e entry) error {
+	data, err := json.Marshal(e)
+	if err != nil {
+		return err
+	}
+	return s.host.Propose(ctx, data)
+}
+
+// leave gives up duties and the lead, so that nobody waits for their ends.
+func (s *Service) leave(ctx context.Context) {
+	ctx, done := context.WithTimeout(ctx, leaveFor)
+	defer done()
+	s.resign("")
+	for s.anyOwned() && ctx.Err() == nil {
+		time.Sleep(10 * time.Millisecond)
+	}
+	s.host.HandOver(ctx)
+}
+
+func (s *Service) resign(duty string) {
+	s.mu.Lock()
+	s.candidate.Resign(duty)
+	s.mu.Unlock()
+	select {
+	case s.news <- struct{}{}:
+	default:
+	}
+}
+
+func (s *Service) anyOwned() (any bool) {
+	s.machine.look(func(st *state) {
+		for _, t := range st.Terms.Terms {
+			any = any || t.Owner == s.me
+		}
+	})
+	return any
+}
+
+// admit tells whether an effect under a token may be carried out here. It holds the gate
+// until the effect is over: one under a later token waits for it.
+func (s *Service) admit(ctx context.Context, t tenure.Token, effect func() error) error {
+	s.gate.Lock()
+	defer s.gate.Unlock()
+	if s.fence == nil {
+		kept, err := s.host.Fence(ctx)
+		if err != nil {
+			return fmt.Errorf("what was seen of tokens can't be read: %w", err)
+		}
+		s.fence = tenure.NewFence(kept)
+	}
+	if !s.current {
+		// What this limiter remembers may be an old folder's. What was agreed on before it
+		// started is known once it has caught up.
+		if err := s.host.Read(ctx); err != nil {
+			return fmt.Errorf("this limiter has started and has not caught up with the fleet: %w", err)
+		}
+		s.current = true
+	}
+	var epoch uint64
+	s.machine.look(func(st *state) { epoch = st.Terms.Current(t.Duty) })
+	if t.Epoch < epoch {
+		return fmt.Errorf("token %v is over: epoch %d is agreed on", t, epoch)
+	}
+	raised, err := s.fence.Admit(t)
+	if err != nil {
+		return err
+	}
+	if raised {
+		if err := s.host.Raise(ctx, t.Duty, t.Epoch); err != nil {
+			s.fence = nil // what stands on the disk holds
+			return fmt.Errorf("token %v can't be written down: %w", t, err)
+		}
+	}
+	return effect()
+}
+
+// Owner is who owns a duty, as this limiter knows it.
+type Owner struct {
+	Duty    string
+	Owner   string `json:",omitempty"`
+	Epoch   uint64
+	Terms   int    // begun so far
+	Wanted  string `json:",omitempty"` // whom an operator wants
+	HereFor string `json:",omitempty"` // on the owner alone: what is left of its term
+}
+
+// Owners are the duties' owners.
+func (s *Service) Owners() (all []Owner) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	at := now()
+	s.machine.look(func(st *state) {
+		for _, t := range st.Terms.Sorted() {
+			o := Owner{Duty: t.Duty, Owner: t.Owner.Limiter, Epoch: t.Epoch, Terms: t.Takes, Wanted: t.Next}
+			if until := s.candidate.Until(t.Duty); until > at {
+				o.HereFor = (until - at).Round(time.Millisecond).String()
+			}
+			all = append(all, o)
+		}
+	})
+	return all
+}
+
+// Member is one member of the agreement.
+type Member struct {
+	Limiter string
+	Member  string
+	Votes   bool
+	Leads   bool
+	Wanted  bool   // to vote
+	Behind  uint64 `json:",omitempty"` // entries, as its leader sees it
+}
+
+// Status is how the fleet stands, as this limiter knows it.
+type Status struct {
+	Limiter    string
+	Fleet      string
+	Generation uint64
+	Leader     string // empty: none is known, and nothing can be agreed on
+	Term       uint64
+	Applied    uint64
+	Silent     bool   `json:",omitempty"`
+	Failed     string `json:",omitempty"`
+	Members    []Member
+	Sent       int64
+	SentBytes  int64
+	Received   int64
+	Rollout    *rollout.Plan `json:",omitempty"`
+}
+
+// Status returns it.
+func (s *Service) Status() Status {
+	a := s.host.Status()
+	st := Status{Limiter: s.me.Limiter, Fleet: fmt.Sprintf("%016x", a.Fleet), Generation: a.Generation, Leader: a.Roster.Members[a.Leader],
+		Term: a.Term, Applied: a.Applied, Silent: a.Silent, Failed: a.Failed, Sent: a.Sent, SentBytes: a.SentBytes, Received: a.Received, Rollout: s.machine.plan()}
+	if a.Fleet == 0 {
+		st.Fleet = ""
+	}
+	for id, name := range a.Roster.Members {
+		m := Member{Limiter: name, Member: fmt.Sprintf("%016x", id), Votes: slices.Contains(a.Voters, id), Leads: id == a.Leader}
+		want, wanted := a.Roster.Wanted[name]
+		m.Wanted = wanted && (want == 0 || want == id)
+		if a.Match != nil && a.Match[id] < a.Applied {
+			m.Behind = a.Applied - a.Match[id]
+		}
+		st.Members = append(st.Members, m)
+	}
+	slices.SortFunc(st.Members, func(a, b Member) int {
+		if a.Votes != b.Votes {
+			return map[bool]int{true: -1, false: 1}[a.Votes]
+		}
+		if a.Limiter != b.Limiter {
+			return compareNames(a.Limiter, b.Limiter)
+		}
+		return compareNames(a.Member, b.Member)
+	})
+	return st
+}
+
+// compareNames orders n2 before n10.
+func compareNames(a, b string) int {
+	if len(a) != len(b) {
+		return len(a) - len(b)
+	}
+	return map[bool]int{true: -1, false: 1}[a < b]
+}
+
+// History is what has become of duties, newest last.
+func (s *Service) History() (all []tenure.Change) {
+	s.machine.look(func(st *state) { all = slices.Clone(st.Terms.History) })
+	return all
+}
+
+// Begin makes this limiter the first of the fleet.
+func (s *Service) Begin(ctx context.Context, voters []string) error {
+	for _, v := range voters {
+		if !slices.Contains(s.o.Limiters, v) {
+			return fmt.Errorf("there is no limiter %q", v)
+		}
+	}
+	if !slices.Contains(voters, s.me.Limiter) {
+		return fmt.Errorf("%s is none of the voters %v: call one of them", s.me.Limiter, voters)
+	}
+	return s.host.Begin(ctx, voters)
+}
+
+// BeginAnew makes this limiter the only voter and voids all tokens.
+func (s *Service) BeginAnew(ctx context.Context) error {
+	return s.host.BeginAnew(ctx, s.machine.beginAnew)
+}
+
+// Vote has a limiter vote from now on, or learn.
+func (s *Service) Vote(ctx context.Context, limiter string, votes bool) error {
+	if !slices.Contains(s.o.Limiters, limiter) {
+		return fmt.Errorf("there is no limiter %q; there are %v", limiter, s.o.Limiters)
+	}
+	w := agreement.Wish{Remove: limiter}
+	if votes {
+		w = agreement.Wish{Add: limiter}
+	}
+	return s.host.Want(ctx, w)
+}
+
+// Transfer has a duty go to another limiter.
+func (s *Service) Transfer(ctx context.Context, duty, to string) error {
+	switch {
+	case !slices.Contains(Duties(), duty):
+		return fmt.Errorf("there is no duty %q; there are %v", duty, Duties())
+	case !slices.Contains(s.o.Limiters, to):
+		return fmt.Errorf("there is no limiter %q; there are %v", to, s.o.Limiters)
+	}
+	return s.propose(ctx, entry{Term: &tenure.Command{Kind: tenure.Transfer, By: s.me, Duty: duty, To: to}})
+}
+
+// Resign has this limiter give a duty up, if it owns it.
+func (s *Service) Resign(duty string) error {
+	if _, owns := s.owns(duty); !owns {
+		return fmt.Errorf("%s does not own %q", s.me.Limiter, duty)
+	}
+	s.resign(duty)
+	return nil
+}
+
+// Roll begins a rollout over limiters; none: over all.
+func (s *Service) Roll(ctx context.Context, p rollout.Plan) error {
+	if len(p.Steps) == 0 {
+		for _, n := range s.o.Limiters {
+			p.Steps = append(p.Steps, rollout.Step{Limiter: n, Phase: rollout.Waiting})
+		}
+	}
+	var none []string
+	for _, st := range p.Steps {
+		if !slices.Contains(s.o.Limiters, st.Limiter) {
+			return fmt.Errorf("there is no limiter %q; there are %v", st.Limiter, s.o.Limiters)
+		}
+		if s.o.Admins[st.Limiter] == "" {
+			none = append(none, st.Limiter)
+		}
+	}
+	if len(none) > 0 {
+		return fmt.Errorf("limiters %v have no admin address: add one to each in the configuration", none)
+	}
+	if p.AtOnce >= len(s.o.Limiters) {
+		return fmt.Errorf("%d limiters at once, of %d: nobody would serve", p.AtOnce, len(s.o.Limiters))
+	}
+	return s.propose(ctx, entry{Rollout: &rollout.Command{Op: rollout.Begin, ID: p.ID, Plan: &p}})
+}
+
+// Rollout has the rollout under way go on or end.
+func (s *Service) Rollout(ctx context.Context, op rollout.Op) error {
+	if op != rollout.GoOn && op != rollout.End && op != rollout.Halt {
+		return errors.New("a rollout can be halted, continued or ended")
+	}
+	return s.propose(ctx, entry{Rollout: &rollout.Command{Op: op, Why: "an operator said so"}})
+}
+
+// admins are the limiters that can be called.
+func (s *Service) admins() []string { return slices.Sorted(maps.Keys(s.o.Admins)) }
--- a/tenure/candidate.go
+++ b/tenure/candidate.go
@@ -28,6 +28,7 @@
 	askAt  time.Duration            // not before
 	end    time.Duration            // of its own term
 	stop   bool                     // it has stopped and resigns
+	gave   bool                     // it gave the present epoch up: others go first
 }
 
 // NewCandidate returns the part of one process, a candidate for some duties among so many
@@ -69,8 +70,9 @@
 		}
 		changed := !s.known || t.Epoch != s.term.Epoch || t.Serial != s.term.Serial || t.Owner != s.term.Owner
 		if t.Epoch != s.term.Epoch { // another term
-			s.end, s.stop = 0, false
+			s.end, s.stop, s.gave = 0, false, false
 		}
+		s.gave = s.gave || s.mine(c) && t.Epoch == s.term.Epoch && !t.Owned()
 		s.known, s.term = true, t
 		if !changed {
 			continue
@@ -163,7 +165,7 @@
 	if s.term.Owned() {
 		t += cfg.wait()
 	}
-	if s.term.Next != "" && s.term.Next != me { // for as long it is left to whom an operator wants
+	if s.gave || s.term.Next != "" && s.term.Next != me { // for as long it is left to the others, or to whom an operator wants
 		t += cfg.Term
 	}
 	if s.term.Next == me {
--- a/tenure/tenure_test.go
+++ b/tenure/tenure_test.go
@@ -100,6 +100,17 @@
 			t.Fatalf("%d owns the duty, %d was wanted", got, to)
 		}
 	}
+	// What an owner gives up goes to another one, also if it would be the first to ask.
+	for range 5 {
+		was := owner()
+		m.nodes[was].Resign("d")
+		for range 100 {
+			tick()
+		}
+		if got := owner(); got == was || got < 0 {
+			t.Fatalf("%d owns the duty that %d gave up", got, was)
+		}
+	}
 	// One that is gone is waited for no longer than a term.
 	gone := owner()
 	m.log = append(m.log, Command{Kind: Transfer, Duty: "d", To: "n9"})
