Several processes under faults: a rig of real limiters, and madderdrum faults

Need: the claims about owners of duties have to be shown on processes, not only on models. Schedules are written or drawn from a seed and wait for events. It judges from outside: calls that crossed, processes that ended, what the box was sent, the histories of all limiters.

A process that ends well by itself is started again, as a supervisor would; one that fails stays down and breaks the schedule.

--- a/cmd/madderdrum/commands.go
+++ b/cmd/madderdrum/commands.go
@@ -15,6 +15,7 @@
 	Replay   replayCommand   `cmd:"" help:"Replay a cluster trace against a stand-in fleet and report service; without arguments one that is built in."`
 	Admin    adminCommand    `cmd:"" help:"Call a running limiter on its operators' address: ready, show-stat, drain or resume."`
 	Fleet    fleetCommand    `cmd:"" help:"Who owns the duties of the whole fleet; voters; rollouts over all limiters."`
+	Faults   faultsCommand   `cmd:"" help:"Play faults between several limiters on loopback: kills, stops, cuts, slow disks, lost folders."`
 	State    stateCommand    `cmd:"" help:"Show, verify or export what limiters remember over restarts."`
 	Capacity capacityCommand `cmd:"" help:"Forecast what is asked for by the hour, and say how many boxes that takes, also with a room lost."`
 	Drill    drillCommand    `cmd:"" help:"Have a stand-in fleet lose and regain rooms, and tell what that costs with tiers and without."`
--- /dev/null
+++ b/internal/faults/rig.go
@@ -0,0 +1,470 @@
+package faults
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"example.org/madderdrum/deploy"
+	"example.org/madderdrum/internal/ownership"
+	"example.org/madderdrum/tenure"
+)
+
+// Options say what is played.
+type Options struct {
+	Program  string // the built program; disks fail only in one built with -tags faults
+	Limiters int
+	Voters   int
+	Term     time.Duration
+	Steps    []Step
+	Load     int               // requests a second that clients send over all limiters
+	Env      []string          // added to the limiters'
+	Within   time.Duration     // an event that is waited for comes within it
+	Log      func(line string) // the timeline, as it comes; nil: nobody reads it
+}
+
+// Result is what came of it.
+type Result struct {
+	Timeline []string
+	Broken   []string        // what broke; nothing: all held
+	Calls    []Call          // between limiters
+	Gaps     []time.Duration // without an owner, after it was killed, stopped or cut off
+	Requests int             // that boxes carried out
+	Terms    int             // begun
+}
+
+// process is one limiter of a rig.
+type process struct {
+	n                   int
+	name, config        string
+	listen, admin       string
+	folder, kept        string
+	cmd                 *exec.Cmd
+	done                chan struct{}
+	stopped, killed, up bool
+	log                 *os.File
+}
+
+// rig is a run under way. One goroutine plays; processes' ends come beside it.
+type rig struct {
+	o       Options
+	dir     string
+	host    string
+	net     *network
+	all     []*process
+	boxes   *http.Server
+	result  Result
+	rolls   int
+	plan    bool
+	last    string // the owner that was seen last
+	broken  map[string]bool
+	clients sync.WaitGroup
+	guards  sync.WaitGroup // one for each process that runs
+
+	mu      sync.Mutex // and what processes are
+	closing bool       // nothing is started any more
+	exits   []Exit
+	ran     map[string]int // by request id, at the boxes
+}
+
+var rigs atomic.Uint32
+
+// Run plays a schedule once. An error is one of the rig's own, such as a program that does
+// not start; what broke stands in the result.
+func Run(ctx context.Context, o Options) (*Result, error) {
+	if o.Within == 0 {
+		o.Within = time.Minute
+	}
+	dir, err := os.MkdirTemp("", "madderdrum-faults-")
+	if err != nil {
+		return nil, fmt.Errorf("faults: %w", err)
+	}
+	defer os.RemoveAll(dir)
+	k := rigs.Add(1)
+	r := &rig{o: o, dir: dir, net: newNetwork(), ran: map[string]int{}, broken: map[string]bool{},
+		host: fmt.Sprintf("127.%d.%d.%d", 80+os.Getpid()%100, 1+(os.Getpid()/100)%250, 1+k%250)}
+	ctx, stop := context.WithCancel(ctx)
+	defer r.close()
+	defer stop()
+	if err := r.open(); err != nil {
+		return nil, err
+	}
+	for _, p := range r.all {
+		if err := r.start(p); err != nil {
+			return nil, err
+		}
+	}
+	if err := r.begin(ctx); err != nil {
+		return &r.result, err
+	}
+	r.load(ctx)
+	for _, s := range o.Steps {
+		if err := r.step(ctx, s); err != nil {
+			if ctx.Err() != nil {
+				return &r.result, ctx.Err()
+			}
+			r.breaks("%s: %v", s, err)
+			break
+		}
+	}
+	r.judge(ctx)
+	stop()
+	return &r.result, nil
+}
+
+func (r *rig) say(format string, args ...any) {
+	line := fmt.Sprintf("%7.2f s  ", time.Since(r.net.begun).Seconds()) + fmt.Sprintf(format, args...)
+	r.result.Timeline = append(r.result.Timeline, line)
+	if r.o.Log != nil {
+		r.o.Log(line)
+	}
+}
+
+func (r *rig) breaks(format string, args ...any) {
+	line := fmt.Sprintf(format, args...)
+	if r.broken[line] {
+		return
+	}
+	r.broken[line] = true
+	r.result.Broken = append(r.result.Broken, line)
+	r.say("BROKEN: %s", line)
+}
+
+// free is an address that was free a moment ago, on a host that only this rig uses.
+func (r *rig) free() (string, error) {
+	ln, err := net.Listen("tcp", r.host+":0")
+	if err != nil {
+		return "", fmt.Errorf("faults: %w", err)
+	}
+	defer ln.Close()
+	return ln.Addr().String(), nil
+}
+
+// open lays out the boxes, the network and a configuration for each limiter.
+func (r *rig) open() error {
+	ln, err := net.Listen("tcp", r.host+":0")
+	if err != nil {
+		return fmt.Errorf("faults: %w", err)
+	}
+	r.boxes = &http.Server{Handler: http.HandlerFunc(r.box)}
+	go r.boxes.Serve(ln)
+	n := r.o.Limiters
+	var fleets []string
+	for i := range n {
+		p := &process{n: i, name: fmt.Sprint("n", i), config: filepath.Join(r.dir, fmt.Sprintf("n%d.hcl", i)), folder: filepath.Join(r.dir, "fleet", fmt.Sprint("n", i))}
+		fleet, err := r.free()
+		if err == nil {
+			p.listen, err = r.free()
+		}
+		if err == nil {
+			p.admin, err = r.free()
+		}
+		if err == nil {
+			p.log, err = os.Create(filepath.Join(r.dir, p.name+".log"))
+		}
+		if err != nil {
+			return err
+		}
+		fleets = append(fleets, fleet)
+		r.all = append(r.all, p)
+	}
+	text := string(deploy.Bluebird)
+	head, tail := strings.Index(text, `limiter "n0"`), strings.Index(text, "rules {")
+	for i, p := range r.all {
+		var b strings.Builder
+		b.WriteString(text[:head])
+		for j, q := range r.all {
+			fleet, admin := fleets[j], q.admin
+			if j != i {
+				if fleet, err = r.net.open(r.host, i, j, fleets[j], false); err != nil {
+					return err
+				}
+				if admin, err = r.net.open(r.host, i, j, q.admin, true); err != nil {
+					return err
+				}
+			}
+			fmt.Fprintf(&b, "limiter %q {\n room = %q\n listen = %q\n admin = %q\n fleet = %q\n}\n", q.name, []string{"room-a", "room-b"}[j%2], q.listen, admin, fleet)
+		}
+		fmt.Fprintf(&b, "box \"a\" {\n room = \"room-a\"\n pod = 0\n dial = %q\n cores = 64\n slots = 256\n queue = 256\n}\n", ln.Addr())
+		b.WriteString(text[tail:])
+		var voters []string
+		for j := range r.o.Voters {
+			voters = append(voters, fmt.Sprintf("%q", fmt.Sprint("n", j)))
+		}
+		fmt.Fprintf(&b, "\nfleet \"rig\" {\n folder = %q\n voters = [%s]\n term = %q\n}\n", filepath.Join(r.dir, "fleet"), strings.Join(voters, ", "), r.o.Term)
+		if err := os.WriteFile(p.config, []byte(b.String()), 0o600); err != nil {
+			return fmt.Errorf("faults: %w", err)
+		}
+	}
+	return nil
+}
+
+// box is a stand-in box: it keeps what it carried out.
+func (r *rig) box(w http.ResponseWriter, q *http.Request) {
+	if q.URL.Path == "/healthz" {
+		return
+	}
+	io.Copy(io.Discard, q.Body)
+	r.mu.Lock()
+	r.ran[q.Header.Get("X-Request-ID")]++
+	r.mu.Unlock()
+	io.WriteString(w, "sent\n")
+}
+
+// start starts a limiter's process.
+func (r *rig) start(p *process) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.startLocked(p)
+}
+
+func (r *rig) startLocked(p *process) error {
+	cmd := exec.Command(r.o.Program, "serve", p.config, "--limiter", p.name)
+	cmd.Stderr, cmd.Stdout = p.log, p.log
+	cmd.Env = append(os.Environ(), r.o.Env...)
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // nothing is left behind
+	if err := cmd.Start(); err != nil {
+		return fmt.Errorf("faults: start the program: %w", err)
+	}
+	done := make(chan struct{})
+	p.cmd, p.done, p.killed, p.stopped, p.up = cmd, done, false, false, true
+	r.guards.Go(func() {
+		defer close(done)
+		cmd.Wait()
+		r.ended(p, cmd.ProcessState.ExitCode())
+	})
+	return nil
+}
+
+// ended is what a supervisor does about a process that has ended: one that ended by itself
+// and well is started again. One that failed stays down, and breaks the schedule.
+func (r *rig) ended(p *process, code int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p.up = false
+	if p.killed || r.closing {
+		return
+	}
+	r.exits = append(r.exits, Exit{p.n, time.Since(r.net.begun), code})
+	if code == 0 {
+		if err := r.startLocked(p); err != nil {
+			r.exits = append(r.exits, Exit{p.n, time.Since(r.net.begun), -1})
+		}
+	}
+}
+
+// signal sends one to a limiter's process.
+func (r *rig) signal(p *process, s syscall.Signal) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !p.up {
+		return
+	}
+	switch s {
+	case syscall.SIGKILL:
+		p.killed = true
+	case syscall.SIGSTOP:
+		p.stopped = true
+	case syscall.SIGCONT:
+		p.stopped = false
+	}
+	p.cmd.Process.Signal(s)
+}
+
+// kill ends a limiter's process, and waits until it has.
+func (r *rig) kill(p *process) {
+	r.signal(p, syscall.SIGKILL)
+	r.mu.Lock()
+	done := p.done
+	r.mu.Unlock()
+	<-done
+}
+
+// runs tells whether a limiter can answer.
+func (r *rig) runs(p *process) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return p.up && !p.stopped
+}
+
+// ask makes an operator's call on a limiter. x takes an answer in JSON; nil: yes is wanted.
+func (r *rig) ask(p *process, verb string, q *ownership.Request, x any) error {
+	c, err := net.DialTimeout("tcp", p.admin, time.Second)
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(4 * time.Second))
+	line := ownership.Name + " " + verb + "\n"
+	if q != nil {
+		b, err := json.Marshal(q)
+		if err != nil {
+			return err
+		}
+		line += string(b) + "\n"
+	}
+	io.WriteString(c, line)
+	b, err := io.ReadAll(c)
+	switch {
+	case err != nil:
+		return err
+	case x != nil && !strings.HasPrefix(string(b), "NO"):
+		return json.Unmarshal(b, x)
+	case !strings.HasPrefix(string(b), "YES"):
+		return errors.New(strings.TrimSpace(string(b)))
+	}
+	return nil
+}
+
+// until waits for an event, which limiters that run show.
+func (r *rig) until(ctx context.Context, what string, so func() bool) error {
+	limit := time.Now().Add(r.o.Within)
+	for !so() {
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		if time.Now().After(limit) {
+			return fmt.Errorf("%s did not come within %v", what, r.o.Within)
+		}
+		time.Sleep(15 * time.Millisecond) // nothing tells: the limiters have to be asked
+	}
+	return nil
+}
+
+// begin has an operator begin the fleet, and waits until all are members.
+func (r *rig) begin(ctx context.Context) error {
+	first := r.all[0]
+	var voters []string
+	for j := range r.o.Voters {
+		voters = append(voters, fmt.Sprint("n", j))
+	}
+	if err := r.until(ctx, "a first limiter that answers", func() bool { return r.ask(first, "status", nil, &ownership.Status{}) == nil }); err != nil {
+		return err
+	}
+	if err := r.ask(first, "init", &ownership.Request{Voters: voters}, nil); err != nil {
+		return fmt.Errorf("faults: begin the fleet: %w", err)
+	}
+	err := r.until(ctx, "a fleet of all limiters", func() bool {
+		for _, p := range r.all {
+			var s ownership.Status
+			if r.ask(p, "status", nil, &s) != nil || s.Leader == "" || len(s.Members) < len(r.all) {
+				return false
+			}
+			votes := 0
+			for _, m := range s.Members {
+				if m.Votes {
+					votes++
+				}
+			}
+			if votes != r.o.Voters {
+				return false
+			}
+		}
+		return true
+	})
+	r.say("%d limiters, %d of them voters, are a fleet", len(r.all), r.o.Voters)
+	return err
+}
+
+// load has clients send requests that must not run twice, over all limiters.
+func (r *rig) load(ctx context.Context) {
+	if r.o.Load <= 0 {
+		return
+	}
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}, Timeout: 5 * time.Second}
+	r.clients.Go(func() {
+		defer client.CloseIdleConnections()
+		ticker := time.NewTicker(time.Second / time.Duration(r.o.Load))
+		defer ticker.Stop()
+		for k := 0; ; k++ {
+			select {
+			case <-ctx.Done():
+				return
+			case <-ticker.C:
+			}
+			p := r.all[k%len(r.all)]
+			if !r.runs(p) {
+				continue
+			}
+			r.clients.Go(func() {
+				q, _ := http.NewRequestWithContext(ctx, "POST", "http://"+p.listen+fmt.Sprintf("/api?key=%016x", 1+k%40), strings.NewReader("text"))
+				q.Header = http.Header{"X-Request-Id": {fmt.Sprintf("%08x", k)}, "X-Priority-Class": {"send-bulk-paid"}, "Plan": {"enterprise"}, "X-Timeout": {"2000m"},
+					"Quota-Info": {fmt.Sprintf("units=1,spread=%d,first=0", len(r.all))}}
+				if a, err := client.Do(q); err == nil {
+					io.Copy(io.Discard, a.Body)
+					a.Body.Close()
+				}
+			})
+		}
+	})
+}
+
+// judge holds what was seen from outside against what must hold.
+func (r *rig) judge(ctx context.Context) {
+	r.result.Calls = r.net.Calls()
+	r.mu.Lock()
+	exits := append([]Exit(nil), r.exits...)
+	for id, n := range r.ran {
+		r.result.Requests++
+		if n > 1 {
+			r.result.Broken = append(r.result.Broken, fmt.Sprintf("request %s ran %d times", id, n))
+		}
+	}
+	r.mu.Unlock()
+	histories := map[int][]tenure.Change{}
+	for _, p := range r.all {
+		var h []tenure.Change
+		if r.runs(p) && r.ask(p, "history", nil, &h) == nil {
+			histories[p.n] = h
+			for _, c := range h {
+				if c.Kind == tenure.Take {
+					r.result.Terms = max(r.result.Terms, int(c.Epoch&(1<<40-1)))
+				}
+			}
+		}
+	}
+	for _, b := range judgeCalls(r.result.Calls) {
+		r.breaks("%s", b)
+	}
+	for _, b := range judgeExits(r.result.Calls, exits, r.rolls) {
+		r.breaks("%s", b)
+	}
+	for _, b := range judgeHistories(histories) {
+		r.breaks("%s", b)
+	}
+}
+
+// close ends all that was started.
+func (r *rig) close() {
+	r.clients.Wait()
+	r.mu.Lock()
+	r.closing = true
+	for _, p := range r.all {
+		if p.up {
+			p.cmd.Process.Kill() // a stopped one as well
+		}
+	}
+	r.mu.Unlock()
+	r.guards.Wait()
+	for _, p := range r.all {
+		if p.log != nil {
+			p.log.Close()
+		}
+	}
+	r.net.close()
+	if r.boxes != nil {
+		r.boxes.Close()
+	}
+}
--- /dev/null
+++ b/internal/faults/schedule.go
@@ -0,0 +1,176 @@
+// Package faults starts several processes of the program on loopback, injects faults between
+// them by a schedule, and judges what came of it from outside: by the processes that ended,
+// by the calls that went between limiters, by what the stand-in boxes were sent.
+package faults
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Step is one line of a schedule: a fault, or an event to wait for.
+type Step struct {
+	Verb string
+	Args []string
+	Line int
+}
+
+// String is the step as it is written.
+func (s Step) String() string { return strings.Join(append([]string{s.Verb}, s.Args...), " ") }
+
+// verb is what a step may be.
+type verb struct {
+	least, most int // arguments
+	what        string
+}
+
+// verbs are all steps, with the kinds of limiters that most of them take: n0, n1, ..., owner,
+// leader, other (one that is neither), all.
+var verbs = map[string]verb{
+	"roll":    {1, 2, "roll restart|drain [AT-ONCE]: an operator begins a rollout"},
+	"wait":    {1, 2, "wait owner | new-owner | owned-by X | step PHASE | done | votes N | no-leader | leader: for an event"},
+	"kill":    {1, 1, "kill X: SIGKILL"},
+	"start":   {1, 1, "start X: which was killed"},
+	"stop":    {1, 1, "stop X: SIGSTOP"},
+	"go":      {1, 1, "go X: SIGCONT"},
+	"twin":    {1, 1, "twin X: a second process of X from the same folder"},
+	"cut":     {2, 2, "cut X Y: Y hears nothing from X any more"},
+	"part":    {2, 2, "part X Y: neither hears the other"},
+	"isolate": {1, 1, "isolate X: nobody hears it, and it hears nobody"},
+	"heal":    {0, 0, "heal: all hear one another, and what was held goes on"},
+	"delay":   {2, 2, "delay X TIME: what X says comes so much later"},
+	"hold":    {1, 1, "hold X: its calls to others are held between its last check and their effect"},
+	"release": {1, 1, "release X: and come now"},
+	"disk":    {2, 2, "disk X TIME|full|well: its writes take so long, or fail"},
+	"lose":    {1, 1, "lose X: its folder, while it is killed"},
+	"keep":    {1, 1, "keep X: a copy of its folder, while it is killed or stopped"},
+	"restore": {1, 1, "restore X: the folder that was kept, while it is killed"},
+	"garbage": {1, 1, "garbage X: what is no member's comes to its fleet address"},
+	"add":     {1, 1, "add X: an operator has it vote"},
+	"remove":  {1, 1, "remove X: an operator has it vote no more"},
+	"anew":    {1, 1, "anew X: an operator begins the fleet anew from it"},
+	"give":    {1, 1, "give X: an operator has the duty go to X"},
+	"pass":    {1, 1, "pass TIME: nothing, for so long"},
+}
+
+// Verbs describes them, sorted.
+func Verbs() (all []string) {
+	for _, v := range verbs {
+		all = append(all, v.what)
+	}
+	slices.Sort(all)
+	return all
+}
+
+// Parse reads a schedule: a step a line, # begins a remark.
+func Parse(name, text string) (steps []Step, err error) {
+	for i, line := range strings.Split(text, "\n") {
+		line, _, _ = strings.Cut(line, "#")
+		words := strings.Fields(line)
+		if len(words) == 0 {
+			continue
+		}
+		s := Step{words[0], words[1:], i + 1}
+		v, ok := verbs[s.Verb]
+		switch {
+		case !ok:
+			return nil, fmt.Errorf("%s:%d: there is no step %q: write one of:\n  %s", name, s.Line, s.Verb, strings.Join(Verbs(), "\n  "))
+		case len(s.Args) < v.least || len(s.Args) > v.most:
+			return nil, fmt.Errorf("%s:%d: %q: write %s", name, s.Line, s, v.what)
+		}
+		if s.Verb == "pass" || s.Verb == "delay" || s.Verb == "disk" && s.Args[1] != "full" && s.Args[1] != "well" {
+			if _, err := time.ParseDuration(s.Args[len(s.Args)-1]); err != nil {
+				return nil, fmt.Errorf("%s:%d: %q: %w: write a time such as 2s", name, s.Line, s, err)
+			}
+		}
+		if s.Verb == "wait" && s.Args[0] == "votes" {
+			if len(s.Args) < 2 {
+				return nil, fmt.Errorf("%s:%d: %q: write how many, such as wait votes 3", name, s.Line, s)
+			}
+			if _, err := strconv.Atoi(s.Args[1]); err != nil {
+				return nil, fmt.Errorf("%s:%d: %q: write how many, such as wait votes 3", name, s.Line, s)
+			}
+		}
+		steps = append(steps, s)
+	}
+	if len(steps) == 0 {
+		return nil, fmt.Errorf("%s: no steps: write one a line, such as kill owner", name)
+	}
+	return steps, nil
+}
+
+// Random draws a schedule: a rollout with faults at its steps. Whatever it breaks it mends
+// before the end, so that the rollout has to come to its own end.
+func Random(seed uint64, limiters int) (steps []Step) {
+	r := rand.New(rand.NewPCG(seed, 0xfa))
+	add := func(format string, args ...any) {
+		words := strings.Fields(fmt.Sprintf(format, args...))
+		steps = append(steps, Step{words[0], words[1:], len(steps) + 1})
+	}
+	one := func() string { return fmt.Sprint("n", r.IntN(limiters)) }
+	add("wait owner")
+	add("roll %s", []string{"restart", "restart", "drain"}[r.IntN(3)])
+	for range 1 + r.IntN(3) {
+		if r.IntN(2) == 0 {
+			add("wait step %s", []string{"leaving", "ending", "returning"}[r.IntN(3)])
+		}
+		switch r.IntN(11) {
+		case 0:
+			add("kill owner")
+			add("wait new-owner")
+			add("start all")
+		case 1:
+			add("stop owner")
+			add("wait new-owner")
+			add("go all")
+		case 2:
+			add("hold owner")
+			add("wait step %s", []string{"leaving", "ending"}[r.IntN(2)])
+			add("stop owner")
+			add("wait new-owner")
+			add("release all")
+			add("go all")
+		case 3:
+			add("isolate owner")
+			add("wait new-owner")
+			add("heal")
+		case 4:
+			add("cut owner leader") // one way; nothing, if they are one
+			add("pass 500ms")
+			add("heal")
+		case 5:
+			add("kill leader")
+			add("wait leader")
+			add("start all")
+		case 6:
+			add("disk leader 2s")
+			add("pass 1s")
+			add("disk all well")
+		case 7:
+			add("kill all")
+			add("start all")
+		case 8:
+			add("stop %s", one())
+			add("pass 700ms")
+			add("go all")
+		case 9:
+			add("delay %s %dms", one(), 20+r.IntN(150))
+			add("garbage %s", one())
+			add("pass 500ms")
+			add("heal")
+		case 10:
+			add("give %s", one())
+		}
+	}
+	add("go all")
+	add("release all")
+	add("heal")
+	add("disk all well")
+	add("start all")
+	add("wait done")
+	return steps
+}
--- /dev/null
+++ b/internal/faults/steps.go
@@ -0,0 +1,387 @@
+package faults
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"example.org/madderdrum/internal/ownership"
+	"example.org/madderdrum/rollout"
+)
+
+// owner is who owns the duty, by the limiters that run: the one under the highest epoch.
+// Empty: nobody.
+func (r *rig) owner() (name string, epoch uint64) {
+	for _, p := range r.all {
+		if !r.runs(p) {
+			continue
+		}
+		var all []ownership.Owner
+		if r.ask(p, "owners", nil, &all) != nil {
+			continue
+		}
+		for _, o := range all {
+			if o.Duty == rollout.Duty && o.Epoch >= epoch && (o.Owner != "" || o.Epoch > epoch) {
+				name, epoch = o.Owner, o.Epoch
+			}
+		}
+	}
+	return name, epoch
+}
+
+// leader is who leads, by the highest term that a limiter which runs knows.
+func (r *rig) leader() (name string) {
+	var term uint64
+	for _, p := range r.all {
+		var s ownership.Status
+		if r.runs(p) && r.ask(p, "status", nil, &s) == nil && s.Term >= term && (s.Leader != "" || s.Term > term) {
+			name, term = s.Leader, s.Term
+		}
+	}
+	return name
+}
+
+// plan is the rollout, by whoever knows the most of it; nil: none is under way.
+func (r *rig) planNow() (p *rollout.Plan, known bool) {
+	var applied uint64
+	for _, x := range r.all {
+		var s ownership.Status
+		if r.runs(x) && r.ask(x, "status", nil, &s) == nil && s.Applied >= applied {
+			p, applied, known = s.Rollout, s.Applied, true
+		}
+	}
+	return p, known
+}
+
+// which are the limiters that a word means.
+func (r *rig) which(word string) ([]*process, error) {
+	switch word {
+	case "all":
+		return r.all, nil
+	case "owner":
+		if word, _ = r.owner(); word == "" {
+			word = r.last
+		}
+	case "leader":
+		if word = r.leader(); word == "" {
+			return nil, errors.New("nobody leads")
+		}
+	case "other":
+		o, _ := r.owner()
+		l := r.leader()
+		for _, p := range r.all {
+			if p.name != o && p.name != l && r.runs(p) {
+				return []*process{p}, nil
+			}
+		}
+		return nil, errors.New("there is no other limiter")
+	}
+	i := slices.IndexFunc(r.all, func(p *process) bool { return p.name == word })
+	if i < 0 {
+		return nil, fmt.Errorf("there is no limiter %q", word)
+	}
+	return r.all[i : i+1], nil
+}
+
+// step carries one step out.
+func (r *rig) step(ctx context.Context, s Step) error {
+	r.say("%s", s)
+	switch s.Verb {
+	case "wait":
+		return r.wait(ctx, s.Args)
+	case "roll":
+		return r.roll(ctx, s.Args)
+	case "pass":
+		d, _ := time.ParseDuration(s.Args[0])
+		select {
+		case <-time.After(d):
+		case <-ctx.Done():
+		}
+		return ctx.Err()
+	case "heal":
+		r.net.set(func(int, int) bool { return true }, func(w *way) { w.cut, w.held, w.delay = false, false, 0 })
+		return nil
+	}
+	ps, err := r.which(s.Args[0])
+	if err != nil {
+		return err
+	}
+	switch s.Verb {
+	case "kill", "stop", "isolate", "hold":
+		r.last, _ = r.owner()
+	case "cut", "part":
+		other, err := r.which(s.Args[1])
+		if err != nil {
+			return err
+		}
+		x, y, both := ps[0].n, other[0].n, s.Verb == "part"
+		r.net.set(func(from, to int) bool { return from == x && to == y || both && from == y && to == x }, func(w *way) { w.cut = true })
+		return nil
+	case "add", "remove", "give", "anew":
+		return r.operate(ctx, s.Verb, ps[0])
+	}
+	if len(ps) == 1 && s.Args[0] != ps[0].name {
+		r.say("  %s is %s", s.Args[0], ps[0].name)
+	}
+	for _, p := range ps {
+		if err := r.one(ctx, s, p); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// one carries a step out on one limiter.
+func (r *rig) one(ctx context.Context, s Step, p *process) error {
+	switch s.Verb {
+	case "kill":
+		r.kill(p)
+	case "start":
+		r.mu.Lock()
+		up := p.up
+		r.mu.Unlock()
+		if !up {
+			return r.start(p)
+		}
+	case "stop":
+		r.signal(p, syscall.SIGSTOP)
+	case "go":
+		r.signal(p, syscall.SIGCONT)
+	case "twin":
+		cmd := exec.Command(r.o.Program, "serve", p.config, "--limiter", p.name)
+		out, err := cmd.CombinedOutput()
+		if err == nil || !strings.Contains(string(out), "another process has it open") {
+			return fmt.Errorf("a second process of %s was not turned away: %v: %.300s", p.name, err, out)
+		}
+		r.say("  turned away: %s", lastLine(string(out)))
+	case "isolate":
+		r.net.set(func(from, to int) bool { return from == p.n || to == p.n }, func(w *way) { w.cut = true })
+	case "delay":
+		d, _ := time.ParseDuration(s.Args[1])
+		r.net.set(func(from, _ int) bool { return from == p.n }, func(w *way) { w.delay = d })
+	case "hold", "release":
+		r.net.set(func(from, _ int) bool { return from == p.n }, func(w *way) { w.held = s.Verb == "hold" })
+	case "disk":
+		file := filepath.Join(p.folder, "disk")
+		if s.Args[1] == "well" {
+			if err := os.Remove(file); err != nil && !os.IsNotExist(err) {
+				return err
+			}
+			return nil
+		}
+		return os.WriteFile(file, []byte(s.Args[1]), 0o600)
+	case "lose":
+		return os.RemoveAll(p.folder)
+	case "keep":
+		p.kept = filepath.Join(r.dir, "kept-"+p.name)
+		os.RemoveAll(p.kept)
+		return os.CopyFS(p.kept, os.DirFS(p.folder))
+	case "restore":
+		if p.kept == "" {
+			return fmt.Errorf("nothing of %s was kept", p.name)
+		}
+		if err := os.RemoveAll(p.folder); err != nil {
+			return err
+		}
+		return os.CopyFS(p.folder, os.DirFS(p.kept))
+	case "garbage":
+		return r.garbage(p)
+	}
+	return nil
+}
+
+func lastLine(s string) string {
+	lines := strings.Split(strings.TrimSpace(s), "\n")
+	return lines[len(lines)-1]
+}
+
+// garbage sends a limiter's fleet address what is no member's.
+func (r *rig) garbage(p *process) error {
+	addr, err := r.fleetAddr(p)
+	if err != nil {
+		return err
+	}
+	noise := make([]byte, 4096)
+	rand.Read(noise)
+	for _, b := range [][]byte{noise, []byte("GET / HTTP/1.1\r\n\r\n"), []byte("MDFLEET9"), append([]byte("MDFLEET1"), 0xff, 0xff, 0xff, 0xff, 0, 0, 0, 0),
+		append([]byte("MDFLEET1"), 0, 0, 0, 4, 1, 2, 3, 4, 'a', 'b', 'c', 'd'), nil} {
+		c, err := net.DialTimeout("tcp", addr, time.Second)
+		if err != nil {
+			return err
+		}
+		c.Write(b)
+		c.Close()
+	}
+	return nil
+}
+
+// fleetAddr is where a limiter itself listens for the others.
+func (r *rig) fleetAddr(p *process) (string, error) {
+	text, err := os.ReadFile(p.config)
+	if err != nil {
+		return "", err
+	}
+	_, rest, _ := strings.Cut(string(text), fmt.Sprintf("limiter %q", p.name))
+	_, rest, _ = strings.Cut(rest, `fleet = "`)
+	addr, _, ok := strings.Cut(rest, `"`)
+	if !ok {
+		return "", fmt.Errorf("%s has no fleet address", p.name)
+	}
+	return addr, nil
+}
+
+// operate makes an operator's call on whoever takes it.
+func (r *rig) operate(ctx context.Context, verb string, p *process) error {
+	q := ownership.Request{Limiter: p.name}
+	at := r.all
+	switch verb {
+	case "give":
+		verb, q.Duty = "transfer", rollout.Duty
+	case "anew":
+		verb, q, at = "init", ownership.Request{Anew: true}, []*process{p}
+	}
+	return r.any(ctx, verb, &q, at)
+}
+
+// any makes a call until one limiter says yes.
+func (r *rig) any(ctx context.Context, verb string, q *ownership.Request, at []*process) error {
+	var last error
+	if err := r.until(ctx, "a yes to "+verb, func() bool {
+		for _, p := range at {
+			if r.runs(p) {
+				if last = r.ask(p, verb, q, nil); last == nil {
+					return true
+				}
+			}
+		}
+		return false
+	}); err != nil {
+		return fmt.Errorf("%w: %v", err, last)
+	}
+	return nil
+}
+
+func (r *rig) roll(ctx context.Context, args []string) error {
+	atOnce := 1
+	if len(args) > 1 {
+		var err error
+		if atOnce, err = strconv.Atoi(args[1]); err != nil {
+			return fmt.Errorf("%q is no number", args[1])
+		}
+	}
+	r.rolls++
+	p := &rollout.Plan{ID: fmt.Sprint("r", r.rolls), Kind: rollout.Kind(args[0]), AtOnce: atOnce, Fall: 1}
+	err := r.any(ctx, "roll", &ownership.Request{Plan: p}, r.all)
+	if err != nil && strings.Contains(err.Error(), "wait for it") {
+		return nil // the call was lost on its way back, and is obeyed
+	}
+	return err
+}
+
+// wait waits for an event.
+func (r *rig) wait(ctx context.Context, args []string) error {
+	what := strings.Join(args, " ")
+	switch args[0] {
+	case "owner", "new-owner", "owned-by":
+		from := time.Now()
+		was := r.last
+		err := r.until(ctx, what, func() bool {
+			name, _ := r.owner()
+			ok := name != ""
+			for _, p := range r.all {
+				ok = ok && (p.name != name || r.runs(p))
+			}
+			switch {
+			case args[0] == "new-owner" && was != "":
+				ok = ok && name != was
+			case args[0] == "owned-by":
+				ok = ok && len(args) > 1 && name == args[1]
+			}
+			if ok {
+				r.last = name
+			}
+			return ok
+		})
+		if args[0] == "new-owner" && err == nil {
+			r.result.Gaps = append(r.result.Gaps, time.Since(from))
+		}
+		r.say("  %s owns it, %.2f s later", r.last, time.Since(from).Seconds())
+		return err
+	case "step":
+		if len(args) < 2 {
+			return errors.New("wait step needs a phase")
+		}
+		return r.until(ctx, what, func() bool {
+			p, known := r.planNow()
+			if known && (p == nil || p.State != rollout.Running) {
+				return true // it is over: there is nothing to wait for
+			}
+			return p != nil && slices.ContainsFunc(p.Steps, func(s rollout.Step) bool { return string(s.Phase) == args[1] })
+		})
+	case "done":
+		return r.until(ctx, what, func() bool {
+			p, known := r.planNow()
+			if p != nil && p.State == rollout.Halted && strings.Contains(p.Why, "has been") {
+				r.any(ctx, "continue", &ownership.Request{}, r.all) // a fault took longer than it waits
+			}
+			return known && p == nil
+		})
+	case "votes":
+		n, _ := strconv.Atoi(args[1])
+		return r.until(ctx, what, func() bool {
+			votes, leader := r.votes()
+			return leader && votes == n
+		})
+	case "leader":
+		return r.until(ctx, what, func() bool { return r.leaderRuns() })
+	case "no-leader":
+		return r.until(ctx, what, func() bool { return !r.leaderRuns() })
+	}
+	return fmt.Errorf("there is no event %q", what)
+}
+
+// votes are the members that vote, as a leader which runs sees it.
+func (r *rig) votes() (n int, leader bool) {
+	for _, p := range r.all {
+		var s ownership.Status
+		if !r.runs(p) || r.ask(p, "status", nil, &s) != nil || s.Leader != p.name {
+			continue
+		}
+		n = 0
+		for _, m := range s.Members {
+			if m.Votes && m.Wanted {
+				n++
+			}
+		}
+		return n, true
+	}
+	return 0, false
+}
+
+// leaderRuns tells whether all that run know one leader, which runs.
+func (r *rig) leaderRuns() bool {
+	for _, p := range r.all {
+		var s ownership.Status
+		if !r.runs(p) {
+			continue
+		}
+		if r.ask(p, "status", nil, &s) != nil {
+			return false
+		}
+		i := slices.IndexFunc(r.all, func(x *process) bool { return x.name == s.Leader })
+		if i < 0 || !r.runs(r.all[i]) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/ownership/broken.go
@@ -0,0 +1,7 @@
+//go:build !faults
+
+package ownership
+
+// broken is where builds for tests (-tags faults) leave a check out, so that the tests are
+// seen to find it.
+func broken(string) bool { return false }
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -230,6 +230,9 @@
 func (s *Service) admit(ctx context.Context, t tenure.Token, effect func() error) error {
 	s.gate.Lock()
 	defer s.gate.Unlock()
+	if broken("fence") {
+		return effect()
+	}
 	if s.fence == nil {
 		kept, err := s.host.Fence(ctx)
 		if err != nil {
