--- a/internal/faults/relay.go
+++ b/internal/faults/relay.go
@@ -16,6 +16,7 @@
 	from, to int
 	cut      bool // nothing of from comes to to
 	held     bool // calls of from wait
+	waits    bool // one does, or did since they were held
 	delay    time.Duration
 }
 
@@ -95,6 +96,9 @@
 func (n *network) pause(w *way, call bool) bool {
 	n.mu.Lock()
 	for !n.closed && (w.cut || call && w.held) {
+		if call && w.held {
+			w.waits = true
+		}
 		n.changed.Wait()
 	}
 	d, closed := w.delay, n.closed
@@ -190,6 +194,18 @@
 	}
 }
 
+// holds tells whether a call waits, or did since calls were held.
+func (n *network) holds() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, w := range n.ways {
+		if w.held && w.waits {
+			return true
+		}
+	}
+	return false
+}
+
 // set changes ways; what stood on one that was cut is reset when it heals.
 func (n *network) set(which func(from, to int) bool, change func(w *way)) {
 	n.mu.Lock()
@@ -200,6 +216,7 @@
 		}
 		was := w.cut
 		change(w)
+		w.waits = w.waits && w.held
 		if was && !w.cut {
 			for c, of := range n.conns {
 				if of == w {
--- a/internal/faults/rig.go
+++ b/internal/faults/rig.go
@@ -67,7 +67,6 @@
 	boxes   *http.Server
 	result  Result
 	rolls   int
-	plan    bool
 	last    string // the owner that was seen last
 	broken  map[string]bool
 	clients sync.WaitGroup
@@ -142,14 +141,13 @@
 	r.say("BROKEN: %s", line)
 }
 
-// free is an address that was free a moment ago, on a host that only this rig uses.
-func (r *rig) free() (string, error) {
-	ln, err := net.Listen("tcp", r.host+":0")
-	if err != nil {
-		return "", fmt.Errorf("faults: %w", err)
+// free is an address on a host that only this rig uses. Its listener stays open until all
+// addresses are given out: the system would give a closed one's port again.
+func (r *rig) free() (addr string, ln net.Listener, err error) {
+	if ln, err = net.Listen("tcp", r.host+":0"); err != nil {
+		return "", nil, fmt.Errorf("faults: %w", err)
 	}
-	defer ln.Close()
-	return ln.Addr().String(), nil
+	return ln.Addr().String(), ln, nil
 }
 
 // open lays out the boxes, the network and a configuration for each limiter.
@@ -164,18 +162,16 @@
 	var fleets []string
 	for i := range n {
 		p := &process{n: i, name: fmt.Sprint("n", i), config: filepath.Join(r.dir, fmt.Sprintf("n%d.hcl", i)), folder: filepath.Join(r.dir, "fleet", fmt.Sprint("n", i))}
-		fleet, err := r.free()
-		if err == nil {
-			p.listen, err = r.free()
-		}
-		if err == nil {
-			p.admin, err = r.free()
-		}
-		if err == nil {
-			p.log, err = os.Create(filepath.Join(r.dir, p.name+".log"))
+		var fleet string
+		for _, addr := range []*string{&fleet, &p.listen, &p.admin} {
+			var ln net.Listener
+			if *addr, ln, err = r.free(); err != nil {
+				return err
+			}
+			defer ln.Close()
 		}
-		if err != nil {
-			return err
+		if p.log, err = os.Create(filepath.Join(r.dir, p.name+".log")); err != nil {
+			return fmt.Errorf("faults: %w", err)
 		}
 		fleets = append(fleets, fleet)
 		r.all = append(r.all, p)
--- a/internal/faults/schedule.go
+++ b/internal/faults/schedule.go
@@ -32,7 +32,7 @@
 // leader, other (one that is neither), all.
 var verbs = map[string]verb{
 	"roll":    {1, 2, "roll restart|drain [AT-ONCE]: an operator begins a rollout"},
-	"wait":    {1, 2, "wait owner | new-owner | owned-by X | step PHASE | done | votes N | no-leader | leader: for an event"},
+	"wait":    {1, 2, "wait owner | new-owner | owned-by X | held | step PHASE | done | votes N | no-leader | leader: for an event"},
 	"kill":    {1, 1, "kill X: SIGKILL"},
 	"start":   {1, 1, "start X: which was killed"},
 	"stop":    {1, 1, "stop X: SIGSTOP"},
@@ -129,7 +129,7 @@
 			add("go all")
 		case 2:
 			add("hold owner")
-			add("wait step %s", []string{"leaving", "ending"}[r.IntN(2)])
+			add("wait held")
 			add("stop owner")
 			add("wait new-owner")
 			add("release all")
--- a/internal/faults/steps.go
+++ b/internal/faults/steps.go
@@ -51,7 +51,7 @@
 	return name
 }
 
-// plan is the rollout, by whoever knows the most of it; nil: none is under way.
+// planNow is the rollout, by whoever knows the most of it; nil: none is under way.
 func (r *rig) planNow() (p *rollout.Plan, known bool) {
 	var applied uint64
 	for _, x := range r.all {
@@ -63,8 +63,14 @@
 	return p, known
 }
 
+// over tells whether no rollout is running: there is nothing of it to wait for.
+func (r *rig) over() bool {
+	p, known := r.planNow()
+	return known && (p == nil || p.State != rollout.Running)
+}
+
 // which are the limiters that a word means.
-func (r *rig) which(word string) ([]*process, error) {
+func (r *rig) which(ctx context.Context, word string) ([]*process, error) {
 	switch word {
 	case "all":
 		return r.all, nil
@@ -73,8 +79,8 @@
 			word = r.last
 		}
 	case "leader":
-		if word = r.leader(); word == "" {
-			return nil, errors.New("nobody leads")
+		if err := r.until(ctx, "a leader", func() bool { word = r.leader(); return word != "" }); err != nil {
+			return nil, err
 		}
 	case "other":
 		o, _ := r.owner()
@@ -112,7 +118,7 @@
 		r.net.set(func(int, int) bool { return true }, func(w *way) { w.cut, w.held, w.delay = false, false, 0 })
 		return nil
 	}
-	ps, err := r.which(s.Args[0])
+	ps, err := r.which(ctx, s.Args[0])
 	if err != nil {
 		return err
 	}
@@ -120,7 +126,7 @@
 	case "kill", "stop", "isolate", "hold":
 		r.last, _ = r.owner()
 	case "cut", "part":
-		other, err := r.which(s.Args[1])
+		other, err := r.which(ctx, s.Args[1])
 		if err != nil {
 			return err
 		}
@@ -317,15 +323,17 @@
 		}
 		r.say("  %s owns it, %.2f s later", r.last, time.Since(from).Seconds())
 		return err
+	case "held":
+		return r.until(ctx, what, func() bool { return r.net.holds() || r.over() })
 	case "step":
 		if len(args) < 2 {
 			return errors.New("wait step needs a phase")
 		}
 		return r.until(ctx, what, func() bool {
-			p, known := r.planNow()
-			if known && (p == nil || p.State != rollout.Running) {
-				return true // it is over: there is nothing to wait for
+			if r.over() {
+				return true
 			}
+			p, _ := r.planNow()
 			return p != nil && slices.ContainsFunc(p.Steps, func(s rollout.Step) bool { return string(s.Phase) == args[1] })
 		})
 	case "done":
