Thirty schedules of faults in the tests; what they found is mended

Found by schedules on real processes, each with its case kept by name: - A voter whose folder was put back from before its last start alone was taken for a second process for ever: its start had been heard with another mark, and greet.go called that a twin. It sets its folder aside now and learns the fleet anew under another number, which is safe for a copy too. - A limiter with an emptied folder, after all voters of the configuration had been replaced, never became a member: it asked only those, and took what a present member says in greeting it for no address to ask. It asks it now. - A call of a conductor names its fleet: epochs of two fleets say nothing about each other, and one with a wrong address could move the other's.

--- a/internal/agreement/greet.go
+++ b/internal/agreement/greet.go
@@ -22,7 +22,7 @@
 	Welcome Verdict = iota // its messages are taken in
 	Foreign                // it is not meant, or another fleet's: a mistake in configuration
 	OldFolder
-	Twin    // another process uses its name or folder
+	Twin    // another process is at work under its name
 	Outdone // its fleet was begun anew without it
 	Behind  // ours was begun anew without us
 )
@@ -57,7 +57,9 @@
 	case h.Start < before.Start:
 		return OldFolder, fmt.Sprintf("its folder is older than what was heard of it: start %d, heard %d", h.Start, before.Start), false
 	case h.Start == before.Start && before.Mark != 0 && h.Mark != before.Mark:
-		return Twin, "another process has started from a copy of its folder", false
+		// A copy that runs elsewhere and a folder from before its last start look the same.
+		// Going on under another number is safe for both.
+		return OldFolder, fmt.Sprintf("another process has started from its folder or a copy: start %d was heard with another mark", h.Start), false
 	case h.Name == mine.Name, atWork != 0 && atWork != h.Member:
 		return Twin, fmt.Sprintf("another process is at work as %q", h.Name), false
 	case h.Fleet != 0 && h.Fleet == mine.Fleet && h.Generation < mine.Generation:
--- a/internal/agreement/host.go
+++ b/internal/agreement/host.go
@@ -405,6 +405,11 @@
 		if g.Fleet != 0 && mine.Fleet == 0 {
 			h.adopt(g)
 		}
+		// All voters of the configuration may have been replaced: whoever greets a limiter
+		// that is no member yet knows who votes now.
+		if g.Fleet != 0 && len(r.Voters) == 0 && !slices.Contains(h.asking, g.Name) {
+			h.asking = append(h.asking, g.Name)
+		}
 	}
 	e.answer <- r
 	if r.Verdict == Behind {
--- a/internal/faults/relay.go
+++ b/internal/faults/relay.go
@@ -16,7 +16,7 @@
 	from, to int
 	cut      bool // nothing of from comes to to
 	held     bool // calls of from wait
-	waits    bool // one does, or did since they were held
+	waits    bool // something does, or did since it was cut or held
 	delay    time.Duration
 }
 
@@ -96,9 +96,7 @@
 func (n *network) pause(w *way, call bool) bool {
 	n.mu.Lock()
 	for !n.closed && (w.cut || call && w.held) {
-		if call && w.held {
-			w.waits = true
-		}
+		w.waits = true
 		n.changed.Wait()
 	}
 	d, closed := w.delay, n.closed
@@ -216,7 +214,7 @@
 		}
 		was := w.cut
 		change(w)
-		w.waits = w.waits && w.held
+		w.waits = w.waits && (w.held || w.cut)
 		if was && !w.cut {
 			for c, of := range n.conns {
 				if of == w {
--- a/internal/faults/steps.go
+++ b/internal/faults/steps.go
@@ -170,6 +170,8 @@
 			return fmt.Errorf("a second process of %s was not turned away: %v: %.300s", p.name, err, out)
 		}
 		r.say("  turned away: %s", lastLine(string(out)))
+	case "stranger":
+		return r.stranger(ctx, p)
 	case "isolate":
 		r.net.set(func(from, to int) bool { return from == p.n || to == p.n }, func(w *way) { w.cut = true })
 	case "delay":
@@ -206,6 +208,34 @@
 	return nil
 }
 
+// stranger starts a limiter of another fleet on one's addresses, which was given the others'
+// by mistake. Nobody of either fleet may be moved by it.
+func (r *rig) stranger(ctx context.Context, p *process) error {
+	text, err := os.ReadFile(p.config)
+	if err != nil {
+		return err
+	}
+	folder := filepath.Join(r.dir, "stranger")
+	head, _, _ := strings.Cut(string(text), `fleet "rig"`)
+	config := p.config + ".stranger.hcl"
+	text = fmt.Appendf([]byte(head), "fleet \"stranger\" {\n folder = %q\n voters = [%q]\n term = %q\n}\n", folder, p.name, r.o.Term)
+	if err := os.WriteFile(config, text, 0o600); err != nil {
+		return err
+	}
+	own := p.config
+	p.config = config
+	err = r.start(p)
+	p.config = own
+	if err != nil {
+		return err
+	}
+	if err := r.any(ctx, "init", &ownership.Request{Voters: []string{p.name}}, []*process{p}); err != nil {
+		return err
+	}
+	plan := &rollout.Plan{ID: "stranger", Kind: rollout.Restart, AtOnce: 1, Fall: 1}
+	return r.any(ctx, "roll", &ownership.Request{Plan: plan}, []*process{p})
+}
+
 func lastLine(s string) string {
 	lines := strings.Split(strings.TrimSpace(s), "\n")
 	return lines[len(lines)-1]
@@ -344,6 +374,24 @@
 			}
 			return known && p == nil
 		})
+	case "back":
+		n, err := strconv.Atoi(args[len(args)-1])
+		if err != nil {
+			return errors.New("wait back needs how many")
+		}
+		return r.until(ctx, what, func() bool {
+			p, known := r.planNow()
+			if p == nil {
+				return known
+			}
+			back := 0
+			for _, s := range p.Steps {
+				if s.Phase == rollout.Back {
+					back++
+				}
+			}
+			return back >= n
+		})
 	case "votes":
 		n, _ := strconv.Atoi(args[1])
 		return r.until(ctx, what, func() bool {
@@ -358,16 +406,18 @@
 	return fmt.Errorf("there is no event %q", what)
 }
 
-// votes are the members that vote, as a leader which runs sees it.
+// votes are the members that vote, as a leader which runs sees it; false while a change is under way.
 func (r *rig) votes() (n int, leader bool) {
 	for _, p := range r.all {
 		var s ownership.Status
 		if !r.runs(p) || r.ask(p, "status", nil, &s) != nil || s.Leader != p.name {
 			continue
 		}
-		n = 0
 		for _, m := range s.Members {
-			if m.Votes && m.Wanted {
+			if m.Votes != m.Wanted {
+				return 0, false // a change is under way
+			}
+			if m.Votes {
 				n++
 			}
 		}
@@ -376,7 +426,7 @@
 	return 0, false
 }
 
-// leaderRuns tells whether all that run know one leader, which runs.
+// leaderRuns tells whether all that run and take part know one leader, which runs.
 func (r *rig) leaderRuns() bool {
 	for _, p := range r.all {
 		var s ownership.Status
@@ -386,6 +436,9 @@
 		if r.ask(p, "status", nil, &s) != nil {
 			return false
 		}
+		if s.Failed != "" {
+			continue // it takes no part
+		}
 		i := slices.IndexFunc(r.all, func(x *process) bool { return x.name == s.Leader })
 		if i < 0 || !r.runs(r.all[i]) {
 			return false
--- a/internal/ownership/calls.go
+++ b/internal/ownership/calls.go
@@ -73,7 +73,9 @@
 	}
 	switch args[0] {
 	case "self":
-		return show(s.o.Limiter.Standing())
+		x := s.o.Limiter.Standing()
+		x.Fleet = s.fleet()
+		return show(x)
 	case "status":
 		return show(s.Status())
 	case "owners":
@@ -81,7 +83,7 @@
 	case "history":
 		return show(s.History())
 	case "drain", "resume", "leave":
-		t, start, err := token(args[1:])
+		t, start, err := s.token(args[1:])
 		if err != nil {
 			return "", err
 		}
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -37,6 +37,7 @@
 
 // Standing is how a limiter is doing, as it says itself.
 type Standing struct {
+	Fleet    string // that it is in; empty: none
 	Start    uint64 // of its process
 	Ready    bool   // it takes clients
 	Draining bool
@@ -320,14 +321,19 @@
 	Rollout    *rollout.Plan `json:",omitempty"`
 }
 
+// fleet is the number of the fleet that this limiter is in, in hexadecimal; empty: none.
+func (s *Service) fleet() string {
+	if f := s.host.Status().Fleet; f != 0 {
+		return fmt.Sprintf("%016x", f)
+	}
+	return ""
+}
+
 // Status returns it.
 func (s *Service) Status() Status {
 	a := s.host.Status()
-	st := Status{Limiter: s.me.Limiter, Fleet: fmt.Sprintf("%016x", a.Fleet), Generation: a.Generation, Leader: a.Roster.Members[a.Leader],
+	st := Status{Limiter: s.me.Limiter, Fleet: s.fleet(), Generation: a.Generation, Leader: a.Roster.Members[a.Leader],
 		Term: a.Term, Applied: a.Applied, Silent: a.Silent, Failed: a.Failed, Sent: a.Sent, SentBytes: a.SentBytes, Received: a.Received, Rollout: s.machine.plan()}
-	if a.Fleet == 0 {
-		st.Fleet = ""
-	}
 	for id, name := range a.Roster.Members {
 		m := Member{Limiter: name, Member: fmt.Sprintf("%016x", id), Votes: slices.Contains(a.Voters, id), Leads: id == a.Leader}
 		want, wanted := a.Roster.Wanted[name]
