A limiter that ends lets go whoever waits for an agreement

Its stacks: an operator's 'transfer' waited in Host.ask for the driver, which had returned; propose gives its entry up with a context that never ends, and the operators' address waits for its calls.

--- a/internal/agreement/host.go
+++ b/internal/agreement/host.go
@@ -1,6 +1,7 @@
 package agreement
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -63,6 +64,7 @@
 	status Status
 	member uint64
 	other  chan struct{} // closes when this member becomes another one
+	ended  chan struct{} // closed when Run ends
 
 	// The driver's own.
 	f        *folder
@@ -134,7 +136,7 @@
 	if o.Tick == 0 {
 		o.Tick = DefaultTick
 	}
-	h := &Host{o: o, log: o.Log, limit: rate.NewLimiter(1, 5), events: make(chan event, eventsMost), mark: rand.Uint64() | 1, other: make(chan struct{}),
+	h := &Host{o: o, log: o.Log, limit: rate.NewLimiter(1, 5), events: make(chan event, eventsMost), mark: rand.Uint64() | 1, other: make(chan struct{}), ended: make(chan struct{}),
 		waiting: map[uint64]chan error{}, reading: map[string]chan struct{}{}, links: map[string]*link{},
 		names: map[uint64]string{}, atWork: map[string]worker{}, joiners: map[string]joining{}}
 	for name, addr := range o.Peers {
@@ -172,6 +174,7 @@
 // Run takes part until the context ends.
 func (h *Host) Run(ctx context.Context) error {
 	defer func() {
+		close(h.ended)
 		h.listener.Close()
 		h.tasks.Wait()
 		if h.f != nil {
@@ -211,20 +214,26 @@
 		return true
 	case <-ctx.Done():
 		return false
+	case <-h.ended:
+		return false
 	}
 }
 
+var errEnded = errors.New("this limiter takes no part any more: it is ending")
+
 // ask has the driver do something and waits for it.
 func (h *Host) ask(ctx context.Context, do func()) error {
 	done := make(chan struct{})
 	if !h.give(ctx, event{do: func() { do(); close(done) }}) {
-		return ctx.Err()
+		return cmp.Or(ctx.Err(), errEnded)
 	}
 	select {
 	case <-done:
 		return nil
 	case <-ctx.Done():
 		return ctx.Err()
+	case <-h.ended: // it may lie among the events, which nobody takes any more
+		return errEnded
 	}
 }
 
