A steward moves parts of ceilings, as a duty of the fleet; the ceiling judged at the box

The second duty of a fleet, 'parts': its owner asks all limiters once a second what they were asked for of accounts with ceilings, and deals under its token; each limiter follows the log, uses what it says, and confirms. ceilings = "steward" in the fleet block turns it on.

The rig's limiters each let through what a ceiling allows and tell each other nothing; one account asks for more than its ceiling, mostly at one limiter, then at another.

--- a/cmd/madderdrum/duties.go
+++ b/cmd/madderdrum/duties.go
@@ -13,6 +13,7 @@
 	"example.org/madderdrum/internal/node"
 	"example.org/madderdrum/internal/ownership"
 	"example.org/madderdrum/lifecycle"
+	"example.org/madderdrum/parts"
 	"example.org/madderdrum/tenure"
 )
 
@@ -33,7 +34,7 @@
 	terms.Guard = terms.Guard * c.Duties.Term / terms.Term
 	terms.Term, terms.Drift = c.Duties.Term, c.Duties.Drift
 	me := c.Fleet.Limiters[position]
-	o := ownership.Options{Terms: terms, Admins: map[string]string{}, Limiter: d, Log: log,
+	o := ownership.Options{Terms: terms, Admins: map[string]string{}, Limiter: d, Log: log, Steward: c.Duties.Ceilings == "steward",
 		Agreement: agreement.Options{Label: c.Duties.Label, Name: me.Name, Folder: filepath.Join(c.Duties.Folder, me.Name), Listen: me.Fleet,
 			Voters: c.Duties.Voters, Peers: map[string]string{}}}
 	for _, l := range c.Fleet.Limiters {
@@ -72,6 +73,23 @@
 // Leave implements ownership.Limiter.
 func (d *duties) Leave() { d.stop() }
 
+// Asked implements ownership.Limiter.
+func (d *duties) Asked() (all []parts.Report) {
+	if n := d.node.Load(); n != nil {
+		for _, x := range n.Demands() {
+			all = append(all, parts.Report(x))
+		}
+	}
+	return all
+}
+
+// Hold implements ownership.Limiter.
+func (d *duties) Hold(of map[uint64]float64, rest float64) {
+	if n := d.node.Load(); n != nil {
+		n.Hold(of, rest)
+	}
+}
+
 // Standing implements ownership.Limiter.
 func (d *duties) Standing() ownership.Standing {
 	s := ownership.Standing{Start: d.service.Start()}
--- a/cmd/madderdrum/fleet.go
+++ b/cmd/madderdrum/fleet.go
@@ -173,6 +173,13 @@
 			}
 			fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%s\n", m.Limiter, votes, map[bool]string{true: "yes"}[m.Leads], m.Behind, m.Member)
 		}
+		if s.Moved > 0 || len(s.Unsure) > 0 {
+			w.(*tabwriter.Writer).Flush()
+			fmt.Fprintf(w, "parts of ceilings: %d accounts are not equal, %d of them on their way\n", s.Moved, s.UnderWay)
+		}
+		if len(s.Unsure) > 0 {
+			fmt.Fprintf(w, "since the fleet was begun anew all use a tenth of their parts, until %s have told that they do\n", strings.Join(s.Unsure, ", "))
+		}
 		if p := s.Rollout; p != nil {
 			w.(*tabwriter.Writer).Flush()
 			writePlan(w, p)
--- a/config/config.go
+++ b/config/config.go
@@ -81,6 +81,8 @@
 	Voters []string // when the fleet begins
 	Term   time.Duration
 	Drift  float64
+	// Parts of ceilings: "equal", or "steward".
+	Ceilings string
 }
 
 // ForwardAuth is where other proxies ask a limiter.
--- a/internal/faults/faults_test.go
+++ b/internal/faults/faults_test.go
@@ -77,15 +77,30 @@
 	if testing.Short() {
 		t.Skip("starts processes")
 	}
+	isFound(t, "late-owner", "fence")
+}
+
+// A limiter that confirms that it uses less of a ceiling, and does not.
+func TestPartsThatAreNotGivenBreakTheCeiling(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	isFound(t, "moving", "hold")
+}
+
+// isFound plays a case with a program that is broken on purpose.
+func isFound(t *testing.T, name, what string) {
+	t.Helper()
 	for _, c := range Cases() {
-		if c.Name == "late-owner" {
-			r, err := play(t.Context(), c, 20*time.Second, "MADDERDRUM_BROKEN=fence")
-			if err != nil {
-				t.Fatal(err)
-			}
-			if len(r.Broken) == 0 {
-				t.Errorf("it was not found:\n%s", strings.Join(r.Timeline, "\n"))
-			}
+		if c.Name != name {
+			continue
+		}
+		r, err := play(t.Context(), c, 20*time.Second, "MADDERDRUM_BROKEN="+what)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(r.Broken) == 0 {
+			t.Errorf("it was not found:\n%s", strings.Join(r.Timeline, "\n"))
 		}
 	}
 }
@@ -163,6 +178,16 @@
 	if got := judgeExits([]Exit{{0, at(1), 0}, {0, at(2), 0}, {1, at(2), 1}}, 1); len(got) != 2 {
 		t.Errorf("ended twice, and with an error: %v", got)
 	}
+	var even []time.Duration // a full store at once, and then at the rate
+	for i := range 100 {
+		even = append(even, at(max(0, (float64((i+1)*ceilingUnits)-ceilingBurst)/ceilingRate)))
+	}
+	if got := judgeCeiling(even); len(got) != 0 {
+		t.Errorf("at the ceiling: %v", got)
+	}
+	if got := judgeCeiling(append(even, at(3), at(3), at(3), at(3))); len(got) != 1 {
+		t.Errorf("over it: %v", got)
+	}
 	take := func(owner string, epoch uint64) tenure.Change {
 		return tenure.Change{Duty: "d", Epoch: epoch, Owner: owner}
 	}
--- a/internal/faults/judge.go
+++ b/internal/faults/judge.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -9,6 +10,9 @@
 	"example.org/madderdrum/tenure"
 )
 
+// delivery is how much later than another a request may come from its limiter to a box.
+const delivery = 100 * time.Millisecond
+
 // Exit is a limiter's process that ended by itself: nobody in the rig killed it.
 type Exit struct {
 	Limiter int
@@ -91,3 +95,23 @@
 	}
 	return broken
 }
+
+// judgeCeiling tells where boxes carried out more of the account than its ceiling allows in
+// any span of time, by over 2%: at are the times of its requests, in their order.
+func judgeCeiling(at []time.Duration) (broken []string) {
+	at = slices.Sorted(slices.Values(at))
+	worst, from, to := 1.02, 0, -1
+	for i := range at {
+		for j := i; j < len(at); j++ {
+			span := (at[j] - at[i] + delivery).Seconds()
+			if x := float64(j-i+1) * ceilingUnits / (ceilingBurst + ceilingRate*span); x > worst {
+				worst, from, to = x, i, j
+			}
+		}
+	}
+	if to >= 0 {
+		broken = append(broken, fmt.Sprintf("from %.2f s to %.2f s boxes carried out %d units of a ceiling of %g and %g a second: %.2f times",
+			at[from].Seconds(), at[to].Seconds(), (to-from+1)*ceilingUnits, ceilingBurst, ceilingRate, worst))
+	}
+	return broken
+}
--- a/internal/faults/relay.go
+++ b/internal/faults/relay.go
@@ -170,7 +170,7 @@
 func (n *network) carryCall(c net.Conn, w *way, target string) {
 	in := bufio.NewReader(io.LimitReader(c, 64<<10))
 	line, err := in.ReadString('\n')
-	if err != nil || !n.pause(w, !strings.HasPrefix(line, "fleet self")) {
+	if err != nil || !n.pause(w, strings.Contains(line, "/")) {
 		return
 	}
 	t, err := net.Dial("tcp", target)
@@ -182,7 +182,7 @@
 	t.SetDeadline(time.Now().Add(10 * time.Second))
 	io.WriteString(t, line)
 	answer, _ := bufio.NewReader(t).ReadString('\n')
-	if !strings.HasPrefix(line, "fleet self") {
+	if question := strings.HasPrefix(line, "fleet self") || strings.HasPrefix(line, "fleet asked"); !question {
 		n.mu.Lock()
 		n.calls = append(n.calls, Call{w.from, w.to, strings.TrimSpace(line), sent, time.Since(n.begun), strings.TrimSpace(answer)})
 		n.mu.Unlock()
--- a/internal/faults/rig.go
+++ b/internal/faults/rig.go
@@ -43,6 +43,8 @@
 	Calls    []Call          // between limiters
 	Gaps     []time.Duration // without an owner, after it was killed, stopped or cut off
 	Requests int             // that boxes carried out
+	Ceiling  int             // of them those of the account with a ceiling
+	Moved    int             // whether its parts were seen to be moved
 	Terms    int             // begun
 }
 
@@ -76,7 +78,8 @@
 	mu      sync.Mutex // and what processes are
 	closing bool       // nothing is started any more
 	exits   []Exit
-	ran     map[string]int // by request id, at the boxes
+	ran     map[string]int  // by request id, at the boxes
+	ceiling []time.Duration // when requests of the account with a ceiling ran there
 }
 
 var rigs atomic.Uint32
@@ -122,6 +125,7 @@
 	r.judge(ctx)
 	stop()
 	if o.Keep != "" && len(r.result.Broken) > 0 {
+		r.quit()
 		r.close()
 		if err := os.CopyFS(o.Keep, os.DirFS(dir)); err != nil {
 			return &r.result, fmt.Errorf("faults: keep what broke: %w", err)
@@ -183,7 +187,8 @@
 		fleets = append(fleets, fleet)
 		r.all = append(r.all, p)
 	}
-	text := string(deploy.Bluebird)
+	// Each limiter alone lets through what the ceiling allows: the peers tell each other nothing.
+	text := strings.NewReplacer(`rate          = "7/s"`, `rate = "15/s"`, `burst         = 15`, `burst = 32`).Replace(string(deploy.Bluebird))
 	head, tail := strings.Index(text, `limiter "n0"`), strings.Index(text, "rules {")
 	for i, p := range r.all {
 		var b strings.Builder
@@ -206,7 +211,7 @@
 		for j := range r.o.Voters {
 			voters = append(voters, fmt.Sprintf("%q", fmt.Sprint("n", j)))
 		}
-		fmt.Fprintf(&b, "\nfleet \"rig\" {\n folder = %q\n voters = [%s]\n term = %q\n}\n", filepath.Join(r.dir, "fleet"), strings.Join(voters, ", "), r.o.Term)
+		fmt.Fprintf(&b, "\nfleet \"rig\" {\n folder = %q\n voters = [%s]\n term = %q\n ceilings = \"steward\"\n}\n", filepath.Join(r.dir, "fleet"), strings.Join(voters, ", "), r.o.Term)
 		if err := os.WriteFile(p.config, []byte(b.String()), 0o600); err != nil {
 			return fmt.Errorf("faults: %w", err)
 		}
@@ -221,7 +226,11 @@
 	}
 	io.Copy(io.Discard, q.Body)
 	r.mu.Lock()
-	r.ran[q.Header.Get("X-Request-ID")]++
+	id := q.Header.Get("X-Request-ID")
+	r.ran[id]++
+	if strings.HasPrefix(id, ceilingID) {
+		r.ceiling = append(r.ceiling, time.Since(r.net.begun))
+	}
 	r.mu.Unlock()
 	io.WriteString(w, "sent\n")
 }
@@ -381,12 +390,52 @@
 	return err
 }
 
+// The account with a ceiling asks for far more than that, mostly at one limiter, then at
+// another; its requests are so large that equal parts hold few of them.
+const (
+	ceilingID                 = "ce"
+	ceilingUnits              = 6
+	ceilingEvery              = 4 * time.Second // it moves on
+	ceilingRate, ceilingBurst = 15.0, 32.0      // of the plan business
+)
+
+// loadCeiling has clients ask for more than the ceiling of one account.
+func (r *rig) loadCeiling(ctx context.Context, client *http.Client) {
+	ticker := time.NewTicker(50 * time.Millisecond)
+	defer ticker.Stop()
+	for k := 0; ; k++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		i := int(time.Since(r.net.begun)/ceilingEvery) * 2 // most go here
+		if k%10 == 0 {
+			i = k / 10
+		}
+		p := r.all[i%len(r.all)]
+		if !r.runs(p) {
+			continue
+		}
+		r.clients.Go(func() {
+			q, _ := http.NewRequestWithContext(ctx, "POST", "http://"+p.listen+"/api?key=00000000000000cc", strings.NewReader("text"))
+			q.Header = http.Header{"X-Request-Id": {fmt.Sprintf("%s%08x", ceilingID, k)}, "X-Priority-Class": {"send-bulk-paid"}, "Plan": {"business"}, "X-Timeout": {"2000m"},
+				"Quota-Info": {fmt.Sprintf("units=%d,spread=%d,first=0", ceilingUnits, len(r.all))}}
+			if a, err := client.Do(q); err == nil {
+				io.Copy(io.Discard, a.Body)
+				a.Body.Close()
+			}
+		})
+	}
+}
+
 // load has clients send requests that must not run twice, over all limiters.
 func (r *rig) load(ctx context.Context) {
 	if r.o.Load <= 0 {
 		return
 	}
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}, Timeout: 5 * time.Second}
+	r.clients.Go(func() { r.loadCeiling(ctx, client) })
 	r.clients.Go(func() {
 		defer client.CloseIdleConnections()
 		ticker := time.NewTicker(time.Second / time.Duration(r.o.Load))
@@ -424,6 +473,8 @@
 	r.result.Calls = r.net.Calls()
 	r.mu.Lock()
 	exits := append([]Exit(nil), r.exits...)
+	over := judgeCeiling(r.ceiling)
+	r.result.Ceiling = len(r.ceiling)
 	for id, n := range r.ran {
 		r.result.Requests++
 		if n > 1 {
@@ -433,6 +484,10 @@
 	r.mu.Unlock()
 	histories := map[int][]tenure.Change{}
 	for _, p := range r.all {
+		var s ownership.Status
+		if r.runs(p) && r.ask(p, "status", nil, &s) == nil {
+			r.watch(&s)
+		}
 		var h []tenure.Change
 		if r.runs(p) && r.ask(p, "history", nil, &h) == nil {
 			histories[p.n] = h
@@ -443,6 +498,9 @@
 			}
 		}
 	}
+	for _, b := range over {
+		r.breaks("%s", b)
+	}
 	for _, b := range judgeCalls(r.result.Calls) {
 		r.breaks("%s", b)
 	}
@@ -465,6 +523,24 @@
 	return true
 }
 
+// quit has all limiters that run write what they are doing into their logs, and end.
+func (r *rig) quit() {
+	r.mu.Lock()
+	r.closing = true
+	for _, p := range r.all {
+		if p.up && !p.stopped {
+			p.cmd.Process.Signal(syscall.SIGQUIT)
+		}
+	}
+	r.mu.Unlock()
+	for _, p := range r.all {
+		select {
+		case <-p.done:
+		case <-time.After(2 * time.Second): // it is stopped, or hangs
+		}
+	}
+}
+
 // close ends all that was started.
 func (r *rig) close() {
 	r.clients.Wait()
--- a/internal/faults/steps.go
+++ b/internal/faults/steps.go
@@ -51,12 +51,16 @@
 	return name
 }
 
+// watch notes whether parts of ceilings were seen to be moved.
+func (r *rig) watch(s *ownership.Status) { r.result.Moved = max(r.result.Moved, s.Moved) }
+
 // planNow is the rollout, by whoever knows the most of it; nil: none is under way.
 func (r *rig) planNow() (p *rollout.Plan, known bool) {
 	var applied uint64
 	for _, x := range r.all {
 		var s ownership.Status
 		if r.runs(x) && r.ask(x, "status", nil, &s) == nil && s.Applied >= applied {
+			r.watch(&s)
 			p, applied, known = s.Rollout, s.Applied, true
 		}
 	}
@@ -436,6 +440,7 @@
 		if r.ask(p, "status", nil, &s) != nil {
 			return false
 		}
+		r.watch(&s)
 		if s.Failed != "" {
 			continue // it takes no part
 		}
--- a/internal/ownership/calls.go
+++ b/internal/ownership/calls.go
@@ -76,6 +76,8 @@
 		x := s.o.Limiter.Standing()
 		x.Fleet = s.fleet()
 		return show(x)
+	case "asked":
+		return show(Asked{s.fleet(), s.me.Start, s.o.Limiter.Asked()})
 	case "status":
 		return show(s.Status())
 	case "owners":
--- /dev/null
+++ b/internal/ownership/ceilings.go
@@ -0,0 +1,155 @@
+package ownership
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"time"
+
+	"example.org/madderdrum/parts"
+)
+
+const (
+	dealEvery  = time.Second
+	learnFor   = 2 * time.Second
+	mostAnswer = 8 << 20 // bytes
+)
+
+// Asked is what a limiter tells a steward of its accounts with ceilings.
+type Asked struct {
+	Fleet string
+	Start uint64
+	Of    []parts.Report
+}
+
+// hold has the limiter use the parts of ceilings that are agreed on, and confirms those that
+// it uses less of. Until this process knows what was agreed on before, it uses its floors.
+func (s *Service) hold(ctx context.Context) {
+	var used map[uint64]float64 // for builds that are broken on purpose
+	var known, seen uint64      // resets of the machine until which this process knows all; changes that it has acted on
+	if s.o.Steward {
+		s.o.Limiter.Hold(nil, float64(parts.Floor)/parts.Equal)
+	}
+	ticker := time.NewTicker(learnFor / 4) // a confirm may have been lost
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.dealt:
+		case <-ticker.C:
+		}
+		resets, changes, due := s.machine.parts()
+		if resets != known {
+			if known != 0 || s.o.Steward {
+				s.o.Limiter.Hold(nil, float64(parts.Floor)/parts.Equal)
+			}
+			ctx, done := context.WithTimeout(ctx, learnFor)
+			err := s.host.Read(ctx)
+			done()
+			if err != nil {
+				continue
+			}
+			known, seen = resets, 0
+			continue // with what is known now
+		}
+		if !due && changes == seen {
+			continue
+		}
+		var of map[uint64]float64
+		var rest float64
+		var confirm parts.Confirm
+		s.machine.look(func(st *state) {
+			of, rest = st.Parts.Parts(s.position)
+			confirm, due = st.Parts.Due(s.position)
+			resets, changes = s.machine.resets, s.machine.changes
+		})
+		if resets != known {
+			continue
+		}
+		if broken("hold") {
+			for id, x := range of {
+				of[id] = max(x, used[id])
+			}
+			used = of
+		}
+		s.o.Limiter.Hold(of, rest)
+		seen = changes
+		if due {
+			ctx, done := context.WithTimeout(ctx, proposeFor)
+			if err := s.propose(ctx, entry{Parts: &parts.Command{Confirm: &confirm}}); err != nil {
+				s.log.Debug("a part was not confirmed", "err", err)
+			}
+			done()
+		}
+	}
+}
+
+// deal moves parts of ceilings while this limiter is their steward.
+func (s *Service) deal(ctx context.Context) {
+	ticker := time.NewTicker(dealEvery)
+	defer ticker.Stop()
+	var steward *parts.Steward
+	var epoch uint64
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		t, owns := s.owns(parts.Duty)
+		if !owns {
+			steward = nil
+			continue
+		}
+		if steward == nil || epoch != t.Epoch {
+			steward, epoch = parts.NewSteward(len(s.o.Limiters)), t.Epoch
+		}
+		var deals []parts.Deal
+		if s.o.Steward {
+			s.askAll(ctx, steward)
+			s.machine.look(func(st *state) { deals = steward.Next(&st.Parts) })
+		} else {
+			s.machine.look(func(st *state) { deals = st.Parts.Back() })
+		}
+		limiters := 0
+		s.machine.look(func(st *state) { limiters = st.Parts.Limiters })
+		if len(deals) == 0 && (limiters == 0 || limiters == len(s.o.Limiters)) {
+			continue
+		}
+		ctx, done := context.WithTimeout(ctx, proposeFor)
+		err := s.propose(ctx, entry{Parts: &parts.Command{Epoch: t.Epoch, Limiters: len(s.o.Limiters), Deals: deals}})
+		done()
+		s.log.Debug("parts were dealt", "accounts", len(deals), "token", t.String(), "err", err)
+	}
+}
+
+// askAll has the steward hear what all limiters were asked for.
+func (s *Service) askAll(ctx context.Context, steward *parts.Steward) {
+	var mu sync.Mutex
+	var tasks sync.WaitGroup
+	for position, name := range s.o.Limiters {
+		addr := s.o.Admins[name]
+		if addr == "" {
+			continue
+		}
+		tasks.Go(func() {
+			var x Asked
+			answer, err := call(ctx, addr, Name+" asked")
+			if err == nil {
+				err = json.Unmarshal([]byte(answer), &x)
+			}
+			if err == nil && x.Fleet != s.fleet() {
+				err = fmt.Errorf("it is in fleet %q", x.Fleet)
+			}
+			if err != nil {
+				return // what it holds stays with it
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			steward.Observe(position, x.Start, x.Of)
+		})
+	}
+	tasks.Wait()
+}
--- a/internal/ownership/conduct.go
+++ b/internal/ownership/conduct.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"strconv"
 	"strings"
@@ -120,7 +121,7 @@
 	if _, err := fmt.Fprintln(c, line); err != nil {
 		return "", err
 	}
-	answer, err := bufio.NewReader(c).ReadString('\n')
+	answer, err := bufio.NewReader(io.LimitReader(c, mostAnswer)).ReadString('\n')
 	if err != nil {
 		return "", fmt.Errorf("no answer to %q: %w", line, err)
 	}
--- a/internal/ownership/machine.go
+++ b/internal/ownership/machine.go
@@ -9,6 +9,7 @@
 	"slices"
 	"sync"
 
+	"example.org/madderdrum/parts"
 	"example.org/madderdrum/rollout"
 	"example.org/madderdrum/tenure"
 )
@@ -17,17 +18,25 @@
 type entry struct {
 	Term    *tenure.Command  `json:",omitempty"`
 	Rollout *rollout.Command `json:",omitempty"`
+	Parts   *parts.Command   `json:",omitempty"`
 }
 
 // machine is what the log's entries change.
 type machine struct {
+	limiters int  // of the fleet
+	steward  bool // parts of ceilings may move: what the lost majority dealt is not known
+	position int
+
 	mu sync.Mutex
 	state
+	resets  uint64 // how often nothing was known any more
+	changes uint64 // of parts
 }
 
 type state struct {
 	Terms    tenure.Registry
 	Rollouts rollout.Book
+	Parts    parts.Book
 }
 
 // Apply implements agreement.Machine.
@@ -43,6 +52,9 @@
 		return m.Terms.Apply(*e.Term)
 	case e.Rollout != nil:
 		return m.Rollouts.Apply(*e.Rollout, m.Terms.Current(rollout.Duty))
+	case e.Parts != nil:
+		m.changes++
+		return m.Parts.Apply(*e.Parts, m.Terms.Current(parts.Duty))
 	}
 	return nil // of a later build: it means nothing here
 }
@@ -65,6 +77,10 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.state = s
+	m.changes++
+	if data == nil {
+		m.resets++
+	}
 	return nil
 }
 
@@ -73,6 +89,19 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.Terms.BeginAnew(generation)
+	if m.steward || m.Parts.Limiters > 0 {
+		m.Parts.BeginAnew(m.limiters)
+		m.changes++
+	}
+}
+
+// parts tells how often nothing was known any more, how often parts have changed, and whether
+// this limiter has one to confirm.
+func (m *machine) parts() (resets, changes uint64, due bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	_, due = m.Parts.Due(m.position)
+	return m.resets, m.changes, due
 }
 
 // look has the state looked at; it must not be kept.
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sys/unix"
 
 	"example.org/madderdrum/internal/agreement"
+	"example.org/madderdrum/parts"
 	"example.org/madderdrum/rollout"
 	"example.org/madderdrum/tenure"
 )
@@ -33,6 +34,9 @@
 	Leave()
 	// Standing is how it is doing.
 	Standing() Standing
+	// Asked is what was asked for of accounts with ceilings, Hold how much of those it may use.
+	Asked() []parts.Report
+	Hold(of map[uint64]float64, rest float64)
 }
 
 // Standing is how a limiter is doing, as it says itself.
@@ -52,6 +56,7 @@
 	Terms     tenure.Settings
 	Limiters  []string          // all of the fleet
 	Admins    map[string]string // where operators call them
+	Steward   bool              // parts of ceilings move; else they go back to equal ones
 	Limiter   Limiter
 	Log       *slog.Logger
 }
@@ -69,21 +74,25 @@
 	owned     map[string]uint64 // epochs, for the log
 	news      chan struct{}
 
+	position int           // among all limiters
+	dealt    chan struct{} // parts may have changed
+
 	gate    sync.Mutex // round the effects of others
 	fence   *tenure.Fence
 	current bool // this process has caught up with what was agreed on before it started
 }
 
 // Duties are those that limiters are candidates for.
-func Duties() []string { return []string{rollout.Duty} }
+func Duties() []string { return []string{parts.Duty, rollout.Duty} }
 
 // Open opens the folder and listens; Run takes part.
 func Open(o Options) (*Service, error) {
 	if err := o.Terms.Check(); err != nil {
 		return nil, err
 	}
-	s := &Service{o: o, log: o.Log, machine: &machine{}, owned: map[string]uint64{}, news: make(chan struct{}, 1),
+	s := &Service{o: o, log: o.Log, machine: &machine{limiters: len(o.Limiters), steward: o.Steward, position: slices.Index(o.Limiters, o.Agreement.Name)}, dealt: make(chan struct{}, 1), owned: map[string]uint64{}, news: make(chan struct{}, 1),
 		me: tenure.Process{Limiter: o.Agreement.Name, Start: rand.Uint64() | 1}}
+	s.position = s.machine.position
 	s.candidate = tenure.NewCandidate(s.me, o.Terms, Duties(), o.Limiters)
 	a := o.Agreement
 	a.Machine, a.Changed, a.Log = s.machine, s.changed, o.Log
@@ -119,6 +128,8 @@
 	})
 	tasks.Go(func() { s.keep(inner) })
 	tasks.Go(func() { s.conduct(ctx, inner) })
+	tasks.Go(func() { s.hold(inner) })
+	tasks.Go(func() { s.deal(inner) })
 	select {
 	case <-ctx.Done():
 		s.leave(inner)
@@ -146,9 +157,11 @@
 		}
 	}
 	s.mu.Unlock()
-	select {
-	case s.news <- struct{}{}:
-	default:
+	for _, c := range []chan struct{}{s.news, s.dealt} {
+		select {
+		case c <- struct{}{}:
+		default:
+		}
 	}
 }
 
@@ -319,6 +332,9 @@
 	SentBytes  int64
 	Received   int64
 	Rollout    *rollout.Plan `json:",omitempty"`
+	Moved      int           // accounts of which parts of the ceiling are not equal
+	UnderWay   int           // of them, where a limiter has still to confirm that it uses less
+	Unsure     []string      `json:",omitempty"` // limiters of which is not known yet what they hold, after the fleet was begun anew
 }
 
 // fleet is the number of the fleet that this limiter is in, in hexadecimal; empty: none.
@@ -334,6 +350,14 @@
 	a := s.host.Status()
 	st := Status{Limiter: s.me.Limiter, Fleet: s.fleet(), Generation: a.Generation, Leader: a.Roster.Members[a.Leader],
 		Term: a.Term, Applied: a.Applied, Silent: a.Silent, Failed: a.Failed, Sent: a.Sent, SentBytes: a.SentBytes, Received: a.Received, Rollout: s.machine.plan()}
+	s.machine.look(func(x *state) {
+		st.Moved, st.UnderWay = x.Parts.Moved()
+		for _, i := range x.Parts.Unsure {
+			if i < len(s.o.Limiters) {
+				st.Unsure = append(st.Unsure, s.o.Limiters[i])
+			}
+		}
+	})
 	for id, name := range a.Roster.Members {
 		m := Member{Limiter: name, Member: fmt.Sprintf("%016x", id), Votes: slices.Contains(a.Voters, id), Leads: id == a.Leader}
 		want, wanted := a.Roster.Wanted[name]
--- a/parts/book.go
+++ b/parts/book.go
@@ -14,6 +14,9 @@
 	"slices"
 )
 
+// Duty is the duty under which parts are dealt.
+const Duty = "parts"
+
 const (
 	// Equal is an equal part; parts are counted in thousandths of one.
 	Equal = 1000
@@ -213,3 +216,27 @@
 	}
 	return Confirm{}, false
 }
+
+// Back are deals that make all parts equal again.
+func (b *Book) Back() (deals []Deal) {
+	for id, h := range b.Accounts {
+		equal := slices.Repeat([]uint32{Equal}, h.Spread)
+		if to := h.Next; len(deals) < mostDeals && !slices.Equal(to, equal) && (to != nil || !slices.Equal(h.Now, equal)) {
+			deals = append(deals, Deal{id, h.First, h.Spread, equal})
+		}
+	}
+	return deals
+}
+
+// Moved are the accounts of which parts are not equal, and of which some are on their way.
+func (b *Book) Moved() (moved, underWay int) {
+	for _, h := range b.Accounts {
+		if h.Next != nil {
+			underWay++
+		}
+		if h.Next != nil || slices.ContainsFunc(h.Now, func(x uint32) bool { return x != Equal }) {
+			moved++
+		}
+	}
+	return moved, underWay
+}
--- a/parts/steward.go
+++ b/parts/steward.go
@@ -12,7 +12,8 @@
 	remembered = 0.9
 	// A deal is not worth its place in the log if less of the ceiling moves.
 	leastMoved = 0.1
-	mostDeals  = 250 // a round
+	mostDeals  = 250 // a round, and of no more parts than this
+	mostParts  = 10_000
 	// Where an equal part holds the account's largest request so often, parts stay equal.
 	enough = 2
 	// A part holds the account's largest request with this to spare.
@@ -119,8 +120,12 @@
 		return cmp.Or(cmp.Compare(b.moved, a.moved), cmp.Compare(a.Account, b.Account))
 	})
 	var deals []Deal
-	for _, w := range all[:min(len(all), mostDeals)] {
-		deals = append(deals, w.Deal)
+	for n := 0; len(deals) < len(all) && len(deals) < mostDeals; {
+		d := all[len(deals)].Deal
+		if n += d.Spread; n > mostParts {
+			break
+		}
+		deals = append(deals, d)
 	}
 	return deals
 }
