--- /dev/null
+++ b/internal/faults/race_test.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package faults
+
+const underRace = true
--- /dev/null
+++ b/internal/ownership/ownership_test.go
@@ -0,0 +1,199 @@
+package ownership
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"example.org/madderdrum/internal/agreement"
+	"example.org/madderdrum/parts"
+	"example.org/madderdrum/rollout"
+	"example.org/madderdrum/tenure"
+)
+
+// stub is a limiter that notes what it is called for.
+type stub struct {
+	mu    sync.Mutex
+	calls []string
+	rest  float64
+	of    map[uint64]float64
+}
+
+func (s *stub) note(what string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls = append(s.calls, what)
+}
+
+func (s *stub) Drain() error          { s.note("drain"); return nil }
+func (s *stub) Resume() error         { s.note("resume"); return nil }
+func (s *stub) Leave()                { s.note("leave") }
+func (s *stub) Standing() Standing    { return Standing{Ready: true} }
+func (s *stub) Asked() []parts.Report { return nil }
+func (s *stub) said() (calls []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append(calls, s.calls...)
+}
+func (s *stub) Hold(of map[uint64]float64, rest float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.of, s.rest = of, rest
+}
+
+// alone is a fleet of one limiter, in a folder.
+func alone(t *testing.T, folder string, steward bool) (s *Service, l *stub, stop func()) {
+	t.Helper()
+	l = &stub{rest: -1}
+	log := slog.New(slog.DiscardHandler)
+	s, err := Open(Options{Agreement: agreement.Options{Label: "f", Name: "n0", Folder: folder, Listen: "127.0.0.1:0", Voters: []string{"n0"}, Peers: map[string]string{"n0": "127.0.0.1:1"}},
+		Terms: tenure.DefaultSettings(), Limiters: []string{"n0"}, Admins: map[string]string{}, Steward: steward, Limiter: l, Log: log})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, end := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- s.Run(ctx) }()
+	return s, l, func() {
+		end()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+// ask makes a call as one on the operators' address.
+func ask(s *Service, line, body string) string {
+	here, there := net.Pipe()
+	go func() {
+		defer there.Close()
+		s.Serve(strings.Fields(line)[1:], there, bufio.NewReaderSize(strings.NewReader(body), 128))
+	}()
+	b, _ := io.ReadAll(here)
+	return strings.TrimSpace(string(b))
+}
+
+func until(t *testing.T, what string, so func() bool) {
+	t.Helper()
+	for limit := time.Now().Add(20 * time.Second); !so(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(limit) {
+			t.Fatal(what)
+		}
+	}
+}
+
+// Calls of conductors are carried out under tokens that hold, for the process and the fleet
+// that they name; what was seen of tokens is still known after a restart.
+func TestCallsOfConductors(t *testing.T) {
+	folder := t.TempDir()
+	s, l, stop := alone(t, folder, false)
+	until(t, "no fleet was begun", func() bool { return ask(s, "fleet init", `{"Voters":["n0"]}`+"\n") == "YES" })
+	until(t, "nobody owns the duty", func() bool { _, owns := s.owns(rollout.Duty); return owns })
+	call := func(verb string, epoch, start uint64, fleet string) string {
+		return ask(s, fmt.Sprintf("fleet %s rollout/%d %d %s", verb, epoch, start, fleet), "")
+	}
+	token, _ := s.owns(rollout.Duty)
+	later := token.Epoch + 5
+	for _, x := range []struct{ got, want string }{
+		{call("drain", token.Epoch, s.Start(), s.fleet()), "YES"},
+		{call("resume", later, s.Start(), s.fleet()), "YES"},
+		{call("drain", token.Epoch, s.Start(), s.fleet()), "NO"},
+		{call("leave", later, s.Start()+1, s.fleet()), "NO it means process"},
+		{call("drain", later, s.Start(), "0123456789abcdef"), "NO it comes from fleet"},
+		{ask(s, "fleet drain parts/9 1 "+s.fleet(), ""), "NO token parts/9 is not one of rollouts"},
+		{ask(s, "fleet drain rollout/9 1", ""), "NO it needs a token, a process and a fleet"},
+		{ask(s, "fleet drain rollout 1 x", ""), "NO"},
+		{ask(s, "fleet drain rollout/9 many "+s.fleet(), ""), "NO process"},
+		{ask(s, "fleet", ""), "NO fleet what?"},
+		{ask(s, "fleet dance", ""), "NO there is no call fleet"},
+		{ask(s, "fleet add", ""), "NO a line of JSON was to follow"},
+		{ask(s, "fleet add", "nonsense\n"), "NO a line of JSON was to follow"},
+		{ask(s, "fleet add", `{"Limiter":"n9"}`+"\n"), `NO there is no limiter "n9"`},
+		{ask(s, "fleet add", strings.Repeat("x", 1<<20)), "NO a line of JSON was to follow"},
+		{ask(s, "fleet remove", `{"Limiter":"n0"}`+"\n"), "NO n0 is the last voter"},
+		{ask(s, "fleet transfer", `{"Limiter":"n0","Duty":"tea"}`+"\n"), `NO there is no duty "tea"`},
+		{ask(s, "fleet resign", `{"Duty":"tea"}`+"\n"), `NO n0 does not own "tea"`},
+		{ask(s, "fleet roll", "{}\n"), "NO it needs a plan"},
+		{ask(s, "fleet continue", "{}\n"), "NO no rollout is under way"},
+		{ask(s, "fleet init", `{"Voters":["n0"]}`+"\n"), "NO"},
+	} {
+		if !strings.HasPrefix(x.got, x.want) {
+			t.Errorf("answered %q, want %q", x.got, x.want)
+		}
+	}
+	if got := fmt.Sprint(l.said()); got != "[drain resume]" {
+		t.Errorf("carried out %s", got)
+	}
+	stop()
+	s, l, stop = alone(t, folder, false)
+	defer stop()
+	until(t, "it knows its fleet no more", func() bool { return s.fleet() != "" && s.Status().Leader == "n0" })
+	if a := call("drain", later-1, s.Start(), s.fleet()); !strings.HasPrefix(a, "NO") || len(l.said()) > 0 {
+		t.Errorf("after a restart an old token was answered %q", a)
+	}
+	if a := call("drain", later, s.Start(), s.fleet()); a != "YES" {
+		t.Errorf("after a restart the latest token was answered %q", a)
+	}
+}
+
+// A limiter under a steward uses its floor until it knows what is agreed on.
+func TestFloorUntilCaughtUp(t *testing.T) {
+	s, l, stop := alone(t, t.TempDir(), true)
+	defer stop()
+	rest := func() float64 { l.mu.Lock(); defer l.mu.Unlock(); return l.rest }
+	until(t, "nothing was held", func() bool { return rest() >= 0 })
+	if rest() != 0.1 {
+		t.Errorf("in no fleet it holds %g", rest())
+	}
+	until(t, "no fleet was begun", func() bool { return ask(s, "fleet init", `{"Voters":["n0"]}`+"\n") == "YES" })
+	until(t, "it never held equal parts", func() bool { return rest() == 1 })
+	if s.machine.beginAnew(1); s.Status().Unsure == nil {
+		t.Error("begun anew, it is sure of what all hold")
+	}
+	until(t, "it did not tell that it uses its floor", func() bool { return s.Status().Unsure == nil })
+}
+
+// What can't be read is refused, and what a later build wrote changes nothing.
+func TestMachine(t *testing.T) {
+	var m machine
+	if m.Apply([]byte("{")) == nil {
+		t.Error("half an entry was taken")
+	}
+	if err := m.Apply([]byte(`{"Tea":1}`)); err != nil {
+		t.Error(err)
+	}
+	if m.Restore([]byte("{")) == nil {
+		t.Error("half a snapshot was taken")
+	}
+	take := `{"Term":{"Kind":"take","By":{"Limiter":"a","Start":1},"Duty":"parts","Mine":1}}`
+	if err := m.Apply([]byte(take)); err != nil {
+		t.Fatal(err)
+	}
+	deal := func(epoch int) error {
+		return m.Apply(fmt.Appendf(nil, `{"Parts":{"Epoch":%d,"Limiters":2,"Deals":[{"Account":5,"First":0,"Spread":2,"To":[1900,100]}]}}`, epoch))
+	}
+	if deal(9) == nil {
+		t.Error("a deal under an epoch that is none was taken")
+	}
+	if err := deal(int(m.Terms.Current(parts.Duty))); err != nil {
+		t.Error(err)
+	}
+	b, err := m.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var o machine
+	if err := o.Restore(b); err != nil {
+		t.Fatal(err)
+	}
+	if moved, way := o.Parts.Moved(); moved != 1 || way != 1 || o.Terms.Current(parts.Duty) != m.Terms.Current(parts.Duty) {
+		t.Errorf("%d moved, %d on their way; %+v", moved, way, o.Terms)
+	}
+}
