--- a/internal/faults/rig.go
+++ b/internal/faults/rig.go
@@ -250,25 +250,29 @@
 	if err := cmd.Start(); err != nil {
 		return fmt.Errorf("faults: start the program: %w", err)
 	}
-	done := make(chan struct{})
+	done, begun := make(chan struct{}), time.Now()
 	p.cmd, p.done, p.killed, p.stopped, p.up = cmd, done, false, false, true
 	r.guards.Go(func() {
 		defer close(done)
 		cmd.Wait()
-		r.ended(p, cmd.ProcessState.ExitCode())
+		r.ended(p, cmd.ProcessState.ExitCode(), time.Since(begun))
 	})
 	return nil
 }
 
 // ended is what a supervisor does about a process that has ended: one that ended by itself
-// and well is started again. One that failed stays down, and breaks the schedule.
-func (r *rig) ended(p *process, code int) {
+// and well is started again. One that failed, or hardly began, stays down, and breaks the
+// schedule.
+func (r *rig) ended(p *process, code int, lived time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	p.up = false
 	if p.killed || r.closing {
 		return
 	}
+	if lived < leastLife {
+		code = endedAtOnce
+	}
 	r.exits = append(r.exits, Exit{p.n, time.Since(r.net.begun), code})
 	if code == 0 {
 		if err := r.startLocked(p); err != nil {
@@ -277,6 +281,23 @@
 	}
 }
 
+const (
+	leastLife   = 100 * time.Millisecond
+	endedAtOnce = -2 // in place of an exit code
+)
+
+// failed is what the first process wrote last that did not stay up; empty: all do.
+func (r *rig) failed() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.exits) == 0 {
+		return ""
+	}
+	p := r.all[r.exits[0].Limiter]
+	text, _ := os.ReadFile(p.log.Name())
+	return fmt.Sprintf("%s ended when it was to begin, its last words are %q", p.name, lastLine(string(text)))
+}
+
 // signal sends one to a limiter's process.
 func (r *rig) signal(p *process, s syscall.Signal) {
 	r.mu.Lock()
@@ -362,9 +383,16 @@
 	for j := range r.o.Voters {
 		voters = append(voters, fmt.Sprint("n", j))
 	}
-	if err := r.until(ctx, "a first limiter that answers", func() bool { return r.ask(first, "status", nil, &ownership.Status{}) == nil }); err != nil {
+	var failed string
+	if err := r.until(ctx, "a first limiter that answers", func() bool {
+		failed = r.failed()
+		return failed != "" || r.ask(first, "status", nil, &ownership.Status{}) == nil
+	}); err != nil {
 		return err
 	}
+	if failed != "" {
+		return fmt.Errorf("faults: %s", failed)
+	}
 	if err := r.ask(first, "init", &ownership.Request{Voters: voters}, nil); err != nil {
 		return fmt.Errorf("faults: begin the fleet: %w", err)
 	}
