--- a/internal/ownership/ownership_test.go
+++ b/internal/ownership/ownership_test.go
@@ -177,7 +177,7 @@
 		t.Fatal(err)
 	}
 	deal := func(epoch int) error {
-		return m.Apply(fmt.Appendf(nil, `{"Parts":{"Epoch":%d,"Limiters":2,"Deals":[{"Account":5,"First":0,"Spread":2,"To":[1900,100]}]}}`, epoch))
+		return m.Apply(fmt.Appendf(nil, `{"Parts":{"Epoch":%d,"Limiters":2,"Deals":[{"Account":5,"First":0,"Spread":2,"To":[2,0,1900]}]}}`, epoch))
 	}
 	if deal(9) == nil {
 		t.Error("a deal under an epoch that is none was taken")
--- a/parts/book.go
+++ b/parts/book.go
@@ -9,6 +9,7 @@
 package parts
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
 	"slices"
@@ -25,21 +26,60 @@
 	Floor = 100
 	// mostAccounts bounds what is agreed on; others stay with equal parts.
 	mostAccounts = 4000
+	mostLimiters = 10_000
 )
 
+// Shares are parts by place. Most are floors, which are not written out.
+type Shares []uint32
+
+// MarshalJSON writes how many there are, and the place and part of each that is no floor.
+func (s Shares) MarshalJSON() ([]byte, error) {
+	flat := []uint32{uint32(len(s))}
+	for k, x := range s {
+		if x != Floor {
+			flat = append(flat, uint32(k), x)
+		}
+	}
+	return json.Marshal(flat)
+}
+
+// UnmarshalJSON reads that.
+func (s *Shares) UnmarshalJSON(data []byte) error {
+	var flat []uint32
+	if err := json.Unmarshal(data, &flat); err != nil {
+		return err
+	}
+	if len(flat) == 0 {
+		*s = nil
+		return nil
+	}
+	if len(flat)%2 == 0 || flat[0] > mostLimiters {
+		return errors.New("parts by place that are cut off, or too many")
+	}
+	all := slices.Repeat(Shares{Floor}, int(flat[0]))
+	for k := 1; k < len(flat); k += 2 {
+		if flat[k] >= flat[0] {
+			return fmt.Errorf("place %d of %d", flat[k], flat[0])
+		}
+		all[flat[k]] = flat[k+1]
+	}
+	*s = all
+	return nil
+}
+
 // Held is what the limiters of one account hold of its ceiling.
 type Held struct {
-	First, Spread int      // its limiters: Spread of them, from First on, round the end
-	Now           []uint32 // what each counts as holding, by place from First on
-	Next          []uint32 `json:",omitempty"` // what each is to hold; nil: as it is
-	Version       uint64   // of the deal that Next comes from
+	First, Spread int    // its limiters: Spread of them, from First on, round the end
+	Now           Shares // what each counts as holding, by place from First on
+	Next          Shares `json:",omitempty"` // what each is to hold; nil: as it is
+	Version       uint64 // of the deal that Next comes from
 }
 
 // Deal is what the limiters of an account are to hold.
 type Deal struct {
 	Account       uint64
 	First, Spread int
-	To            []uint32 // by place, from First on
+	To            Shares // by place, from First on
 }
 
 // Confirm tells that a limiter has used no more than it is to hold since all deals up to a version.
@@ -118,7 +158,7 @@
 		if b.Accounts == nil {
 			b.Accounts = map[uint64]*Held{}
 		}
-		h = &Held{First: d.First, Spread: d.Spread, Now: slices.Repeat([]uint32{Equal}, d.Spread)}
+		h = &Held{First: d.First, Spread: d.Spread, Now: slices.Repeat(Shares{Equal}, d.Spread)}
 		b.Accounts[d.Account] = h
 	case h.First != d.First || h.Spread != d.Spread:
 		return // it came through other limiters when it was dealt first
@@ -220,7 +260,7 @@
 // Back are deals that make all parts equal again.
 func (b *Book) Back() (deals []Deal) {
 	for id, h := range b.Accounts {
-		equal := slices.Repeat([]uint32{Equal}, h.Spread)
+		equal := slices.Repeat(Shares{Equal}, h.Spread)
 		if to := h.Next; len(deals) < mostDeals && !slices.Equal(to, equal) && (to != nil || !slices.Equal(h.Now, equal)) {
 			deals = append(deals, Deal{id, h.First, h.Spread, equal})
 		}
--- a/parts/steward.go
+++ b/parts/steward.go
@@ -12,8 +12,7 @@
 	remembered = 0.9
 	// A deal is not worth its place in the log if less of the ceiling moves.
 	leastMoved = 0.1
-	mostDeals  = 250 // a round, and of no more parts than this
-	mostParts  = 10_000
+	mostDeals  = 250 // a round
 	// Where an equal part holds the account's largest request so often, parts stay equal.
 	enough = 2
 	// A part holds the account's largest request with this to spare.
@@ -120,12 +119,8 @@
 		return cmp.Or(cmp.Compare(b.moved, a.moved), cmp.Compare(a.Account, b.Account))
 	})
 	var deals []Deal
-	for n := 0; len(deals) < len(all) && len(deals) < mostDeals; {
-		d := all[len(deals)].Deal
-		if n += d.Spread; n > mostParts {
-			break
-		}
-		deals = append(deals, d)
+	for _, w := range all[:min(len(all), mostDeals)] {
+		deals = append(deals, w.Deal)
 	}
 	return deals
 }
@@ -133,11 +128,11 @@
 // share divides an account's ceiling. In the order of what arrives at them, limiters get what
 // their largest request takes at once: with less a part passes nothing, and is lost to the
 // others. What is left goes by what arrives.
-func (d *demand) share(sum float64) []uint32 {
+func (d *demand) share(sum float64) Shares {
 	if enough*d.Largest <= d.Burst/float64(d.Spread) {
-		return slices.Repeat([]uint32{Equal}, d.Spread) // to move costs what is under way, and gains nothing
+		return slices.Repeat(Shares{Equal}, d.Spread) // to move costs what is under way, and gains nothing
 	}
-	to := slices.Repeat([]uint32{Floor}, d.Spread)
+	to := slices.Repeat(Shares{Floor}, d.Spread)
 	left := float64((Equal - Floor) * d.Spread)
 	need := math.Ceil(spare*d.Largest/d.Burst*float64(Equal*d.Spread)) - Floor
 	order := make([]int, d.Spread)
--- a/parts/steward_test.go
+++ b/parts/steward_test.go
@@ -1,6 +1,8 @@
 package parts
 
 import (
+	"encoding/json"
+	"slices"
 	"strings"
 	"testing"
 )
@@ -62,3 +64,20 @@
 		t.Errorf("%v", s.accounts)
 	}
 }
+
+// Parts are written without their floors, and what can't be parts is refused.
+func TestShares(t *testing.T) {
+	for want, s := range map[string]Shares{"[4,1,2800]": {Floor, 2800, Floor, Floor}, "[2,0,1000,1,1000]": {Equal, Equal}, "[1]": {Floor}} {
+		b, err := json.Marshal(s)
+		var back Shares
+		if err != nil || string(b) != want || json.Unmarshal(b, &back) != nil || !slices.Equal(back, s) {
+			t.Errorf("%v is written as %s and read as %v, %v", s, b, back, err)
+		}
+	}
+	for _, bad := range []string{"[2,0]", "[2,2,1000]", "[4000000000]", "7", "[-1]", `["x"]`} {
+		var s Shares
+		if json.Unmarshal([]byte(bad), &s) == nil {
+			t.Errorf("%s is taken for %v", bad, s)
+		}
+	}
+}
