--- a/cmd/madderdrum/faults.go
+++ b/cmd/madderdrum/faults.go
@@ -78,7 +78,7 @@
 	var tasks sync.WaitGroup
 	var gaps []time.Duration
 	var failed error
-	calls, requests, ceiling, moved, played, broken := 0, 0, 0, 0, 0, 0
+	calls, requests, ceiling, moved, terms, played, broken := 0, 0, 0, 0, 0, 0, 0
 	slots := make(chan struct{}, c.Parallel)
 	for _, p := range plays {
 		slots <- struct{}{}
@@ -102,6 +102,7 @@
 			}
 			played++
 			calls, requests, gaps = calls+len(r.Calls), requests+r.Requests, append(gaps, r.Gaps...)
+			terms = max(terms, r.Terms)
 			ceiling, moved = ceiling+r.Ceiling, moved+r.Moved
 			if len(r.Broken) > 0 {
 				broken++
@@ -119,6 +120,7 @@
 	}
 	tasks.Wait()
 	fmt.Printf("%d schedules, %d calls between limiters, %d requests carried out by boxes, %d of them under the ceiling, whose parts moved in %d; %d broken\n", played, calls, requests, ceiling, moved, broken)
+	fmt.Printf("terms of a duty begun: %d at most\n", terms)
 	if len(gaps) > 0 {
 		slices.Sort(gaps)
 		fmt.Printf("without an owner, %d times: median %.2f s, worst %.2f s\n", len(gaps), gaps[len(gaps)/2].Seconds(), gaps[len(gaps)-1].Seconds())
