Accounts that are asked for no more leave the book of parts

Found on reading the change again: an account stayed in the book for ever, also with equal parts, so that after 4,000 accounts none could be dealt any more, and each limiter kept an entry of each. Equal parts are no entry now; what was asked for nothing in 60 rounds goes back to them, which a steward that has just begun does not do yet.

--- a/internal/ownership/ceilings.go
+++ b/internal/ownership/ceilings.go
@@ -111,7 +111,7 @@
 			s.askAll(ctx, steward)
 			s.machine.look(func(st *state) { deals = steward.Next(&st.Parts) })
 		} else {
-			s.machine.look(func(st *state) { deals = st.Parts.Back() })
+			s.machine.look(func(st *state) { deals = st.Parts.Back(func(uint64) bool { return true }) })
 		}
 		limiters := 0
 		s.machine.look(func(st *state) { limiters = st.Parts.Limiters })
--- a/limiter/parts.go
+++ b/limiter/parts.go
@@ -70,8 +70,8 @@
 		l.parts[id] = was(id).becomes(now, x)
 	}
 	for id, p := range old { // back among the rest, but for what it has saved up
-		if _, ok := l.parts[id]; !ok {
-			l.parts[id] = p.becomes(now, e.Rest)
+		if x := p.becomes(now, e.Rest); !has(e.Of, id) && (now-x.grew <= forgetMs || x.less != l.others.less) {
+			l.parts[id] = x
 		}
 	}
 	for _, c := range l.listed {
@@ -83,6 +83,11 @@
 	}
 }
 
+func has(of map[uint64]float64, id uint64) bool {
+	_, ok := of[id]
+	return ok
+}
+
 func (l *Limiter) partOf(id uint64) part {
 	if p, ok := l.parts[id]; ok {
 		return p
--- a/parts/book.go
+++ b/parts/book.go
@@ -164,11 +164,12 @@
 		return // it came through other limiters when it was dealt first
 	}
 	h.Next, h.Version = d.To, b.Version
-	b.raise(h)
+	b.raise(d.Account, h)
 }
 
 // raise gives what is free to those that are to hold more.
-func (b *Book) raise(h *Held) {
+// An account whose parts are equal again is as one that was never dealt.
+func (b *Book) raise(id uint64, h *Held) {
 	free := uint32(h.Spread) * Equal
 	for _, x := range h.Now {
 		free -= min(free, x)
@@ -182,6 +183,9 @@
 	if slices.Equal(h.Now, h.Next) {
 		h.Next = nil
 	}
+	if h.Next == nil && !slices.ContainsFunc(h.Now, func(x uint32) bool { return x != Equal }) {
+		delete(b.Accounts, id)
+	}
 }
 
 func (b *Book) confirm(c Confirm) error {
@@ -194,13 +198,13 @@
 		}
 		return nil // all parts are equal again once all use their floors
 	}
-	for _, h := range b.Accounts {
+	for id, h := range b.Accounts {
 		if h.Next == nil || h.Version > c.Version {
 			continue
 		}
 		if k, ok := h.place(c.Position, b.Limiters); ok && h.Next[k] < h.Now[k] {
 			h.Now[k] = h.Next[k]
-			b.raise(h)
+			b.raise(id, h)
 		}
 	}
 	return nil
@@ -257,26 +261,23 @@
 	return Confirm{}, false
 }
 
-// Back are deals that make all parts equal again.
-func (b *Book) Back() (deals []Deal) {
+// Back are deals that make parts equal again, of the accounts that are meant.
+func (b *Book) Back(meant func(account uint64) bool) (deals []Deal) {
 	for id, h := range b.Accounts {
 		equal := slices.Repeat(Shares{Equal}, h.Spread)
-		if to := h.Next; len(deals) < mostDeals && !slices.Equal(to, equal) && (to != nil || !slices.Equal(h.Now, equal)) {
+		if len(deals) < mostDeals && !slices.Equal(h.Next, equal) && meant(id) {
 			deals = append(deals, Deal{id, h.First, h.Spread, equal})
 		}
 	}
 	return deals
 }
 
-// Moved are the accounts of which parts are not equal, and of which some are on their way.
+// Moved are how many accounts have parts that are not equal, and of how many some are on their way.
 func (b *Book) Moved() (moved, underWay int) {
 	for _, h := range b.Accounts {
 		if h.Next != nil {
 			underWay++
 		}
-		if h.Next != nil || slices.ContainsFunc(h.Now, func(x uint32) bool { return x != Equal }) {
-			moved++
-		}
 	}
-	return moved, underWay
+	return len(b.Accounts), underWay
 }
--- a/parts/steward.go
+++ b/parts/steward.go
@@ -13,6 +13,9 @@
 	// A deal is not worth its place in the log if less of the ceiling moves.
 	leastMoved = 0.1
 	mostDeals  = 250 // a round
+	// Parts of an account that was asked for nothing in so many rounds go back to equal ones, so
+	// that the book has room for others. A steward that has just begun has heard of none.
+	idleRounds = 60
 	// Where an equal part holds the account's largest request so often, parts stay equal.
 	enough = 2
 	// A part holds the account's largest request with this to spare.
@@ -33,6 +36,8 @@
 	limiters int
 	accounts map[uint64]*demand
 	heard    map[int]heard
+	rounds   int
+	asked    map[uint64]int // the round in which an account was last asked for
 }
 
 type heard struct {
@@ -47,7 +52,7 @@
 
 // NewSteward returns one of a fleet of so many limiters.
 func NewSteward(limiters int) *Steward {
-	return &Steward{limiters: limiters, accounts: map[uint64]*demand{}, heard: map[int]heard{}}
+	return &Steward{limiters: limiters, accounts: map[uint64]*demand{}, heard: map[int]heard{}, asked: map[uint64]int{}}
 }
 
 // Observe takes in what the limiter at a position tells. start is the number of its process:
@@ -69,7 +74,11 @@
 		d.Largest = largest
 		k := ((position-r.First)%s.limiters + s.limiters) % s.limiters
 		if k < r.Spread && was.start == start {
-			d.by[k] += max(0, r.Asked-was.asked[r.Account])
+			more := max(0, r.Asked-was.asked[r.Account])
+			d.by[k] += more
+			if more > 0 {
+				s.asked[r.Account] = s.rounds
+			}
 		}
 	}
 	s.heard[position] = now
@@ -82,6 +91,7 @@
 		moved float64
 	}
 	var all []worth
+	s.rounds++
 	for id, d := range s.accounts {
 		sum := 0.0
 		for k := range d.by {
@@ -122,6 +132,15 @@
 	for _, w := range all[:min(len(all), mostDeals)] {
 		deals = append(deals, w.Deal)
 	}
+	if s.rounds%idleRounds == 0 && len(deals) < mostDeals {
+		idle := func(id uint64) bool { return s.rounds-s.asked[id] > idleRounds }
+		deals = append(deals, b.Back(idle)...)
+		for id := range s.asked {
+			if idle(id) {
+				delete(s.asked, id)
+			}
+		}
+	}
 	return deals
 }
 
--- a/parts/steward_test.go
+++ b/parts/steward_test.go
@@ -81,3 +81,37 @@
 		}
 	}
 }
+
+// An account that is asked for no more goes back to equal parts and leaves the book; a steward
+// that has just begun takes none back of which it has not heard yet.
+func TestIdleAccountsLeaveTheBook(t *testing.T) {
+	b := &Book{}
+	rounds := func(s *Steward, n int, asked float64) {
+		for range n {
+			s.Observe(0, 7, []Report{{Account: 1, First: 0, Spread: 4, Asked: asked, Largest: 4, Burst: 12}})
+			if deals := s.Next(b); len(deals) > 0 {
+				if err := b.Apply(Command{Epoch: 1, Limiters: 4, Deals: deals}, 1); err != nil {
+					t.Fatal(err)
+				}
+			}
+			for i := range 4 {
+				b.Apply(Command{Confirm: &Confirm{Position: i, Version: b.Version}}, 1)
+			}
+		}
+	}
+	s := NewSteward(4)
+	rounds(s, 1, 0)
+	rounds(s, 1, 40)
+	if moved, _ := b.Moved(); moved != 1 {
+		t.Fatalf("%d accounts moved", moved)
+	}
+	next := NewSteward(4)
+	rounds(next, idleRounds-1, 40)
+	if moved, _ := b.Moved(); moved != 1 {
+		t.Error("a steward that has just begun took it back")
+	}
+	rounds(next, 2*idleRounds, 40)
+	if moved, _ := b.Moved(); moved != 0 || len(b.Accounts) != 0 {
+		t.Errorf("it is still in the book: %+v", b.Accounts[1])
+	}
+}
