One client of the fleet's calls, one way to ask all limiters; the rig keeps its addresses

Only a clean-up: the command, the conductor and the rig each dialled, wrote and read a call on their own, the conductor and the steward each asked all limiters; the rig read its own configuration back for an address and built its requests twice.

--- a/cmd/madderdrum/fleet.go
+++ b/cmd/madderdrum/fleet.go
@@ -3,12 +3,12 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"os"
 	"slices"
 	"strings"
@@ -90,28 +90,7 @@
 }
 
 func (f *fleetAt) callOne(addr, verb string, r *ownership.Request) (string, error) {
-	c, err := net.DialTimeout("tcp", addr, min(f.Wait, time.Second))
-	if err != nil {
-		return "", err
-	}
-	defer c.Close()
-	c.SetDeadline(time.Now().Add(f.Wait))
-	line := ownership.Name + " " + verb + "\n"
-	if r != nil {
-		b, err := json.Marshal(r)
-		if err != nil {
-			return "", err
-		}
-		line += string(b) + "\n"
-	}
-	if _, err := io.WriteString(c, line); err != nil {
-		return "", err
-	}
-	b, err := io.ReadAll(io.LimitReader(c, mostAnswer))
-	if err == nil && len(b) == 0 {
-		err = errors.New("it closed the connection with no answer")
-	}
-	return string(b), err
+	return ownership.Call(context.Background(), addr, verb, r, f.Wait)
 }
 
 // do makes a call that is answered with yes or no.
--- a/internal/faults/rig.go
+++ b/internal/faults/rig.go
@@ -53,6 +53,7 @@
 	n                   int
 	name, config        string
 	listen, admin       string
+	fleet               string // where it listens for the others
 	folder, kept        string
 	cmd                 *exec.Cmd
 	done                chan struct{}
@@ -170,11 +171,9 @@
 	r.boxes = &http.Server{Handler: http.HandlerFunc(r.box)}
 	go r.boxes.Serve(ln)
 	n := r.o.Limiters
-	var fleets []string
 	for i := range n {
 		p := &process{n: i, name: fmt.Sprint("n", i), config: filepath.Join(r.dir, fmt.Sprintf("n%d.hcl", i)), folder: filepath.Join(r.dir, "fleet", fmt.Sprint("n", i))}
-		var fleet string
-		for _, addr := range []*string{&fleet, &p.listen, &p.admin} {
+		for _, addr := range []*string{&p.fleet, &p.listen, &p.admin} {
 			var ln net.Listener
 			if *addr, ln, err = r.free(); err != nil {
 				return err
@@ -184,7 +183,6 @@
 		if p.log, err = os.Create(filepath.Join(r.dir, p.name+".log")); err != nil {
 			return fmt.Errorf("faults: %w", err)
 		}
-		fleets = append(fleets, fleet)
 		r.all = append(r.all, p)
 	}
 	// Each limiter alone lets through what the ceiling allows: the peers tell each other nothing.
@@ -194,9 +192,9 @@
 		var b strings.Builder
 		b.WriteString(text[:head])
 		for j, q := range r.all {
-			fleet, admin := fleets[j], q.admin
+			fleet, admin := q.fleet, q.admin
 			if j != i {
-				if fleet, err = r.net.open(r.host, i, j, fleets[j], false); err != nil {
+				if fleet, err = r.net.open(r.host, i, j, q.fleet, false); err != nil {
 					return err
 				}
 				if admin, err = r.net.open(r.host, i, j, q.admin, true); err != nil {
@@ -334,33 +332,20 @@
 
 // ask makes an operator's call on a limiter. x takes an answer in JSON; nil: yes is wanted.
 func (r *rig) ask(p *process, verb string, q *ownership.Request, x any) error {
-	c, err := net.DialTimeout("tcp", p.admin, time.Second)
-	if err != nil {
-		return err
-	}
-	defer c.Close()
-	c.SetDeadline(time.Now().Add(4 * time.Second))
-	line := ownership.Name + " " + verb + "\n"
-	if q != nil {
-		b, err := json.Marshal(q)
-		if err != nil {
-			return err
-		}
-		line += string(b) + "\n"
-	}
-	io.WriteString(c, line)
-	b, err := io.ReadAll(c)
+	answer, err := ownership.Call(context.Background(), p.admin, verb, q, askFor)
 	switch {
 	case err != nil:
 		return err
-	case x != nil && !strings.HasPrefix(string(b), "NO"):
-		return json.Unmarshal(b, x)
-	case !strings.HasPrefix(string(b), "YES"):
-		return errors.New(strings.TrimSpace(string(b)))
+	case x != nil && !strings.HasPrefix(answer, "NO"):
+		return json.Unmarshal([]byte(answer), x)
+	case !strings.HasPrefix(answer, "YES"):
+		return errors.New(strings.TrimSpace(answer))
 	}
 	return nil
 }
 
+const askFor = 4 * time.Second
+
 // until waits for an event, which limiters that run show.
 func (r *rig) until(ctx context.Context, what string, so func() bool) error {
 	limit := time.Now().Add(r.o.Within)
@@ -445,18 +430,23 @@
 		if !r.runs(p) {
 			continue
 		}
-		r.clients.Go(func() {
-			q, _ := http.NewRequestWithContext(ctx, "POST", "http://"+p.listen+"/api?key=00000000000000cc", strings.NewReader("text"))
-			q.Header = http.Header{"X-Request-Id": {fmt.Sprintf("%s%08x", ceilingID, k)}, "X-Priority-Class": {"send-bulk-paid"}, "Plan": {"business"}, "X-Timeout": {"2000m"},
-				"Quota-Info": {fmt.Sprintf("units=%d,spread=%d,first=0", ceilingUnits, len(r.all))}}
-			if a, err := client.Do(q); err == nil {
-				io.Copy(io.Discard, a.Body)
-				a.Body.Close()
-			}
-		})
+		r.send(ctx, client, p, fmt.Sprintf("%s%08x", ceilingID, k), "business", 0xcc, ceilingUnits)
 	}
 }
 
+// send has a client send a request that must not run twice, beside the others.
+func (r *rig) send(ctx context.Context, client *http.Client, p *process, id, plan string, account, units int) {
+	r.clients.Go(func() {
+		q, _ := http.NewRequestWithContext(ctx, "POST", fmt.Sprintf("http://%s/api?key=%016x", p.listen, account), strings.NewReader("text"))
+		q.Header = http.Header{"X-Request-Id": {id}, "X-Priority-Class": {"send-bulk-paid"}, "Plan": {plan}, "X-Timeout": {"2000m"},
+			"Quota-Info": {fmt.Sprintf("units=%d,spread=%d,first=0", units, len(r.all))}}
+		if a, err := client.Do(q); err == nil {
+			io.Copy(io.Discard, a.Body)
+			a.Body.Close()
+		}
+	})
+}
+
 // load has clients send requests that must not run twice, over all limiters.
 func (r *rig) load(ctx context.Context) {
 	if r.o.Load <= 0 {
@@ -478,15 +468,7 @@
 			if !r.runs(p) {
 				continue
 			}
-			r.clients.Go(func() {
-				q, _ := http.NewRequestWithContext(ctx, "POST", "http://"+p.listen+fmt.Sprintf("/api?key=%016x", 1+k%40), strings.NewReader("text"))
-				q.Header = http.Header{"X-Request-Id": {fmt.Sprintf("%08x", k)}, "X-Priority-Class": {"send-bulk-paid"}, "Plan": {"enterprise"}, "X-Timeout": {"2000m"},
-					"Quota-Info": {fmt.Sprintf("units=1,spread=%d,first=0", len(r.all))}}
-				if a, err := client.Do(q); err == nil {
-					io.Copy(io.Discard, a.Body)
-					a.Body.Close()
-				}
-			})
+			r.send(ctx, client, p, fmt.Sprintf("%08x", k), "enterprise", 1+k%40, 1)
 		}
 	})
 }
--- a/internal/faults/steps.go
+++ b/internal/faults/steps.go
@@ -247,15 +247,11 @@
 
 // garbage sends a limiter's fleet address what is no member's.
 func (r *rig) garbage(p *process) error {
-	addr, err := r.fleetAddr(p)
-	if err != nil {
-		return err
-	}
 	noise := make([]byte, 4096)
 	rand.Read(noise)
 	for _, b := range [][]byte{noise, []byte("GET / HTTP/1.1\r\n\r\n"), []byte("MDFLEET9"), append([]byte("MDFLEET1"), 0xff, 0xff, 0xff, 0xff, 0, 0, 0, 0),
 		append([]byte("MDFLEET1"), 0, 0, 0, 4, 1, 2, 3, 4, 'a', 'b', 'c', 'd'), nil} {
-		c, err := net.DialTimeout("tcp", addr, time.Second)
+		c, err := net.DialTimeout("tcp", p.fleet, time.Second)
 		if err != nil {
 			return nil // it is down, or on its way back
 		}
@@ -265,21 +261,6 @@
 	return nil
 }
 
-// fleetAddr is where a limiter itself listens for the others.
-func (r *rig) fleetAddr(p *process) (string, error) {
-	text, err := os.ReadFile(p.config)
-	if err != nil {
-		return "", err
-	}
-	_, rest, _ := strings.Cut(string(text), fmt.Sprintf("limiter %q", p.name))
-	_, rest, _ = strings.Cut(rest, `fleet = "`)
-	addr, _, ok := strings.Cut(rest, `"`)
-	if !ok {
-		return "", fmt.Errorf("%s has no fleet address", p.name)
-	}
-	return addr, nil
-}
-
 // operate makes an operator's call on whoever takes it.
 func (r *rig) operate(ctx context.Context, verb string, p *process) error {
 	q := ownership.Request{Limiter: p.name}
--- a/internal/ownership/ceilings.go
+++ b/internal/ownership/ceilings.go
@@ -2,18 +2,14 @@
 
 import (
 	"context"
-	"encoding/json"
-	"fmt"
-	"sync"
 	"time"
 
 	"example.org/madderdrum/parts"
 )
 
 const (
-	dealEvery  = time.Second
-	learnFor   = 2 * time.Second
-	mostAnswer = 8 << 20 // bytes
+	dealEvery = time.Second
+	learnFor  = 2 * time.Second
 )
 
 // Asked is what a limiter tells a steward of its accounts with ceilings.
@@ -108,7 +104,7 @@
 		}
 		var deals []parts.Deal
 		if s.o.Steward {
-			s.askAll(ctx, steward)
+			around(ctx, s, "asked", func(position int, _ string, x Asked) { steward.Observe(position, x.Start, x.Of) })
 			s.machine.look(func(st *state) { deals = steward.Next(&st.Parts) })
 		} else {
 			s.machine.look(func(st *state) { deals = st.Parts.Back(func(uint64) bool { return true }) })
@@ -124,32 +120,3 @@
 		s.log.Debug("parts were dealt", "accounts", len(deals), "token", t.String(), "err", err)
 	}
 }
-
-// askAll has the steward hear what all limiters were asked for.
-func (s *Service) askAll(ctx context.Context, steward *parts.Steward) {
-	var mu sync.Mutex
-	var tasks sync.WaitGroup
-	for position, name := range s.o.Limiters {
-		addr := s.o.Admins[name]
-		if addr == "" {
-			continue
-		}
-		tasks.Go(func() {
-			var x Asked
-			answer, err := call(ctx, addr, Name+" asked")
-			if err == nil {
-				err = json.Unmarshal([]byte(answer), &x)
-			}
-			if err == nil && x.Fleet != s.fleet() {
-				err = fmt.Errorf("it is in fleet %q", x.Fleet)
-			}
-			if err != nil {
-				return // what it holds stays with it
-			}
-			mu.Lock()
-			defer mu.Unlock()
-			steward.Observe(position, x.Start, x.Of)
-		})
-	}
-	tasks.Wait()
-}
--- a/internal/ownership/conduct.go
+++ b/internal/ownership/conduct.go
@@ -1,15 +1,10 @@
 package ownership
 
 import (
-	"bufio"
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
-	"net"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 
 	"example.org/madderdrum/rollout"
@@ -76,7 +71,7 @@
 	if !owns {
 		return
 	}
-	answer, err := call(ctx, s.o.Admins[c.Limiter], fmt.Sprintf("%s %s %v %d %s", Name, c.Verb, t, c.Start, s.fleet()))
+	answer, err := Call(ctx, s.o.Admins[c.Limiter], fmt.Sprintf("%s %v %d %s", c.Verb, t, c.Start, s.fleet()), nil, callFor)
 	if err == nil && !strings.HasPrefix(answer, "YES") {
 		err = fmt.Errorf("%s", strings.TrimSpace(answer))
 	}
@@ -85,49 +80,17 @@
 
 // lookAround asks all limiters how they are doing.
 func (s *Service) lookAround(ctx context.Context) (map[string]rollout.Seen, map[string]Standing) {
-	var mu sync.Mutex
-	var tasks sync.WaitGroup
 	seen, standings := map[string]rollout.Seen{}, map[string]Standing{}
 	for _, name := range s.admins() {
-		tasks.Go(func() {
-			var x Standing
-			answer, err := call(ctx, s.o.Admins[name], Name+" self")
-			if err == nil {
-				err = json.Unmarshal([]byte(answer), &x)
-			}
-			if err == nil && x.Fleet != s.fleet() {
-				err = fmt.Errorf("it is in fleet %q", x.Fleet)
-			}
-			mu.Lock()
-			defer mu.Unlock()
-			seen[name] = rollout.Seen{Reached: err == nil, Ready: x.Ready, Draining: x.Draining, Start: x.Start, InHand: x.InHand}
-			if err == nil {
-				standings[name] = x
-			}
-		})
+		seen[name] = rollout.Seen{}
 	}
-	tasks.Wait()
+	around(ctx, s, "self", func(_ int, name string, x Standing) {
+		seen[name] = rollout.Seen{Reached: true, Ready: x.Ready, Draining: x.Draining, Start: x.Start, InHand: x.InHand}
+		standings[name] = x
+	})
 	return seen, standings
 }
 
-// call makes one call on an operators' address.
-func call(ctx context.Context, addr, line string) (string, error) {
-	c, err := (&net.Dialer{Timeout: callFor}).DialContext(ctx, "tcp", addr)
-	if err != nil {
-		return "", err
-	}
-	defer c.Close()
-	c.SetDeadline(time.Now().Add(callFor))
-	if _, err := fmt.Fprintln(c, line); err != nil {
-		return "", err
-	}
-	answer, err := bufio.NewReader(io.LimitReader(c, mostAnswer)).ReadString('\n')
-	if err != nil {
-		return "", fmt.Errorf("no answer to %q: %w", line, err)
-	}
-	return answer, nil
-}
-
 // served is the share of requests that all limiters have served of late.
 type served struct {
 	before map[string]Standing
