--- a/internal/ownership/ceilings.go
+++ b/internal/ownership/ceilings.go
@@ -24,8 +24,10 @@
 func (s *Service) hold(ctx context.Context) {
 	var used map[uint64]float64 // for builds that are broken on purpose
 	var known, seen uint64      // resets of the machine until which this process knows all; changes that it has acted on
+	holder := parts.NewHolder(s.position)
+	use := func(u parts.Use) { s.o.Limiter.Hold(u.Of, u.Rest) }
 	if s.o.Steward {
-		s.o.Limiter.Hold(nil, float64(parts.Floor)/parts.Equal)
+		use(holder.Forget())
 	}
 	ticker := time.NewTicker(learnFor / 4) // a confirm may have been lost
 	defer ticker.Stop()
@@ -39,7 +41,7 @@
 		resets, changes, due := s.machine.parts()
 		if resets != known {
 			if known != 0 || s.o.Steward {
-				s.o.Limiter.Hold(nil, float64(parts.Floor)/parts.Equal)
+				use(holder.Forget())
 			}
 			ctx, done := context.WithTimeout(ctx, learnFor)
 			err := s.host.Read(ctx)
@@ -48,33 +50,33 @@
 				continue
 			}
 			known, seen = resets, 0
+			holder.CaughtUp()
 			continue // with what is known now
 		}
 		if !due && changes == seen {
 			continue
 		}
-		var of map[uint64]float64
-		var rest float64
-		var confirm parts.Confirm
+		var u parts.Use
+		var confirm *parts.Confirm
+		var ok bool
 		s.machine.look(func(st *state) {
-			of, rest = st.Parts.Parts(s.position)
-			confirm, due = st.Parts.Due(s.position)
+			u, confirm, ok = holder.Look(&st.Parts)
 			resets, changes = s.machine.resets, s.machine.changes
 		})
-		if resets != known {
+		if resets != known || !ok {
 			continue
 		}
 		if broken("hold") {
-			for id, x := range of {
-				of[id] = max(x, used[id])
+			for id, x := range u.Of {
+				u.Of[id] = max(x, used[id])
 			}
-			used = of
+			used = u.Of
 		}
-		s.o.Limiter.Hold(of, rest)
+		use(u)
 		seen = changes
-		if due {
+		if confirm != nil {
 			ctx, done := context.WithTimeout(ctx, proposeFor)
-			if err := s.propose(ctx, entry{Parts: &parts.Command{Confirm: &confirm}}); err != nil {
+			if err := s.propose(ctx, entry{Parts: &parts.Command{Confirm: confirm}}); err != nil {
 				s.log.Debug("a part was not confirmed", "err", err)
 			}
 			done()
--- a/internal/virtual/steward.go
+++ b/internal/virtual/steward.go
@@ -21,34 +21,39 @@
 	d       *driver
 	steward *parts.Steward
 	book    parts.Book
-	epochs  map[int]int // lives that know what is agreed on, by limiter
+	holders map[int]*parts.Holder // by limiter
 }
 
 func newDealer(d *driver) *dealer {
-	x := &dealer{d: d, steward: parts.NewSteward(len(d.o.Fleet.Limiters)), epochs: map[int]int{}}
+	x := &dealer{d: d, steward: parts.NewSteward(len(d.o.Fleet.Limiters)), holders: map[int]*parts.Holder{}}
 	d.after(stewardEvery, x.round)
 	return x
 }
 
 // started has a life begin with its floors, unless the whole fleet begins: all are equal then.
 func (x *dealer) started(h *host) {
-	epoch := h.epoch
+	holder, epoch := parts.NewHolder(h.n), h.epoch
+	x.holders[h.n] = holder
 	if x.d.w.Now() == 0 {
-		x.epochs[h.n] = epoch
+		holder.CaughtUp()
 		return
 	}
-	h.handle(limiter.Parts{Rest: float64(parts.Floor) / parts.Equal})
+	h.handle(limiter.Parts(holder.Forget()))
 	x.d.after(startBehind, func() {
 		if h.up && h.epoch == epoch {
-			x.epochs[h.n] = epoch
+			holder.CaughtUp()
 			x.tell(h)
 		}
 	})
 }
 
-func (x *dealer) tell(h *host) {
-	of, rest := x.book.Parts(h.n)
-	h.handle(limiter.Parts{Of: of, Rest: rest})
+// tell has a limiter use what it knows, and returns what it has to confirm.
+func (x *dealer) tell(h *host) *parts.Confirm {
+	u, confirm, ok := x.holders[h.n].Look(&x.book)
+	if ok {
+		h.handle(limiter.Parts(u))
+	}
+	return confirm
 }
 
 // round asks all limiters, and has what the steward decides agreed on.
@@ -80,12 +85,11 @@
 	}
 	var confirms []parts.Command
 	for _, h := range x.d.hosts {
-		if !h.up || x.epochs[h.n] != h.epoch {
+		if !h.up {
 			continue
 		}
-		x.tell(h)
-		if due, ok := x.book.Due(h.n); ok {
-			confirms = append(confirms, parts.Command{Confirm: &due})
+		if c := x.tell(h); c != nil {
+			confirms = append(confirms, parts.Command{Confirm: c})
 		}
 	}
 	if len(confirms) > 0 {
--- a/parts/model_test.go
+++ b/parts/model_test.go
@@ -27,6 +27,7 @@
 
 // node is one limiter.
 type node struct {
+	holder  *Holder
 	book    Book
 	applied int
 	until   int // how long the log was when it started: before it has all of that it uses its floors
@@ -38,8 +39,9 @@
 
 func newModel(limiters, accounts int) *model {
 	m := &model{accounts: accounts, epoch: 1}
-	for range limiters {
-		m.nodes = append(m.nodes, &node{up: true, rest: 1})
+	for i := range limiters {
+		m.nodes = append(m.nodes, &node{up: true, rest: 1, holder: NewHolder(i)})
+		m.nodes[i].holder.CaughtUp()
 	}
 	return m
 }
@@ -59,30 +61,40 @@
 	}
 	n.book.Apply(m.log[n.applied], m.epochs[n.applied])
 	n.applied++
-	if n.applied < n.until && !m.greedy {
+	if n.applied >= n.until || m.greedy {
+		n.holder.CaughtUp()
+	}
+	n.look(m)
+}
+
+// look has a limiter use what it knows, and confirm.
+func (n *node) look(m *model) {
+	u, confirm, ok := n.holder.Look(&n.book)
+	if !ok {
 		return
 	}
-	due, ok := n.book.Due(i)
-	if ok {
-		m.pending = append(m.pending, Command{Confirm: &due})
+	if confirm != nil {
+		m.pending = append(m.pending, Command{Confirm: confirm})
 	}
-	if ok && m.hasty {
+	if confirm != nil && m.hasty {
 		return // it uses less only with the next entry
 	}
-	n.use, n.rest = n.book.Parts(i)
+	n.use, n.rest = u.Of, u.Rest
 }
 
 // start has a limiter begin anew from its disk.
 func (m *model) start(i int) {
 	n := m.nodes[i]
-	*n = node{up: true, until: len(m.log), keptAt: n.keptAt, rest: float64(Floor) / Equal}
+	*n = node{up: true, until: len(m.log), keptAt: n.keptAt, holder: NewHolder(i)}
+	n.use, n.rest = nil, n.holder.Forget().Rest
 	for k := range n.keptAt {
 		n.book.Apply(m.log[k], m.epochs[k])
 	}
 	n.applied = n.keptAt
 	if m.greedy || n.applied >= n.until {
-		n.use, n.rest = n.book.Parts(i)
+		n.holder.CaughtUp()
 	}
+	n.look(m)
 }
 
 // anew has the fleet begin anew from a survivor. The others learn of it in their own time:
