Answers given without a body are not lost to a reset at clients that close their connection

Seen: a client that sends Connection: close and gets its 503 (or 400) before its body was read has its connection closed with bytes unread, so the kernel resets it, and the answer may go with it. net/http reads up to 256 KiB of the rest only where the client has not said that it closes (transfer.go, body.Close, 'closing'), and waits for nothing there. Ruled out: deadlines of framedConn (not set here), the program's own retries.

The handler now flushes such an answer at once and then takes up to 256 KiB in for 500 ms.

--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -152,6 +152,7 @@
 	n.badInput.warn("turned a malformed request away", "from", hr.RemoteAddr, "err", err)
 	w.Header().Set("Connection", "close")
 	http.Error(w, err.Error(), status)
+	takeIn(w, hr)
 }
 
 // serve takes a request and gives it one final answer.
@@ -169,6 +170,7 @@
 		n.ended(v, ev.Class, http.StatusServiceUnavailable)
 		w.Header().Set("Connection", "close")
 		n.write(w, &answer{status: http.StatusServiceUnavailable, retryAfter: fullAdvice})
+		takeIn(w, hr)
 		return
 	}
 	if err == nil && n.grants != nil {
--- a/internal/node/stream.go
+++ b/internal/node/stream.go
@@ -30,6 +30,11 @@
 	// An answer of unknown length goes on once so much of it has come, or so long after its
 	// head: most are whole by then, and can still be asked for again if they are not.
 	beginAfter = 100 * time.Millisecond
+	// takenIn and takeInFor bound what is still read of a body whose request was answered
+	// without it: a connection that is closed before its client has written is reset, and
+	// the answer may be lost with it. A write of the slowest takes less.
+	takenIn   = 256 << 10
+	takeInFor = 500 * time.Millisecond
 	// heldShare is the part of the memory limit that held bodies may take.
 	heldShare = 0.25
 	// tellEvery is how often the module hears that a long request still goes on.
@@ -410,6 +415,20 @@
 	}}
 }
 
+// takeIn gives a client that was answered without its body the answer, and takes a bounded part
+// of the body in, which goes nowhere. net/http does so itself, but not where the client has said
+// that its connection closes.
+func takeIn(w http.ResponseWriter, hr *http.Request) {
+	if hr.ContentLength == 0 || !hr.Close {
+		return
+	}
+	ctl := http.NewResponseController(w)
+	ctl.EnableFullDuplex() // else net/http would read the rest before it answers
+	if ctl.Flush() == nil && ctl.SetReadDeadline(time.Now().Add(takeInFor)) == nil {
+		io.CopyN(io.Discard, hr.Body, takenIn)
+	}
+}
+
 // answerEarly writes a final answer to a client that may still be sending its body, and takes
 // the rest of that in.
 func (n *Node) answerEarly(ctx context.Context, w http.ResponseWriter, r *request, a *answer) {
--- a/internal/node/stream_test.go
+++ b/internal/node/stream_test.go
@@ -404,6 +404,33 @@
 	until(t, "all is given back", func() bool { return r.node.held.Load() == 0 })
 }
 
+// An answer given without the body of a request arrives whole, also at a client that has said
+// its connection closes: it is not reset while it still writes.
+func TestAnswersWithoutTheBodyAreNotReset(t *testing.T) {
+	t.Parallel()
+	r := startWith(t, func(c *Config) { withAdmin(c); c.Limits.MemoryMB = 1 }, server("s-1", newRawServer(t).addr))
+	r.node.reserve(4 * maxBody)
+	for class, status := range map[string]int{"send-bulk-paid": 503, "no such class": 400} {
+		c, in := r.dial()
+		req := r.newRequest("send-bulk-paid", "enterprise", strings.Repeat("x", maxBody))
+		req.Header.Set("X-Priority-Class", class)
+		req.Close = true
+		var text bytes.Buffer
+		req.Write(&text)
+		half := text.Len() / 2
+		c.Write(text.Next(half))
+		if resp, err := http.ReadResponse(in, req); err != nil || resp.StatusCode != status {
+			t.Fatalf("%s: %+v %v", class, resp, err)
+		}
+		if _, err := c.Write(text.Bytes()); err != nil {
+			t.Errorf("%s: the rest of the body: %v", class, err)
+		}
+		if _, err := io.Copy(io.Discard, in); err != nil {
+			t.Errorf("%s: behind the answer: %v", class, err)
+		}
+	}
+}
+
 // Both lengths in one head are found in whatever pieces they come; bodies don't matter.
 func TestBothLengths(t *testing.T) {
 	for text, both := range map[string]bool{
