One limiter of a room looks at ill boxes and follows discovery for the others

Each limiter probed each ill box twice a second and held a call at each agent; both grew with the number of limiters.

Its owner looks and tells; the others check its word against their own attempts and go on alone while it is silent. What is decided stands in watch (Desk, Post, Feed: pure), the host is internal/ownership/watch.go over streams on the fleet's address, admitted by token as all effects.

Four hard cases for the rig, which has a stand-in discovery now. Two builds broken on purpose are found: a word believed whatever the own looks say, and nobody following alone.

--- a/cmd/madderdrum/duties.go
+++ b/cmd/madderdrum/duties.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"path/filepath"
 	"sync/atomic"
+	"time"
 
 	"example.org/madderdrum/config"
 	"example.org/madderdrum/internal/admin"
@@ -44,6 +45,12 @@
 			o.Admins[l.Name] = l.Admin
 		}
 	}
+	if c.Duties.Watch == "room" {
+		o.Rooms, o.Eyes = map[string]string{}, d
+		for _, l := range c.Fleet.Limiters {
+			o.Rooms[l.Name] = c.Fleet.Rooms[l.Room]
+		}
+	}
 	var err error
 	d.service, err = ownership.Open(o)
 	return d, err
@@ -90,6 +97,59 @@
 	}
 }
 
+// looks are those of other limiters for this one; nil: it looks for itself.
+func (d *duties) looks() node.Looks {
+	if l := d.service.Lookout(); l != nil {
+		return l
+	}
+	return nil
+}
+
+// Look implements ownership.Eyes, as what follows does.
+func (d *duties) Look(box uint64) {
+	if n := d.node.Load(); n != nil {
+		n.Look(box)
+	}
+}
+
+// Word implements ownership.Eyes.
+func (d *duties) Word(box uint64, well bool) {
+	if n := d.node.Load(); n != nil {
+		n.Word(box, well)
+	}
+}
+
+// Pools implements ownership.Eyes.
+func (d *duties) Pools() []string {
+	if n := d.node.Load(); n != nil {
+		return n.Pools()
+	}
+	return nil
+}
+
+// Whole implements ownership.Eyes.
+func (d *duties) Whole(pool string) (seq int64, hosts []byte, ok bool) {
+	if n := d.node.Load(); n != nil {
+		return n.Whole(pool)
+	}
+	return 0, nil, false
+}
+
+// Told implements ownership.Eyes.
+func (d *duties) Told(pool string, seq int64, whole bool, hosts []byte) error {
+	if n := d.node.Load(); n != nil {
+		return n.Told(pool, seq, whole, hosts)
+	}
+	return lifecycle.ErrStarting
+}
+
+// Follow implements ownership.Eyes.
+func (d *duties) Follow(pool string, hold time.Duration) {
+	if n := d.node.Load(); n != nil {
+		n.Follow(pool, hold)
+	}
+}
+
 // Standing implements ownership.Limiter.
 func (d *duties) Standing() ownership.Standing {
 	s := ownership.Standing{Start: d.service.Start()}
--- a/cmd/madderdrum/faults.go
+++ b/cmd/madderdrum/faults.go
@@ -43,6 +43,7 @@
 	Voters   int           `help:"Of them so many vote; what the schedule says if left out, or 3."`
 	Term     time.Duration `default:"1s" help:"Of duties."`
 	Load     int           `default:"20" help:"Requests a second from clients."`
+	Watch    string        `enum:",room,each" default:"" help:"Have a discovery, followed by one limiter of each room for the others (room), or by each."`
 	Within   time.Duration `default:"60s" help:"What a schedule waits for has to come within this."`
 	Parallel int           `default:"4" help:"Play so many schedules at a time."`
 	Program  string        `type:"existingfile" help:"The program to start; this one if left out. Steps with disks need one built with -tags faults."`
@@ -53,7 +54,8 @@
 // Help is the long help text.
 func (faultsRun) Help() string {
 	return "Steps:\n  " + strings.Join(faults.Verbs(), "\n  ") + `
-X is n0, n1, ..., or owner, leader, other (one that is neither) or all. Ends with exit code 2 if
+X is n0, n1, ..., or owner, leader, other (one that is neither), watcher (which looks for room-a),
+mates (for which it does) or all. Ends with exit code 2 if
 anything broke, and prints the command that plays it again.`
 }
 
@@ -78,7 +80,7 @@
 	var tasks sync.WaitGroup
 	var gaps []time.Duration
 	var failed error
-	calls, requests, ceiling, moved, terms, played, broken := 0, 0, 0, 0, 0, 0, 0
+	calls, requests, ceiling, moved, terms, lists, looks, played, broken := 0, 0, 0, 0, 0, 0, 0, 0, 0
 	slots := make(chan struct{}, c.Parallel)
 	for _, p := range plays {
 		slots <- struct{}{}
@@ -87,7 +89,7 @@
 		}
 		tasks.Go(func() {
 			defer func() { <-slots }()
-			o := faults.Options{Program: c.Program, Limiters: p.Limiters, Voters: p.Voters, Term: c.Term, Steps: p.Steps, Load: c.Load, Within: c.Within}
+			o := faults.Options{Program: c.Program, Limiters: p.Limiters, Voters: p.Voters, Term: c.Term, Steps: p.Steps, Watch: cmp.Or(p.Watch, c.Watch), Load: c.Load, Within: c.Within}
 			if c.Keep != "" {
 				o.Keep = filepath.Join(c.Keep, filepath.Base(p.Name))
 			}
@@ -103,6 +105,7 @@
 			played++
 			calls, requests, gaps = calls+len(r.Calls), requests+r.Requests, append(gaps, r.Gaps...)
 			terms = max(terms, r.Terms)
+			lists, looks = lists+r.Lists, looks+r.Looks
 			ceiling, moved = ceiling+r.Ceiling, moved+r.Moved
 			if len(r.Broken) > 0 {
 				broken++
@@ -120,6 +123,9 @@
 	}
 	tasks.Wait()
 	fmt.Printf("%d schedules, %d calls between limiters, %d requests carried out by boxes, %d of them under the ceiling, whose parts moved in %d; %d broken\n", played, calls, requests, ceiling, moved, broken)
+	if lists > 0 {
+		fmt.Printf("discovery answered %d calls; limiters tried %d connections to the first box while they were cut off from it\n", lists, looks)
+	}
 	fmt.Printf("terms of a duty begun: %d at most\n", terms)
 	if len(gaps) > 0 {
 		slices.Sort(gaps)
--- a/cmd/madderdrum/fleet.go
+++ b/cmd/madderdrum/fleet.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -156,6 +157,11 @@
 			w.(*tabwriter.Writer).Flush()
 			fmt.Fprintf(w, "parts of ceilings: %d accounts are not equal, %d of them on their way\n", s.Moved, s.UnderWay)
 		}
+		if x := s.Looks; x != nil {
+			w.(*tabwriter.Writer).Flush()
+			by := cmp.Or(x.By, "each for itself")
+			fmt.Fprintf(w, "looks in %s: by %s; here %d for others, %d asked for, %d words, %d of them not confirmed\n", x.Room, by, x.For, x.Asked, x.Told, x.Differs)
+		}
 		if len(s.Unsure) > 0 {
 			fmt.Fprintf(w, "since the fleet was begun anew all use a tenth of their parts, until %s have told that they do\n", strings.Join(s.Unsure, ", "))
 		}
--- a/cmd/madderdrum/serve.go
+++ b/cmd/madderdrum/serve.go
@@ -134,7 +134,7 @@
 		return err
 	}
 	if duties != nil {
-		nc.Streams = duties.streams()
+		nc.Streams, nc.Looks = duties.streams(), duties.looks()
 	}
 	n, err := node.New(nc, logger)
 	if err != nil {
--- a/config/build.go
+++ b/config/build.go
@@ -295,7 +295,7 @@
 
 // duties reads the block of the fleet's duties.
 func (b *builder) duties(o *object) {
-	d := Duties{o.label, o.text("folder"), o.list("voters"), o.dur("term"), o.num("drift"), o.text("ceilings")}
+	d := Duties{o.label, o.text("folder"), o.list("voters"), o.dur("term"), o.num("drift"), o.text("ceilings"), o.text("watch")}
 	if n := len(d.Voters); o.given("voters") && n%2 == 0 {
 		b.add("voters-even", o.place("voters"), "name three, five or one", "%d limiters vote: an even number survives no more losses than one less", n)
 	}
--- a/config/config.go
+++ b/config/config.go
@@ -83,6 +83,8 @@
 	Drift  float64
 	// Parts of ceilings: "equal", or "steward".
 	Ceilings string
+	// Looks at ill boxes and at discovery: "each" limiter for itself, or one of a "room".
+	Watch string
 }
 
 // ForwardAuth is where other proxies ask a limiter.
--- a/config/schema.go
+++ b/config/schema.go
@@ -298,6 +298,7 @@
 		{name: "voters", kind: kRef, ref: "limiter", list: true, required: true, example: `"n0", "n1", "n2"`, doc: "that vote when the fleet begins: three or five, or one; later ones come and go by `madderdrum fleet add` and `remove`", restart: true},
 		dur("term", "1600ms", 0.1, 60, "an owner that does not renew its term for so long is followed by another").atStart(),
 		word("ceilings", "equal", []string{"equal", "steward"}, "parts of ceilings: equal ones, or moved by a steward to where requests arrive").atStart(),
+		word("watch", "each", []string{"each", "room"}, "who looks at ill boxes and follows discovery: each limiter, or one of each room for the others").atStart(),
 		share("drift", "1%", 0.5, "by which one limiter's clock may run faster than another's").atStart()}},
 	{kind: "forward_auth", label: "limiter", doc: "A listener where other proxies ask; see forwardauth.md.", fields: []field{
 		address("listen", "where proxies ask").must().atStart(),
--- a/internal/agreement/greet.go
+++ b/internal/agreement/greet.go
@@ -12,6 +12,7 @@
 	Start      uint64 // counts the starts from this folder
 	Mark       uint64 // drawn by this process
 	To         string // whom it means
+	For        string `json:",omitempty"` // what the connection is for; empty: the agreement's messages
 }
 
 // Verdict is what is thought of a hello.
--- a/internal/agreement/host.go
+++ b/internal/agreement/host.go
@@ -44,6 +44,9 @@
 	Machine Machine           // called by one goroutine; whoever else looks at it needs a lock of its own
 	Changed func()            // called after entries have been applied; it must not block. nil: nobody cares
 	Tick    time.Duration     // 0: DefaultTick
+	// Streams carry out what other connections are for, of limiters that are welcome here. The
+	// connection closes when one returns, or when Run ends.
+	Streams map[string]func(limiter string, s *Stream)
 	Log     *slog.Logger
 }
 
--- a/internal/agreement/link.go
+++ b/internal/agreement/link.go
@@ -274,6 +274,14 @@
 		return fmt.Errorf("hello of %q: %v: %s", hello.Name, r.Verdict, r.Why)
 	}
 	c.SetDeadline(time.Time{})
+	if hello.For != "" {
+		open := h.o.Streams[hello.For]
+		if open == nil {
+			return fmt.Errorf("from %q: it is for %.20q, which is not carried out here", hello.Name, hello.For)
+		}
+		open(hello.Name, newStream(c))
+		return nil
+	}
 	in := bufio.NewReaderSize(c, 64<<10)
 	for {
 		data, err := readFrame(in, mostFrame)
--- a/internal/faults/faults_test.go
+++ b/internal/faults/faults_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -43,7 +44,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return Run(ctx, Options{Program: bin, Limiters: max(c.Limiters, 3), Voters: max(c.Voters, 3), Term: time.Second, Steps: c.Steps, Load: 20, Env: env, Within: within})
+	return Run(ctx, Options{Program: bin, Limiters: max(c.Limiters, 3), Voters: max(c.Voters, 3), Term: time.Second, Steps: c.Steps, Watch: c.Watch, Load: 20, Env: env, Within: within})
 }
 
 // Thirty schedules: the hard cases by name and as many drawn ones as are missing.
@@ -53,7 +54,7 @@
 	}
 	all := Cases()
 	for seed := uint64(1); len(all) < 30; seed++ {
-		all = append(all, &Schedule{Name: fmt.Sprint("seed-", seed), Steps: Random(seed, 3)})
+		all = append(all, &Schedule{Name: fmt.Sprint("seed-", seed), Watch: "room", Steps: Random(seed, 3)})
 	}
 	var tasks sync.WaitGroup
 	slots := make(chan struct{}, 10) // they wait most of the time, on however many cores
@@ -72,36 +73,28 @@
 	tasks.Wait()
 }
 
-// A program that does not look at tokens does what an owner that is over says.
-func TestWithoutTheTokenCheckTheScheduleBreaks(t *testing.T) {
+// Programs that are broken on purpose, and the case that finds each.
+func TestBrokenBuildsAreFound(t *testing.T) {
 	if testing.Short() || underRace {
 		t.Skip("starts processes")
 	}
-	isFound(t, "late-owner", "fence")
-}
-
-// A limiter that confirms that it uses less of a ceiling, and does not.
-func TestPartsThatAreNotGivenBreakTheCeiling(t *testing.T) {
-	if testing.Short() || underRace {
-		t.Skip("starts processes")
-	}
-	isFound(t, "moving", "hold")
-}
-
-// isFound plays a case with a program that is broken on purpose.
-func isFound(t *testing.T, name, what string) {
-	t.Helper()
-	for _, c := range Cases() {
-		if c.Name != name {
-			continue
-		}
-		r, err := play(t.Context(), c, 20*time.Second, "MADDERDRUM_BROKEN="+what)
-		if err != nil {
-			t.Fatal(err)
-		}
-		if len(r.Broken) == 0 {
-			t.Errorf("it was not found:\n%s", strings.Join(r.Timeline, "\n"))
-		}
+	for what, name := range map[string]string{
+		"fence": "late-owner",  // tokens are not looked at: it does what an owner that is over says
+		"hold":  "moving",      // it confirms that it uses less of a ceiling, and does not
+		"word":  "watch-blind", // it believes that a box is ill whatever it could see itself
+		"alone": "watch-alone", // it waits for one that is silent to tell it of discovery
+	} {
+		t.Run(what, func(t *testing.T) {
+			t.Parallel()
+			i := slices.IndexFunc(Cases(), func(c *Schedule) bool { return c.Name == name })
+			r, err := play(t.Context(), Cases()[i], 20*time.Second, "MADDERDRUM_BROKEN="+what)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if len(r.Broken) == 0 {
+				t.Errorf("it was not found:\n%s", strings.Join(r.Timeline, "\n"))
+			}
+		})
 	}
 }
 
@@ -116,6 +109,7 @@
 		"kill":                   "write kill X",
 		"kill n0 n1":             "write kill X",
 		"wait owner\nlimiters 3": "x:2: \"limiters 3\": write limiters 3 before all steps",
+		"watch all\nheal":        "write watch room",
 		"limiters 31\nheal":      "no number from 1 to 30",
 		"voters many\nheal":      "no number from 1 to 30",
 		"wait tea":               "no such event",
--- a/internal/faults/relay.go
+++ b/internal/faults/relay.go
@@ -17,6 +17,7 @@
 	cut      bool // nothing of from comes to to
 	held     bool // calls of from wait
 	waits    bool // something does, or did since it was cut or held
+	tried    int  // connections that came while it was cut
 	delay    time.Duration
 }
 
@@ -85,6 +86,26 @@
 	return true
 }
 
+// tried is how many connections came while ways to one were cut.
+func (n *network) tried(to int) (all int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for k, w := range n.ways {
+		if k[1] == to {
+			all += w.tried
+		}
+	}
+	return all
+}
+
+// isCut tells whether nothing of one comes to another.
+func (n *network) isCut(from, to int) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	w := n.ways[[2]int{from, to}]
+	return w != nil && w.cut
+}
+
 func (n *network) disown(c net.Conn) {
 	c.Close()
 	n.mu.Lock()
@@ -129,6 +150,11 @@
 		n.carryCall(c, w, target)
 		return
 	}
+	n.mu.Lock()
+	if w.cut {
+		w.tried++
+	}
+	n.mu.Unlock()
 	if !n.pause(w, false) {
 		return
 	}
--- a/internal/faults/rig.go
+++ b/internal/faults/rig.go
@@ -1,6 +1,7 @@
 package faults
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -11,6 +12,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -30,6 +32,7 @@
 	Term     time.Duration
 	Steps    []Step
 	Load     int               // requests a second that clients send over all limiters
+	Watch    string            // room or each: who looks at boxes and follows discovery; empty: each, and there is none
 	Env      []string          // added to the limiters'
 	Within   time.Duration     // an event that is waited for comes within it
 	Log      func(line string) // the timeline, as it comes; nil: nobody reads it
@@ -46,6 +49,8 @@
 	Ceiling  int             // of them those of the account with a ceiling
 	Moved    int             // whether its parts were seen to be moved
 	Terms    int             // begun
+	Looks    int             // at the box that all know, by its connections while it was cut off
+	Lists    int             // calls that discovery has answered
 }
 
 // process is one limiter of a rig.
@@ -68,7 +73,8 @@
 	host    string
 	net     *network
 	all     []*process
-	boxes   *http.Server
+	boxes   []*http.Server
+	agent   *agent // nil: each limiter looks for itself, and boxes are fixed
 	result  Result
 	rolls   int
 	last    string // the owner that was seen last
@@ -79,8 +85,10 @@
 	mu      sync.Mutex // and what processes are
 	closing bool       // nothing is started any more
 	exits   []Exit
-	ran     map[string]int  // by request id, at the boxes
-	ceiling []time.Duration // when requests of the account with a ceiling ran there
+	ran     map[string]int               // by request id, at the boxes
+	newest  string                       // the box that discovery told last
+	sentTo  map[string]map[int]time.Time // by box and limiter: when it had a request last
+	ceiling []time.Duration              // when requests of the account with a ceiling ran there
 }
 
 var rigs atomic.Uint32
@@ -97,7 +105,7 @@
 	}
 	defer os.RemoveAll(dir)
 	k := rigs.Add(1)
-	r := &rig{o: o, dir: dir, net: newNetwork(), ran: map[string]int{}, broken: map[string]bool{},
+	r := &rig{o: o, dir: dir, net: newNetwork(), ran: map[string]int{}, broken: map[string]bool{}, sentTo: map[string]map[int]time.Time{},
 		host: fmt.Sprintf("127.%d.%d.%d", 80+os.Getpid()%100, 1+(os.Getpid()/100)%250, 1+k%250)}
 	ctx, stop := context.WithCancel(ctx)
 	defer r.close()
@@ -164,12 +172,20 @@
 
 // open lays out the boxes, the network and a configuration for each limiter.
 func (r *rig) open() error {
-	ln, err := net.Listen("tcp", r.host+":0")
+	first, err := r.openBox(firstBox)
 	if err != nil {
-		return fmt.Errorf("faults: %w", err)
+		return err
+	}
+	var discovery net.Listener
+	if r.o.Watch != "" {
+		r.agent = &agent{news: make(chan struct{})}
+		if _, discovery, err = r.free(); err != nil {
+			return err
+		}
+		web := &http.Server{Handler: r.agent}
+		r.boxes = append(r.boxes, web)
+		go web.Serve(discovery)
 	}
-	r.boxes = &http.Server{Handler: http.HandlerFunc(r.box)}
-	go r.boxes.Serve(ln)
 	n := r.o.Limiters
 	for i := range n {
 		p := &process{n: i, name: fmt.Sprint("n", i), config: filepath.Join(r.dir, fmt.Sprintf("n%d.hcl", i)), folder: filepath.Join(r.dir, "fleet", fmt.Sprint("n", i))}
@@ -203,13 +219,24 @@
 			}
 			fmt.Fprintf(&b, "limiter %q {\n room = %q\n listen = %q\n admin = %q\n fleet = %q\n}\n", q.name, []string{"room-a", "room-b"}[j%2], q.listen, admin, fleet)
 		}
-		fmt.Fprintf(&b, "box \"a\" {\n room = \"room-a\"\n pod = 0\n dial = %q\n cores = 64\n slots = 256\n queue = 256\n}\n", ln.Addr())
+		box := first
+		if r.o.Watch != "" { // faults come between
+			if box, err = r.net.open(r.host, i, r.boxWay(), first, false); err != nil {
+				return err
+			}
+			agent, err := r.net.open(r.host, i, r.boxWay()+1, discovery.Addr().String(), false)
+			if err != nil {
+				return err
+			}
+			fmt.Fprintf(&b, "pool \"main\" {\n members = [%q]\n discovery = %q\n}\nroute \"all\" {}\n", firstBox, agent)
+		}
+		fmt.Fprintf(&b, "box %q {\n room = \"room-a\"\n pod = 0\n dial = %q\n cores = 64\n slots = 256\n queue = 256\n}\n", firstBox, box)
 		b.WriteString(text[tail:])
 		var voters []string
 		for j := range r.o.Voters {
 			voters = append(voters, fmt.Sprintf("%q", fmt.Sprint("n", j)))
 		}
-		fmt.Fprintf(&b, "\nfleet \"rig\" {\n folder = %q\n voters = [%s]\n term = %q\n ceilings = \"steward\"\n}\n", filepath.Join(r.dir, "fleet"), strings.Join(voters, ", "), r.o.Term)
+		fmt.Fprintf(&b, "\nfleet \"rig\" {\n folder = %q\n voters = [%s]\n term = %q\n ceilings = \"steward\"\n watch = %q\n}\n", filepath.Join(r.dir, "fleet"), strings.Join(voters, ", "), r.o.Term, cmp.Or(r.o.Watch, "each"))
 		if err := os.WriteFile(p.config, []byte(b.String()), 0o600); err != nil {
 			return fmt.Errorf("faults: %w", err)
 		}
@@ -217,8 +244,14 @@
 	return nil
 }
 
-// box is a stand-in box: it keeps what it carried out.
-func (r *rig) box(w http.ResponseWriter, q *http.Request) {
+// firstBox is the one that the limiters' configuration names.
+const firstBox = "a"
+
+// boxWay is where the ways from limiters to the first box go; those to discovery are next.
+func (r *rig) boxWay() int { return r.o.Limiters }
+
+// box is a stand-in box: it keeps what it carried out, and for which limiter.
+func (r *rig) box(name string, w http.ResponseWriter, q *http.Request) {
 	if q.URL.Path == "/healthz" {
 		return
 	}
@@ -226,6 +259,12 @@
 	r.mu.Lock()
 	id := q.Header.Get("X-Request-ID")
 	r.ran[id]++
+	if r.sentTo[name] == nil {
+		r.sentTo[name] = map[int]time.Time{}
+	}
+	if k, err := strconv.ParseUint(id, 16, 64); err == nil && !strings.HasPrefix(id, ceilingID) { // of load, which names the limiter by it
+		r.sentTo[name][int(k)%len(r.all)] = time.Now()
+	}
 	if strings.HasPrefix(id, ceilingID) {
 		r.ceiling = append(r.ceiling, time.Since(r.net.begun))
 	}
@@ -481,6 +520,12 @@
 		}
 	}
 	r.result.Calls = r.net.Calls()
+	if r.agent != nil {
+		r.agent.mu.Lock()
+		r.result.Lists = r.agent.calls
+		r.agent.mu.Unlock()
+		r.result.Looks = r.net.tried(r.boxWay())
+	}
 	r.mu.Lock()
 	exits := append([]Exit(nil), r.exits...)
 	over := judgeCeiling(r.ceiling)
@@ -569,7 +614,7 @@
 		}
 	}
 	r.net.close()
-	if r.boxes != nil {
-		r.boxes.Close()
+	for _, b := range r.boxes {
+		b.Close()
 	}
 }
--- a/internal/faults/schedule.go
+++ b/internal/faults/schedule.go
@@ -5,6 +5,7 @@
 
 import (
 	"embed"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -32,19 +33,21 @@
 }
 
 // verbs are all steps, with the kinds of limiters that most of them take: n0, n1, ..., owner,
-// leader, other (one that is neither), all.
+// leader, other (one that is neither), watcher (which looks for room-a), mates (for which it does), all.
 var verbs = map[string]verb{
 	"roll":     {1, 2, "roll restart|drain [AT-ONCE]: an operator begins a rollout"},
-	"wait":     {1, 2, "wait owner | new-owner | owned-by X | held | step PHASE | back N | done | votes N | no-leader | leader: for an event"},
+	"wait":     {1, 2, "wait owner | new-owner | owned-by X | held | step PHASE | back N | done | votes N | no-leader | leader | watched | used newest|a: for an event"},
+	"news":     {0, 0, "news: discovery tells of one more box"},
+	"join":     {2, 2, "join X Y: Y hears X again"},
 	"kill":     {1, 1, "kill X: SIGKILL"},
 	"start":    {1, 1, "start X: which was killed"},
 	"stop":     {1, 1, "stop X: SIGSTOP"},
 	"go":       {1, 1, "go X: SIGCONT"},
 	"stranger": {1, 1, "stranger X: while X is killed, a limiter of another fleet runs on its addresses and begins a rollout over all"},
 	"twin":     {1, 1, "twin X: a second process of X from the same folder"},
-	"cut":      {2, 2, "cut X Y: Y hears nothing from X any more"},
+	"cut":      {2, 2, "cut X Y: Y hears nothing from X any more; with watch, Y may be box, or agent (of discovery)"},
 	"part":     {2, 2, "part X Y: neither hears the other"},
-	"isolate":  {1, 1, "isolate X: nobody hears it, and it hears nobody"},
+	"isolate":  {1, 1, "isolate X: no limiter hears it, and it hears none"},
 	"heal":     {0, 0, "heal: all hear one another, and what was held goes on"},
 	"delay":    {2, 2, "delay X TIME: what X says comes so much later"},
 	"hold":     {1, 1, "hold X: its calls to others are held between its last check and their effect"},
@@ -75,11 +78,12 @@
 	Name             string
 	What             string // its first remark
 	Limiters, Voters int
+	Watch            string // room, each, or empty
 	Steps            []Step
 }
 
 // Parse reads a schedule: a step a line, # begins a remark. Its first lines may say
-// "limiters N" and "voters N".
+// "limiters N", "voters N" and "watch room" or "watch each": there is discovery, and who follows it.
 func Parse(name, text string) (*Schedule, error) {
 	c := &Schedule{Name: name}
 	for i, line := range strings.Split(text, "\n") {
@@ -96,6 +100,12 @@
 		switch s.Verb {
 		case "limiters", "voters":
 			err = c.size(s)
+		case "watch":
+			if len(c.Steps) > 0 || len(s.Args) != 1 || s.Args[0] != "room" && s.Args[0] != "each" {
+				err = errors.New("write watch room, or watch each, before all steps")
+			} else {
+				c.Watch = s.Args[0]
+			}
 		default:
 			err = s.check()
 			c.Steps = append(c.Steps, s)
@@ -172,7 +182,7 @@
 
 // events are what a schedule can wait for, and what else each needs.
 var events = map[string]string{"owner": "", "new-owner": "", "owned-by": "a limiter", "held": "", "step": "a phase",
-	"back": "a number", "done": "", "votes": "a number", "no-leader": "", "leader": ""}
+	"back": "a number", "done": "", "votes": "a number", "no-leader": "", "leader": "", "watched": "", "used": "a box"}
 
 var phases = []rollout.Phase{rollout.Leaving, rollout.Ending, rollout.Returning, rollout.Back}
 
--- a/internal/faults/steps.go
+++ b/internal/faults/steps.go
@@ -21,7 +21,10 @@
 
 // owner is who owns the duty, by the limiters that run: the one under the highest epoch.
 // Empty: nobody.
-func (r *rig) owner() (name string, epoch uint64) {
+func (r *rig) owner() (name string, epoch uint64) { return r.ownerOf(rollout.Duty) }
+
+// ownerOf is who owns a duty.
+func (r *rig) ownerOf(duty string) (name string, epoch uint64) {
 	for _, p := range r.all {
 		if !r.runs(p) {
 			continue
@@ -31,7 +34,7 @@
 			continue
 		}
 		for _, o := range all {
-			if o.Duty == rollout.Duty && o.Epoch >= epoch && (o.Owner != "" || o.Epoch > epoch) {
+			if o.Duty == duty && o.Epoch >= epoch && (o.Owner != "" || o.Epoch > epoch) {
 				name, epoch = o.Owner, o.Epoch
 			}
 		}
@@ -86,6 +89,15 @@
 		if err := r.until(ctx, "a leader", func() bool { word = r.leader(); return word != "" }); err != nil {
 			return nil, err
 		}
+	case "watcher", "mates":
+		watcher := ""
+		if err := r.until(ctx, "one that looks for room-a", func() bool { watcher = r.watcher("room-a"); return watcher != "" }); err != nil {
+			return nil, err
+		}
+		if word == "mates" {
+			return slices.DeleteFunc(slices.Clone(r.all), func(p *process) bool { return p.name == watcher || p.n%2 > 0 }), nil
+		}
+		word = watcher
 	case "other":
 		o, _ := r.owner()
 		l := r.leader()
@@ -121,6 +133,8 @@
 	case "heal":
 		r.net.set(func(int, int) bool { return true }, func(w *way) { w.cut, w.held, w.delay = false, false, 0 })
 		return nil
+	case "news":
+		return r.tell()
 	}
 	ps, err := r.which(ctx, s.Args[0])
 	if err != nil {
@@ -129,13 +143,19 @@
 	switch s.Verb {
 	case "kill", "stop", "isolate", "hold":
 		r.last, _ = r.owner()
-	case "cut", "part":
-		other, err := r.which(ctx, s.Args[1])
-		if err != nil {
-			return err
+	case "cut", "part", "join":
+		to, known := map[string]int{"box": r.boxWay(), "agent": r.boxWay() + 1}[s.Args[1]]
+		if !known {
+			other, err := r.which(ctx, s.Args[1])
+			if err != nil {
+				return err
+			}
+			to = other[0].n
+		}
+		for _, p := range ps {
+			x, y, both := p.n, to, s.Verb == "part"
+			r.net.set(func(from, to int) bool { return from == x && to == y || both && from == y && to == x }, func(w *way) { w.cut = s.Verb != "join" })
 		}
-		x, y, both := ps[0].n, other[0].n, s.Verb == "part"
-		r.net.set(func(from, to int) bool { return from == x && to == y || both && from == y && to == x }, func(w *way) { w.cut = true })
 		return nil
 	case "add", "remove", "give", "anew":
 		return r.operate(ctx, s.Verb, ps[0])
@@ -177,7 +197,7 @@
 	case "stranger":
 		return r.stranger(ctx, p)
 	case "isolate":
-		r.net.set(func(from, to int) bool { return from == p.n || to == p.n }, func(w *way) { w.cut = true })
+		r.net.set(func(from, to int) bool { return (from == p.n || to == p.n) && max(from, to) < len(r.all) }, func(w *way) { w.cut = true })
 	case "delay":
 		d, _ := time.ParseDuration(s.Args[1])
 		r.net.set(func(from, _ int) bool { return from == p.n }, func(w *way) { w.delay = d })
@@ -385,6 +405,18 @@
 		})
 	case "leader":
 		return r.until(ctx, what, func() bool { return r.leaderRuns() })
+	case "watched":
+		return r.until(ctx, what, r.watched)
+	case "used":
+		box, from := args[1], time.Now()
+		if box == "newest" {
+			r.mu.Lock()
+			box = r.newest
+			r.mu.Unlock()
+		}
+		err := r.until(ctx, what, func() bool { return r.used(box, from) })
+		r.say("  all do, %.2f s later", time.Since(from).Seconds())
+		return err
 	case "no-leader":
 		return r.until(ctx, what, func() bool { return !r.leaderRuns() })
 	}
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -37,6 +37,7 @@
 	AlsoListen []string // further addresses where clients connect
 	Routes     Routes   // none: all requests go to all servers
 	Sources    []Source // agents that tell the servers of single pools
+	Looks      Looks    // that other limiters have for this one; nil: none
 
 	Streams   map[string]admin.Stream // further calls on the operators' address
 	TempDir   string                  // where processes of one limiter find each other; used with AdminAddr alone
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -106,6 +106,15 @@
 		Phase: phase, Weight: i.Share, Pool: i.pool, Tier: i.tier}, nil
 }
 
+// takeList hands what discovery tells to the pool and the module.
+func (n *Node) takeList(l serverList) {
+	if l.Whole {
+		n.take(limiter.Complete, l)
+	} else if len(l.Hosts) > 0 {
+		n.take(limiter.Partial, l)
+	}
+}
+
 // take hands a list to the pool and the module.
 func (n *Node) take(scope limiter.Scope, l serverList) {
 	n.mu.Lock()
@@ -148,9 +157,10 @@
 	have bool
 }
 
-// watch follows discovery at an address until the context ends and hands on what it tells. What is known
-// stays in use while discovery is silent, down or talks nonsense.
-func (n *Node) watch(ctx context.Context, addr string, index listIndex, take func(limiter.Scope, serverList)) {
+// watch follows discovery at an address until the context ends and hands on what it tells: whole
+// lists, or what has changed, which may be nothing, in calls that are held so long. What is known stays in use while discovery is
+// silent, down or talks nonsense; failed tells of that.
+func (n *Node) watch(ctx context.Context, addr string, index listIndex, hold time.Duration, take func(serverList), failed func()) {
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, MaxConnsPerHost: 2,
 		IdleConnTimeout: time.Minute}}
 	defer client.CloseIdleConnections()
@@ -159,8 +169,8 @@
 		// The whole list comes at once, or the call is made anew.
 		path, within := "/v1/servers", watchSlack
 		if index.have {
-			path = fmt.Sprintf("/v1/servers?index=%d&wait=%d", index.seq, watchWait.Milliseconds())
-			within += watchWait
+			path = fmt.Sprintf("/v1/servers?index=%d&wait=%d", index.seq, hold.Milliseconds())
+			within += hold
 		}
 		asked := time.Now()
 		n.counters.listCall()
@@ -170,6 +180,7 @@
 			return
 		case err != nil:
 			n.discoveryLog.warn("discovery does not answer", "err", err)
+			failed()
 			if errors.Is(err, errCrowded) {
 				sleep(ctx, crowded.NextBackOff())
 			} else {
@@ -179,11 +190,7 @@
 		}
 		broken.Reset()
 		crowded.Reset()
-		if l.Whole {
-			take(limiter.Complete, l)
-		} else if len(l.Hosts) > 0 {
-			take(limiter.Partial, l)
-		}
+		take(l)
 		if l.Seq == index.seq && index.have && time.Since(asked) < idlePause {
 			sleep(ctx, idlePause)
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -155,7 +155,7 @@
 	n.conns = newClientConns(clients)
 	n.version.Store(n.newVersion(cfg.Settings, cfg.Routes))
 	for _, s := range cfg.Sources {
-		n.sources = append(n.sources, &source{Source: s, hosts: map[string]serverItem{}})
+		n.sources = append(n.sources, &source{Source: s, hosts: map[string]serverItem{}, hold: watchWait, turned: func() {}})
 	}
 	n.short = &hooks{whole: func() time.Time { n.totals.tries.Add(1); return time.Time{} }}
 	n.holdBodies(1)
@@ -393,7 +393,7 @@
 		time.AfterFunc(max(0, wait), func() { n.dispatch(limiter.Alarm{Handle: a.Handle}) })
 	case limiter.Probe:
 		if !n.silent() {
-			go n.probe(a.Server)
+			n.want(a.Server)
 		}
 	case limiter.Tell:
 		if n.peers != nil && !n.silent() {
@@ -575,6 +575,9 @@
 	if rep.result == limiter.Pass && r.final == nil {
 		r.final = &answer{status: http.StatusOK, body: rep.body, content: rep.content}
 	}
+	if n.cfg.Looks != nil && (rep.result == limiter.NoRoute || rep.result == limiter.Cut) {
+		n.cfg.Looks.Failed(at.host.id)
+	}
 	n.handle(limiter.Outcome{ID: r.id, Try: at.try, Server: at.host.id, Result: rep.result,
 		SpentMs: cmp.Or(rep.spentMs, msSince(at.sentAt)), Done: r.final != nil, Load: rep.load})
 }
--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -82,7 +82,7 @@
 		watching, end := context.WithCancel(ctx)
 		ended := make(chan struct{})
 		go func() {
-			n.watch(watching, at, index, n.take)
+			n.watch(watching, at, index, watchWait, n.takeList, func() {})
 			close(ended)
 		}()
 		select {
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -640,5 +640,5 @@
 		}
 	}
 	ev.SpentMs = msSince(begun)
-	n.dispatch(ev)
+	n.looked(ev)
 }
--- a/internal/node/sources.go
+++ b/internal/node/sources.go
@@ -1,9 +1,10 @@
 package node
 
 import (
-	"context"
+	"encoding/json"
 	"maps"
 	"slices"
+	"time"
 
 	"example.org/madderdrum/limiter"
 )
@@ -18,21 +19,30 @@
 // source is one with what it has told.
 type source struct {
 	Source
-	hosts map[string]serverItem // under the node's mutex; those that are gone are not in it
+	// Under the node's mutex:
+	hosts  map[string]serverItem // those that are gone are not in it
+	index  listIndex
+	hold   time.Duration // how long the agent may hold a call; 0: another limiter tells what it says
+	turned func()        // has hold looked at again
 }
 
-// watchSource follows an agent until the context ends.
-func (n *Node) watchSource(ctx context.Context, s *source) {
-	n.watch(ctx, s.Addr, listIndex{}, func(scope limiter.Scope, l serverList) { n.takeFrom(s, scope, l) })
-}
-
-// takeFrom takes in what an agent tells. Its whole list says nothing of the servers of
-// others, so that the module is only ever told what changes.
-func (n *Node) takeFrom(s *source, scope limiter.Scope, l serverList) {
+// takeFrom takes in what an agent tells, or another limiter for it. A whole list says nothing
+// of the servers of others, so that the module is only ever told what changes.
+func (n *Node) takeFrom(s *source, l serverList, itself bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if itself && (s.hold == 0 || !l.Whole && l.Seq < s.index.seq) {
+		return // it came when another limiter's word counted already
+	}
+	s.index = listIndex{l.Seq, true}
+	if itself && n.cfg.Looks != nil {
+		hosts, err := json.Marshal(l.Hosts)
+		if err == nil {
+			n.cfg.Looks.Listed(s.Pool, l.Seq, l.Whole, hosts)
+		}
+	}
 	news := serverList{Seq: l.Seq}
-	if scope != limiter.Partial {
+	if l.Whole {
 		listed := map[string]bool{}
 		for _, item := range l.Hosts {
 			listed[s.Pool+"/"+item.Host] = true
@@ -58,7 +68,9 @@
 		}
 		news.Hosts = append(news.Hosts, item)
 	}
-	n.takeLocked(limiter.Partial, news)
+	if len(news.Hosts) > 0 || l.Whole {
+		n.takeLocked(limiter.Partial, news)
+	}
 }
 
 // discovered are the servers that all agents have told of. The mutex is held.
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -18,6 +18,7 @@
 	"example.org/madderdrum/parts"
 	"example.org/madderdrum/rollout"
 	"example.org/madderdrum/tenure"
+	"example.org/madderdrum/watch"
 )
 
 const (
@@ -57,6 +58,8 @@
 	Limiters  []string          // all of the fleet
 	Admins    map[string]string // where operators call them
 	Steward   bool              // parts of ceilings move; else they go back to equal ones
+	Rooms     map[string]string // of the limiters, by name; nil: each looks for itself
+	Eyes      Eyes              // of this limiter, with Rooms
 	Limiter   Limiter
 	Log       *slog.Logger
 }
@@ -74,6 +77,8 @@
 	owned     map[string]uint64 // epochs, for the log
 	news      chan struct{}
 
+	duties   []string      // that this limiter is a candidate for
+	lookout  *Lookout      // nil: it looks for itself
 	position int           // among all limiters
 	dealt    chan struct{} // parts may have changed
 
@@ -82,8 +87,22 @@
 	current bool // this process has caught up with what was agreed on before it started
 }
 
-// Duties are those that limiters are candidates for.
-func Duties() []string { return []string{parts.Duty, rollout.Duty} }
+// candidates tells whether a limiter is a candidate for a duty.
+func (o *Options) candidates(duty, limiter string) bool {
+	if room, ok := watch.Room(duty); ok {
+		return o.Rooms[limiter] == room
+	}
+	return slices.Contains(o.Limiters, limiter)
+}
+
+// Duties are all that there are.
+func (o *Options) Duties() []string {
+	all := []string{parts.Duty, rollout.Duty}
+	for _, room := range slices.Compact(slices.Sorted(maps.Values(o.Rooms))) {
+		all = append(all, watch.Duty(room))
+	}
+	return all
+}
 
 // Open opens the folder and listens; Run takes part.
 func Open(o Options) (*Service, error) {
@@ -93,14 +112,26 @@
 	s := &Service{o: o, log: o.Log, machine: &machine{limiters: len(o.Limiters), steward: o.Steward, position: slices.Index(o.Limiters, o.Agreement.Name)}, dealt: make(chan struct{}, 1), owned: map[string]uint64{}, news: make(chan struct{}, 1),
 		me: tenure.Process{Limiter: o.Agreement.Name, Start: rand.Uint64() | 1}}
 	s.position = s.machine.position
-	s.candidate = tenure.NewCandidate(s.me, o.Terms, Duties(), o.Limiters)
+	for _, d := range o.Duties() {
+		if o.candidates(d, s.me.Limiter) {
+			s.duties = append(s.duties, d)
+		}
+	}
+	s.candidate = tenure.NewCandidate(s.me, o.Terms, s.duties, o.Limiters)
 	a := o.Agreement
 	a.Machine, a.Changed, a.Log = s.machine, s.changed, o.Log
+	if o.Rooms != nil {
+		s.lookout = newLookout(s, o.Rooms[s.me.Limiter])
+		a.Streams = map[string]func(string, *agreement.Stream){watchStream: s.lookout.serve}
+	}
 	var err error
 	s.host, err = agreement.Open(a)
 	return s, err
 }
 
+// Lookout is this limiter's part in the looks of its room; nil: it looks for itself.
+func (s *Service) Lookout() *Lookout { return s.lookout }
+
 // Start is the number of this process, which the limiter's Standing has to tell.
 func (s *Service) Start() uint64 { return s.me.Start }
 
@@ -130,6 +161,9 @@
 	tasks.Go(func() { s.conduct(ctx, inner) })
 	tasks.Go(func() { s.hold(inner) })
 	tasks.Go(func() { s.deal(inner) })
+	if s.lookout != nil {
+		tasks.Go(func() { s.lookout.run(inner) })
+	}
 	select {
 	case <-ctx.Done():
 		s.leave(inner)
@@ -145,7 +179,7 @@
 	at := now()
 	s.mu.Lock()
 	s.machine.look(func(st *state) { s.candidate.Observe(at, &st.Terms) })
-	for _, d := range Duties() {
+	for _, d := range s.duties {
 		t, owns := s.candidate.Owns(at, d)
 		switch was := s.owned[d]; {
 		case owns && was != t.Epoch:
@@ -332,6 +366,7 @@
 	SentBytes  int64
 	Received   int64
 	Rollout    *rollout.Plan `json:",omitempty"`
+	Looks      *Looks        `json:",omitempty"` // shared in this limiter's room
 	Moved      int           // accounts of which parts of the ceiling are not equal
 	UnderWay   int           // of them, where a limiter has still to confirm that it uses less
 	Unsure     []string      `json:",omitempty"` // limiters of which is not known yet what they hold, after the fleet was begun anew
@@ -358,6 +393,10 @@
 			}
 		}
 	})
+	if s.lookout != nil {
+		x := s.lookout.Looks()
+		st.Looks = &x
+	}
 	for id, name := range a.Roster.Members {
 		m := Member{Limiter: name, Member: fmt.Sprintf("%016x", id), Votes: slices.Contains(a.Voters, id), Leads: id == a.Leader}
 		want, wanted := a.Roster.Wanted[name]
@@ -426,10 +465,12 @@
 // Transfer has a duty go to another limiter.
 func (s *Service) Transfer(ctx context.Context, duty, to string) error {
 	switch {
-	case !slices.Contains(Duties(), duty):
-		return fmt.Errorf("there is no duty %q; there are %v", duty, Duties())
+	case !slices.Contains(s.o.Duties(), duty):
+		return fmt.Errorf("there is no duty %q; there are %v", duty, s.o.Duties())
 	case !slices.Contains(s.o.Limiters, to):
 		return fmt.Errorf("there is no limiter %q; there are %v", to, s.o.Limiters)
+	case !s.o.candidates(duty, to):
+		return fmt.Errorf("limiter %q is in room %q: %s is for its own limiters", to, s.o.Rooms[to], duty)
 	}
 	return s.propose(ctx, entry{Term: &tenure.Command{Kind: tenure.Transfer, By: s.me, Duty: duty, To: to}})
 }
