A limiter greeted while its fleet begins hears of it; torn writes, datagrams, wall clocks in the rig

Seen in its folders and logs: n2 never found the fleet (no 'found the fleet', its answers name none), so the conductor counted it as not reached. At fault: link.go talk. The hello is taken before the fleet begins; Begin pokes redial while the answer is on its way, and the drain behind the answer took that poke for one meant for an earlier connection. A second race lost the wish to connect again, taken as asked of the old connection. Whoever hears messages never greeted anew. Ruled out: operators' callers (none hung), disks, the ways of the rig.

Pokes are drained before the hello is taken; an end to greet anew connects again; one that may not speak yet greets anew each 2 s.

--- a/cmd/madderdrum/faults.go
+++ b/cmd/madderdrum/faults.go
@@ -89,7 +89,7 @@
 		}
 		tasks.Go(func() {
 			defer func() { <-slots }()
-			o := faults.Options{Program: c.Program, Limiters: p.Limiters, Voters: p.Voters, Term: c.Term, Steps: p.Steps, Watch: cmp.Or(p.Watch, c.Watch), Load: c.Load, Within: c.Within}
+			o := faults.Options{Program: c.Program, Limiters: p.Limiters, Voters: p.Voters, Term: c.Term, Steps: p.Steps, Watch: cmp.Or(p.Watch, c.Watch), Peers: p.Peers, Load: c.Load, Within: c.Within}
 			if c.Keep != "" {
 				o.Keep = filepath.Join(c.Keep, filepath.Base(p.Name))
 			}
@@ -117,7 +117,11 @@
 				fmt.Printf("BROKEN: %s\n", b)
 			}
 			if len(r.Broken) > 0 {
-				fmt.Printf("again: madderdrum faults run %s --limiters %d --voters %d --term %v --load %d\n", p.again, p.Limiters, p.Voters, c.Term, c.Load)
+				again := ""
+				if c.Watch != "" {
+					again = " --watch " + c.Watch
+				}
+				fmt.Printf("again: madderdrum faults run %s --limiters %d --voters %d --term %v --load %d%s\n", p.again, p.Limiters, p.Voters, c.Term, c.Load, again)
 			}
 		})
 	}
--- a/internal/agreement/bolt.go
+++ b/internal/agreement/bolt.go
@@ -109,7 +109,9 @@
 	if err := beforeSync(f.dir); err != nil {
 		return err
 	}
-	return f.db.Update(do)
+	err := f.db.Update(do)
+	afterSync(f.dir)
+	return err
 }
 
 func (f *folder) close() error { return f.db.Close() }
--- a/internal/agreement/host.go
+++ b/internal/agreement/host.go
@@ -25,8 +25,9 @@
 	DefaultTick = 100 * time.Millisecond
 	tendEvery   = 3 // ticks between two looks at whether members have to change
 	atWorkFor   = 3 * time.Second
-	// A member that has heard nobody for unheardFor greets anew: it may be left out, or its
-	// connections stand on a machine that is gone. Greetings are good for joinFor.
+	// A member that has heard nobody for unheardFor, or may not speak yet, greets anew: it may be
+	// left out, its connections may stand on a machine that is gone, or have been greeted
+	// before there was a fleet. Greetings are good for joinFor.
 	unheardFor  = 2 * time.Second
 	joinFor     = 10 * time.Second
 	reopenAfter = time.Second
@@ -263,7 +264,7 @@
 	if n%tendEvery == 0 && (alone || h.core.View().Leader == 0) {
 		h.greetAll()
 	}
-	if now := time.Now(); !h.core.Leads() && now.Sub(h.heardAt) > unheardFor && now.Sub(h.redialAt) > unheardFor {
+	if now := time.Now(); !h.core.Leads() && (alone || now.Sub(h.heardAt) > unheardFor) && now.Sub(h.redialAt) > unheardFor {
 		h.redialAt = now
 		for _, l := range h.links {
 			l.again()
--- a/internal/agreement/host_test.go
+++ b/internal/agreement/host_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
+	"io"
 	"log/slog"
+	"net"
 	"testing"
 	"time"
 )
@@ -44,3 +47,51 @@
 		t.Error("it waits for a driver that has ended")
 	}
 }
+
+// A limiter that is greeted while the fleet begins hears of the fleet: a hello from before it is
+// followed by another one, whenever its answer comes.
+func TestAHelloFromBeforeTheFleetIsFollowedByAnother(t *testing.T) {
+	other, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer other.Close()
+	h, err := Open(Options{Label: "f", Name: "n0", Folder: t.TempDir(), Listen: "127.0.0.1:0", Voters: []string{"n0", "n1"},
+		Peers: map[string]string{"n0": "127.0.0.1:1", "n1": other.Addr().String()}, Machine: nothing{}, Changed: func() {}, Log: slog.New(slog.DiscardHandler)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	ended := make(chan error)
+	go func() { ended <- h.Run(ctx) }()
+	defer func() { stop(); <-ended }()
+	for _, begun := range []bool{false, true} {
+		c, err := other.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		c.SetDeadline(time.Now().Add(10 * time.Second))
+		if err := readPreface(c); err != nil {
+			t.Fatal(err)
+		}
+		data, err := readFrame(c, mostHello)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var hello Hello
+		if err := json.Unmarshal(data, &hello); err != nil || (hello.Fleet != 0) != begun {
+			t.Fatalf("hello %s, %v", data, err)
+		}
+		if begun {
+			return
+		}
+		if err := h.Begin(ctx, []string{"n0"}); err != nil { // behind the hello, before its answer
+			t.Fatal(err)
+		}
+		answer, _ := json.Marshal(reply{Hello: Hello{Label: "f", Name: "n1", Member: 7, Start: 1, Mark: 1, To: "n0"}})
+		io.WriteString(c, preface)
+		writeFrame(c, answer)
+		other.(*net.TCPListener).SetDeadline(time.Now().Add(10 * time.Second))
+	}
+}
--- a/internal/agreement/link.go
+++ b/internal/agreement/link.go
@@ -111,6 +111,10 @@
 	}
 	defer c.Close()
 	defer context.AfterFunc(ctx, func() { c.Close() })()
+	select {
+	case <-l.redial: // meant a connection before this one; one that comes behind the hello does not
+	default:
+	}
 	me, ok := h.hello(ctx)
 	if !ok {
 		return false, ctx.Err()
@@ -129,10 +133,6 @@
 		io.Copy(io.Discard, io.LimitReader(c, 1))
 		close(gone)
 	}()
-	select {
-	case <-l.redial: // meant a connection before this one
-	default:
-	}
 	out := bufio.NewWriterSize(c, 64<<10)
 	for m := first; ; {
 		if m != nil {
@@ -145,6 +145,7 @@
 		case <-l.greet: // it is connected
 			m = nil
 		case <-l.redial:
+			l.open() // what asked for a greeting meanwhile was taken as asked of this connection
 			return true, fmt.Errorf("nothing was heard: greeting anew")
 		case <-gone:
 			return true, io.EOF
--- a/internal/faults/faults_test.go
+++ b/internal/faults/faults_test.go
@@ -44,7 +44,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return Run(ctx, Options{Program: bin, Limiters: max(c.Limiters, 3), Voters: max(c.Voters, 3), Term: time.Second, Steps: c.Steps, Watch: c.Watch, Load: 20, Env: env, Within: within})
+	return Run(ctx, Options{Program: bin, Limiters: max(c.Limiters, 3), Voters: max(c.Voters, 3), Term: time.Second, Steps: c.Steps, Watch: c.Watch, Peers: c.Peers, Load: 20, Env: env, Within: within})
 }
 
 // Thirty schedules: the hard cases by name and as many drawn ones as are missing.
--- a/internal/faults/relay.go
+++ b/internal/faults/relay.go
@@ -19,6 +19,7 @@
 	waits    bool // something does, or did since it was cut or held
 	tried    int  // connections that came while it was cut
 	delay    time.Duration
+	messy    bool // datagrams are lost, doubled and out of order
 }
 
 // Call is a call of one limiter to another's operators' address, as it crossed.
@@ -35,7 +36,7 @@
 	changed *sync.Cond
 	ways    map[[2]int]*way
 	conns   map[net.Conn]*way
-	lns     []net.Listener
+	lns     []io.Closer
 	closed  bool
 	calls   []Call
 	begun   time.Time
--- a/internal/faults/rig.go
+++ b/internal/faults/rig.go
@@ -31,6 +31,7 @@
 	Voters   int
 	Term     time.Duration
 	Steps    []Step
+	Peers    bool              // limiters tell each other of spending, and quota is held by all together
 	Load     int               // requests a second that clients send over all limiters
 	Watch    string            // room or each: who looks at boxes and follows discovery; empty: each, and there is none
 	Env      []string          // added to the limiters'
@@ -50,6 +51,7 @@
 	Moved    int             // whether its parts were seen to be moved
 	Terms    int             // begun
 	Looks    int             // at the box that all know, by its connections while it was cut off
+	Refused  int             // requests with quota to spare that were told to come again
 	Lists    int             // calls that discovery has answered
 }
 
@@ -57,7 +59,7 @@
 type process struct {
 	n                   int
 	name, config        string
-	listen, admin       string
+	listen, admin, peer string
 	fleet               string // where it listens for the others
 	folder, kept        string
 	cmd                 *exec.Cmd
@@ -189,7 +191,8 @@
 	n := r.o.Limiters
 	for i := range n {
 		p := &process{n: i, name: fmt.Sprint("n", i), config: filepath.Join(r.dir, fmt.Sprintf("n%d.hcl", i)), folder: filepath.Join(r.dir, "fleet", fmt.Sprint("n", i))}
-		for _, addr := range []*string{&p.fleet, &p.listen, &p.admin} {
+		for _, addr := range []*string{&p.fleet, &p.listen, &p.admin, &p.peer} { // the last by UDP
+
 			var ln net.Listener
 			if *addr, ln, err = r.free(); err != nil {
 				return err
@@ -203,6 +206,16 @@
 	}
 	// Each limiter alone lets through what the ceiling allows: the peers tell each other nothing.
 	text := strings.NewReplacer(`rate          = "7/s"`, `rate = "15/s"`, `burst         = 15`, `burst = 32`).Replace(string(deploy.Bluebird))
+	var peers []string
+	for _, p := range r.all {
+		peers = append(peers, p.peer)
+	}
+	var views *datagrams
+	if r.o.Peers {
+		if views, err = r.net.openPeers(r.host, peers); err != nil {
+			return err
+		}
+	}
 	head, tail := strings.Index(text, `limiter "n0"`), strings.Index(text, "rules {")
 	for i, p := range r.all {
 		var b strings.Builder
@@ -217,7 +230,13 @@
 					return err
 				}
 			}
-			fmt.Fprintf(&b, "limiter %q {\n room = %q\n listen = %q\n admin = %q\n fleet = %q\n}\n", q.name, []string{"room-a", "room-b"}[j%2], q.listen, admin, fleet)
+			peer := ""
+			if views != nil && j == i {
+				peer = fmt.Sprintf(" peer = %q\n", q.peer)
+			} else if views != nil {
+				peer = fmt.Sprintf(" peer = %q\n", views.views[[2]int{i, j}].LocalAddr())
+			}
+			fmt.Fprintf(&b, "limiter %q {\n room = %q\n listen = %q\n admin = %q\n fleet = %q\n%s}\n", q.name, []string{"room-a", "room-b"}[j%2], q.listen, admin, fleet, peer)
 		}
 		box := first
 		if r.o.Watch != "" { // faults come between
@@ -272,6 +291,9 @@
 	io.WriteString(w, "sent\n")
 }
 
+// wall is the file that has a limiter's wall clock jump, in a program built with -tags faults.
+func (p *process) wall() string { return p.config + ".wall" }
+
 // start starts a limiter's process.
 func (r *rig) start(p *process) error {
 	r.mu.Lock()
@@ -282,7 +304,7 @@
 func (r *rig) startLocked(p *process) error {
 	cmd := exec.Command(r.o.Program, "serve", p.config, "--limiter", p.name)
 	cmd.Stderr, cmd.Stdout = p.log, p.log
-	cmd.Env = append(os.Environ(), r.o.Env...)
+	cmd.Env = append(append(os.Environ(), "MADDERDRUM_WALL="+p.wall()), r.o.Env...)
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // nothing is left behind
 	if err := cmd.Start(); err != nil {
 		return fmt.Errorf("faults: start the program: %w", err)
@@ -480,6 +502,11 @@
 		q.Header = http.Header{"X-Request-Id": {id}, "X-Priority-Class": {"send-bulk-paid"}, "Plan": {plan}, "X-Timeout": {"2000m"},
 			"Quota-Info": {fmt.Sprintf("units=%d,spread=%d,first=0", units, len(r.all))}}
 		if a, err := client.Do(q); err == nil {
+			if a.StatusCode == http.StatusTooManyRequests && plan == "enterprise" {
+				r.mu.Lock()
+				r.result.Refused++
+				r.mu.Unlock()
+			}
 			io.Copy(io.Discard, a.Body)
 			a.Body.Close()
 		}
@@ -507,7 +534,11 @@
 			if !r.runs(p) {
 				continue
 			}
-			r.send(ctx, client, p, fmt.Sprintf("%08x", k), "enterprise", 1+k%40, 1)
+			account := 1 + k%40
+			if r.o.Peers && k%4 > 0 {
+				account = 1 // half of its quota, if each request is counted once
+			}
+			r.send(ctx, client, p, fmt.Sprintf("%08x", k), "enterprise", account, 1)
 		}
 	})
 }
@@ -529,6 +560,9 @@
 	r.mu.Lock()
 	exits := append([]Exit(nil), r.exits...)
 	over := judgeCeiling(r.ceiling)
+	if r.o.Peers && r.result.Refused > 0 {
+		over = append(over, fmt.Sprintf("%d requests of accounts that ask for half of their quota at most were told to come again", r.result.Refused))
+	}
 	r.result.Ceiling = len(r.ceiling)
 	for id, n := range r.ran {
 		r.result.Requests++
--- a/internal/faults/schedule.go
+++ b/internal/faults/schedule.go
@@ -36,7 +36,7 @@
 // leader, other (one that is neither), watcher (which looks for room-a), mates (for which it does), all.
 var verbs = map[string]verb{
 	"roll":     {1, 2, "roll restart|drain [AT-ONCE]: an operator begins a rollout"},
-	"wait":     {1, 2, "wait owner | new-owner | owned-by X | held | step PHASE | back N | done | votes N | no-leader | leader | watched | used newest|a: for an event"},
+	"wait":     {1, 2, "wait owner | new-owner | owned-by X | held | step PHASE | back N | done | votes N | no-leader | leader | watched | used newest|a | gone X: for an event"},
 	"news":     {0, 0, "news: discovery tells of one more box"},
 	"join":     {2, 2, "join X Y: Y hears X again"},
 	"kill":     {1, 1, "kill X: SIGKILL"},
@@ -52,7 +52,9 @@
 	"delay":    {2, 2, "delay X TIME: what X says comes so much later"},
 	"hold":     {1, 1, "hold X: its calls to others are held between its last check and their effect"},
 	"release":  {1, 1, "release X: and come now"},
-	"disk":     {2, 2, "disk X TIME|full|well: its writes take so long, or fail"},
+	"disk":     {2, 2, "disk X TIME|full|torn|well: its writes take so long, or fail, or it ends in the middle of the next one"},
+	"wall":     {2, 2, "wall X TIME: its wall clock jumps to so much from the others', such as 1h or -1h"},
+	"mess":     {1, 1, "mess X: of its messages to peers a third are lost, a third come twice, all out of order"},
 	"lose":     {1, 1, "lose X: its folder, while it is killed"},
 	"keep":     {1, 1, "keep X: a copy of its folder, while it is killed or stopped"},
 	"restore":  {1, 1, "restore X: the folder that was kept, while it is killed"},
@@ -79,11 +81,13 @@
 	What             string // its first remark
 	Limiters, Voters int
 	Watch            string // room, each, or empty
+	Peers            bool
 	Steps            []Step
 }
 
 // Parse reads a schedule: a step a line, # begins a remark. Its first lines may say
-// "limiters N", "voters N" and "watch room" or "watch each": there is discovery, and who follows it.
+// "limiters N", "voters N" and "watch room" or "watch each" (there is discovery, and who
+// follows it), and "peers": limiters tell each other of spending.
 func Parse(name, text string) (*Schedule, error) {
 	c := &Schedule{Name: name}
 	for i, line := range strings.Split(text, "\n") {
@@ -106,6 +110,10 @@
 			} else {
 				c.Watch = s.Args[0]
 			}
+		case "peers":
+			if c.Peers = true; len(c.Steps) > 0 || len(s.Args) > 0 {
+				err = errors.New("write peers, with nothing more, before all steps")
+			}
 		default:
 			err = s.check()
 			c.Steps = append(c.Steps, s)
@@ -149,7 +157,7 @@
 		return s.checkEvent()
 	case s.Verb == "roll" && s.Args[0] != string(rollout.Restart) && s.Args[0] != string(rollout.Drain):
 		return fmt.Errorf("write %s", v.what)
-	case s.Verb == "pass" || s.Verb == "delay" || s.Verb == "disk" && s.Args[1] != "full" && s.Args[1] != "well":
+	case s.Verb == "pass" || s.Verb == "delay" || s.Verb == "wall" || s.Verb == "disk" && s.Args[1] != "full" && s.Args[1] != "torn" && s.Args[1] != "well":
 		if _, err := time.ParseDuration(s.Args[len(s.Args)-1]); err != nil {
 			return fmt.Errorf("%w: write a time such as 2s", err)
 		}
@@ -182,7 +190,7 @@
 
 // events are what a schedule can wait for, and what else each needs.
 var events = map[string]string{"owner": "", "new-owner": "", "owned-by": "a limiter", "held": "", "step": "a phase",
-	"back": "a number", "done": "", "votes": "a number", "no-leader": "", "leader": "", "watched": "", "used": "a box"}
+	"back": "a number", "done": "", "votes": "a number", "no-leader": "", "leader": "", "watched": "", "used": "a box", "gone": "a limiter"}
 
 var phases = []rollout.Phase{rollout.Leaving, rollout.Ending, rollout.Returning, rollout.Back}
 
--- a/internal/faults/steps.go
+++ b/internal/faults/steps.go
@@ -131,7 +131,7 @@
 		}
 		return ctx.Err()
 	case "heal":
-		r.net.set(func(int, int) bool { return true }, func(w *way) { w.cut, w.held, w.delay = false, false, 0 })
+		r.net.set(func(int, int) bool { return true }, func(w *way) { w.cut, w.held, w.messy, w.delay = false, false, false, 0 })
 		return nil
 	case "news":
 		return r.tell()
@@ -142,7 +142,9 @@
 	}
 	switch s.Verb {
 	case "kill", "stop", "isolate", "hold":
-		r.last, _ = r.owner()
+		if name, _ := r.owner(); name != "" { // else nobody who runs knows one yet: it is the one before
+			r.last = name
+		}
 	case "cut", "part", "join":
 		to, known := map[string]int{"box": r.boxWay(), "agent": r.boxWay() + 1}[s.Args[1]]
 		if !known {
@@ -203,7 +205,16 @@
 		r.net.set(func(from, _ int) bool { return from == p.n }, func(w *way) { w.delay = d })
 	case "hold", "release":
 		r.net.set(func(from, _ int) bool { return from == p.n }, func(w *way) { w.held = s.Verb == "hold" })
+	case "wall":
+		return os.WriteFile(p.wall(), []byte(s.Args[1]), 0o600)
+	case "mess":
+		r.net.set(func(from, _ int) bool { return from == p.n }, func(w *way) { w.messy = true })
 	case "disk":
+		if s.Args[1] == "torn" { // it ends by it, as if it was killed
+			r.mu.Lock()
+			p.killed = true
+			r.mu.Unlock()
+		}
 		file := filepath.Join(p.folder, "disk")
 		if s.Args[1] == "well" {
 			if err := os.Remove(file); err != nil && !os.IsNotExist(err) {
@@ -405,6 +416,16 @@
 		})
 	case "leader":
 		return r.until(ctx, what, func() bool { return r.leaderRuns() })
+	case "gone":
+		ps, err := r.which(ctx, args[1])
+		if err != nil {
+			return err
+		}
+		return r.until(ctx, what, func() bool {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			return !ps[0].up
+		})
 	case "watched":
 		return r.until(ctx, what, r.watched)
 	case "used":
--- a/internal/memory/memory.go
+++ b/internal/memory/memory.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"example.org/madderdrum/durable"
+	"example.org/madderdrum/internal/wall"
 	"example.org/madderdrum/limiter"
 	"example.org/madderdrum/recall"
 )
@@ -106,7 +107,7 @@
 }
 
 func (k *Keeper) open() (*durable.Recovered, error) {
-	f, r, err := durable.Open(filepath.Join(k.o.Folder, k.o.Limiter), durable.Options{Owner: k.o.Limiter, Most: k.o.Most})
+	f, r, err := durable.Open(filepath.Join(k.o.Folder, k.o.Limiter), durable.Options{Owner: k.o.Limiter, Most: k.o.Most, Now: wall.Now})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -17,6 +17,7 @@
 
 	"example.org/madderdrum/handover"
 	"example.org/madderdrum/internal/admin"
+	"example.org/madderdrum/internal/wall"
 	"example.org/madderdrum/lifecycle"
 	"example.org/madderdrum/limiter"
 )
@@ -145,7 +146,7 @@
 	n := &Node{
 		cfg: cfg, log: logger, limiter: limiter, requests: map[string]*request{},
 		badInput: &boundedLog{to: logger}, discoveryLog: &boundedLog{to: logger}, unrouted: &boundedLog{to: logger}, advised: &boundedLog{to: logger}, labels: map[string]*LabelCount{},
-		start: now, startMs: float64(now.UnixMicro()) / 1000,
+		start: now, startMs: float64(wall.Now().UnixMicro()) / 1000,
 		counters: newCounters(logger), totals: totals{classes: map[string]*ends{}}, changed: make(chan struct{}, 1),
 		begun: make(chan struct{}), reload: make(chan struct{}, 1), discovery: make(chan string),
 	}
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sys/unix"
 
 	"example.org/madderdrum/internal/agreement"
+	"example.org/madderdrum/internal/wall"
 	"example.org/madderdrum/parts"
 	"example.org/madderdrum/rollout"
 	"example.org/madderdrum/tenure"
@@ -222,7 +223,7 @@
 		wake := s.candidate.Wake(now())
 		s.mu.Unlock()
 		for _, c := range commands {
-			c.AtMs = time.Now().UnixMilli()
+			c.AtMs = wall.Now().UnixMilli()
 			go func() {
 				ctx, done := context.WithTimeout(ctx, proposeFor)
 				defer done()
