--- a/internal/ownership/watch.go
+++ b/internal/ownership/watch.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
-	"slices"
 	"sync"
 	"time"
 
@@ -20,11 +19,7 @@
 	watchStream = "watch" // what its connections are for
 	lookEvery   = 100 * time.Millisecond
 	mostWants   = 4096 // events that wait; past them the limiter looks itself
-	// An agent holds calls so long. What the one that looks does not hear all of its room
-	// miss, so that it has to find out soon.
-	holdAlone = 20 * time.Second
-	holdAll   = 3 * time.Second
-	mostNotes = 256 // for one limiter that wait; one that is further behind connects anew
+	mostNotes   = 256  // for one limiter that wait; one that is further behind connects anew
 )
 
 // Eyes are this limiter's own looks at boxes and at discovery, and what it believes of others'.
@@ -38,40 +33,18 @@
 	Follow(pool string, hold time.Duration)
 }
 
-// note is a message between the limiter that looks for a room and one that it looks for.
+// note is a message between the one that looks for a room and another one.
 type note struct {
-	Token string       `json:",omitempty"` // of the one that looks: in all that it says
-	Words []watch.Word `json:",omitempty"`
-	List  *list        `json:",omitempty"`
-	Lost  []string     `json:",omitempty"` // pools whose agents it does not hear
-
-	Asks    []uint64 `json:",omitempty"` // of the others: boxes that they hold as ill
-	Checked *seen    `json:",omitempty"`
-	Hears   string   `json:",omitempty"` // the pool whose agent it follows itself
-	Want    string   `json:",omitempty"` // the pool whose whole list it needs
-}
-
-type list struct {
-	Pool  string
-	Seq   int64
-	Whole bool
-	Hosts json.RawMessage
-}
-
-type seen struct {
-	Box uint64
-	Is  watch.Verdict
+	Token string `json:",omitempty"` // of the one that looks: in all that it says
+	watch.Note
 }
 
 // Looks are how a limiter's looks are shared, for operators.
 type Looks struct {
-	Room    string
-	By      string   // who looks for the room, as far as this limiter hears it; empty: each for itself
-	For     int      `json:",omitempty"` // limiters that this one looks for
-	Asked   int64    // asks of this limiter to look at a box
-	Told    int64    // words that came about boxes
-	Itself  int64    // looks of its own
-	Differs int64    // words that its own attempts did not confirm
+	Room string
+	By   string // who looks for the room, as far as this limiter hears it; empty: each for itself
+	For  int    `json:",omitempty"` // limiters that this one looks for
+	watch.Figures
 	Follows []string `json:",omitempty"` // pools whose agents it follows itself
 }
 
@@ -91,14 +64,10 @@
 	looks  Looks
 
 	// The loop's own.
-	post   *watch.Post
-	feeds  map[string]*watch.Feed
-	holds  map[string]time.Duration // of calls to agents, as the limiter was told
-	desk   *watch.Desk              // nil: another one looks, or nobody
-	token  tenure.Token
-	mates  map[string]*mate
-	beatAt time.Duration
-	up     *uplink // to the one that looks
+	part  *watch.Part
+	token tenure.Token // while this limiter looks
+	mates map[string]*mate
+	up    *uplink // to the one that looks
 }
 
 // mate is a limiter that this one looks for.
@@ -116,10 +85,8 @@
 }
 
 func newLookout(s *Service, room string) *Lookout {
-	l := &Lookout{s: s, eyes: s.o.Eyes, room: room, duty: watch.Duty(room), cfg: watch.DefaultSettings(s.o.Terms.Term), log: s.log, poke: make(chan struct{}, 1),
-		feeds: map[string]*watch.Feed{}, holds: map[string]time.Duration{}, mates: map[string]*mate{}, looks: Looks{Room: room}}
-	l.post = watch.NewPost(l.cfg)
-	return l
+	return &Lookout{s: s, eyes: s.o.Eyes, room: room, duty: watch.Duty(room), cfg: watch.DefaultSettings(s.o.Terms.Term), log: s.log, poke: make(chan struct{}, 1),
+		mates: map[string]*mate{}, looks: Looks{Room: room}}
 }
 
 // do has the loop do something.
@@ -139,7 +106,7 @@
 	full := len(l.events) >= mostWants
 	l.mu.Unlock()
 	if !full {
-		l.do(func(at time.Duration) { l.want(at, box) })
+		l.do(func(at time.Duration) { l.part.Want(at, box) })
 	}
 	return !full
 }
@@ -150,48 +117,19 @@
 	if !made {
 		saw = ""
 	}
-	l.do(func(at time.Duration) {
-		l.count(func(x *Looks) { x.Itself++ })
-		if l.desk != nil {
-			l.say(l.desk.Looked(at, box, saw))
-		}
-		if l.post.Looked(box) && saw != "" {
-			l.ask(note{Checked: &seen{box, saw}})
-		}
-	})
+	l.do(func(at time.Duration) { l.part.Looked(at, box, saw) })
 }
 
 // Failed is told that an attempt has failed at a box.
-func (l *Lookout) Failed(box uint64) {
-	l.do(func(at time.Duration) {
-		if l.post.Failed(at, box) {
-			l.count(func(x *Looks) { x.Differs++ })
-			l.log.Debug("a box was told to be well and is not, seen from here", "box", box)
-		}
-	})
-}
+func (l *Lookout) Failed(box uint64) { l.do(func(at time.Duration) { l.part.Failed(at, box) }) }
 
 // Listed is told what the agent of a pool has said to this limiter.
 func (l *Lookout) Listed(pool string, seq int64, whole bool, hosts []byte) {
-	l.do(func(time.Duration) {
-		l.feed(pool).Own(seq)
-		if l.desk == nil {
-			l.ask(note{Hears: pool})
-			return
-		}
-		l.desk.Heard(pool)
-		l.tell(note{List: &list{pool, seq, whole, hosts}})
-	})
+	l.do(func(time.Duration) { l.part.Listed(watch.List{Pool: pool, Seq: seq, Whole: whole, Hosts: hosts}) })
 }
 
 // Lost is told that the agent of a pool does not answer this limiter.
-func (l *Lookout) Lost(pool string) {
-	l.do(func(at time.Duration) {
-		if l.desk != nil && l.desk.Lost(at, pool) {
-			l.tell(note{Lost: l.desk.Unheard()})
-		}
-	})
-}
+func (l *Lookout) Lost(pool string) { l.do(func(at time.Duration) { l.part.Lost(at, pool) }) }
 
 // Looks are how looks are shared here.
 func (l *Lookout) Looks() Looks {
@@ -200,23 +138,9 @@
 	return l.looks
 }
 
-func (l *Lookout) count(f func(*Looks)) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	f(&l.looks)
-}
-
-func (l *Lookout) feed(pool string) *watch.Feed {
-	f := l.feeds[pool]
-	if f == nil {
-		f = &watch.Feed{}
-		l.feeds[pool] = f
-	}
-	return f
-}
-
 // run is the loop.
 func (l *Lookout) run(ctx context.Context) {
+	l.part = watch.NewPart(l.cfg, l.eyes.Pools())
 	ticker := time.NewTicker(lookEvery)
 	defer ticker.Stop()
 	for {
@@ -232,125 +156,85 @@
 		l.mu.Unlock()
 		for _, f := range events {
 			f(now())
+			l.carryOut()
 		}
 		l.tend(ctx, now())
+		l.carryOut()
 	}
 }
 
-// tend does what the time and the duty's owner ask for.
+// tend looks who owns the duty, and does what the time asks for.
 func (l *Lookout) tend(ctx context.Context, at time.Duration) {
 	token, owns := l.s.owns(l.duty)
-	if l.desk != nil && (!owns || token != l.token) {
+	if was := l.part.Leads(); was && (!owns || token != l.token) || !was && owns {
 		for _, m := range l.mates {
 			m.end()
 		}
 		clear(l.mates)
-		l.desk = nil
-	}
-	if owns && l.desk == nil {
-		l.desk, l.token = watch.NewDesk(l.cfg), token
-		for _, f := range l.feeds {
-			f.Alone()
-		}
+		l.token = token
+		l.part.Lead(owns)
 	}
 	l.connect(ctx)
-	for _, pool := range l.eyes.Pools() {
-		f := l.feed(pool)
-		if l.post.Silent(at) && !broken("alone") {
-			f.Alone()
-		}
-		hold := holdAlone
-		switch {
-		case l.desk != nil:
-			hold = holdAll
-		case f.Led():
-			hold = 0
-		}
-		if was, known := l.holds[pool]; !known || was != hold {
-			l.holds[pool] = hold
-			l.eyes.Follow(pool, hold)
-		}
-	}
-	if l.desk != nil {
-		for _, box := range l.desk.Next(at) {
-			l.eyes.Look(box)
-		}
-		if at >= l.beatAt {
-			l.beatAt = at + l.cfg.Patience/3
-			l.tell(note{})
-		}
-		if l.desk.Unfit(at) {
-			l.log.Warn("gives a duty up: others hear what this limiter does not", "duty", l.duty, "pools", l.desk.Unheard())
-			l.s.resign(l.duty)
-		}
+	if !broken("alone") || !l.part.Alone(at) {
+		l.part.Tick(at)
 	}
-	l.count(func(x *Looks) {
-		x.By, x.For, x.Follows = "", len(l.mates), nil
-		if l.desk != nil {
-			x.By = l.s.me.Limiter
-		} else if l.up != nil && !l.post.Silent(at) {
-			x.By = l.up.to
-		}
-		for pool, hold := range l.holds {
-			if hold > 0 {
-				x.Follows = append(x.Follows, pool)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.looks = Looks{Room: l.room, For: len(l.mates), Figures: l.part.Figures(), Follows: l.part.Follows()}
+	switch {
+	case owns:
+		l.looks.By = l.s.me.Limiter
+	case l.up != nil && !l.part.Alone(at):
+		l.looks.By = l.up.to
+	}
+}
+
+// carryOut does what has been decided.
+func (l *Lookout) carryOut() {
+	for _, a := range l.part.Acts() {
+		switch a.Kind {
+		case watch.Look:
+			l.eyes.Look(a.Box)
+		case watch.Believe:
+			l.eyes.Word(a.Box, a.Is == watch.Well)
+		case watch.Follow:
+			l.eyes.Follow(a.Pool, a.Hold)
+		case watch.Take:
+			if err := l.eyes.Told(a.List.Pool, a.List.Seq, a.List.Whole, a.List.Hosts); err != nil {
+				l.log.Warn("a list of the one that looks can't be read", "pool", a.List.Pool, "err", err)
+				l.part.Itself(a.List.Pool)
 			}
-		}
-		slices.Sort(x.Follows)
-	})
-}
-
-// want is a box that is held as ill here.
-func (l *Lookout) want(at time.Duration, box uint64) {
-	if l.desk != nil {
-		l.say(l.desk.Ask(at, "", box))
-		return
-	}
-	ask, look := l.post.Want(at, box)
-	if ask {
-		l.count(func(x *Looks) { x.Asked++ })
-		l.ask(note{Asks: []uint64{box}})
-	}
-	if look {
-		l.eyes.Look(box)
-	}
-}
-
-// say tells words to whom they are for. This limiter has seen itself what the others are told.
-func (l *Lookout) say(words []watch.Word) {
-	for _, w := range words {
-		if w.To == "" {
-			if w.Is == watch.Alone {
-				l.eyes.Look(w.Box)
+		case watch.Say:
+			if l.up != nil {
+				select {
+				case l.up.out <- note{Note: a.Note}:
+				default: // it is asked again
+				}
+			}
+		case watch.TellWhole:
+			if seq, hosts, ok := l.eyes.Whole(a.Pool); ok {
+				l.tell(a.To, watch.Note{List: &watch.List{Pool: a.Pool, Seq: seq, Whole: true, Hosts: hosts}})
 			}
-		} else if m := l.mates[w.To]; m != nil {
-			l.give(m, note{Words: []watch.Word{w}})
+		case watch.Tell:
+			l.tell(a.To, a.Note)
+		case watch.Resign:
+			l.log.Warn("gives a duty up: others hear what this limiter does not", "duty", l.duty)
+			l.s.resign(l.duty)
 		}
 	}
 }
 
-// tell tells all that this limiter looks for.
-func (l *Lookout) tell(n note) {
-	for _, m := range l.mates {
-		l.give(m, n)
-	}
-}
-
-func (l *Lookout) give(m *mate, n note) {
-	n.Token = l.token.String()
-	select {
-	case m.out <- n:
-	default:
-		m.end()
-	}
-}
-
-// ask says something to the one that looks, if there is one.
-func (l *Lookout) ask(n note) {
-	if l.up != nil {
+// tell tells one that this limiter looks for, or all of them. One that does not take its notes
+// connects anew.
+func (l *Lookout) tell(to string, n watch.Note) {
+	for name, m := range l.mates {
+		if to != "" && to != name {
+			continue
+		}
 		select {
-		case l.up.out <- n:
+		case m.out <- note{l.token.String(), n}:
 		default:
+			m.end()
 		}
 	}
 }
@@ -368,9 +252,7 @@
 	defer l.do(func(time.Duration) {
 		if l.mates[name] == m {
 			delete(l.mates, name)
-			if l.desk != nil {
-				l.desk.Leave(name)
-			}
+			l.part.Leave(name)
 		}
 	})
 	go func() {
@@ -393,8 +275,8 @@
 			return
 		}
 		l.do(func(at time.Duration) {
-			if l.mates[name] == m && l.desk != nil {
-				l.take(at, m, n)
+			if l.mates[name] == m {
+				l.part.From(at, name, n.Note)
 			}
 		})
 	}
@@ -402,43 +284,13 @@
 
 // join begins to look for a limiter.
 func (l *Lookout) join(m *mate) {
-	if l.desk == nil {
-		m.end()
-		return
-	}
 	if before := l.mates[m.name]; before != nil {
 		before.end()
 	}
 	l.mates[m.name] = m
-	l.give(m, note{Lost: l.desk.Unheard()})
-	for _, pool := range l.eyes.Pools() {
-		l.whole(m, pool)
-	}
-}
-
-// whole tells a limiter the whole list of a pool, if this one hears its agent.
-func (l *Lookout) whole(m *mate, pool string) {
-	if slices.Contains(l.desk.Unheard(), pool) {
-		return
-	}
-	if seq, hosts, ok := l.eyes.Whole(pool); ok {
-		l.give(m, note{List: &list{pool, seq, true, hosts}})
-	}
-}
-
-// take takes in what a limiter says that this one looks for.
-func (l *Lookout) take(at time.Duration, m *mate, n note) {
-	for _, box := range n.Asks {
-		l.say(l.desk.Ask(at, m.name, box))
-	}
-	if n.Checked != nil {
-		l.say(l.desk.Checked(at, n.Checked.Box, n.Checked.Is))
-	}
-	if n.Hears != "" {
-		l.desk.Others(n.Hears)
-	}
-	if n.Want != "" {
-		l.whole(m, n.Want)
+	if !l.part.Join(m.name) {
+		delete(l.mates, m.name)
+		m.end()
 	}
 }
 
@@ -453,7 +305,7 @@
 	if l.up != nil && l.up.to != to {
 		l.up.stop()
 		l.up = nil
-		l.apart()
+		l.part.Cut()
 	}
 	if to == "" || l.up != nil {
 		return
@@ -463,14 +315,6 @@
 	go l.hear(ctx, l.up)
 }
 
-// apart notes that the one that looks is not heard.
-func (l *Lookout) apart() {
-	l.post.Cut()
-	for _, f := range l.feeds {
-		f.Apart()
-	}
-}
-
 // hear hears the one that looks until the context ends.
 func (l *Lookout) hear(ctx context.Context, up *uplink) {
 	pause := &backoff.ExponentialBackOff{InitialInterval: 50 * time.Millisecond, MaxInterval: time.Second, Multiplier: 2, RandomizationFactor: 0.5}
@@ -483,7 +327,7 @@
 		l.log.Debug("the one that looks for the room is not heard", "limiter", up.to, "err", err)
 		l.do(func(time.Duration) {
 			if l.up == up {
-				l.apart()
+				l.part.Cut()
 			}
 		})
 		select {
@@ -523,14 +367,19 @@
 		if err != nil {
 			return heard, err
 		}
+		for i := range n.Words {
+			if broken("word") && n.Words[i].Is != watch.Well {
+				n.Words[i].Is = watch.Ill
+			}
+		}
 		t, err := tenure.ParseToken(n.Token)
 		if err == nil && t.Duty != l.duty {
 			err = fmt.Errorf("token %v is not one of %s", t, l.duty)
 		}
 		if err == nil {
 			err = l.admit(ctx, t, func(at time.Duration) {
-				if l.up == up && l.desk == nil {
-					l.heard(at, n)
+				if l.up == up {
+					l.part.Heard(at, n.Note)
 				}
 			})
 		}
@@ -551,39 +400,6 @@
 	})
 }
 
-// heard takes in what the one that looks says.
-func (l *Lookout) heard(at time.Duration, n note) {
-	l.post.Heard(at)
-	for _, w := range n.Words {
-		if broken("word") && w.Is != watch.Well {
-			w.Is = watch.Ill
-		}
-		tell, look := l.post.Told(at, w)
-		if tell != "" {
-			l.count(func(x *Looks) { x.Told++ })
-			l.eyes.Word(w.Box, tell == watch.Well)
-		}
-		if look {
-			l.eyes.Look(w.Box)
-		}
-	}
-	for _, pool := range n.Lost {
-		l.feed(pool).Alone()
-	}
-	if x := n.List; x != nil {
-		take, want := l.feed(x.Pool).Offer(x.Seq, x.Whole)
-		if take {
-			if err := l.eyes.Told(x.Pool, x.Seq, x.Whole, x.Hosts); err != nil {
-				l.log.Warn("a list of the one that looks can't be read", "pool", x.Pool, "err", err)
-				l.feed(x.Pool).Alone()
-			}
-		}
-		if want {
-			l.ask(note{Want: x.Pool})
-		}
-	}
-}
-
 func send(st *agreement.Stream, n note) error {
 	data, err := json.Marshal(n)
 	if err != nil {
