--- a/internal/agreement/link.go
+++ b/internal/agreement/link.go
@@ -280,7 +280,7 @@
 		if open == nil {
 			return fmt.Errorf("from %q: it is for %.20q, which is not carried out here", hello.Name, hello.For)
 		}
-		open(hello.Name, newStream(c))
+		open(hello.Name, NewStream(c))
 		return nil
 	}
 	in := bufio.NewReaderSize(c, 64<<10)
--- a/internal/agreement/stream.go
+++ b/internal/agreement/stream.go
@@ -15,7 +15,8 @@
 	in *bufio.Reader
 }
 
-func newStream(c net.Conn) *Stream { return &Stream{c, bufio.NewReaderSize(c, 16<<10)} }
+// NewStream returns one over a connection that has been greeted.
+func NewStream(c net.Conn) *Stream { return &Stream{c, bufio.NewReaderSize(c, 16<<10)} }
 
 // Send sends a message; one that is not taken within 2 s is an error, after which the stream
 // is of no more use.
@@ -24,9 +25,13 @@
 	return writeFrame(s.c, data)
 }
 
-// Receive waits for a message so long.
+// Receive waits for a message so long; 0: until the stream ends.
 func (s *Stream) Receive(within time.Duration) ([]byte, error) {
-	s.c.SetReadDeadline(time.Now().Add(within))
+	by := time.Time{}
+	if within > 0 {
+		by = time.Now().Add(within)
+	}
+	s.c.SetReadDeadline(by)
 	return readFrame(s.in, mostFrame)
 }
 
@@ -57,5 +62,5 @@
 		c.Close()
 		return nil, fmt.Errorf("limiter %q: %w", limiter, err)
 	}
-	return newStream(c), nil
+	return NewStream(c), nil
 }
--- a/internal/ownership/watch.go
+++ b/internal/ownership/watch.go
@@ -270,7 +270,7 @@
 		}
 	}()
 	for {
-		n, err := receive(st, 2*l.cfg.Apart)
+		n, err := receive(st, 0) // who has nothing to ask for says nothing; one that is gone takes no notes
 		if err != nil {
 			return
 		}
