--- a/custody/custody.go
+++ b/custody/custody.go
@@ -10,9 +10,10 @@
 import (
 	"cmp"
 	"fmt"
-	"hash/fnv"
 	"slices"
 	"time"
+
+	"example.org/madderdrum/peering"
 )
 
 // Token says under which term of a holder's duty something is done: 1 and up, rising with
@@ -84,24 +85,18 @@
 // Keepers are the limiters that keep the work of a key, or of an id that has none, for a holder:
 // by rendezvous, those of other rooms first. All limiters find the same ones.
 func Keepers(key string, holder Limiter, all []Limiter) (names []string) {
-	weight := func(name string) uint64 {
-		h := fnv.New64a()
-		h.Write([]byte(key + "\x00" + name))
-		x := h.Sum64() // names differ in their last bytes, which fnv hardly spreads
-		x = (x ^ x>>33) * 0xff51afd7ed558ccd
-		return x ^ x>>33
-	}
-	others := slices.DeleteFunc(slices.Clone(all), func(l Limiter) bool { return l.Name == holder.Name })
-	slices.SortFunc(others, func(a, b Limiter) int {
-		if x, y := a.Room == holder.Room, b.Room == holder.Room; x != y {
-			return map[bool]int{true: 1, false: -1}[x]
+	var near, far []string
+	for _, l := range all {
+		switch {
+		case l.Name == holder.Name:
+		case l.Room == holder.Room:
+			near = append(near, l.Name)
+		default:
+			far = append(far, l.Name)
 		}
-		return cmp.Or(cmp.Compare(weight(b.Name), weight(a.Name)), cmp.Compare(a.Name, b.Name))
-	})
-	for _, l := range others[:min(MostKeepers, len(others))] {
-		names = append(names, l.Name)
 	}
-	return names
+	names = append(peering.Order(key, far), peering.Order(key, near)...)
+	return names[:min(MostKeepers, len(names))]
 }
 
 // Hold is the part of the one that works on a record: its holder, or a taker. Before each
--- a/custody/model_test.go
+++ b/custody/model_test.go
@@ -448,3 +448,28 @@
 		}
 	}
 }
+
+// Keepers are others, those of other rooms first, and the same ones wherever they are asked for.
+func TestKeepers(t *testing.T) {
+	all := []Limiter{{"n0", "a"}, {"n1", "b"}, {"n2", "a"}, {"n3", "b"}, {"n4", "a"}}
+	for i := range 100 {
+		key := strconv.Itoa(i)
+		names := Keepers(key, all[0], all)
+		again := slices.Clone(all)
+		slices.Reverse(again)
+		if len(names) != 2 || names[0] == names[1] || !slices.Equal(names, Keepers(key, all[0], again)) {
+			t.Fatalf("%s: %v", key, names)
+		}
+		for _, n := range names {
+			if n != "n1" && n != "n3" {
+				t.Errorf("%s: %s is of the holder's room", key, n)
+			}
+		}
+	}
+	if names := Keepers("k", all[0], all[:3]); !slices.Equal(names, []string{"n1", "n2"}) {
+		t.Errorf("one in another room: %v", names)
+	}
+	if names := Keepers("k", all[0], all[:1]); len(names) != 0 {
+		t.Errorf("nobody else: %v", names)
+	}
+}
--- a/tenure/candidate.go
+++ b/tenure/candidate.go
@@ -1,10 +1,11 @@
 package tenure
 
 import (
-	"hash/fnv"
 	"maps"
 	"slices"
 	"time"
+
+	"example.org/madderdrum/peering"
 )
 
 // Candidate is one process's part in the duties: which it owns and until when, and when it
@@ -42,23 +43,13 @@
 	return c
 }
 
-// rank is a limiter's place in the order in which they ask for a duty: by rendezvous, so
-// that duties have different first candidates, and one that is gone costs a step alone.
-func rank(duty, limiter string, limiters []string) (n int) {
-	weight := func(name string) uint64 {
-		h := fnv.New64a()
-		h.Write([]byte(duty + "\x00" + name))
-		x := h.Sum64()
-		x = (x ^ x>>33) * 0xff51afd7ed558ccd
-		return x ^ x>>33
-	}
-	mine := weight(limiter)
-	for _, o := range limiters {
-		if w := weight(o); o != limiter && (w > mine || w == mine && o < limiter) {
-			n++
-		}
+// rank is a limiter's place in the order in which they ask for a duty, so that duties have
+// different first candidates, and one that is gone costs a step alone.
+func rank(duty, limiter string, limiters []string) int {
+	if i := slices.Index(peering.Order(duty, limiters), limiter); i >= 0 {
+		return i
 	}
-	return n
+	return len(limiters)
 }
 
 // Observe takes in what is agreed, as it has come to this process just now.
