--- a/internal/faults/agent.go
+++ b/internal/faults/agent.go
@@ -10,7 +10,6 @@
 	"sync"
 	"time"
 
-	"example.org/madderdrum/internal/ownership"
 	"example.org/madderdrum/watch"
 )
 
@@ -125,29 +124,3 @@
 	name, _ := r.ownerOf(watch.Duty(room))
 	return name
 }
-
-// asked tells whether each limiter that runs and does not look for others has asked for a look.
-func (r *rig) asked() bool {
-	for _, p := range r.all {
-		var s ownership.Status
-		if r.runs(p) && (r.ask(p, "status", nil, &s) != nil || s.Looks == nil || s.Looks.By != p.name && s.Looks.Asked == 0) {
-			return false
-		}
-	}
-	return true
-}
-
-// watched tells whether each limiter that runs hears the one that looks for its room, and follows
-// discovery itself only if it is that one.
-func (r *rig) watched() bool {
-	for _, p := range r.all {
-		var s ownership.Status
-		if !r.runs(p) {
-			continue
-		}
-		if r.ask(p, "status", nil, &s) != nil || s.Looks == nil || s.Looks.By == "" || s.Looks.By != p.name && len(s.Looks.Follows) > 0 {
-			return false
-		}
-	}
-	return true
-}
--- a/internal/faults/rig.go
+++ b/internal/faults/rig.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -559,26 +560,22 @@
 	}
 	r.mu.Lock()
 	exits := append([]Exit(nil), r.exits...)
-	over := judgeCeiling(r.ceiling)
+	broken := judgeCeiling(r.ceiling)
 	if r.o.Peers && r.result.Refused > 0 {
-		over = append(over, fmt.Sprintf("%d requests of accounts that ask for half of their quota at most were told to come again", r.result.Refused))
+		broken = append(broken, fmt.Sprintf("%d requests of accounts that ask for half of their quota at most were told to come again", r.result.Refused))
 	}
 	r.result.Ceiling = len(r.ceiling)
 	for id, n := range r.ran {
 		r.result.Requests++
 		if n > 1 {
-			r.result.Broken = append(r.result.Broken, fmt.Sprintf("request %s ran %d times", id, n))
+			broken = append(broken, fmt.Sprintf("request %s ran %d times", id, n))
 		}
 	}
 	r.mu.Unlock()
 	histories := map[int][]tenure.Change{}
-	for _, p := range r.all {
-		var s ownership.Status
-		if r.runs(p) && r.ask(p, "status", nil, &s) == nil {
-			r.watch(&s)
-		}
+	for p := range r.statuses {
 		var h []tenure.Change
-		if r.runs(p) && r.ask(p, "history", nil, &h) == nil {
+		if r.ask(p, "history", nil, &h) == nil {
 			histories[p.n] = h
 			for _, c := range h {
 				if c.Kind == tenure.Take {
@@ -587,16 +584,7 @@
 			}
 		}
 	}
-	for _, b := range over {
-		r.breaks("%s", b)
-	}
-	for _, b := range judgeCalls(r.result.Calls) {
-		r.breaks("%s", b)
-	}
-	for _, b := range judgeExits(exits, r.rolls) {
-		r.breaks("%s", b)
-	}
-	for _, b := range judgeHistories(histories) {
+	for _, b := range slices.Concat(broken, judgeCalls(r.result.Calls), judgeExits(exits, r.rolls), judgeHistories(histories)) {
 		r.breaks("%s", b)
 	}
 }
--- a/internal/faults/steps.go
+++ b/internal/faults/steps.go
@@ -42,28 +42,51 @@
 	return name, epoch
 }
 
+// statuses asks each limiter that runs how the fleet stands; nil: it does not answer. Whether
+// parts of ceilings were seen to be moved is noted on the way.
+func (r *rig) statuses(yield func(*process, *ownership.Status) bool) {
+	for _, p := range r.all {
+		if !r.runs(p) {
+			continue
+		}
+		s := &ownership.Status{}
+		if r.ask(p, "status", nil, s) != nil {
+			s = nil
+		} else {
+			r.result.Moved = max(r.result.Moved, s.Moved)
+		}
+		if !yield(p, s) {
+			return
+		}
+	}
+}
+
+// every tells whether all limiters that run answer, and what they say is so.
+func (r *rig) every(so func(*process, *ownership.Status) bool) bool {
+	for p, s := range r.statuses {
+		if s == nil || !so(p, s) {
+			return false
+		}
+	}
+	return true
+}
+
 // leader is who leads, by the highest term that a limiter which runs knows.
 func (r *rig) leader() (name string) {
 	var term uint64
-	for _, p := range r.all {
-		var s ownership.Status
-		if r.runs(p) && r.ask(p, "status", nil, &s) == nil && s.Term >= term && (s.Leader != "" || s.Term > term) {
+	for _, s := range r.statuses {
+		if s != nil && s.Term >= term && (s.Leader != "" || s.Term > term) {
 			name, term = s.Leader, s.Term
 		}
 	}
 	return name
 }
 
-// watch notes whether parts of ceilings were seen to be moved.
-func (r *rig) watch(s *ownership.Status) { r.result.Moved = max(r.result.Moved, s.Moved) }
-
 // planNow is the rollout, by whoever knows the most of it; nil: none is under way.
 func (r *rig) planNow() (p *rollout.Plan, known bool) {
 	var applied uint64
-	for _, x := range r.all {
-		var s ownership.Status
-		if r.runs(x) && r.ask(x, "status", nil, &s) == nil && s.Applied >= applied {
-			r.watch(&s)
+	for _, s := range r.statuses {
+		if s != nil && s.Applied >= applied {
 			p, applied, known = s.Rollout, s.Applied, true
 		}
 	}
@@ -422,7 +445,7 @@
 			return leader && votes == n
 		})
 	case "leader":
-		return r.until(ctx, what, func() bool { return r.leaderRuns() })
+		return r.until(ctx, what, r.leaderRuns)
 	case "gone":
 		ps, err := r.which(ctx, args[1])
 		if err != nil {
@@ -434,9 +457,18 @@
 			return !ps[0].up
 		})
 	case "watched":
-		return r.until(ctx, what, r.watched)
+		// Each hears the one that looks for its room, and follows discovery only if it is that one.
+		return r.until(ctx, what, func() bool {
+			return r.every(func(p *process, s *ownership.Status) bool {
+				return s.Looks != nil && s.Looks.By != "" && (s.Looks.By == p.name || len(s.Looks.Follows) == 0)
+			})
+		})
 	case "asked":
-		return r.until(ctx, what, r.asked)
+		return r.until(ctx, what, func() bool {
+			return r.every(func(p *process, s *ownership.Status) bool {
+				return s.Looks != nil && (s.Looks.By == p.name || s.Looks.Asked > 0)
+			})
+		})
 	case "used":
 		box, from := args[1], time.Now()
 		if box == "newest" {
@@ -455,9 +487,8 @@
 
 // votes are the members that vote, as a leader which runs sees it; false while a change is under way.
 func (r *rig) votes() (n int, leader bool) {
-	for _, p := range r.all {
-		var s ownership.Status
-		if !r.runs(p) || r.ask(p, "status", nil, &s) != nil || s.Leader != p.name {
+	for p, s := range r.statuses {
+		if s == nil || s.Leader != p.name {
 			continue
 		}
 		for _, m := range s.Members {
@@ -475,22 +506,8 @@
 
 // leaderRuns tells whether all that run and take part know one leader, which runs.
 func (r *rig) leaderRuns() bool {
-	for _, p := range r.all {
-		var s ownership.Status
-		if !r.runs(p) {
-			continue
-		}
-		if r.ask(p, "status", nil, &s) != nil {
-			return false
-		}
-		r.watch(&s)
-		if s.Failed != "" {
-			continue // it takes no part
-		}
+	return r.every(func(_ *process, s *ownership.Status) bool {
 		i := slices.IndexFunc(r.all, func(x *process) bool { return x.name == s.Leader })
-		if i < 0 || !r.runs(r.all[i]) {
-			return false
-		}
-	}
-	return true
+		return s.Failed != "" || i >= 0 && r.runs(r.all[i]) // one whose disk failed takes no part
+	})
 }
