A limiter that does not hear discovery abstains from looking for its room

A limiter that gives the duty up as unfit does not ask for it for 5 min (tenure.Candidate.Abstain; an operator's transfer goes before).

--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -265,6 +265,13 @@
 	}
 }
 
+// abstain has this limiter not ask for a duty for so long.
+func (s *Service) abstain(duty string, hold time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.candidate.Abstain(duty, now()+hold)
+}
+
 func (s *Service) anyOwned() (any bool) {
 	s.machine.look(func(st *state) {
 		for _, t := range st.Terms.Terms {
--- a/internal/ownership/watch.go
+++ b/internal/ownership/watch.go
@@ -218,7 +218,8 @@
 		case watch.Tell:
 			l.tell(a.To, a.Note)
 		case watch.Resign:
-			l.log.Warn("gives a duty up: others hear what this limiter does not", "duty", l.duty)
+			l.log.Warn("gives a duty up: others hear what this limiter does not", "duty", l.duty, "for", a.Hold.String())
+			l.s.abstain(l.duty, a.Hold)
 			l.s.resign(l.duty)
 		}
 	}
--- a/tenure/candidate.go
+++ b/tenure/candidate.go
@@ -30,6 +30,7 @@
 	end    time.Duration            // of its own term
 	stop   bool                     // it has stopped and resigns
 	gave   bool                     // it gave the present epoch up: others go first
+	not    time.Duration            // it does not ask before, unless an operator wants it to
 }
 
 // NewCandidate returns the part of one process, a candidate for some duties among so many
@@ -115,6 +116,14 @@
 	}
 }
 
+// Abstain has this process not ask for a duty before then, as it could not carry it out. A term
+// that it owns goes on; an operator's wish goes before.
+func (c *Candidate) Abstain(duty string, until time.Duration) {
+	if s := c.seat(duty); s != nil {
+		s.not = until
+	}
+}
+
 // Step returns what is to be proposed now. Proposals may be lost: it asks again.
 func (c *Candidate) Step(now time.Duration) (all []Command) {
 	for _, s := range c.duties {
@@ -160,9 +169,9 @@
 		t += cfg.Term
 	}
 	if s.term.Next == me {
-		t -= s.delay
+		return t - s.delay
 	}
-	return t
+	return max(t, s.not)
 }
 
 // Until is when this process's term of a duty ends; 0: it owns none.
--- a/tenure/tenure_test.go
+++ b/tenure/tenure_test.go
@@ -111,6 +111,32 @@
 			t.Fatalf("%d owns the duty that %d gave up", got, was)
 		}
 	}
+	// Those that can't carry it out don't ask, however often it is given up; an operator may still want them to.
+	for _, can := range []int{3, 1} {
+		for i, p := range m.nodes {
+			p.Abstain("d", 0)
+			if i != can {
+				p.Abstain("d", m.clock(p)+time.Hour)
+			}
+		}
+		m.nodes[owner()].Resign("d")
+		for range 800 { // one that gave it up itself asks later
+			tick()
+		}
+		if got := owner(); got != can {
+			t.Fatalf("%d owns the duty, %d alone can", got, can)
+		}
+	}
+	m.log = append(m.log, Command{Kind: Transfer, Duty: "d", To: m.names[0]})
+	for range 100 {
+		tick()
+	}
+	if got := owner(); got != 0 {
+		t.Fatalf("%d owns the duty, an operator wanted 0", got)
+	}
+	for _, p := range m.nodes {
+		p.Abstain("d", 0)
+	}
 	// One that is gone is waited for no longer than a term.
 	gone := owner()
 	m.log = append(m.log, Command{Kind: Transfer, Duty: "d", To: "n9"})
--- a/watch/part.go
+++ b/watch/part.go
@@ -47,7 +47,7 @@
 	Say                   // a note to the one that looks
 	Tell                  // a note to another one; to all that this one looks for if To is empty
 	TellWhole             // the whole list of a pool to another one
-	Resign                // others can do it, this limiter can't
+	Resign                // others can do it, this limiter can't: it is not to ask for it before Hold is over
 )
 
 // Act is something to be done.
@@ -165,7 +165,7 @@
 		p.act(Act{Kind: Tell})
 	}
 	if p.desk.Unfit(now) {
-		p.act(Act{Kind: Resign})
+		p.act(Act{Kind: Resign, Hold: p.cfg.Unfit})
 	}
 }
 
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -29,6 +29,7 @@
 	Patience   time.Duration // without a word on an ask for so long, the asker looks itself
 	Quiet      time.Duration // without any word for so long, lists are followed alone
 	Apart      time.Duration // for so long each looks for itself at a box of which they differ
+	Unfit      time.Duration // one that does not hear what others hear does not ask for the duty so long
 }
 
 // DefaultSettings are those for terms of so long.
@@ -39,6 +40,7 @@
 		Patience:   1500 * time.Millisecond, // three asks in a row
 		Quiet:      5 * term / 2,            // the next owner is there within about two terms
 		Apart:      10 * time.Second,
+		Unfit:      5 * time.Minute, // with a term of 25 s at most each, ten that are deaf come by once
 	}
 }
 
