Who stops waiting for the agreement's driver shares nothing with it any more

The race detector found, once in 36 runs of the tests of internal/ownership, that HandOver read what the driver wrote later: an asker that is out of time left its variables with a driver that still does what was asked (host.go: hello, propose, Read, begin, Fence, Raise, HandOver).

--- a/internal/agreement/host.go
+++ b/internal/agreement/host.go
@@ -225,22 +225,36 @@
 
 var errEnded = errors.New("this limiter takes no part any more: it is ending")
 
-// ask has the driver do something and waits for it.
-func (h *Host) ask(ctx context.Context, do func()) error {
-	done := make(chan struct{})
-	if !h.give(ctx, event{do: func() { do(); close(done) }}) {
-		return cmp.Or(ctx.Err(), errEnded)
+// ask has the driver do something and waits for what comes of it, which is the asker's alone: one
+// that stops waiting shares nothing with a driver that does it later.
+func ask[T any](ctx context.Context, h *Host, do func() (T, error)) (none T, err error) {
+	type result struct {
+		x   T
+		err error
+	}
+	done := make(chan result, 1)
+	if !h.give(ctx, event{do: func() {
+		x, err := do()
+		done <- result{x, err}
+	}}) {
+		return none, cmp.Or(ctx.Err(), errEnded)
 	}
 	select {
-	case <-done:
-		return nil
+	case r := <-done:
+		return r.x, r.err
 	case <-ctx.Done():
-		return ctx.Err()
+		return none, ctx.Err()
 	case <-h.ended: // it may lie among the events, which nobody takes any more
-		return errEnded
+		return none, errEnded
 	}
 }
 
+// ask is one of which an error comes alone.
+func (h *Host) ask(ctx context.Context, do func() error) error {
+	_, err := ask(ctx, h, func() (struct{}, error) { return struct{}{}, do() })
+	return err
+}
+
 func (h *Host) warn(msg string, args ...any) {
 	if h.limit.Allow() {
 		h.log.Warn(msg, args...)
@@ -326,7 +340,7 @@
 
 // hello is what this member says first. ok is false once the driver has ended.
 func (h *Host) hello(ctx context.Context) (me Hello, ok bool) {
-	err := h.ask(ctx, func() { me = h.me() })
+	me, err := ask(ctx, h, func() (Hello, error) { return h.me(), nil })
 	return me, err == nil && me.Member != 0
 }
 
@@ -596,25 +610,23 @@
 
 func (h *Host) propose(ctx context.Context, put func(id uint64) error) error {
 	id, result := rand.Uint64(), make(chan error, 1)
-	var err error
-	if e := h.ask(ctx, func() {
-		if err = h.able(); err != nil {
-			return
+	if err := h.ask(ctx, func() error {
+		if err := h.able(); err != nil {
+			return err
 		}
-		if err = put(id); err == nil {
-			h.waiting[id] = result
+		if err := put(id); err != nil {
+			return err
 		}
-	}); e != nil {
-		return e
-	}
-	if err != nil {
+		h.waiting[id] = result
+		return nil
+	}); err != nil {
 		return err
 	}
 	select {
 	case err := <-result:
 		return err
 	case <-ctx.Done():
-		h.ask(context.WithoutCancel(ctx), func() { delete(h.waiting, id) })
+		h.ask(context.WithoutCancel(ctx), func() error { delete(h.waiting, id); return nil })
 		return fmt.Errorf("it was not agreed on in time: %w", ctx.Err())
 	}
 }
@@ -635,23 +647,21 @@
 // Read returns once all that was agreed on when it was called is applied here.
 func (h *Host) Read(ctx context.Context) error {
 	mark, done := fmt.Sprint(rand.Uint64()), make(chan struct{})
-	var err error
-	if e := h.ask(ctx, func() {
-		if err = h.able(); err == nil {
-			h.reading[mark] = done
-			h.core.Read(mark)
+	if err := h.ask(ctx, func() error {
+		if err := h.able(); err != nil {
+			return err
 		}
-	}); e != nil {
-		return e
-	}
-	if err != nil {
+		h.reading[mark] = done
+		h.core.Read(mark)
+		return nil
+	}); err != nil {
 		return err
 	}
 	select {
 	case <-done:
 		return nil
 	case <-ctx.Done():
-		h.ask(context.WithoutCancel(ctx), func() { delete(h.reading, mark) })
+		h.ask(context.WithoutCancel(ctx), func() error { delete(h.reading, mark); return nil })
 		return ctx.Err()
 	}
 }
@@ -682,28 +692,24 @@
 }
 
 func (h *Host) begin(ctx context.Context, do func() error) error {
-	var err error
-	if e := h.ask(ctx, func() {
+	return h.ask(ctx, func() error {
 		if h.core == nil {
-			err = fmt.Errorf("this limiter takes no part: %w", h.failed)
-			return
+			return fmt.Errorf("this limiter takes no part: %w", h.failed)
 		}
-		if err = do(); err != nil {
-			return
+		if err := do(); err != nil {
+			return err
 		}
-		if err = h.openCore(); err != nil {
+		if err := h.openCore(); err != nil {
 			h.fail(err)
-			return
+			return err
 		}
 		h.core.Campaign()
 		for _, l := range h.links { // which were opened by one that was in no fleet, or an older one
 			l.again()
 			l.open()
 		}
-	}); e != nil {
-		return e
-	}
-	return err
+		return nil
+	})
 }
 
 // first writes the beginning of a fleet.
@@ -716,33 +722,27 @@
 }
 
 // Fence are the highest epochs that this limiter has seen as a receiver, by duty.
-func (h *Host) Fence(ctx context.Context) (all map[string]uint64, err error) {
-	if e := h.ask(ctx, func() {
+func (h *Host) Fence(ctx context.Context) (map[string]uint64, error) {
+	return ask(ctx, h, func() (map[string]uint64, error) {
 		if h.f == nil {
-			err = h.failed
-			return
+			return nil, h.failed
 		}
-		all, err = h.f.fence()
-	}); e != nil {
-		return nil, e
-	}
-	return all, err
+		return h.f.fence()
+	})
 }
 
 // Raise notes an epoch of a duty, on the disk when it returns.
-func (h *Host) Raise(ctx context.Context, duty string, epoch uint64) (err error) {
-	if e := h.ask(ctx, func() {
+func (h *Host) Raise(ctx context.Context, duty string, epoch uint64) error {
+	return h.ask(ctx, func() error {
 		if h.core == nil {
-			err = fmt.Errorf("this limiter's disk failed: %w", h.failed)
-			return
+			return fmt.Errorf("this limiter's disk failed: %w", h.failed)
 		}
-		if err = h.f.raise(duty, epoch); err != nil {
+		err := h.f.raise(duty, epoch)
+		if err != nil {
 			h.fail(err)
 		}
-	}); e != nil {
-		return e
-	}
-	return err
+		return err
+	})
 }
 
 // isReset tells of a connection that broke.
@@ -752,10 +752,10 @@
 
 // HandOver has the lead go to another voter, if this member has it.
 func (h *Host) HandOver(ctx context.Context) {
-	leads := func() (yes bool) {
-		h.ask(ctx, func() {
-			if yes = h.core != nil && h.core.Leads(); !yes {
-				return
+	leads := func() bool {
+		yes, _ := ask(ctx, h, func() (bool, error) {
+			if h.core == nil || !h.core.Leads() {
+				return false, nil
 			}
 			v := h.core.View()
 			var to uint64
@@ -764,9 +764,10 @@
 					to = id
 				}
 			}
-			if yes = to != 0; yes {
+			if to != 0 {
 				h.core.TransferLeader(to)
 			}
+			return to != 0, nil
 		})
 		return yes
 	}
--- a/internal/agreement/host_test.go
+++ b/internal/agreement/host_test.go
@@ -29,7 +29,7 @@
 	ctx, stop := context.WithCancel(t.Context())
 	ended := make(chan error)
 	go func() { ended <- h.Run(ctx) }()
-	if err := h.ask(t.Context(), func() {}); err != nil {
+	if err := h.ask(t.Context(), func() error { return nil }); err != nil {
 		t.Errorf("while it runs: %v", err)
 	}
 	stop()
@@ -37,7 +37,7 @@
 		t.Error(err)
 	}
 	asked := make(chan error)
-	go func() { asked <- h.ask(context.Background(), func() {}) }()
+	go func() { asked <- h.ask(context.Background(), func() error { return nil }) }()
 	select {
 	case err := <-asked:
 		if !errors.Is(err, errEnded) {
@@ -48,6 +48,23 @@
 	}
 }
 
+// Who has stopped waiting shares nothing with the driver, which may do it later: the race detector
+// found what both wrote.
+func TestWhoStopsWaitingSharesNothing(t *testing.T) {
+	h := &Host{events: make(chan event, 2), ended: make(chan struct{})}
+	for range 100 {
+		ctx, stop := context.WithCancel(t.Context())
+		go func() {
+			e := <-h.events
+			stop()
+			e.do()
+		}()
+		if me, err := ask(ctx, h, func() (Hello, error) { return Hello{Member: 1}, nil }); err == nil && me.Member != 1 {
+			t.Fatalf("%+v", me)
+		}
+	}
+}
+
 // A limiter that is greeted while the fleet begins hears of the fleet: a hello from before it is
 // followed by another one, whenever its answer comes.
 func TestAHelloFromBeforeTheFleetIsFollowedByAnother(t *testing.T) {
