--- a/custody/custody.go
+++ b/custody/custody.go
@@ -176,9 +176,6 @@
 	return true
 }
 
-// Over tells that another one has taken the work.
-func (h *Hold) Over() bool { return h.over }
-
 // Book is what one limiter keeps for others, in memory. It is not safe for concurrent use.
 type Book struct {
 	me     string
--- a/custody/model_test.go
+++ b/custody/model_test.go
@@ -473,3 +473,56 @@
 		t.Errorf("nobody else: %v", names)
 	}
 }
+
+// A book takes so many bytes, finds what a client comes back for, and forgets what has ended.
+func TestBook(t *testing.T) {
+	b := NewBook("a/1", 4*(overhead+1000))
+	r := Record{ID: "r0", Key: "k", Account: 7, Holder: "h", Token: 1, Version: 1, Keepers: []string{"a/1"}, Body: make([]byte, 900)}
+	for _, id := range []string{"r1", "r2", "r3"} {
+		x := r
+		x.ID, x.Key = id, id
+		if got := b.Note(0, x); got != "" {
+			t.Errorf("%s: %q", id, got)
+		}
+	}
+	big, other := r, r
+	big.ID, big.Body = "big", make([]byte, 5000)
+	other.ID, other.Keepers = "other", []string{"a/0"} // the process before this one
+	if got := b.Note(0, big); got != Full {
+		t.Errorf("too large: %q", got)
+	}
+	if got := b.Note(0, other); got != NotMeant {
+		t.Errorf("meant for another process: %q", got)
+	}
+	held := b.Bytes()
+	if got := b.Note(0, r); got != "" || b.Bytes() <= held {
+		t.Errorf("%q, %d bytes after %d", got, b.Bytes(), held)
+	}
+	h := NewHold(r, 1) // its version is 2
+	h.Finish(End{Status: 200, Answer: []byte("sent")})
+	if got := b.Note(time.Second, h.Record()); got != "" {
+		t.Error(got)
+	}
+	if got := b.Note(time.Second, r); got != "" { // an older version, late
+		t.Error(got)
+	}
+	if x, ok := b.Find(7, "k"); !ok || x.End == nil || string(x.End.Answer) != "sent" {
+		t.Errorf("%+v %v", x, ok)
+	}
+	if _, ok := b.Find(8, "k"); ok {
+		t.Error("another account's is found")
+	}
+	if told, ok := b.Tell(time.Second, "h", 2); !ok || len(told) != 4 {
+		t.Errorf("%d told, %v", len(told), ok)
+	}
+	if _, ok := b.Tell(time.Second, "h", 1); ok {
+		t.Error("a taker that is over is told")
+	}
+	if got := b.Note(time.Second, r); got != TakenOver {
+		t.Errorf("a holder that is over: %q", got)
+	}
+	b.Forget(time.Second+time.Minute, time.Minute)
+	if _, ok := b.Find(7, "k"); ok || b.Bytes() != held {
+		t.Errorf("%d bytes of %d", b.Bytes(), held)
+	}
+}
