--- a/internal/faults/rig.go
+++ b/internal/faults/rig.go
@@ -444,22 +444,15 @@
 		return fmt.Errorf("faults: begin the fleet: %w", err)
 	}
 	err := r.until(ctx, "a fleet of all limiters", func() bool {
-		for _, p := range r.all {
-			var s ownership.Status
-			if r.ask(p, "status", nil, &s) != nil || s.Leader == "" || len(s.Members) < len(r.all) {
-				return false
-			}
+		return r.every(func(_ *process, s *ownership.Status) bool {
 			votes := 0
 			for _, m := range s.Members {
 				if m.Votes {
 					votes++
 				}
 			}
-			if votes != r.o.Voters {
-				return false
-			}
-		}
-		return true
+			return s.Leader != "" && len(s.Members) == len(r.all) && votes == r.o.Voters
+		})
 	})
 	r.say("%d limiters, %d of them voters, are a fleet", len(r.all), r.o.Voters)
 	return err
@@ -476,23 +469,28 @@
 
 // loadCeiling has clients ask for more than the ceiling of one account.
 func (r *rig) loadCeiling(ctx context.Context, client *http.Client) {
-	ticker := time.NewTicker(50 * time.Millisecond)
+	r.each(ctx, 50*time.Millisecond, func(k int) {
+		i := int(time.Since(r.net.begun)/ceilingEvery) * 2 // most go here
+		if k%10 == 0 {
+			i = k / 10
+		}
+		if p := r.all[i%len(r.all)]; r.runs(p) {
+			r.send(ctx, client, p, fmt.Sprintf("%s%08x", ceilingID, k), "business", 0xcc, ceilingUnits)
+		}
+	})
+}
+
+// each has something done in even steps, until the context ends.
+func (r *rig) each(ctx context.Context, step time.Duration, do func(k int)) {
+	ticker := time.NewTicker(step)
 	defer ticker.Stop()
 	for k := 0; ; k++ {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+			do(k)
 		}
-		i := int(time.Since(r.net.begun)/ceilingEvery) * 2 // most go here
-		if k%10 == 0 {
-			i = k / 10
-		}
-		p := r.all[i%len(r.all)]
-		if !r.runs(p) {
-			continue
-		}
-		r.send(ctx, client, p, fmt.Sprintf("%s%08x", ceilingID, k), "business", 0xcc, ceilingUnits)
 	}
 }
 
@@ -523,24 +521,15 @@
 	r.clients.Go(func() { r.loadCeiling(ctx, client) })
 	r.clients.Go(func() {
 		defer client.CloseIdleConnections()
-		ticker := time.NewTicker(time.Second / time.Duration(r.o.Load))
-		defer ticker.Stop()
-		for k := 0; ; k++ {
-			select {
-			case <-ctx.Done():
-				return
-			case <-ticker.C:
-			}
-			p := r.all[k%len(r.all)]
-			if !r.runs(p) {
-				continue
-			}
+		r.each(ctx, time.Second/time.Duration(r.o.Load), func(k int) {
 			account := 1 + k%40
 			if r.o.Peers && k%4 > 0 {
 				account = 1 // half of its quota, if each request is counted once
 			}
-			r.send(ctx, client, p, fmt.Sprintf("%08x", k), "enterprise", account, 1)
-		}
+			if p := r.all[k%len(r.all)]; r.runs(p) {
+				r.send(ctx, client, p, fmt.Sprintf("%08x", k), "enterprise", account, 1)
+			}
+		})
 	})
 }
 
