--- /dev/null
+++ b/cmd/switchyard/main.go
@@ -0,0 +1,9 @@
+// Command switchyard is one of the three programs of the system. Passes clients' requests on to servers.
+package main
+
+import (
+	"example.org/madderdrum/internal/depot"
+	"example.org/madderdrum/internal/switchyard"
+)
+
+func main() { depot.Main("switchyard", "Passes clients' requests on to servers", switchyard.Run) }
--- /dev/null
+++ b/internal/boot/boot.go
@@ -0,0 +1,274 @@
+// Package boot reads the settings file that a process of the system is started with.
+package boot
+
+import (
+	"fmt"
+	"math"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/valyala/fastjson"
+)
+
+// Variable names the environment variable that holds the path of the settings file.
+const Variable = "MADDERDRUM_BOOT"
+
+// Settings is what a process is told about itself and its surroundings.
+type Settings struct {
+	Node      string
+	Role      string
+	Class     string
+	Serves    []string
+	IP        string
+	Zone      string
+	Region    string
+	Votes     bool // the machine counts towards what may be lost at once
+	Bootstrap bool // the whole system starts for the first time
+	DataDir   string
+	MemoryMB  int
+	Files     int
+	DiskMB    int
+	LinkMbps  float64
+	Listen    map[string]string
+	Ports     [2]int // first and last of the internal ports
+	Seeds     []string
+	Zones     map[string]string // region of each zone
+	Heartbeat time.Duration
+	Tolerate  int // core machines that may be lost at once
+	Contracts map[string]bool
+	Bounds    Bounds
+}
+
+// Bounds are the figures of the rules in force. A zero means that the rule is not in force.
+type Bounds struct {
+	Contact, Ack, Sync, Drain, Grace, LossSlack time.Duration
+	ConfigApply, RevertSlack, Revoke, Evacuate  time.Duration
+	RetryWindow, QuotaWindow, TTLMax, Recovery  time.Duration
+	RevocationStrict                            bool
+	RetryRatio, RetrySlack                      float64
+	QuotaOvershoot, QuotaSlack                  float64
+	WarmupOvershoot, WarmupSlack                float64
+}
+
+// Error tells which field of the settings file can't be used and what to write instead.
+type Error struct {
+	Path, Field, Wrong, Fix string
+}
+
+func (e *Error) Error() string {
+	text := "settings"
+	if e.Path != "" {
+		text += " " + e.Path
+	}
+	if e.Field != "" {
+		text += ": " + e.Field
+	}
+	text += ": " + e.Wrong
+	if e.Fix != "" {
+		text += ": " + e.Fix
+	}
+	return text
+}
+
+// Load reads the settings file that the environment names.
+func Load() (*Settings, error) {
+	path := os.Getenv(Variable)
+	if path == "" {
+		return nil, &Error{Field: Variable, Wrong: "is not set", Fix: "set it to the path of the settings file"}
+	}
+	return LoadFile(path)
+}
+
+// LoadFile reads a settings file.
+func LoadFile(path string) (*Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, &Error{Path: path, Wrong: err.Error(), Fix: "name a file that can be read"}
+	}
+	s, err := Parse(data)
+	if e, ok := err.(*Error); ok {
+		e.Path = path
+	}
+	return s, err
+}
+
+// reader collects the first mistake while fields are read.
+type reader struct{ err *Error }
+
+func (r *reader) fail(field, wrong, fix string) {
+	if r.err == nil {
+		r.err = &Error{Field: field, Wrong: wrong, Fix: fix}
+	}
+}
+
+func (r *reader) text(v *fastjson.Value, field string, needed bool, keys ...string) string {
+	x := v.Get(keys...)
+	if x == nil || x.Type() == fastjson.TypeNull {
+		if needed {
+			r.fail(field, "is missing", "write a string")
+		}
+		return ""
+	}
+	b, err := x.StringBytes()
+	if err != nil {
+		r.fail(field, "is not a string", "write it in quotes")
+	}
+	return string(b)
+}
+
+// Duration reads a number followed by ms or s.
+func Duration(text string) (time.Duration, bool) {
+	unit := time.Millisecond
+	number, ok := strings.CutSuffix(text, "ms")
+	if !ok {
+		unit = time.Second
+		if number, ok = strings.CutSuffix(text, "s"); !ok {
+			return 0, false
+		}
+	}
+	x, err := strconv.ParseFloat(number, 64)
+	if err != nil || math.IsNaN(x) || x < 0 || x*float64(unit) > math.MaxInt64/2 {
+		return 0, false
+	}
+	return time.Duration(x * float64(unit)), true
+}
+
+func (r *reader) duration(v *fastjson.Value, field string, keys ...string) time.Duration {
+	if v.Get(keys...) == nil {
+		return 0
+	}
+	d, ok := Duration(r.text(v, field, true, keys...))
+	if !ok {
+		r.fail(field, "is not a time", "write a number and its unit, as in 1500ms or 2.5s")
+	}
+	return d
+}
+
+// Parse reads settings. Fields that it does not know are passed over.
+func Parse(data []byte) (*Settings, error) {
+	v, err := fastjson.ParseBytes(data)
+	if err != nil {
+		return nil, &Error{Wrong: "is not JSON: " + err.Error(), Fix: "write one JSON object"}
+	}
+	var r reader
+	self, network, terms := v.Get("self_identity"), v.Get("network"), v.Get("timing_terms")
+	for field, table := range map[string]*fastjson.Value{"self_identity": self, "network": network, "timing_terms": terms} {
+		if table == nil || table.Type() != fastjson.TypeObject {
+			return nil, &Error{Field: field, Wrong: "is missing", Fix: "write a table of that name"}
+		}
+	}
+	s := &Settings{
+		Node: r.text(self, "self_identity.node_name", true, "node_name"), Role: r.text(self, "self_identity.role", true, "role"),
+		Class: r.text(self, "self_identity.machine_class", false, "machine_class"),
+		IP:    r.text(self, "self_identity.ip_address", true, "ip_address"),
+		Zone:  r.text(self, "self_identity.zone", true, "zone"), Region: r.text(self, "self_identity.region", true, "region"),
+		Votes: self.GetBool("quorum_member"), Bootstrap: self.GetBool("bootstrap"),
+		DataDir:  r.text(self, "self_identity.data_dir", false, "data_dir"),
+		MemoryMB: self.GetInt("limits", "memory_mb"), Files: self.GetInt("limits", "file_descriptors"),
+		DiskMB: self.GetInt("limits", "disk_mb"), LinkMbps: self.GetFloat64("limits", "link_mbps"),
+		Listen: map[string]string{}, Zones: map[string]string{}, Contracts: map[string]bool{},
+		Heartbeat: r.duration(v, "provider.heartbeat", "provider", "heartbeat"),
+		Tolerate:  terms.GetInt("fault_tolerance", "machines"),
+	}
+	for _, x := range self.GetArray("serves") {
+		s.Serves = append(s.Serves, string(x.GetStringBytes()))
+	}
+	visit := func(table *fastjson.Value, into map[string]string) {
+		if o, err := table.Object(); table != nil && err == nil {
+			o.Visit(func(k []byte, x *fastjson.Value) { into[string(k)] = string(x.GetStringBytes()) })
+		}
+	}
+	if t := network.Get("listen"); t != nil {
+		visit(t, s.Listen)
+	}
+	if t := network.Get("zones"); t != nil {
+		visit(t, s.Zones)
+	}
+	ports := network.GetArray("internal_ports")
+	if len(ports) != 2 || ports[0].GetInt() <= 0 || ports[1].GetInt() < ports[0].GetInt()+3 {
+		r.fail("network.internal_ports", "does not hold the first and last of four ports or more", "write two numbers")
+	} else {
+		s.Ports = [2]int{ports[0].GetInt(), ports[1].GetInt()}
+	}
+	for _, x := range network.GetArray("seed_nodes") {
+		s.Seeds = append(s.Seeds, string(x.GetStringBytes()))
+	}
+	if len(s.Seeds) == 0 {
+		r.fail("network.seed_nodes", "names no machine", "write the control_plane addresses of core machines")
+	}
+	for _, x := range terms.GetArray("active_contracts") {
+		s.Contracts[string(x.GetStringBytes())] = true
+	}
+	s.bounds(&r, terms.Get("bounds"))
+	if s.Heartbeat == 0 {
+		s.Heartbeat = 1500 * time.Millisecond
+	}
+	if r.err != nil {
+		return nil, r.err
+	}
+	return s, nil
+}
+
+func (s *Settings) bounds(r *reader, v *fastjson.Value) {
+	if v == nil {
+		return
+	}
+	b := &s.Bounds
+	for name, to := range map[string]*time.Duration{
+		"contact": &b.Contact, "ack": &b.Ack, "sync_time": &b.Sync, "drain": &b.Drain, "grace": &b.Grace,
+		"loss_slack": &b.LossSlack, "config_apply": &b.ConfigApply, "revert_slack": &b.RevertSlack,
+		"revoke": &b.Revoke, "evacuate": &b.Evacuate, "retry_window": &b.RetryWindow,
+		"quota_window": &b.QuotaWindow, "ttl_max": &b.TTLMax, "recovery": &b.Recovery,
+	} {
+		*to = r.duration(v, "timing_terms.bounds."+name, name)
+	}
+	for name, to := range map[string]*float64{
+		"retry_budget_ratio": &b.RetryRatio, "retry_slack": &b.RetrySlack, "quota_overshoot": &b.QuotaOvershoot,
+		"quota_slack": &b.QuotaSlack, "warmup_overshoot": &b.WarmupOvershoot, "warmup_slack": &b.WarmupSlack,
+	} {
+		if x := v.Get(name); x != nil {
+			f, err := x.Float64()
+			if err != nil || f < 0 {
+				r.fail("timing_terms.bounds."+name, "is not a number from 0 on", "write a number")
+			}
+			*to = f
+		}
+	}
+	b.RevocationStrict = v.GetBool("revocation_strict")
+}
+
+// Internal ports, from the first of the settings on.
+const (
+	SignalboxPort  = 0
+	RoundhousePort = 1
+	SwitchyardPort = 2
+)
+
+// Internal is the address at which a program of another machine is called.
+func (s *Settings) Internal(ip string, port int) string {
+	return ip + ":" + strconv.Itoa(s.Ports[0]+port)
+}
+
+// HostOf is the IP number of an address with a port.
+func HostOf(address string) string {
+	host, _, ok := strings.Cut(address, ":")
+	if !ok {
+		return address
+	}
+	return host
+}
+
+// Cores are the IP numbers of the core machines that the seeds name, this one among them
+// where it is one.
+func (s *Settings) Cores() []string {
+	var ips []string
+	for _, a := range s.Seeds {
+		ips = append(ips, HostOf(a))
+	}
+	return ips
+}
+
+// String is a short name for logs.
+func (s *Settings) String() string { return fmt.Sprintf("%s/%s", s.Node, s.Role) }
--- /dev/null
+++ b/internal/roundhouse/outside.go
@@ -0,0 +1,169 @@
+package roundhouse
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/valyala/fastjson"
+
+	"example.org/madderdrum/internal/boot"
+	"example.org/madderdrum/internal/signalbox"
+	"example.org/madderdrum/internal/wicket"
+	"example.org/madderdrum/stock"
+	"example.org/madderdrum/trainregister"
+)
+
+// The paths of the outside calls. They are described in api/control.yaml.
+const (
+	pathReplace    = "/config/replace"
+	pathUpdate     = "/config/update"
+	pathFetch      = "/config/fetch"
+	pathInstances  = "/instances/"
+	pathEvacuation = "/evacuation/"
+)
+
+// problem is an answer that tells what was wrong and what to do.
+func problem(status int, code, text string) wicket.Answer {
+	body, err := json.Marshal(map[string]string{"code": code, "error": text})
+	if err != nil {
+		body = nil
+	}
+	a := wicket.Answer{Status: status, Body: body}
+	if status == 503 {
+		a.Header = map[string]string{"Retry-After": "0.2"}
+	}
+	return a
+}
+
+// outside answers servers and operators.
+func (h *House) outside(ctx context.Context, r *http.Request, body []byte) wicket.Answer {
+	path := r.URL.Path
+	switch {
+	case strings.HasPrefix(path, pathInstances):
+		if r.Method != http.MethodPost {
+			return problem(405, "method", "send it with POST")
+		}
+		id, what, _ := strings.Cut(path[len(pathInstances):], "/")
+		switch {
+		case id == "" || len(id) > 200:
+			return problem(400, "unreadable", "the path names no instance")
+		case what == "heartbeat":
+			return h.heartbeat(ctx, id, body)
+		case what == "deregister":
+			return h.deregister(ctx, id)
+		}
+	case path == pathReplace && r.Method == http.MethodPost:
+		return h.change(ctx, trainregister.Order{Kind: trainregister.Replace, Body: body})
+	case path == pathUpdate && r.Method == http.MethodPost:
+		return h.change(ctx, trainregister.Order{Kind: trainregister.Update, Body: body})
+	case path == pathFetch && r.Method == http.MethodGet:
+		return h.fetch(ctx)
+	case strings.HasPrefix(path, pathEvacuation) && r.Method == http.MethodPost:
+		zone, what, _ := strings.Cut(path[len(pathEvacuation):], "/")
+		if _, known := h.set.Zones[zone]; !known {
+			return problem(404, "unknown_zone", "no zone "+zone+" is in the settings")
+		}
+		switch what {
+		case "begin":
+			return h.change(ctx, trainregister.Order{Kind: trainregister.Begin, Zone: zone})
+		case "finish":
+			return h.change(ctx, trainregister.Order{Kind: trainregister.Finish, Zone: zone})
+		}
+	}
+	return problem(404, "unknown_call", "no call "+r.Method+" "+path)
+}
+
+// heartbeat takes in a server's word of itself.
+func (h *House) heartbeat(ctx context.Context, id string, body []byte) wicket.Answer {
+	v, err := fastjson.ParseBytes(body)
+	if err != nil {
+		return problem(400, "unreadable", "the body is not JSON: send the fields of a heartbeat")
+	}
+	r := stock.Record{ID: id, Service: string(v.GetStringBytes("service")), Address: string(v.GetStringBytes("address")),
+		Zone: string(v.GetStringBytes("zone")), Slots: v.GetInt("capacity_slots"), Sequence: v.GetUint64("sequence")}
+	switch string(v.GetStringBytes("state")) {
+	case "available":
+	case "draining":
+		r.State = stock.Draining
+	default:
+		return problem(400, "unreadable", "state is neither available nor draining")
+	}
+	if text := string(v.GetStringBytes("warmup_left")); text != "" {
+		left, ok := boot.Duration(text)
+		if !ok {
+			return problem(400, "unreadable", "warmup_left is not a time: write a number and its unit, as in 1500ms")
+		}
+		r.WarmMs = uint64(left.Milliseconds())
+	}
+	if r.Service == "" || r.Address == "" || strings.HasPrefix(r.Service, "@") {
+		return problem(400, "unreadable", "service or address is missing")
+	}
+	h.mu.Lock()
+	news := h.book.Beat(h.now(), r)
+	cur, _ := h.book.Get(h.now(), id)
+	if news {
+		h.stir()
+	}
+	apart := h.apart()
+	h.mu.Unlock()
+	if news {
+		h.log.WithFields(logrus.Fields{"instance": id, "service": r.Service, "state": r.State.String(), "sequence": r.Sequence, "warm_ms": r.WarmMs}).Debug("server is news")
+	}
+	if r.State == stock.Draining && cur.Source == h.source() {
+		// What is acknowledged must not end with this machine.
+		if !h.push(ctx, id) {
+			return problem(503, "apart", "no majority of the registries has it: call another")
+		}
+	}
+	if apart && news {
+		return problem(503, "apart", "no majority of the registries is heard: call another")
+	}
+	return wicket.Answer{Status: 200, Body: []byte(`{"heartbeat_target":"` + h.set.Listen["control_plane"] + `"}`)}
+}
+
+func (h *House) deregister(ctx context.Context, id string) wicket.Answer {
+	h.mu.Lock()
+	if h.book.Leave(h.now(), id) {
+		h.stir()
+	}
+	h.mu.Unlock()
+	if !h.push(ctx, id) {
+		return problem(503, "apart", "no majority of the registries has it: call another")
+	}
+	return wicket.Answer{Status: 200}
+}
+
+// change has an order agreed.
+func (h *House) change(ctx context.Context, o trainregister.Order) wicket.Answer {
+	out, ok := h.order(ctx, o)
+	if !ok {
+		return problem(503, "no_majority", "no majority of the stores answers: send it again, here or elsewhere")
+	}
+	h.log.WithFields(logrus.Fields{"kind": o.Kind, "zone": o.Zone, "status": out.Status, "code": out.Code, "seq": out.Seq}).Info("order is answered")
+	if out.Status != 200 {
+		return problem(out.Status, out.Code, out.Text)
+	}
+	return wicket.Answer{Status: 200}
+}
+
+func (h *House) fetch(ctx context.Context) wicket.Answer {
+	until := time.Now().Add(storeWithin)
+	for _, ip := range append([]string{h.set.IP}, h.others...) {
+		left := time.Until(until)
+		if left < 50*time.Millisecond {
+			break
+		}
+		var w signalbox.Watched
+		if h.caller.Call(ctx, h.set.Internal(ip, boot.SignalboxPort), signalbox.CallFetch, nil, &w, left) == nil && w.Register != nil {
+			if len(w.Register.Config) == 0 {
+				return problem(404, "none", "there is no configuration yet")
+			}
+			return wicket.Answer{Status: 200, Body: w.Register.Config}
+		}
+	}
+	return problem(503, "no_majority", "no majority of the stores answers: ask again, here or elsewhere")
+}
--- /dev/null
+++ b/internal/roundhouse/roundhouse.go
@@ -0,0 +1,423 @@
+// Package roundhouse is the host of the registry: it takes the outside calls of servers and
+// operators, keeps the book of servers and limiters with the other registries, and answers
+// the pulls of limiters. The decisions are in package stock.
+package roundhouse
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"example.org/madderdrum/internal/bell"
+	"example.org/madderdrum/internal/boot"
+	"example.org/madderdrum/internal/signalbox"
+	"example.org/madderdrum/internal/wicket"
+	"example.org/madderdrum/stock"
+	"example.org/madderdrum/trainregister"
+)
+
+const (
+	syncHold      = 900 * time.Millisecond // how long a pull may wait for news
+	callSlack     = 500 * time.Millisecond // beyond what is held
+	watchHold     = 400 * time.Millisecond
+	storeWithin   = 900 * time.Millisecond // callers move on after a second
+	pushWithin    = 300 * time.Millisecond
+	repairEvery   = 5 * time.Second
+	expireEvery   = 250 * time.Millisecond
+	limiterSilent = 3200.0 // ms: a limiter pulls once a second
+	serverBeats   = 4.0    // beats that may be missed
+	maxBody       = 64 << 20
+	errorRate     = time.Second
+)
+
+// House is one registry.
+type House struct {
+	set    *boot.Settings
+	log    logrus.FieldLogger
+	caller *bell.Caller
+	begun  time.Time
+	others []string // IP numbers of the other core machines
+
+	mu      sync.Mutex
+	book    *stock.Book
+	news    chan struct{} // closed when the book or the register changes
+	reg     *trainregister.Register
+	proved  time.Time
+	met     map[string]time.Time // when another registry last answered a pull
+	lives   map[string]time.Time // when a source was last known to run
+	enrol   map[string]trainregister.Post
+	enrolAt time.Time
+	logged  time.Time
+}
+
+// Calls of a roundhouse.
+const (
+	CallPull   = "roundhouse.pull"
+	callPush   = "roundhouse.push"
+	callRepair = "roundhouse.repair"
+)
+
+// Pull asks for what the caller lacks.
+type Pull struct {
+	Vector stock.Vector  `cbor:"1,keyasint,omitempty"`
+	Seq    uint64        `cbor:"2,keyasint,omitempty"` // of the register that it has
+	HoldMs uint64        `cbor:"3,keyasint,omitempty"` // wait so long for news
+	Me     *stock.Record `cbor:"4,keyasint,omitempty"` // a limiter's word of itself
+	Source string        `cbor:"5,keyasint,omitempty"` // a registry's own
+}
+
+// Pulled is the answer.
+type Pulled struct {
+	Register *trainregister.Register `cbor:"1,keyasint,omitempty"`
+	Records  []stock.Record          `cbor:"2,keyasint,omitempty"`
+	Vector   stock.Vector            `cbor:"3,keyasint,omitempty"` // only where it has something new
+	Source   string                  `cbor:"4,keyasint,omitempty"`
+	// ProofMs is how long ago a majority had chosen nothing newer than this register.
+	ProofMs uint64 `cbor:"5,keyasint,omitempty"`
+	Proven  bool   `cbor:"6,keyasint,omitempty"`
+	// Apart tells that this registry does not hear a majority of the others.
+	Apart  bool   `cbor:"7,keyasint,omitempty"`
+	HeldMs uint64 `cbor:"8,keyasint,omitempty"`
+}
+
+// Run serves until the context ends.
+func Run(ctx context.Context, set *boot.Settings, log logrus.FieldLogger) error {
+	h := &House{set: set, log: log, caller: bell.NewCaller(), begun: time.Now(), news: make(chan struct{}),
+		reg: &trainregister.Register{}, met: map[string]time.Time{}, lives: map[string]time.Time{}, enrol: map[string]trainregister.Post{},
+		book: stock.New(fmt.Sprintf("%s#%08x", set.Node, rand.Uint32()))}
+	for _, ip := range set.Cores() {
+		if ip != set.IP && !slices.Contains(h.others, ip) {
+			h.others = append(h.others, ip)
+		}
+	}
+	inner, err := net.Listen("tcp", set.Internal(set.IP, boot.RoundhousePort))
+	if err != nil {
+		return fmt.Errorf("roundhouse: listen for other processes: %w", err)
+	}
+	outer, err := net.Listen("tcp", set.Listen["control_plane"])
+	if err != nil {
+		return fmt.Errorf("roundhouse: listen for outside calls: %w", err)
+	}
+	go bell.Serve(ctx, inner, map[string]bell.Handler{CallPull: h.pull, callPush: h.pushed, callRepair: h.repaired})
+	go (&wicket.Server{Handler: h.outside, MaxBody: maxBody}).Serve(ctx, outer)
+	for _, ip := range h.others {
+		go h.follow(ctx, ip)
+	}
+	go h.watch(ctx)
+	log.WithFields(logrus.Fields{"others": len(h.others)}).Info("begins")
+	h.keep(ctx)
+	return nil
+}
+
+func (h *House) now() float64 { return float64(time.Since(h.begun)) / float64(time.Millisecond) }
+
+// stir wakes those who wait for news. The mutex is held.
+func (h *House) stir() {
+	close(h.news)
+	h.news = make(chan struct{})
+}
+
+// keep does what is due at intervals.
+func (h *House) keep(ctx context.Context) {
+	repairAt := time.Now().Add(repairEvery)
+	for ctx.Err() == nil {
+		sleep(ctx, expireEvery)
+		h.mu.Lock()
+		beat := float64(h.set.Heartbeat) / float64(time.Millisecond)
+		if h.book.Expire(h.now(), serverBeats*beat, limiterSilent, h.alive) {
+			h.stir()
+		}
+		h.mu.Unlock()
+		h.enrolDue(ctx)
+		if time.Now().After(repairAt) {
+			repairAt = time.Now().Add(repairEvery + rand.N(time.Second))
+			go h.repair(ctx)
+		}
+	}
+}
+
+// alive tells whether another source runs, as far as is known. The mutex is held.
+func (h *House) alive(source string) bool {
+	return time.Since(h.lives[source]) < 2*(syncHold+callSlack)
+}
+
+// apart tells that no majority of the registries is heard. The mutex is held.
+func (h *House) apart() bool {
+	met := 1
+	for _, at := range h.met {
+		if time.Since(at) < syncHold+callSlack+200*time.Millisecond {
+			met++
+		}
+	}
+	return met < (len(h.others)+1)/2+1
+}
+
+// follow pulls from another registry without end.
+func (h *House) follow(ctx context.Context, ip string) {
+	to := h.set.Internal(ip, boot.RoundhousePort)
+	for ctx.Err() == nil {
+		h.mu.Lock()
+		ask := Pull{Vector: copyOf(h.book.Vector()), HoldMs: uint64(syncHold / time.Millisecond), Source: h.source()}
+		h.mu.Unlock()
+		var a Pulled
+		if err := h.caller.Call(ctx, to, CallPull, ask, &a, syncHold+callSlack); err != nil {
+			sleep(ctx, 100*time.Millisecond+rand.N(100*time.Millisecond))
+			continue
+		}
+		h.mu.Lock()
+		h.met[ip], h.lives[a.Source] = time.Now(), time.Now()
+		if len(h.book.Merge(h.now(), a.Records, true)) > 0 {
+			h.stir()
+		}
+		h.book.Know(a.Vector)
+		h.mu.Unlock()
+	}
+}
+
+func (h *House) source() string { return h.book.Source() }
+
+func copyOf(v stock.Vector) stock.Vector {
+	c := make(stock.Vector, len(v))
+	for k, n := range v {
+		c[k] = n
+	}
+	return c
+}
+
+// pull answers another registry or a limiter, at once where it has news for it.
+func (h *House) pull(ctx context.Context, from string, body []byte) (any, error) {
+	var m Pull
+	if err := bell.Decode(body, &m); err != nil {
+		return nil, err
+	}
+	begun := time.Now()
+	late := time.NewTimer(time.Duration(m.HoldMs) * time.Millisecond)
+	defer late.Stop()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if m.Source != "" {
+		h.lives[m.Source] = begun
+	}
+	if m.Me != nil {
+		h.limiter(*m.Me)
+	}
+	for waiting := true; waiting && !h.book.Lacks(m.Vector) && (m.Source != "" || h.reg.Seq <= m.Seq); {
+		news := h.news
+		h.mu.Unlock()
+		select {
+		case <-news:
+			// Changes come in clusters: those of a moment go together.
+			sleep(ctx, 2*time.Millisecond)
+		case <-late.C:
+			waiting = false
+		case <-ctx.Done():
+			waiting = false
+		}
+		h.mu.Lock()
+	}
+	a := Pulled{Source: h.source(), Apart: h.apart(), HeldMs: uint64(time.Since(begun).Milliseconds())}
+	if h.book.Lacks(m.Vector) {
+		a.Records, a.Vector = h.book.Since(h.now(), m.Vector), copyOf(h.book.Vector())
+	}
+	if m.Source == "" {
+		if h.reg.Seq > m.Seq {
+			r := *h.reg
+			r.Taken = nil
+			a.Register = &r
+		}
+		if !h.proved.IsZero() {
+			a.Proven, a.ProofMs = true, uint64(time.Since(h.proved).Milliseconds())+1
+		}
+	}
+	return a, nil
+}
+
+// limiter takes in a limiter's word of itself. Its earlier lives are over. The mutex is held.
+func (h *House) limiter(r stock.Record) {
+	now := h.now()
+	_, known := h.book.Get(now, r.ID)
+	news := h.book.Beat(now, r)
+	name, _, _ := strings.Cut(r.ID, "#")
+	if !known {
+		var old []string
+		h.book.Each(now, func(o stock.Record) {
+			if n, _, _ := strings.Cut(o.ID, "#"); o.Service == stock.Limiters && n == name && o.ID != r.ID && o.State != stock.Gone {
+				old = append(old, o.ID)
+			}
+		})
+		for _, id := range old {
+			news = h.book.Leave(now, id) || news
+		}
+	}
+	p := trainregister.Post{Name: name, IP: boot.HostOf(r.Address), Zone: r.Zone}
+	if !slices.Contains(h.reg.Posts, p) {
+		h.enrol[name] = p
+	}
+	if news {
+		h.stir()
+	}
+}
+
+// enrolDue has limiters without a place given one.
+func (h *House) enrolDue(ctx context.Context) {
+	h.mu.Lock()
+	var posts []trainregister.Post
+	for name, p := range h.enrol {
+		if slices.Contains(h.reg.Posts, p) {
+			delete(h.enrol, name)
+		} else {
+			posts = append(posts, p)
+		}
+	}
+	due := len(posts) > 0 && time.Since(h.enrolAt) > time.Second
+	if due {
+		h.enrolAt = time.Now()
+	}
+	h.mu.Unlock()
+	if due {
+		slices.SortFunc(posts, func(a, b trainregister.Post) int { return strings.Compare(a.Name, b.Name) })
+		go h.order(ctx, trainregister.Order{Kind: trainregister.Enrol, Posts: posts})
+	}
+}
+
+// push tells other registries what is not to be lost with this machine, and tells whether a
+// majority has it.
+func (h *House) push(ctx context.Context, id string) bool {
+	h.mu.Lock()
+	r, _ := h.book.Get(h.now(), id)
+	h.mu.Unlock()
+	need := (len(h.others)+1)/2 + 1 - 1 // this one has it
+	if need == 0 {
+		return true
+	}
+	done := make(chan bool, len(h.others))
+	for _, ip := range h.others {
+		go func() {
+			err := h.caller.Call(ctx, h.set.Internal(ip, boot.RoundhousePort), callPush, []stock.Record{r}, nil, pushWithin)
+			done <- err == nil
+		}()
+	}
+	for range h.others {
+		if <-done {
+			if need--; need == 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (h *House) pushed(_ context.Context, _ string, body []byte) (any, error) {
+	var records []stock.Record
+	if err := bell.Decode(body, &records); err != nil {
+		return nil, err
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if len(h.book.Merge(h.now(), records, false)) > 0 {
+		h.stir()
+	}
+	return nil, nil
+}
+
+// repair compares digests with one other registry, and mends what differs.
+func (h *House) repair(ctx context.Context) {
+	if len(h.others) == 0 {
+		return
+	}
+	ip := h.others[rand.IntN(len(h.others))]
+	h.mu.Lock()
+	d := h.book.Digests()
+	h.mu.Unlock()
+	var records []stock.Record
+	if h.caller.Call(ctx, h.set.Internal(ip, boot.RoundhousePort), callRepair, d, &records, time.Second) != nil {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if len(h.book.Merge(h.now(), records, false)) > 0 {
+		h.stir()
+	}
+}
+
+func (h *House) repaired(_ context.Context, _ string, body []byte) (any, error) {
+	var d [stock.Ranges]uint64
+	if err := bell.Decode(body, &d); err != nil {
+		return nil, err
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.book.Differing(h.now(), d), nil
+}
+
+// watch follows the store of configuration on this machine or, while that is down, another.
+func (h *House) watch(ctx context.Context) {
+	stores := append([]string{h.set.IP}, h.others...)
+	for k := 0; ctx.Err() == nil; {
+		h.mu.Lock()
+		ask := signalbox.Watch{Seq: h.reg.Seq, HoldMs: uint64(watchHold / time.Millisecond)}
+		h.mu.Unlock()
+		var w signalbox.Watched
+		begun := time.Now()
+		err := h.caller.Call(ctx, h.set.Internal(stores[k], boot.SignalboxPort), signalbox.CallWatch, ask, &w, watchHold+callSlack)
+		if err != nil {
+			k = (k + 1) % len(stores)
+			sleep(ctx, 50*time.Millisecond)
+			continue
+		}
+		h.mu.Lock()
+		if w.Proven && (w.Register != nil || w.ProofMs < 1<<31) {
+			// What is held counts from the end of it.
+			at := begun.Add(time.Duration(w.HeldMs)*time.Millisecond - time.Duration(w.ProofMs)*time.Millisecond)
+			if at.After(h.proved) {
+				h.proved = at
+			}
+		}
+		if w.Register != nil && w.Register.Seq > h.reg.Seq {
+			h.reg = w.Register
+			h.stir()
+		}
+		stale := time.Since(h.proved) > 2*time.Second
+		h.mu.Unlock()
+		if stale && len(stores) > 1 { // another store may hear a majority
+			k = (k + 1) % len(stores)
+			sleep(ctx, 50*time.Millisecond)
+		} else {
+			k = 0
+		}
+	}
+}
+
+// order gives an order to a store. ok is false when no clear answer came.
+func (h *House) order(ctx context.Context, o trainregister.Order) (out trainregister.Outcome, ok bool) {
+	until := time.Now().Add(storeWithin)
+	for _, ip := range append([]string{h.set.IP}, h.others...) {
+		left := time.Until(until)
+		if left < 50*time.Millisecond {
+			break
+		}
+		var c signalbox.Changed
+		err := h.caller.Call(ctx, h.set.Internal(ip, boot.SignalboxPort), signalbox.CallChange,
+			signalbox.Change{Orders: []trainregister.Order{o}}, &c, left)
+		if err == nil && len(c.Outcomes) == 1 {
+			return c.Outcomes[0], true
+		}
+	}
+	return out, false
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/signalbox/signalbox.go
@@ -0,0 +1,590 @@
+// Package signalbox is the host of the store of configuration: it keeps an acceptor's record
+// on disk, holds rounds of ballots for the orders that come to it, learns what is chosen and
+// proves at intervals that nothing newer can have been. The decisions are in the packages
+// interlocking and trainregister.
+package signalbox
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"example.org/madderdrum/interlocking"
+	"example.org/madderdrum/internal/bell"
+	"example.org/madderdrum/internal/boot"
+	"example.org/madderdrum/trainregister"
+)
+
+const (
+	confirmEvery = 400 * time.Millisecond
+	callWithin   = 400 * time.Millisecond // one message of a round
+	// roundMost bounds a round from its first message to the second. A machine that lost its
+	// disk waits restoreAfter, which is longer, before it reads from others: no promise that
+	// it has forgotten is counted in a round that still runs.
+	roundMost    = 800 * time.Millisecond
+	restoreAfter = 2 * time.Second
+	restoreEvery = 200 * time.Millisecond
+	orderWithin  = 2500 * time.Millisecond
+	// Another's value that is accepted and not known to be chosen is left to its proposer so
+	// long.
+	resolveAfter = 250 * time.Millisecond
+)
+
+// Box is one store of configuration.
+type Box struct {
+	set    *boot.Settings
+	log    logrus.FieldLogger
+	caller *bell.Caller
+	voters []string // IP numbers, sorted
+	me     int      // this one's place among them; -1: none
+	life   uint64
+	orders chan *pending
+
+	accepting sync.Mutex // round the acceptor and the disk
+	acceptor  interlocking.Acceptor
+	disk      *disk
+
+	mu      sync.Mutex // round what follows
+	durable interlocking.Record
+	chosen  interlocking.Ballot
+	value   []byte
+	reg     *trainregister.Register
+	changed chan struct{} // closed when reg changes
+	proved  time.Time     // nothing newer had been chosen then
+	number  uint64        // of the latest ballot seen
+	ahead   time.Time     // since when another's value is accepted and not chosen, as far as known
+}
+
+type pending struct {
+	orders []trainregister.Order
+	done   chan []trainregister.Outcome // nil: no majority answered
+	until  time.Time
+}
+
+// Calls of a signalbox, which other packages make.
+const (
+	CallChange  = "signalbox.change"
+	CallWatch   = "signalbox.watch"
+	CallFetch   = "signalbox.fetch"
+	callPrepare = "signalbox.prepare"
+	callAccept  = "signalbox.accept"
+	callRead    = "signalbox.read"
+	callChosen  = "signalbox.chosen"
+)
+
+// Change gives orders.
+type Change struct {
+	Orders []trainregister.Order `cbor:"1,keyasint"`
+}
+
+// Changed is the answer. None is there where no majority answered in time.
+type Changed struct {
+	Outcomes []trainregister.Outcome `cbor:"1,keyasint,omitempty"`
+}
+
+// Watch waits for a version after Seq, for HoldMs at most.
+type Watch struct {
+	Seq    uint64 `cbor:"1,keyasint"`
+	HoldMs uint64 `cbor:"2,keyasint"`
+}
+
+// Watched is the answer.
+type Watched struct {
+	Register *trainregister.Register `cbor:"1,keyasint,omitempty"` // nil: none after Seq
+	// ProofMs is how long ago a majority had chosen nothing newer; Proven is false where that
+	// is not known at all.
+	ProofMs uint64 `cbor:"2,keyasint,omitempty"`
+	Proven  bool   `cbor:"3,keyasint,omitempty"`
+	HeldMs  uint64 `cbor:"4,keyasint,omitempty"`
+}
+
+type chosenCall struct {
+	Ballot interlocking.Ballot `cbor:"1,keyasint"`
+	Value  []byte              `cbor:"2,keyasint,omitempty"`
+}
+
+type chosenAnswer struct {
+	Lacks bool `cbor:"1,keyasint,omitempty"`
+}
+
+// Run serves until the context ends.
+func Run(ctx context.Context, set *boot.Settings, log logrus.FieldLogger) error {
+	d, k, err := openDisk(set.DataDir)
+	if err != nil {
+		return err
+	}
+	b := &Box{set: set, log: log, caller: bell.NewCaller(), disk: d, life: rand.Uint64(),
+		orders: make(chan *pending, 64), reg: &trainregister.Register{}, changed: make(chan struct{})}
+	b.voters = k.voters
+	if b.voters == nil {
+		b.voters = slices.Clone(set.Cores())
+		slices.Sort(b.voters)
+		b.voters = slices.Compact(b.voters)
+	}
+	b.me = slices.Index(b.voters, set.IP)
+	b.acceptor.Record = k.record
+	switch {
+	case k.found:
+	case set.Bootstrap:
+		if err := d.begin(&b.acceptor.Record, b.voters); err != nil {
+			return fmt.Errorf("signalbox: begin the log: %w", err)
+		}
+	default:
+		b.acceptor.Record.Blank = true
+	}
+	b.durable = b.acceptor.Record
+	l, err := net.Listen("tcp", set.Internal(set.IP, boot.SignalboxPort))
+	if err != nil {
+		return fmt.Errorf("signalbox: listen for other processes: %w", err)
+	}
+	log.WithFields(logrus.Fields{"voters": len(b.voters), "place": b.me, "blank": b.acceptor.Record.Blank,
+		"accepted": b.acceptor.Record.Accepted.Number}).Info("begins")
+	go bell.Serve(ctx, l, map[string]bell.Handler{
+		callPrepare: b.prepare, callAccept: b.accept, callRead: b.read, callChosen: b.hear,
+		CallChange: b.change, CallWatch: b.watch, CallFetch: b.fetch,
+	})
+	if b.acceptor.Record.Blank {
+		go b.restore(ctx)
+	}
+	go b.confirm(ctx)
+	b.propose(ctx)
+	return nil
+}
+
+var errSick = errors.New("the disk takes no record")
+
+// vote has a changed record written down, or takes the change back.
+func (b *Box) vote(do func() (interlocking.Reply, bool)) (interlocking.Reply, error) {
+	b.accepting.Lock()
+	defer b.accepting.Unlock()
+	before := b.acceptor.Record
+	r, write := do()
+	if write {
+		if err := b.disk.write(&b.acceptor.Record, &before, b.voters); err != nil {
+			b.acceptor.Record = before
+			b.log.WithField("err", err).Warn("disk fails")
+			return interlocking.Reply{}, errSick
+		}
+	}
+	b.mu.Lock()
+	b.durable = b.acceptor.Record
+	b.number = max(b.number, b.durable.Promised.Number)
+	b.mu.Unlock()
+	return r, nil
+}
+
+func (b *Box) prepare(_ context.Context, _ string, body []byte) (any, error) {
+	var m interlocking.Prepare
+	if err := bell.Decode(body, &m); err != nil {
+		return nil, err
+	}
+	return b.votePrepare(m)
+}
+
+func (b *Box) votePrepare(m interlocking.Prepare) (interlocking.Reply, error) {
+	return b.vote(func() (interlocking.Reply, bool) { return b.acceptor.Prepare(m) })
+}
+
+func (b *Box) accept(_ context.Context, _ string, body []byte) (any, error) {
+	var m interlocking.Accept
+	if err := bell.Decode(body, &m); err != nil {
+		return nil, err
+	}
+	return b.voteAccept(m)
+}
+
+func (b *Box) voteAccept(m interlocking.Accept) (interlocking.Reply, error) {
+	return b.vote(func() (interlocking.Reply, bool) { return b.acceptor.Accept(m) })
+}
+
+// readCall asks what is accepted.
+type readCall struct {
+	Known interlocking.Ballot `cbor:"1,keyasint"`
+}
+
+func (b *Box) read(_ context.Context, _ string, body []byte) (any, error) {
+	var m readCall
+	if err := bell.Decode(body, &m); err != nil {
+		return nil, err
+	}
+	return b.readDurable(m.Known), nil
+}
+
+// readDurable tells what is safe on disk, without waiting for what is being written.
+func (b *Box) readDurable(known interlocking.Ballot) interlocking.Reply {
+	b.mu.Lock()
+	a := interlocking.Acceptor{Record: b.durable}
+	b.mu.Unlock()
+	return a.Read(known)
+}
+
+// hear takes in what another's round has chosen.
+func (b *Box) hear(_ context.Context, _ string, body []byte) (any, error) {
+	var m chosenCall
+	if err := bell.Decode(body, &m); err != nil {
+		return nil, err
+	}
+	if m.Value == nil {
+		r := b.readDurable(interlocking.Ballot{})
+		if r.Accepted != m.Ballot {
+			b.mu.Lock()
+			defer b.mu.Unlock()
+			return chosenAnswer{Lacks: m.Ballot.Compare(b.chosen) > 0}, nil
+		}
+		m.Value = r.Value
+	}
+	b.learn(m.Ballot, m.Value)
+	return chosenAnswer{}, nil
+}
+
+// learn takes in a chosen value.
+func (b *Box) learn(ballot interlocking.Ballot, value []byte) {
+	var reg trainregister.Register
+	if err := bell.Decode(value, &reg); err != nil {
+		panic(fmt.Sprintf("signalbox: a chosen value can't be read: %v", err)) // a broken invariant
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if ballot.Compare(b.chosen) <= 0 {
+		return
+	}
+	b.chosen, b.value = ballot, value
+	b.number = max(b.number, ballot.Number)
+	if reg.Seq == b.reg.Seq {
+		return
+	}
+	b.reg = &reg
+	close(b.changed)
+	b.changed = make(chan struct{})
+	b.log.WithFields(logrus.Fields{"seq": reg.Seq, "version": reg.Version, "ballot": ballot.Number}).Info("version is chosen")
+}
+
+// answered is a voter's answer to a message of a round.
+type answered struct {
+	from  uint64
+	reply interlocking.Reply
+	err   error
+}
+
+// ask sends a message to all voters, itself among them; answers come as they are there.
+func (b *Box) ask(ctx context.Context, call string, m any, self func() (interlocking.Reply, error)) <-chan answered {
+	out := make(chan answered, len(b.voters))
+	for i, ip := range b.voters {
+		go func() {
+			var r interlocking.Reply
+			var err error
+			if i == b.me {
+				r, err = self()
+			} else {
+				err = b.caller.Call(ctx, b.set.Internal(ip, boot.SignalboxPort), call, m, &r, callWithin)
+			}
+			out <- answered{uint64(i), r, err}
+		}()
+	}
+	return out
+}
+
+// propose holds a round for the orders that wait, one round at a time.
+func (b *Box) propose(ctx context.Context) {
+	for {
+		var all []*pending
+		select {
+		case <-ctx.Done():
+			return
+		case p := <-b.orders:
+			all = append(all, p)
+		}
+		for more := true; more; {
+			select {
+			case p := <-b.orders:
+				all = append(all, p)
+			default:
+				more = false
+			}
+		}
+		b.rounds(ctx, all)
+	}
+}
+
+// rounds holds rounds until one succeeds or nobody waits any more.
+func (b *Box) rounds(ctx context.Context, all []*pending) {
+	var until time.Time
+	for _, p := range all {
+		if p.until.After(until) {
+			until = p.until
+		}
+	}
+	for ctx.Err() == nil && time.Now().Before(until) {
+		if b.round(ctx, all) {
+			return
+		}
+		sleep(ctx, 5*time.Millisecond+rand.N(60*time.Millisecond))
+	}
+	for _, p := range all {
+		p.done <- nil
+	}
+}
+
+// round holds one round, and tells whether what is due was answered.
+func (b *Box) round(ctx context.Context, all []*pending) bool {
+	b.mu.Lock()
+	b.number++
+	ballot := interlocking.Ballot{Number: b.number, Node: uint64(b.me + 1), Life: b.life}
+	known, own := b.chosen, b.value
+	b.mu.Unlock()
+	r, begun := interlocking.NewRound(len(b.voters), ballot), time.Now()
+	prep := interlocking.Prepare{Ballot: ballot, Known: known}
+	answers := b.ask(ctx, callPrepare, prep, func() (interlocking.Reply, error) { return b.votePrepare(prep) })
+	if !b.gather(answers, callWithin, r.Promise) {
+		b.met(r)
+		return false
+	}
+	newest, value := r.Newest()
+	if value == nil && newest == known {
+		value = own
+	}
+	reg := &trainregister.Register{}
+	if len(value) > 0 {
+		if err := bell.Decode(value, reg); err != nil {
+			panic(fmt.Sprintf("signalbox: an accepted value can't be read: %v", err)) // a broken invariant
+		}
+	}
+	seq := reg.Seq
+	outcomes := make([][]trainregister.Outcome, len(all))
+	for i, p := range all {
+		for k := range p.orders {
+			outcomes[i] = append(outcomes[i], reg.Give(&p.orders[k]))
+		}
+	}
+	if reg.Seq == seq && (r.Unanimous() || newest == interlocking.Ballot{}) {
+		if newest != (interlocking.Ballot{}) {
+			b.learn(newest, value)
+		}
+	} else {
+		next := bell.Encode(reg)
+		if time.Since(begun) > roundMost {
+			return false
+		}
+		acc := interlocking.Accept{Ballot: ballot, Value: next}
+		answers = b.ask(ctx, callAccept, acc, func() (interlocking.Reply, error) { return b.voteAccept(acc) })
+		if !b.gather(answers, callWithin, r.Vote) {
+			b.met(r)
+			return false
+		}
+		b.learn(ballot, next)
+		b.tell(ctx, ballot, next)
+	}
+	for i, p := range all {
+		p.done <- outcomes[i]
+	}
+	return true
+}
+
+// gather feeds answers until one completes the half of the round.
+func (b *Box) gather(answers <-chan answered, within time.Duration, take func(uint64, interlocking.Reply) bool) bool {
+	late := time.NewTimer(within + 50*time.Millisecond)
+	defer late.Stop()
+	for range b.voters {
+		select {
+		case a := <-answers:
+			if a.err == nil && take(a.from, a.reply) {
+				return true
+			}
+		case <-late.C:
+			return false
+		}
+	}
+	return false
+}
+
+// met takes note of the ballots that were ahead.
+func (b *Box) met(r *interlocking.Round) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.number = max(b.number, r.After()-1)
+}
+
+// tell tells the other voters what is chosen. Those that have accepted it need its ballot
+// alone.
+func (b *Box) tell(ctx context.Context, ballot interlocking.Ballot, value []byte) {
+	for i, ip := range b.voters {
+		if i == b.me {
+			continue
+		}
+		go func() {
+			to := b.set.Internal(ip, boot.SignalboxPort)
+			var a chosenAnswer
+			if b.caller.Call(ctx, to, callChosen, chosenCall{Ballot: ballot}, &a, callWithin) == nil && a.Lacks {
+				b.caller.Call(ctx, to, callChosen, chosenCall{Ballot: ballot, Value: value}, &a, callWithin)
+			}
+		}()
+	}
+}
+
+// confirm proves at intervals that nothing newer is chosen, and completes what another has
+// left half done.
+func (b *Box) confirm(ctx context.Context) {
+	for ctx.Err() == nil {
+		begun := time.Now()
+		b.mu.Lock()
+		known := b.chosen
+		b.mu.Unlock()
+		answers := b.ask(ctx, callRead, readCall{known}, func() (interlocking.Reply, error) { return b.readDurable(known), nil })
+		agree, ahead := 0, false
+		b.gather(answers, callWithin, func(_ uint64, r interlocking.Reply) bool {
+			if !r.OK {
+				return false
+			}
+			switch c := r.Accepted.Compare(known); {
+			case c <= 0:
+				agree++
+			default:
+				ahead = true
+			}
+			return agree >= interlocking.Majority(len(b.voters))
+		})
+		b.mu.Lock()
+		if agree >= interlocking.Majority(len(b.voters)) && begun.After(b.proved) {
+			b.proved = begun
+		}
+		stuck := false
+		switch {
+		case !ahead || b.chosen != known:
+			b.ahead = time.Time{}
+		case b.ahead.IsZero():
+			b.ahead = begun
+		default:
+			stuck = time.Since(b.ahead) > resolveAfter
+		}
+		b.mu.Unlock()
+		if stuck {
+			b.give(ctx, nil, orderWithin/2)
+		}
+		wait := confirmEvery
+		if ahead {
+			wait = resolveAfter / 2
+		}
+		sleep(ctx, wait-time.Since(begun)+rand.N(40*time.Millisecond))
+	}
+}
+
+// give has orders carried out. It returns nil when no majority answered in time.
+func (b *Box) give(ctx context.Context, orders []trainregister.Order, within time.Duration) []trainregister.Outcome {
+	p := &pending{orders: orders, done: make(chan []trainregister.Outcome, 1), until: time.Now().Add(within)}
+	select {
+	case b.orders <- p:
+	default:
+		return nil
+	}
+	select {
+	case out := <-p.done:
+		return out
+	case <-ctx.Done():
+		return nil
+	}
+}
+
+func (b *Box) change(ctx context.Context, _ string, body []byte) (any, error) {
+	var m Change
+	if err := bell.Decode(body, &m); err != nil {
+		return nil, err
+	}
+	return Changed{b.give(ctx, m.Orders, orderWithin)}, nil
+}
+
+// fetch reads the register by a round: what it answers is chosen, and nothing newer was when
+// it was asked.
+func (b *Box) fetch(ctx context.Context, _ string, _ []byte) (any, error) {
+	p := &pending{done: make(chan []trainregister.Outcome, 1), until: time.Now().Add(orderWithin), orders: []trainregister.Order{{Kind: trainregister.Enrol}}}
+	b.orders <- p
+	select {
+	case out := <-p.done:
+		if out == nil {
+			return nil, errors.New("no majority answers")
+		}
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return Watched{Register: b.reg}, nil
+}
+
+func (b *Box) watch(ctx context.Context, _ string, body []byte) (any, error) {
+	var m Watch
+	if err := bell.Decode(body, &m); err != nil {
+		return nil, err
+	}
+	begun := time.Now()
+	late := time.NewTimer(time.Duration(m.HoldMs) * time.Millisecond)
+	defer late.Stop()
+	for waiting := true; waiting; {
+		b.mu.Lock()
+		changed, have := b.changed, b.reg.Seq > m.Seq
+		b.mu.Unlock()
+		if have {
+			break
+		}
+		select {
+		case <-changed:
+		case <-late.C:
+			waiting = false
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w := Watched{HeldMs: uint64(time.Since(begun).Milliseconds())}
+	if b.reg.Seq > m.Seq {
+		w.Register = b.reg
+	}
+	if !b.proved.IsZero() {
+		w.Proven, w.ProofMs = true, uint64(time.Since(b.proved).Milliseconds())+1
+	}
+	return w, nil
+}
+
+// restore reads from the others what a lost disk held before this machine votes.
+func (b *Box) restore(ctx context.Context) {
+	sleep(ctx, restoreAfter)
+	for ctx.Err() == nil {
+		rest := interlocking.NewRestore(len(b.voters), b.set.Tolerate)
+		for i, ip := range b.voters {
+			var r interlocking.Reply
+			if i != b.me && b.caller.Call(ctx, b.set.Internal(ip, boot.SignalboxPort), callRead, readCall{}, &r, callWithin) == nil {
+				rest.Read(uint64(i), r)
+			}
+		}
+		if rec, ok := rest.Done(); ok {
+			_, err := b.vote(func() (interlocking.Reply, bool) {
+				b.acceptor.Record = rec
+				return interlocking.Reply{}, true
+			})
+			if err == nil {
+				b.log.WithField("accepted", rec.Accepted.Number).Info("votes again after a lost disk")
+				return
+			}
+		}
+		sleep(ctx, restoreEvery)
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/switchyard/engine.go
@@ -0,0 +1,422 @@
+package switchyard
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"example.org/madderdrum/internal/boot"
+	"example.org/madderdrum/limiter"
+	"example.org/madderdrum/stock"
+	"example.org/madderdrum/timetable"
+)
+
+// engine drives the decisions of one limiter.Limiter: as many limiters stand in its set as
+// have places. Where their number changes another engine takes the requests that come, and
+// this one ends those that it has. The yard's mutex guards it.
+type engine struct {
+	y       *Yard
+	lim     *limiter.Limiter
+	size    int // limiters of the set
+	queue   []limiter.Event
+	working bool
+	calls   map[string]*call
+	classes map[string]int    // by route
+	plans   map[string]int    // by tenant
+	pools   map[string]uint64 // by service and homes
+	ids     map[string]uint64 // of servers, by pool and life
+	servers map[uint64]*entry
+	names   int
+	seq     uint64
+}
+
+// entry is a server in one pool.
+type entry struct {
+	id   uint64
+	life string
+	pool uint64
+	info limiter.ServerInfo
+}
+
+const (
+	// The decisions expect a server to take headroom, a quarter, of the time left at most:
+	// they were made for work that is short against its aim. Times handed to them are
+	// stretched so that an answer is expected within three quarters of the aim.
+	stretch = 3.0
+	// Messages a second that a limiter takes in about tenants' spending: a few.
+	peerInPerS = 3.0
+	advice     = 150.0 // ms to stay away where the decisions give none
+	farTiers   = 3     // own zone, own region, elsewhere
+)
+
+// settings are those of the decisions for a table.
+func (e *engine) settings(t *timetable.Table, position int) (s limiter.Settings, classes, plans map[string]int) {
+	b := &e.y.set.Bounds
+	s = limiter.Settings{Position: position, Balancers: e.size, Zone: 0, PeerInPerS: peerInPerS,
+		Caps:  limiter.Caps{Attempts: 8, Peers: e.size > 1, Probes: true, RetryAfter: true, MaxWaitMs: 1000, ConnectMs: 300},
+		Rules: limiter.Rules{FallMs: 1000}, Spills: map[uint64][]float64{}}
+	classes, plans = map[string]int{}, map[string]int{}
+	for i := range t.Routes {
+		r := &t.Routes[i]
+		repeat := limiter.Safe
+		if !r.Kind.Repeatable() {
+			repeat = limiter.Unsafe
+		}
+		classes[r.Name] = len(s.Classes)
+		aim := r.Aim
+		if aim == 0 {
+			aim = r.Timeout
+		}
+		s.Classes = append(s.Classes, limiter.Class{Repeat: repeat, AimMs: stretch * ms(aim), DeadlineMs: stretch * ms(r.Timeout), Worth: 1, LateShare: 0.3})
+	}
+	if len(s.Classes) == 0 {
+		s.Classes = []limiter.Class{{AimMs: 1000, DeadlineMs: 1000, Worth: 1}}
+	}
+	s.Plans = []limiter.Plan{{Price: 1}} // of requests without a tenant
+	window := max(1, b.QuotaWindow.Seconds())
+	for i := range t.Tenants {
+		tn := &t.Tenants[i]
+		plans[tn.Name] = len(s.Plans)
+		p := limiter.Plan{Price: 1}
+		if tn.Rate > 0 {
+			p.Rate, p.Burst = tn.Rate, max(tn.Burst, 1)
+			// The hard bound is what the rule allows, less what may be under way at the ends
+			// of a window. Each limiter owns a part of it, so it holds whoever is out of touch.
+			over := b.QuotaOvershoot / 2
+			p.CeilingRate = tn.Rate * (1 + over)
+			p.CeilingBurst = max(1, tn.Burst*(1+over)+0.8*b.QuotaSlack+over*tn.Rate*window/2)
+		}
+		s.Plans = append(s.Plans, p)
+	}
+	for _, id := range e.pools {
+		s.Spills[id] = slices.Repeat([]float64{1}, farTiers)
+	}
+	return s, classes, plans
+}
+
+func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+// steam has the decisions go by the register that is in force, once this limiter has its
+// place. The mutex is held.
+func (y *Yard) steam(t *timetable.Table) {
+	if t == nil {
+		return
+	}
+	position := -1
+	for i, p := range y.reg.Posts {
+		if p.Name == y.set.Node {
+			position = i
+		}
+	}
+	if position < 0 {
+		return
+	}
+	size := len(y.reg.Posts)
+	e := y.engine
+	if e == nil || e.size != size {
+		e = &engine{y: y, size: size, calls: map[string]*call{}, pools: map[string]uint64{}, ids: map[string]uint64{}, servers: map[uint64]*entry{}}
+		e.name(t)
+		s, classes, plans := e.settings(t, position)
+		lim, err := limiter.New(s, uint64(time.Now().UnixNano()))
+		if err != nil {
+			y.log.WithField("err", err).Error("configuration can't be decided by")
+			return
+		}
+		e.lim, e.classes, e.plans = lim, classes, plans
+		y.engine = e
+		y.log.WithFields(logrus.Fields{"place": position, "limiters": size}).Info("decisions begin")
+		return
+	}
+	e.name(t)
+	s, classes, plans := e.settings(t, position)
+	from := func(old, now map[string]int, n int) []int {
+		at := slices.Repeat([]int{-1}, n)
+		for name, i := range old {
+			if k, ok := now[name]; ok {
+				at[i] = k
+			}
+		}
+		return at
+	}
+	planAt := from(e.plans, plans, len(e.plans)+1)
+	planAt[0] = 0
+	classAt := from(e.classes, classes, max(1, len(e.classes)))
+	e.handle(limiter.Reconfigure{Settings: s, Classes: classAt, Plans: planAt})
+	e.classes, e.plans = classes, plans
+}
+
+// name gives the services and homes of a table their pools.
+func (e *engine) name(t *timetable.Table) {
+	for i := range t.Routes {
+		r := &t.Routes[i]
+		for _, to := range r.To {
+			e.poolOf(to.Service, r, nil)
+			for k := range t.Tenants {
+				if len(t.Tenants[k].Homes) > 0 {
+					e.poolOf(to.Service, r, &t.Tenants[k])
+				}
+			}
+		}
+	}
+}
+
+// poolOf is the pool of a service's servers in the regions where a request may be served.
+func (e *engine) poolOf(service string, r *timetable.Route, t *timetable.Tenant) uint64 {
+	homes, all := timetable.Homes(r, t)
+	key := service
+	if !all {
+		homes = slices.Clone(homes)
+		slices.Sort(homes)
+		key += "\x00" + strings.Join(homes, "\x00") + "\x00"
+	}
+	id, ok := e.pools[key]
+	if !ok {
+		id = uint64(len(e.pools) + 1)
+		e.pools[key] = id
+	}
+	return id
+}
+
+// relist hands the decisions the servers that may be used now. The mutex is held.
+func (y *Yard) relist() {
+	e := y.engine
+	v := y.view.Load()
+	if e == nil || v == nil {
+		return
+	}
+	now := time.Now()
+	var list []limiter.ServerInfo
+	for key, pool := range e.pools {
+		service, homes, bound := strings.Cut(key, "\x00")
+		y.book.Each(y.now(), func(r stock.Record) {
+			if r.Service != service || bound && !strings.Contains("\x00"+homes, "\x00"+y.set.Zones[r.Zone]+"\x00") {
+				return
+			}
+			st := y.station(&r)
+			id := key + "\x01" + r.ID
+			n, ok := e.ids[id]
+			if !ok {
+				e.names++
+				n = uint64(e.names)
+				e.ids[id] = n
+			}
+			info := limiter.ServerInfo{ID: n, Pool: pool, Phase: limiter.Up, Tier: y.tier(r.Zone)}
+			if r.State != stock.Available || y.evacuate[r.Zone] || y.gone[r.ID] {
+				info.Phase = limiter.Draining
+			}
+			if info.Phase == limiter.Up {
+				y.chill(st, &r, now)
+				if st.cold(now) && (r.Zone != y.set.Zone || now.Before(st.nextAt)) {
+					info.Phase = limiter.Draining
+				}
+			}
+			st.up = info.Phase == limiter.Up
+			st.usable = r.State == stock.Available && !y.evacuate[r.Zone] && !y.gone[r.ID]
+			e.servers[n] = &entry{id: n, life: r.ID, pool: pool, info: info}
+			list = append(list, info)
+		})
+	}
+	e.handle(limiter.Endpoints{Scope: limiter.Complete, Servers: list})
+}
+
+func (y *Yard) tier(zone string) int {
+	switch {
+	case zone == y.set.Zone:
+		return 0
+	case y.set.Zones[zone] == y.set.Region:
+		return 1
+	}
+	return 2
+}
+
+// chill notes until when a server is cold, and has the list made anew then.
+func (y *Yard) chill(st *station, r *stock.Record, now time.Time) {
+	until := now.Add(time.Duration(r.WarmMs) * time.Millisecond)
+	if to := y.coldTo[r.ID]; to.After(until) {
+		until = to
+	}
+	if !until.After(now) {
+		return
+	}
+	if until.Sub(st.coldTo).Abs() > 20*time.Millisecond || !st.coldTo.After(now) {
+		st.coldTo = until
+		st.pause = y.coldPause(r.Service)
+		if st.nextAt.Before(now) {
+			st.nextAt = now.Add(st.pause / 2)
+		}
+		y.later(until.Sub(now) + time.Millisecond)
+	}
+	if st.nextAt.After(now) {
+		y.later(st.nextAt.Sub(now) + time.Millisecond)
+	}
+}
+
+// later makes the list of servers anew after a while.
+func (y *Yard) later(d time.Duration) {
+	time.AfterFunc(d, func() {
+		y.mu.Lock()
+		defer y.mu.Unlock()
+		y.relist()
+	})
+}
+
+// coldPause is the least time between two requests of this limiter to one cold server. Only
+// limiters of a server's own zone send to it while it is cold, and each goes by as many of
+// them as have places: the sum keeps the rule whoever is out of touch.
+func (y *Yard) coldPause(service string) time.Duration {
+	b := &y.set.Bounds
+	per := 1.0
+	if v := y.view.Load(); v != nil {
+		if s := v.table.Services[service]; s != nil {
+			per = s.ColdPerS*b.WarmupOvershoot + b.WarmupSlack
+		}
+	}
+	near := 1.0 // one more may join
+	for _, p := range y.reg.Posts {
+		if p.Zone == y.set.Zone {
+			near++
+		}
+	}
+	each := int(per * 0.9 / near)
+	if each < 1 {
+		return time.Hour
+	}
+	return time.Second/time.Duration(each) + 25*time.Millisecond
+}
+
+// handle gives the decisions an event and carries out what they return. The mutex is held.
+func (e *engine) handle(ev limiter.Event) {
+	e.queue = append(e.queue, ev)
+	if e.working {
+		return
+	}
+	e.working = true
+	for i := 0; i < len(e.queue); i++ {
+		for _, a := range e.lim.Handle(e.y.now(), e.queue[i]) {
+			e.do(a)
+		}
+	}
+	clear(e.queue)
+	e.queue = e.queue[:0]
+	e.working = false
+}
+
+// dispatch is handle without the mutex.
+func (e *engine) dispatch(ev limiter.Event) {
+	e.y.mu.Lock()
+	defer e.y.mu.Unlock()
+	e.handle(ev)
+}
+
+func (e *engine) do(a limiter.Action) {
+	y := e.y
+	switch a := a.(type) {
+	case limiter.PassOn:
+		if c := e.calls[a.ID]; c != nil {
+			e.passOn(c, a)
+		}
+	case limiter.Refuse:
+		if c := e.calls[a.ID]; c != nil {
+			c.next(step{refuse: &a})
+		}
+	case limiter.Fail:
+		if c := e.calls[a.ID]; c != nil {
+			c.next(step{fail: true})
+		}
+	case limiter.Timer:
+		if y.engine != e && y.engine != nil && len(e.calls) == 0 {
+			return // another has taken its place
+		}
+		time.AfterFunc(time.Duration(max(0, a.At-y.now())*float64(time.Millisecond)), func() { e.dispatch(limiter.Alarm{Handle: a.Handle}) })
+	case limiter.Probe:
+		e.probe(a.Server)
+	case limiter.Tell:
+		if a.To >= 0 && a.To < len(y.reg.Posts) {
+			y.tell(y.set.Internal(y.reg.Posts[a.To].IP, boot.SwitchyardPort), a.Data)
+		}
+	case limiter.Log:
+		y.log.Info(a.Line)
+	}
+}
+
+// passOn has an attempt go out, unless the budget of further arrivals is used up: the
+// decisions are then told that nothing went out.
+func (e *engine) passOn(c *call, a limiter.PassOn) {
+	y := e.y
+	s := e.servers[a.Server]
+	try := c.tries
+	c.tries++
+	if s == nil || c.over {
+		e.queue = append(e.queue, limiter.Outcome{ID: a.ID, Try: try, Server: a.Server, Result: limiter.StaleSend, Done: c.over})
+		return
+	}
+	st := y.stations[s.life]
+	if st == nil || !st.usable || c.arrived > 0 && (c.arrived >= c.most || !y.budget[c.service].take()) {
+		e.queue = append(e.queue, limiter.Outcome{ID: a.ID, Try: try, Server: a.Server, Result: limiter.StaleSend})
+		return
+	}
+	if now := time.Now(); st.cold(now) {
+		st.nextAt = now.Add(st.pause)
+		st.up = false
+		info := s.info
+		info.Phase = limiter.Draining
+		e.queue = append(e.queue, limiter.Endpoints{Scope: limiter.Partial, Servers: []limiter.ServerInfo{info}})
+		y.later(st.pause + time.Millisecond)
+	}
+	c.next(step{station: st, server: a.Server, try: try})
+}
+
+// tries is a budget of arrivals beyond the first of each request. It is earned by requests
+// alone, so that the sum over any number of limiters keeps the rule.
+type tries struct{ have float64 }
+
+const (
+	triesPart = 0.8 // of the ratio of the rule
+	triesMost = 3.0 // that a limiter may have saved up
+)
+
+func (t *tries) earn(ratio float64) {
+	t.have = min(triesMost, t.have+triesPart*ratio)
+}
+
+func (t *tries) take() bool {
+	if t == nil || t.have < 1 {
+		return false
+	}
+	t.have--
+	return true
+}
+
+// tell sends a datagram to another limiter.
+func (y *Yard) tell(to string, data []byte) {
+	addr, err := resolveUDP(to)
+	if err != nil {
+		return
+	}
+	y.peers.WriteTo(data, addr)
+}
+
+// hear takes in datagrams of other limiters.
+func (y *Yard) hear() {
+	buf := make([]byte, 64<<10)
+	for {
+		n, from, err := y.peers.ReadFrom(buf)
+		if err != nil {
+			return
+		}
+		ip := boot.HostOf(from.String())
+		data := slices.Clone(buf[:n])
+		y.mu.Lock()
+		if y.engine != nil {
+			for i, p := range y.reg.Posts {
+				if p.IP == ip && i < y.engine.size {
+					y.engine.handle(limiter.PeerMessage{From: i, Data: data})
+					break
+				}
+			}
+		}
+		y.mu.Unlock()
+	}
+}
--- /dev/null
+++ b/internal/switchyard/front.go
@@ -0,0 +1,493 @@
+package switchyard
+
+import (
+	"bufio"
+	"errors"
+	"hash/fnv"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"example.org/madderdrum/limiter"
+	"example.org/madderdrum/timetable"
+)
+
+const (
+	headerAttempt    = "X-Madderdrum-Attempt-Id"
+	headerDeadline   = "X-Madderdrum-Deadline-Ms"
+	headerCredential = "X-Madderdrum-Credential"
+	headerTenant     = "X-Madderdrum-Tenant"
+	headerTarget     = "X-Madderdrum-Target-Instance"
+	headerSeal       = "X-Madderdrum-Server-Seal"
+	headerUnrun      = "X-Madderdrum-Not-Executed"
+	headerWarmup     = "X-Madderdrum-Warmup-Ms"
+
+	pipelineMost  = 8 // requests of one connection in hand
+	headMost      = 64 << 10
+	bodyMost      = 8 << 20 // held whole
+	headWithin    = 5 * time.Second
+	idleWithin    = 60 * time.Second
+	bodyWithin    = 20 * time.Second
+	writeWithin   = 10 * time.Second
+	defaultWithin = 30 * time.Second
+)
+
+func (y *Yard) accept(l net.Listener) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				return
+			}
+			time.Sleep(10 * time.Millisecond) // out of descriptors
+			continue
+		}
+		go y.client(c)
+	}
+}
+
+// answer is a final answer.
+type answer struct {
+	status     int
+	retryAfter float64 // ms
+	head       http.Header
+	body       []byte
+	stream     *passage // the rest of a long body
+	why        string
+}
+
+// slot is the place of a request in the order of its connection.
+type slot struct {
+	done chan *answer
+	end  bool // the connection closes behind it
+	id   string
+}
+
+// client serves one connection: requests are read as they come and answered in their order.
+func (y *Yard) client(c net.Conn) {
+	slots := make(chan *slot, pipelineMost)
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		y.writes(c, slots)
+	}()
+	y.reads(c, slots)
+	close(slots)
+	<-written
+	c.Close()
+}
+
+// limited reads no more than is left.
+type limited struct {
+	r    io.Reader
+	left int64
+}
+
+var errHeadTooLong = errors.New("the head is too long")
+
+func (l *limited) Read(b []byte) (int, error) {
+	if l.left <= 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := l.r.Read(b[:min(int64(len(b)), l.left)])
+	l.left -= int64(n)
+	return n, err
+}
+
+func (y *Yard) reads(c net.Conn, slots chan<- *slot) {
+	lim := &limited{r: c}
+	in := bufio.NewReaderSize(lim, 4<<10)
+	for {
+		if y.closing.Load() && in.Buffered() == 0 {
+			return
+		}
+		idle, headMax, bodyMax := idleWithin, int64(headMost), int64(bodyMost)
+		if v := y.view.Load(); v != nil {
+			l := v.table.Limits
+			if l.IdleTimeout > 0 {
+				idle = l.IdleTimeout + time.Second
+			}
+			if l.Header > 0 {
+				headMax = l.Header
+			}
+			if l.Body > 0 {
+				bodyMax = min(bodyMax, l.Body)
+			}
+		}
+		lim.left = headMax + 4<<10
+		if !y.awaits(c, in, idle) {
+			return
+		}
+		c.SetReadDeadline(time.Now().Add(headWithin))
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			var ne net.Error
+			switch {
+			case errors.Is(err, errHeadTooLong):
+				y.turnAway(slots, 431, "the head is too long")
+			case err == io.EOF, errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &ne):
+			default:
+				y.turnAway(slots, 400, "the request can't be read")
+			}
+			return
+		}
+		if bad := misframed(r); bad != "" {
+			y.turnAway(slots, 400, bad)
+			return
+		}
+		if r.ContentLength > bodyMax {
+			y.turnAway(slots, 413, "the body is too long")
+			return
+		}
+		var body []byte
+		if r.ContentLength != 0 {
+			lim.left = bodyMax + bodyMax/8 + 64<<10
+			c.SetReadDeadline(time.Now().Add(bodyWithin))
+			body, err = io.ReadAll(io.LimitReader(r.Body, bodyMax+1))
+			if err != nil {
+				return
+			}
+			if int64(len(body)) > bodyMax {
+				y.turnAway(slots, 413, "the body is too long")
+				return
+			}
+		}
+		s := &slot{done: make(chan *answer, 1), end: r.Close, id: r.Header.Get(headerAttempt)}
+		y.inHand.Add(1)
+		slots <- s
+		go func() { s.done <- y.serve(r, body) }()
+		if r.Close {
+			return
+		}
+	}
+}
+
+// awaits waits for the first byte of a request. When the limiter ends, a connection on which
+// nothing was read closes.
+func (y *Yard) awaits(c net.Conn, in *bufio.Reader, idle time.Duration) bool {
+	until := time.Now().Add(idle)
+	for {
+		step := until
+		if soon := time.Now().Add(time.Second); y.leaving.Load() && soon.Before(step) {
+			step = soon
+		} else if soon := time.Now().Add(4 * time.Second); soon.Before(step) {
+			step = soon
+		}
+		if y.closing.Load() {
+			step = time.Unix(1, 0)
+		}
+		c.SetReadDeadline(step)
+		_, err := in.Peek(1)
+		if err == nil {
+			return true
+		}
+		var ne net.Error
+		if !errors.As(err, &ne) || !ne.Timeout() || y.closing.Load() || !time.Now().Before(until) {
+			return false
+		}
+	}
+}
+
+// misframed tells what is wrong with a request that might be read otherwise by another.
+func misframed(r *http.Request) string {
+	switch {
+	case !r.ProtoAtLeast(1, 1):
+		return "HTTP/1.1 is needed"
+	case len(r.TransferEncoding) > 0 && len(r.Header["Content-Length"]) > 0:
+		return "Content-Length and Transfer-Encoding exclude each other"
+	case !strings.HasPrefix(r.RequestURI, "/"):
+		return "the target is not a path"
+	}
+	return ""
+}
+
+// turnAway answers what can't be read; the connection closes behind it.
+func (y *Yard) turnAway(slots chan<- *slot, status int, why string) {
+	s := &slot{done: make(chan *answer, 1), end: true}
+	y.inHand.Add(1)
+	slots <- s
+	s.done <- &answer{status: status, why: why}
+	y.warn("request is turned away", "", why)
+}
+
+// warn logs bad input at a bounded rate.
+func (y *Yard) warn(text, id, why string) {
+	y.mu.Lock()
+	due := time.Since(y.logged) > time.Second
+	if due {
+		y.logged = time.Now()
+	}
+	y.mu.Unlock()
+	if due {
+		y.log.WithField("id", id).WithField("why", why).Warn(text)
+	}
+}
+
+func (y *Yard) writes(c net.Conn, slots <-chan *slot) {
+	broken := false
+	for s := range slots {
+		a := <-s.done
+		if !broken {
+			broken = !y.write(c, s, a)
+		} else if a.stream != nil {
+			a.stream.drop()
+		}
+		y.inHand.Add(-1)
+		if broken {
+			c.Close()
+		}
+	}
+}
+
+// write writes one answer and tells that the connection can go on.
+func (y *Yard) write(c net.Conn, s *slot, a *answer) bool {
+	end := s.end || y.leaving.Load()
+	out := make([]byte, 0, 512+min(len(a.body), 64<<10))
+	out = append(out, "HTTP/1.1 "...)
+	out = strconv.AppendInt(out, int64(a.status), 10)
+	out = append(out, ' ')
+	out = append(out, http.StatusText(a.status)...)
+	out = append(out, "\r\n"...)
+	if s.id != "" && a.head == nil {
+		out = appendHeader(out, headerAttempt, s.id)
+	}
+	for k, vs := range a.head {
+		for _, v := range vs {
+			out = appendHeader(out, k, v)
+		}
+	}
+	if a.retryAfter > 0 {
+		out = appendHeader(out, "Retry-After", strconv.FormatFloat(a.retryAfter/1000, 'f', 3, 64))
+	}
+	if end {
+		out = appendHeader(out, "Connection", "close")
+	}
+	length := int64(len(a.body))
+	if a.stream != nil {
+		length = a.stream.length
+	}
+	if length >= 0 {
+		out = appendHeader(out, "Content-Length", strconv.FormatInt(length, 10))
+	} else {
+		out = appendHeader(out, "Transfer-Encoding", "chunked")
+	}
+	out = append(append(out, "\r\n"...), a.body...)
+	c.SetWriteDeadline(time.Now().Add(writeWithin))
+	_, err := c.Write(out)
+	if a.stream != nil {
+		if err != nil {
+			a.stream.drop()
+		} else if err = a.stream.copy(c, length < 0); err != nil {
+			c.Close() // before the end that was announced
+		}
+	}
+	return err == nil
+}
+
+func appendHeader(out []byte, name, value string) []byte {
+	out = append(append(out, name...), ": "...)
+	return append(append(out, value...), "\r\n"...)
+}
+
+// call is a request in hand.
+type call struct {
+	y       *Yard
+	e       *engine
+	id      string // of the decisions: ids of clients may come twice
+	req     *http.Request
+	body    []byte
+	route   *timetable.Route
+	tenant  *timetable.Tenant
+	service string
+	stopAt  time.Time
+	most    int // servers that it may be sent to
+	steps   chan step
+
+	// The yard's mutex guards these.
+	tries   int
+	arrived int // at servers
+	over    bool
+
+	ran  bool    // some attempt may have run
+	last *answer // a server's own answer that is of no use, for want of a better one
+}
+
+// step is what a call is to do next.
+type step struct {
+	station *station
+	server  uint64
+	try     int
+	refuse  *limiter.Refuse
+	fail    bool
+}
+
+// next hands a call its next step; it takes one at a time.
+func (c *call) next(s step) {
+	select {
+	case c.steps <- s:
+	default:
+		panic("switchyard: a call has two steps to do") // a broken invariant
+	}
+}
+
+func fnv64(text string) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(text))
+	return h.Sum64()
+}
+
+// serve gives a request its final answer.
+func (y *Yard) serve(r *http.Request, body []byte) *answer {
+	arrived := time.Now()
+	v := y.view.Load()
+	if v == nil {
+		return &answer{status: 503, retryAfter: 300, why: "no configuration"}
+	}
+	route := v.table.Find(r.Host, r.URL.EscapedPath())
+	if route == nil {
+		return &answer{status: 404, why: "no route"}
+	}
+	var tenant *timetable.Tenant
+	if v.table.Guarded() && !route.Open {
+		keys := r.Header[headerCredential]
+		if len(keys) == 1 {
+			tenant = v.table.TenantOf(keys[0])
+		}
+		if tenant == nil {
+			return &answer{status: 401, why: "key"}
+		}
+	}
+	id := r.Header.Get(headerAttempt)
+	if id == "" || len(r.Header[headerAttempt]) > 1 {
+		return &answer{status: 400, why: "no attempt id"}
+	}
+	within := route.Timeout
+	if text := r.Header.Get(headerDeadline); text != "" {
+		n, err := strconv.ParseInt(text, 10, 64)
+		if err != nil || n < 0 || n > 1<<40 {
+			return &answer{status: 400, why: "deadline"}
+		}
+		within = min(within, time.Duration(n)*time.Millisecond)
+	}
+	patience := within - min(margin, within/8)
+	c := &call{y: y, req: r, body: body, route: route, tenant: tenant, stopAt: arrived.Add(patience),
+		most: max(1, route.Attempts), steps: make(chan step, 1)}
+	y.mu.Lock()
+	if y.engine == nil || tenant != nil && !y.vouched() || y.inHand.Load() > requestsMost {
+		y.mu.Unlock()
+		return &answer{status: 503, retryAfter: 300, why: "not vouched"}
+	}
+	c.e = y.engine
+	c.service = share(route, c.e.y.random())
+	c.e.names++
+	c.id = strconv.Itoa(c.e.names) + "/" + id
+	b := y.budget[c.service]
+	if b == nil {
+		b = &tries{}
+		y.budget[c.service] = b
+	}
+	b.earn(y.set.Bounds.RetryRatio)
+	c.e.calls[c.id] = c
+	ev := limiter.Submit{ID: c.id, ExpiresMs: stretch * ms(patience), Units: 1, Class: c.e.classes[route.Name], Spread: c.e.size,
+		Pool: c.e.poolOf(c.service, route, tenant)}
+	if tenant != nil {
+		ev.Plan, ev.Customer = c.e.plans[tenant.Name], fnv64(tenant.Name)>>1
+	}
+	c.e.handle(ev)
+	y.mu.Unlock()
+	a := c.run()
+	y.mu.Lock()
+	c.over = true
+	delete(c.e.calls, c.id)
+	y.mu.Unlock()
+	return a
+}
+
+// share draws a service of a route by their weights.
+func share(r *timetable.Route, x float64) string {
+	if len(r.To) == 1 {
+		return r.To[0].Service
+	}
+	sum := 0.0
+	for _, s := range r.To {
+		sum += s.Weight
+	}
+	x *= sum
+	for _, s := range r.To {
+		if x -= s.Weight; x < 0 {
+			return s.Service
+		}
+	}
+	return r.To[len(r.To)-1].Service
+}
+
+// run carries out the steps of a call until it has its answer.
+func (c *call) run() *answer {
+	for {
+		s := <-c.steps
+		switch {
+		case s.refuse != nil:
+			return c.refused(s.refuse)
+		case s.fail:
+			return c.failed()
+		}
+		rep := c.y.try(c, s.station, s.try)
+		done := rep.result == limiter.Pass
+		if rep.answer != nil && !done {
+			c.last = rep.answer
+		}
+		if !unrun(rep.result) {
+			c.ran = true
+		}
+		late := !time.Now().Before(c.stopAt)
+		if !done && (late || rep.final) {
+			done = true
+		}
+		c.e.dispatch(limiter.Outcome{ID: c.id, Try: s.try, Server: s.server, Result: rep.result, SpentMs: rep.spentMs, Done: done,
+			Load: limiter.Load{Busy: -1, Pending: -1, ServiceMs: -1}})
+		if rep.result == limiter.Pass {
+			return rep.answer
+		}
+		if done {
+			return c.failed()
+		}
+	}
+}
+
+// unrun tells that a result proves that nothing ran.
+func unrun(r limiter.Result) bool {
+	return r == limiter.NoRoom || r == limiter.NoRoute || r == limiter.StaleSend
+}
+
+// failed is the answer of a request that servers did not serve.
+func (c *call) failed() *answer {
+	switch {
+	case c.last != nil:
+		return c.last
+	case !c.ran:
+		return &answer{status: 503, retryAfter: advice, why: "unrun"}
+	case !time.Now().Before(c.stopAt):
+		return &answer{status: 504, why: "deadline"}
+	}
+	return &answer{status: 502, why: "broken"}
+}
+
+// refused is the answer of a request that the decisions turn away.
+func (c *call) refused(r *limiter.Refuse) *answer {
+	if c.ran || c.last != nil {
+		return c.failed()
+	}
+	status := 503
+	switch r.Why {
+	case limiter.QuotaShort, limiter.CeilingShort, limiter.PeersUnheard:
+		status = 429
+	}
+	wait := r.WaitMs
+	if wait <= 0 {
+		wait = advice
+	}
+	return &answer{status: status, retryAfter: wait, why: r.Why.String()}
+}
--- /dev/null
+++ b/internal/switchyard/pull.go
@@ -0,0 +1,193 @@
+package switchyard
+
+import (
+	"cmp"
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"example.org/madderdrum/internal/boot"
+	"example.org/madderdrum/internal/roundhouse"
+	"example.org/madderdrum/stock"
+	"example.org/madderdrum/timetable"
+)
+
+const (
+	pullHold  = 1000 * time.Millisecond
+	pullSlack = 450 * time.Millisecond // beyond what is held
+	// A core machine that has had no proof for so long, or hears no majority, is left for
+	// another.
+	proofStale = 1600 * time.Millisecond
+)
+
+// pulls keeps asking a core machine for what this limiter lacks. One that does not answer, or
+// has no proof that it is up to date, is left for the next.
+func (y *Yard) pulls(ctx context.Context) {
+	k := rand.IntN(len(y.cores))
+	for failed := 0; ctx.Err() == nil; {
+		to := y.set.Internal(y.cores[k], boot.RoundhousePort)
+		if y.pull(ctx, to) {
+			failed = 0
+			continue
+		}
+		k = (k + 1) % len(y.cores)
+		if failed++; failed >= len(y.cores) {
+			sleep(ctx, 50*time.Millisecond+rand.N(150*time.Millisecond))
+		}
+	}
+}
+
+// pull asks once and takes in the answer. It tells whether the other may be asked again.
+func (y *Yard) pull(ctx context.Context, to string) bool {
+	y.mu.Lock()
+	y.sequence++
+	hold := pullHold
+	me := &stock.Record{ID: y.self, Service: stock.Limiters, Address: y.set.Listen["frontend"], Zone: y.set.Zone, Sequence: y.sequence}
+	if y.leaving.Load() {
+		me.State = stock.Draining
+	} else if y.engine == nil {
+		me.State, hold = stock.Silent, pullHold/2
+	}
+	ask := roundhouse.Pull{Vector: copyOf(y.book.Vector()), Seq: y.reg.Seq, HoldMs: uint64(hold / time.Millisecond), Me: me}
+	y.mu.Unlock()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	poked := make(chan struct{})
+	go func() {
+		defer close(poked)
+		select {
+		case <-y.nudge:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	var a roundhouse.Pulled
+	begun := time.Now()
+	err := y.caller.Call(ctx, to, roundhouse.CallPull, ask, &a, hold+pullSlack)
+	asked := ctx.Err() == nil
+	cancel()
+	<-poked
+	if err != nil {
+		return !asked // it was this limiter that gave up
+	}
+	y.take(begun, &a)
+	return !a.Apart && a.Proven && a.ProofMs < uint64(proofStale/time.Millisecond)
+}
+
+func copyOf(v stock.Vector) stock.Vector {
+	c := make(stock.Vector, len(v))
+	for k, n := range v {
+		c[k] = n
+	}
+	return c
+}
+
+// take takes in what a core machine told. begun is when it was asked.
+func (y *Yard) take(begun time.Time, a *roundhouse.Pulled) {
+	y.mu.Lock()
+	defer y.mu.Unlock()
+	news := len(y.book.Merge(y.now(), a.Records, true)) > 0
+	y.book.Know(a.Vector)
+	if a.Register != nil && a.Register.Seq > y.reg.Seq {
+		y.adopt(a)
+		news = true
+	}
+	// The proof is of the register that this limiter has now: it has all that was told.
+	if a.Proven {
+		at := begun.Add(time.Duration(a.HeldMs)*time.Millisecond - time.Duration(a.ProofMs)*time.Millisecond)
+		if at.After(y.proved) {
+			y.proved = at
+		}
+	}
+	if news {
+		y.relist()
+	}
+}
+
+// adopt has a newer register hold. The mutex is held.
+func (y *Yard) adopt(a *roundhouse.Pulled) {
+	reg := a.Register
+	evacuate := map[string]bool{}
+	for _, z := range reg.Evac {
+		evacuate[z] = true
+	}
+	var table *timetable.Table
+	if v := y.view.Load(); v != nil {
+		table = v.table
+	}
+	if len(reg.Config) > 0 && reg.Version != y.reg.Version {
+		t, fault := timetable.Read(reg.Config)
+		if fault != nil { // the core checks before it takes one
+			y.log.WithField("err", fault).Error("configuration can't be read")
+			return
+		}
+		table = t
+	}
+	if table != nil {
+		y.view.Store(&view{table: table, seq: reg.Seq})
+	}
+	for z := range y.evacuate {
+		if !evacuate[z] { // its servers may be cold, and the beats that tell are late
+			y.rest(z, table)
+		}
+	}
+	y.evacuate, y.reg = evacuate, reg
+	y.log.WithFields(logrus.Fields{"seq": reg.Seq, "version": reg.Version, "limiters": len(reg.Posts), "evacuated": len(evacuate)}).Info("register is in force")
+	y.steam(table)
+}
+
+// rest holds the servers of a zone for cold until they can't be any more. The mutex is held.
+func (y *Yard) rest(zone string, table *timetable.Table) {
+	y.book.Each(y.now(), func(r stock.Record) {
+		if r.Zone == zone && table != nil {
+			if s := table.Services[r.Service]; s != nil {
+				y.coldTo[r.ID] = time.Now().Add(s.Warmup)
+			}
+		}
+	})
+}
+
+// nearby lists the limiters that clients of a zone are sent to, near ones first.
+func (y *Yard) nearby(zone, region string) []string {
+	y.mu.Lock()
+	defer y.mu.Unlock()
+	type place struct {
+		address string
+		far     int
+	}
+	var all []place
+	y.book.Each(y.now(), func(r stock.Record) {
+		if r.Service != stock.Limiters || r.State != stock.Available {
+			return
+		}
+		far := 2
+		switch {
+		case r.Zone == zone:
+			far = 0
+		case y.set.Zones[r.Zone] == region:
+			far = 1
+		}
+		all = append(all, place{r.Address, far})
+	})
+	slices.SortFunc(all, func(a, b place) int { return cmp.Or(cmp.Compare(a.far, b.far), cmp.Compare(a.address, b.address)) })
+	var out []string
+	for i, p := range all {
+		if i > 0 && p.far > all[0].far && len(out) >= 2 {
+			break
+		}
+		out = append(out, p.address)
+	}
+	return out
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/switchyard/switchyard.go
@@ -0,0 +1,160 @@
+// Package switchyard is the host of the proxy: it takes clients' requests, has the decisions
+// of package limiter say which pass and which server gets them, and passes them on. It learns
+// of servers, limiters and configurations by pulls from the core machines.
+package switchyard
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"example.org/madderdrum/internal/bell"
+	"example.org/madderdrum/internal/boot"
+	"example.org/madderdrum/stock"
+	"example.org/madderdrum/timetable"
+	"example.org/madderdrum/trainregister"
+)
+
+// Yard is one limiter of the system.
+type Yard struct {
+	set    *boot.Settings
+	log    logrus.FieldLogger
+	caller *bell.Caller
+	begun  time.Time
+	self   string // id of this life
+	cores  []string
+	peers  net.PacketConn
+
+	leaving atomic.Bool   // SIGTERM has come
+	closing atomic.Bool   // no further request is read
+	inHand  atomic.Int64  // requests
+	nudge   chan struct{} // ends a pull that is held
+
+	view atomic.Pointer[view]
+
+	mu       sync.Mutex // round what follows
+	book     *stock.Book
+	reg      *trainregister.Register
+	sequence uint64 // of this limiter's own word
+	proved   time.Time
+	evacuate map[string]bool
+	coldTo   map[string]time.Time // servers that are held for cold, by life, beyond what their beats tell
+	gone     map[string]bool      // lives whose address another server answered at
+	engine   *engine
+	stations map[string]*station
+	budget   map[string]*tries // of further arrivals, by service
+	logged   time.Time
+}
+
+// view is what a request needs of a version; it does not change.
+type view struct {
+	table *timetable.Table
+	seq   uint64
+}
+
+const (
+	requestsMost = 700
+	ttl          = 2 * time.Second
+	margin       = 12 * time.Millisecond // so long before the client gives up its answer is written
+)
+
+// Run serves until the context ends, which is a SIGTERM, and a while beyond.
+func Run(ctx context.Context, set *boot.Settings, log logrus.FieldLogger) error {
+	y := &Yard{set: set, log: log, caller: bell.NewCaller(), begun: time.Now(), self: fmt.Sprintf("%s#%08x", set.Node, rand.Uint32()),
+		cores: set.Cores(), nudge: make(chan struct{}, 1), book: stock.New(""), reg: &trainregister.Register{},
+		evacuate: map[string]bool{}, coldTo: map[string]time.Time{}, gone: map[string]bool{},
+		stations: map[string]*station{}, budget: map[string]*tries{}}
+	front, err := net.Listen("tcp", set.Listen["frontend"])
+	if err != nil {
+		return fmt.Errorf("switchyard: listen for clients: %w", err)
+	}
+	if y.peers, err = net.ListenPacket("udp", set.Internal(set.IP, boot.SwitchyardPort)); err != nil {
+		return fmt.Errorf("switchyard: listen for other limiters: %w", err)
+	}
+	life, end := context.WithCancel(context.Background()) // outlives SIGTERM
+	defer end()
+	if err := y.doors(life); err != nil {
+		return err
+	}
+	go y.hear()
+	go y.pulls(life)
+	go y.sweep(life)
+	go y.accept(front)
+	log.WithFields(logrus.Fields{"cores": len(y.cores), "life": y.self}).Info("begins")
+	<-ctx.Done()
+	y.leave(front)
+	return nil
+}
+
+// leave ends in order: out of the directory and not ready at once, no new request near the
+// end of the grace, and what is in hand is answered.
+func (y *Yard) leave(front net.Listener) {
+	begun := time.Now()
+	grace := y.set.Bounds.Grace
+	if grace == 0 {
+		grace = 6 * time.Second
+	}
+	y.leaving.Store(true)
+	y.log.Info("leaves")
+	y.poke()
+	quiet := begun
+	for time.Since(begun) < grace-1400*time.Millisecond {
+		time.Sleep(50 * time.Millisecond)
+		if y.inHand.Load() > 0 {
+			quiet = time.Now()
+		}
+		// Clients keep an answer of the directory for a while; when none has come for longer
+		// than that nobody is left.
+		if time.Since(quiet) > 2*ttl+500*time.Millisecond {
+			break
+		}
+	}
+	y.closing.Store(true)
+	front.Close()
+	for time.Since(begun) < grace-300*time.Millisecond {
+		time.Sleep(20 * time.Millisecond)
+		if y.inHand.Load() == 0 && time.Since(begun) > grace-1200*time.Millisecond {
+			break
+		}
+	}
+	y.log.WithField("in_hand", y.inHand.Load()).Info("ends")
+}
+
+func (y *Yard) poke() {
+	select {
+	case y.nudge <- struct{}{}:
+	default:
+	}
+}
+
+// now is the time in ms on the clock of the decisions.
+func (y *Yard) now() float64 { return float64(time.Since(y.begun)) / float64(time.Millisecond) }
+
+// ready tells that requests can be served here.
+func (y *Yard) ready() bool {
+	if y.leaving.Load() || y.view.Load() == nil {
+		return false
+	}
+	y.mu.Lock()
+	defer y.mu.Unlock()
+	return y.engine != nil && y.vouched()
+}
+
+// vouched tells that keys may be honoured: nothing newer can have been acknowledged for as
+// long as the rule on keys that are taken away allows. The mutex is held.
+func (y *Yard) vouched() bool {
+	b := &y.set.Bounds
+	if !b.RevocationStrict || b.Revoke == 0 {
+		return true
+	}
+	return time.Since(y.proved) < b.Revoke-revokeMargin
+}
+
+// revokeMargin is for what was sent before and runs later.
+const revokeMargin = 500 * time.Millisecond
--- /dev/null
+++ b/internal/wicket/wicket.go
@@ -0,0 +1,116 @@
+// Package wicket answers outside calls over HTTP/1.1: of servers, operators and clients that
+// ask where to go. It reads requests with net/http and writes answers itself: a whole
+// http.Server would take more memory than a core machine's process does.
+package wicket
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+const (
+	headWithin = 5 * time.Second
+	idleFor    = 60 * time.Second
+	bodyWithin = 20 * time.Second
+)
+
+// Answer is what a call gets.
+type Answer struct {
+	Status int
+	Header map[string]string
+	Body   []byte // JSON
+}
+
+// Handler answers a call, whose body has been read.
+type Handler func(ctx context.Context, r *http.Request, body []byte) Answer
+
+// Server answers calls on a listener.
+type Server struct {
+	Handler Handler
+	MaxBody int64
+}
+
+// Serve runs until the context ends.
+func (s *Server) Serve(ctx context.Context, l net.Listener) {
+	context.AfterFunc(ctx, func() { l.Close() })
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			if ctx.Err() != nil {
+				return
+			}
+			time.Sleep(10 * time.Millisecond) // out of descriptors
+			continue
+		}
+		go s.conn(ctx, c)
+	}
+}
+
+func (s *Server) conn(ctx context.Context, c net.Conn) {
+	defer c.Close()
+	stop := context.AfterFunc(ctx, func() { c.SetReadDeadline(time.Unix(1, 0)) })
+	defer stop()
+	in := bufio.NewReaderSize(c, 2048)
+	for first := true; ; first = false {
+		wait := idleFor
+		if first {
+			wait = headWithin
+		}
+		c.SetReadDeadline(time.Now().Add(wait))
+		if ctx.Err() != nil {
+			return
+		}
+		if _, err := in.Peek(1); err != nil {
+			return
+		}
+		c.SetReadDeadline(time.Now().Add(headWithin))
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			write(c, Answer{Status: 400, Body: []byte(`{"error":"the request can't be read"}`)}, true)
+			return
+		}
+		c.SetReadDeadline(time.Now().Add(bodyWithin))
+		body, err := io.ReadAll(io.LimitReader(r.Body, s.MaxBody+1))
+		if err != nil { // cut short: there is nobody to answer
+			return
+		}
+		if int64(len(body)) > s.MaxBody {
+			write(c, Answer{Status: 413, Body: []byte(`{"error":"the body is too long"}`)}, true)
+			return
+		}
+		a := s.Handler(ctx, r, body)
+		end := r.Close || ctx.Err() != nil
+		if write(c, a, end) != nil || end {
+			return
+		}
+	}
+}
+
+func write(c net.Conn, a Answer, end bool) error {
+	out := make([]byte, 0, 256+len(a.Body))
+	out = append(out, "HTTP/1.1 "...)
+	out = strconv.AppendInt(out, int64(a.Status), 10)
+	out = append(out, ' ')
+	out = append(out, http.StatusText(a.Status)...)
+	out = append(out, "\r\n"...)
+	if len(a.Body) > 0 {
+		out = append(out, "Content-Type: application/json\r\n"...)
+	}
+	for k, v := range a.Header {
+		out = append(append(append(append(out, k...), ": "...), v...), "\r\n"...)
+	}
+	if end {
+		out = append(out, "Connection: close\r\n"...)
+	}
+	out = append(out, "Content-Length: "...)
+	out = strconv.AppendInt(out, int64(len(a.Body)), 10)
+	out = append(append(out, "\r\n\r\n"...), a.Body...)
+	c.SetWriteDeadline(time.Now().Add(headWithin))
+	_, err := c.Write(out)
+	return err
+}
--- /dev/null
+++ b/trainregister/trainregister.go
@@ -0,0 +1,165 @@
+// Package trainregister is the state that the core machines agree on: the configuration, the
+// zones that are evacuated and the places of the limiters. Orders change it one after the
+// other; each change makes one new version. It does no input or output.
+package trainregister
+
+import (
+	"crypto/sha256"
+	"fmt"
+	"slices"
+
+	"example.org/madderdrum/timetable"
+)
+
+// Register is one version of the agreed state. Its zero value is that before any order.
+type Register struct {
+	Seq     uint64   `cbor:"1,keyasint"`           // rises by one with each change
+	Version uint64   `cbor:"2,keyasint"`           // of the configuration
+	Config  []byte   `cbor:"3,keyasint,omitempty"` // its text
+	Evac    []string `cbor:"4,keyasint,omitempty"` // zones, sorted
+	Posts   []Post   `cbor:"5,keyasint,omitempty"` // by position
+	Taken   []Taken  `cbor:"6,keyasint,omitempty"` // the latest changes, oldest first
+	// Revoked is the Seq of the latest change that took a key away.
+	Revoked uint64 `cbor:"7,keyasint,omitempty"`
+}
+
+// Post is a limiter's place. It keeps it for good: its part of quotas stands by it.
+type Post struct {
+	Name string `cbor:"1,keyasint"`
+	IP   string `cbor:"2,keyasint"`
+	Zone string `cbor:"3,keyasint"`
+}
+
+// Taken is a change that was taken, so that the same call can be known when it comes again.
+type Taken struct {
+	Version uint64   `cbor:"1,keyasint"`
+	Sum     [16]byte `cbor:"2,keyasint"`
+}
+
+const takenMost = 256
+
+// OrderKind says what an order changes.
+type OrderKind uint8
+
+// The kinds of orders.
+const (
+	Replace OrderKind = iota // the whole configuration
+	Update                   // named items of it
+	Begin                    // evacuate a zone
+	Finish                   // and take it back
+	Enrol                    // give limiters their places
+)
+
+// Order is one change that somebody asks for.
+type Order struct {
+	Kind  OrderKind `cbor:"1,keyasint"`
+	Body  []byte    `cbor:"2,keyasint,omitempty"` // of Replace and Update
+	Zone  string    `cbor:"3,keyasint,omitempty"` // of Begin and Finish
+	Posts []Post    `cbor:"4,keyasint,omitempty"` // of Enrol
+}
+
+// Outcome is what became of an order.
+type Outcome struct {
+	Status int    `cbor:"1,keyasint"` // as in HTTP: 200, 400, 412
+	Code   string `cbor:"2,keyasint,omitempty"`
+	Text   string `cbor:"3,keyasint,omitempty"`
+	Seq    uint64 `cbor:"4,keyasint"` // of the version that holds it
+}
+
+// Clone is a copy that can be changed by itself. Texts are shared: they do not change.
+func (r *Register) Clone() *Register {
+	c := *r
+	c.Evac, c.Posts, c.Taken = slices.Clone(r.Evac), slices.Clone(r.Posts), slices.Clone(r.Taken)
+	return &c
+}
+
+func sum(o *Order) (s [16]byte) {
+	h := sha256.Sum256(o.Body)
+	copy(s[:], h[:])
+	s[0] ^= byte(o.Kind)
+	return s
+}
+
+// Give carries out an order. Where nothing changes the register stays as it is.
+func (r *Register) Give(o *Order) Outcome {
+	changed, out := r.give(o)
+	if changed {
+		r.Seq++
+	}
+	if out.Seq == 0 {
+		out.Seq = r.Seq
+	}
+	return out
+}
+
+func (r *Register) give(o *Order) (bool, Outcome) {
+	switch o.Kind {
+	case Replace, Update:
+		return r.change(o)
+	case Begin:
+		i, have := slices.BinarySearch(r.Evac, o.Zone)
+		if !have {
+			r.Evac = slices.Insert(r.Evac, i, o.Zone)
+		}
+		return !have, Outcome{Status: 200}
+	case Finish:
+		i, have := slices.BinarySearch(r.Evac, o.Zone)
+		if have {
+			r.Evac = slices.Delete(r.Evac, i, i+1)
+		}
+		return have, Outcome{Status: 200}
+	case Enrol:
+		return r.enrol(o.Posts), Outcome{Status: 200}
+	}
+	return false, Outcome{Status: 400, Code: timetable.Unreadable, Text: fmt.Sprintf("order of kind %d is not known", o.Kind)}
+}
+
+// change takes a configuration. The same call again is answered as it was at first.
+func (r *Register) change(o *Order) (bool, Outcome) {
+	c, f := timetable.ReadCall(o.Body, o.Kind == Update)
+	if f != nil {
+		return false, fault(f)
+	}
+	s := sum(o)
+	for _, t := range r.Taken {
+		if t.Version == c.Version && t.Sum == s {
+			return false, Outcome{Status: 200}
+		}
+	}
+	next, f := timetable.Apply(r.Config, r.Version, c)
+	if f != nil {
+		return false, fault(f)
+	}
+	if old, bad := timetable.Read(r.Config); bad == nil && len(r.Config) > 0 {
+		if t, bad := timetable.Read(next); bad == nil && timetable.Lost(old, t) {
+			r.Revoked = r.Seq + 1
+		}
+	}
+	r.Config, r.Version = next, c.Version
+	r.Taken = append(r.Taken, Taken{c.Version, s})
+	if n := len(r.Taken) - takenMost; n > 0 {
+		r.Taken = slices.Delete(r.Taken, 0, n)
+	}
+	return true, Outcome{Status: 200}
+}
+
+func fault(f *timetable.Fault) Outcome {
+	status := 400
+	if f.Code == timetable.WrongBase {
+		status = 412
+	}
+	return Outcome{Status: status, Code: f.Code, Text: f.Error()}
+}
+
+func (r *Register) enrol(posts []Post) (changed bool) {
+	for _, p := range posts {
+		i := slices.IndexFunc(r.Posts, func(o Post) bool { return o.Name == p.Name })
+		switch {
+		case i < 0:
+			r.Posts, changed = append(r.Posts, p), true
+		case r.Posts[i] != p:
+			r.Posts[i], changed = p, true
+		}
+	}
+	return changed
+}
