--- a/internal/switchyard/engine.go
+++ b/internal/switchyard/engine.go
@@ -81,12 +81,13 @@
 		plans[tn.Name] = len(s.Plans)
 		p := limiter.Plan{Price: 1}
 		if tn.Rate > 0 {
-			p.Rate, p.Burst = tn.Rate, max(tn.Burst, 1)
-			// The hard bound is what the rule allows, less what may be under way at the ends
-			// of a window. Each limiter owns a part of it, so it holds whoever is out of touch.
+			// What the rule allows, less what may be under way at the ends of a window. The
+			// bucket draws what is heard of others' spending; the ceiling binds whoever is out
+			// of touch, as each limiter owns a part of it.
 			over := b.QuotaOvershoot / 2
-			p.CeilingRate = tn.Rate * (1 + over)
-			p.CeilingBurst = max(1, tn.Burst*(1+over)+0.8*b.QuotaSlack+over*tn.Rate*window/2)
+			p.Rate = tn.Rate * (1 + over)
+			p.Burst = max(1, tn.Burst*(1+over)+0.8*b.QuotaSlack+over*tn.Rate*window/2)
+			p.CeilingRate, p.CeilingBurst = p.Rate, p.Burst
 		}
 		s.Plans = append(s.Plans, p)
 	}
--- a/internal/switchyard/front.go
+++ b/internal/switchyard/front.go
@@ -158,7 +158,11 @@
 		s := &slot{done: make(chan *answer, 1), end: r.Close, id: r.Header.Get(headerAttempt)}
 		y.inHand.Add(1)
 		slots <- s
-		go func() { s.done <- y.serve(r, body) }()
+		go func() {
+			a := y.serve(r, body)
+			y.count(a)
+			s.done <- a
+		}()
 		if r.Close {
 			return
 		}
@@ -406,6 +410,17 @@
 	return a
 }
 
+// count notes how a request ended.
+func (y *Yard) count(a *answer) {
+	key := "s" + strconv.Itoa(a.status)
+	if a.why != "" {
+		key += "_" + strings.ReplaceAll(a.why, " ", "_")
+	}
+	y.mu.Lock()
+	y.ended[key]++
+	y.mu.Unlock()
+}
+
 // share draws a service of a route by their weights.
 func share(r *timetable.Route, x float64) string {
 	if len(r.To) == 1 {
--- a/internal/switchyard/switchyard.go
+++ b/internal/switchyard/switchyard.go
@@ -50,6 +50,7 @@
 	stations map[string]*station
 	budget   map[string]*tries // of further arrivals, by service
 	logged   time.Time
+	ended    map[string]int // answers since the last line about them, by status and reason
 }
 
 // view is what a request needs of a version; it does not change.
@@ -69,7 +70,7 @@
 	y := &Yard{set: set, log: log, caller: bell.NewCaller(), begun: time.Now(), self: fmt.Sprintf("%s#%08x", set.Node, rand.Uint32()),
 		cores: set.Cores(), nudge: make(chan struct{}, 1), book: stock.New(""), reg: &trainregister.Register{},
 		evacuate: map[string]bool{}, coldTo: map[string]time.Time{}, gone: map[string]bool{},
-		stations: map[string]*station{}, budget: map[string]*tries{}}
+		stations: map[string]*station{}, budget: map[string]*tries{}, ended: map[string]int{}}
 	front, err := net.Listen("tcp", set.Listen["frontend"])
 	if err != nil {
 		return fmt.Errorf("switchyard: listen for clients: %w", err)
@@ -86,6 +87,7 @@
 	go y.pulls(life)
 	go y.sweep(life)
 	go y.accept(front)
+	go y.account(life)
 	log.WithFields(logrus.Fields{"cores": len(y.cores), "life": y.self}).Info("begins")
 	<-ctx.Done()
 	y.leave(front)
@@ -126,6 +128,26 @@
 	y.log.WithField("in_hand", y.inHand.Load()).Info("ends")
 }
 
+// accountEvery is how often a line tells how requests ended, where any did.
+const accountEvery = 10 * time.Second
+
+// account logs how requests ended.
+func (y *Yard) account(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, accountEvery)
+		y.mu.Lock()
+		fields := logrus.Fields{}
+		for k, n := range y.ended {
+			fields[k] = n
+		}
+		clear(y.ended)
+		y.mu.Unlock()
+		if len(fields) > 0 {
+			y.log.WithFields(fields).Info("requests ended")
+		}
+	}
+}
+
 func (y *Yard) poke() {
 	select {
 	case y.nudge <- struct{}{}:
