Limiters lend each other parts of ceilings; a short deadline turns nobody away

Cause: of the refusals inside quotas all were by the ceiling's equal parts, and some by the guess how long ago a client began, which holds a short time against a request.

Classes have no deadline of their own.

A model of five limiters whose messages are lost, doubled and late by seconds, and which begin anew, never has more than the ceiling in use.

--- a/internal/switchyard/engine.go
+++ b/internal/switchyard/engine.go
@@ -29,7 +29,9 @@
 	ids     map[string]uint64 // of servers, by pool and life
 	servers map[uint64]*entry
 	names   int
-	seq     uint64
+	loans   loans
+	// ceilings are the plans by the accounts of their tenants.
+	ceilings map[uint64]limiter.Plan
 }
 
 // entry is a server in one pool.
@@ -69,12 +71,15 @@
 		if aim == 0 {
 			aim = r.Timeout
 		}
-		s.Classes = append(s.Classes, limiter.Class{Repeat: repeat, AimMs: stretch * ms(aim), DeadlineMs: stretch * ms(r.Timeout), Worth: 1, LateShare: 0.3})
+		// How long ago a client began is not guessed from the time it has left: a try that is
+		// too late for the aim still earns something, and counts as served.
+		s.Classes = append(s.Classes, limiter.Class{Repeat: repeat, AimMs: stretch * ms(aim), DeadlineMs: 1, Worth: 1, LateShare: 0.3})
 	}
 	if len(s.Classes) == 0 {
 		s.Classes = []limiter.Class{{AimMs: 1000, DeadlineMs: 1000, Worth: 1}}
 	}
 	s.Plans = []limiter.Plan{{Price: 1}} // of requests without a tenant
+	e.ceilings = map[uint64]limiter.Plan{}
 	window := max(1, b.QuotaWindow.Seconds())
 	for i := range t.Tenants {
 		tn := &t.Tenants[i]
@@ -90,6 +95,7 @@
 			p.CeilingRate, p.CeilingBurst = p.Rate, p.Burst
 		}
 		s.Plans = append(s.Plans, p)
+		e.ceilings[account(tn.Name)] = p
 	}
 	for _, id := range e.pools {
 		s.Spills[id] = slices.Repeat([]float64{1}, farTiers)
@@ -97,6 +103,9 @@
 	return s, classes, plans
 }
 
+// account is the number of a tenant's account, the same at all limiters.
+func account(tenant string) uint64 { return fnv64(tenant) >> 1 }
+
 func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
 // steam has the decisions go by the register that is in force, once this limiter has its
@@ -127,6 +136,7 @@
 		}
 		e.lim, e.classes, e.plans = lim, classes, plans
 		y.engine = e
+		e.lend(position)
 		y.log.WithFields(logrus.Fields{"place": position, "limiters": size}).Info("decisions begin")
 		return
 	}
@@ -335,7 +345,7 @@
 		e.probe(a.Server)
 	case limiter.Tell:
 		if a.To >= 0 && a.To < len(y.reg.Posts) {
-			y.tell(y.set.Internal(y.reg.Posts[a.To].IP, boot.SwitchyardPort), a.Data)
+			y.tell(y.set.Internal(y.reg.Posts[a.To].IP, boot.SwitchyardPort), datagramSpending, a.Data)
 		}
 	case limiter.Log:
 		y.log.Info(a.Line)
@@ -389,35 +399,3 @@
 	t.have--
 	return true
 }
-
-// tell sends a datagram to another limiter.
-func (y *Yard) tell(to string, data []byte) {
-	addr, err := resolveUDP(to)
-	if err != nil {
-		return
-	}
-	y.peers.WriteTo(data, addr)
-}
-
-// hear takes in datagrams of other limiters.
-func (y *Yard) hear() {
-	buf := make([]byte, 64<<10)
-	for {
-		n, from, err := y.peers.ReadFrom(buf)
-		if err != nil {
-			return
-		}
-		ip := boot.HostOf(from.String())
-		data := slices.Clone(buf[:n])
-		y.mu.Lock()
-		if y.engine != nil {
-			for i, p := range y.reg.Posts {
-				if p.IP == ip && i < y.engine.size {
-					y.engine.handle(limiter.PeerMessage{From: i, Data: data})
-					break
-				}
-			}
-		}
-		y.mu.Unlock()
-	}
-}
--- a/internal/switchyard/front.go
+++ b/internal/switchyard/front.go
@@ -398,8 +398,9 @@
 	ev := limiter.Submit{ID: c.id, ExpiresMs: stretch * ms(patience), Units: 1, Class: c.e.classes[route.Name], Spread: c.e.size,
 		Pool: c.e.poolOf(c.service, route, tenant)}
 	if tenant != nil {
-		ev.Plan, ev.Customer = c.e.plans[tenant.Name], fnv64(tenant.Name)>>1
+		ev.Plan, ev.Customer = c.e.plans[tenant.Name], account(tenant.Name)
 	}
+	c.e.partsDue()
 	c.e.handle(ev)
 	y.mu.Unlock()
 	a := c.run()
--- /dev/null
+++ b/internal/switchyard/loans.go
@@ -0,0 +1,148 @@
+package switchyard
+
+import (
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"example.org/madderdrum/internal/bell"
+	"example.org/madderdrum/internal/boot"
+	"example.org/madderdrum/limiter"
+	"example.org/madderdrum/wagons"
+)
+
+// Datagrams between limiters begin with what they are.
+const (
+	datagramSpending byte = 1 // of package limiter
+	datagramLoans    byte = 2 // of package wagons, in CBOR
+)
+
+const loansEvery = 400 * time.Millisecond
+
+// loans is an engine's dealing in parts of ceilings.
+type loans struct {
+	desk  *wagons.Desk
+	of    map[uint64]float64 // parts that are in force
+	rest  float64
+	until float64 // they hold no longer than this; 0: for good
+}
+
+// lend begins an engine's dealing in parts. The mutex is held.
+func (e *engine) lend(position int) {
+	y := e.y
+	var near, region []int
+	for i, p := range y.reg.Posts {
+		switch {
+		case i == position:
+		case p.Zone == y.set.Zone:
+			near = append(near, i)
+		case y.set.Zones[p.Zone] == y.set.Region:
+			region = append(region, i)
+		}
+	}
+	e.loans = loans{desk: wagons.New(y.now(), position, e.size, append(near, region...), rand.Uint64()), rest: 1}
+	e.parts()
+	e.lookAtLoans()
+}
+
+// lookAtLoans asks for what is short here, again and again. The mutex is held.
+func (e *engine) lookAtLoans() {
+	y := e.y
+	if y.engine != nil && y.engine != e && len(e.calls) == 0 {
+		return // another has taken its place
+	}
+	var all []wagons.Account
+	n := float64(e.size)
+	for _, d := range e.lim.Demands() {
+		p := e.ceilings[d.Account]
+		all = append(all, wagons.Account{ID: d.Account, Rate: p.CeilingRate / n, Burst: p.CeilingBurst / n, Asked: d.Asked})
+	}
+	for _, l := range e.loans.desk.Look(y.now(), all) {
+		e.write(l)
+	}
+	e.parts()
+	time.AfterFunc(loansEvery, func() {
+		y.mu.Lock()
+		defer y.mu.Unlock()
+		e.lookAtLoans()
+	})
+}
+
+func (e *engine) write(l wagons.Letter) {
+	if l.To < len(e.y.reg.Posts) {
+		e.y.tell(e.y.set.Internal(e.y.reg.Posts[l.To].IP, boot.SwitchyardPort), datagramLoans, bell.Encode(l.Message))
+	}
+}
+
+// parts has the parts that are held now be in force. The mutex is held.
+func (e *engine) parts() {
+	of, rest, until := e.loans.desk.Parts(e.y.now())
+	e.loans.until = until
+	if rest == e.loans.rest && maps.Equal(of, e.loans.of) {
+		return
+	}
+	e.loans.of, e.loans.rest = of, rest
+	e.handle(limiter.Parts{Of: of, Rest: rest})
+}
+
+// partsDue is parts, where some have ended: also where this process stood still meanwhile. The
+// mutex is held.
+func (e *engine) partsDue() {
+	if e.loans.until > 0 && e.y.now() >= e.loans.until {
+		e.parts()
+	}
+}
+
+// tell sends a datagram to another limiter.
+func (y *Yard) tell(to string, kind byte, data []byte) {
+	addr, err := resolveUDP(to)
+	if err != nil {
+		return
+	}
+	y.peers.WriteTo(append([]byte{kind}, data...), addr)
+}
+
+// hear takes in datagrams of other limiters.
+func (y *Yard) hear() {
+	buf := make([]byte, 64<<10)
+	for {
+		n, from, err := y.peers.ReadFrom(buf)
+		if err != nil {
+			return
+		}
+		if n > 1 {
+			y.heard(boot.HostOf(from.String()), buf[0], slices.Clone(buf[1:n]))
+		}
+	}
+}
+
+func (y *Yard) heard(ip string, kind byte, data []byte) {
+	y.mu.Lock()
+	defer y.mu.Unlock()
+	e := y.engine
+	if e == nil {
+		return
+	}
+	for i, p := range y.reg.Posts {
+		if p.IP != ip || i >= e.size {
+			continue
+		}
+		switch kind {
+		case datagramSpending:
+			e.handle(limiter.PeerMessage{From: i, Data: data})
+		case datagramLoans:
+			var m wagons.Message
+			if bell.Decode(data, &m) != nil {
+				return
+			}
+			if l, ok := e.loans.desk.Hear(y.now(), i, m); ok {
+				e.parts() // what is lent is given up before the borrower hears of it
+				e.write(l)
+			} else if m.Answer {
+				e.parts()
+			}
+		}
+		return
+	}
+}
