A limiter that begins anew has something of each ceiling at once

Change: half of the rule's slack, and what comes up while a limiter is down, is what limiters begin with; the other half stays in the caps. Limiters are asked what they hold of a former life's loans, and a whole part is used as soon as all have told.

--- a/internal/switchyard/engine.go
+++ b/internal/switchyard/engine.go
@@ -91,7 +91,7 @@
 			// of touch, as each limiter owns a part of it.
 			over := b.QuotaOvershoot / 2
 			p.Rate = tn.Rate * (1 + over)
-			p.Burst = max(1, tn.Burst*(1+over)+0.8*b.QuotaSlack+over*tn.Rate*window/2)
+			p.Burst = max(1, tn.Burst*(1+over)+firstSlack*b.QuotaSlack+over*tn.Rate*window/2)
 			p.CeilingRate, p.CeilingBurst = p.Rate, p.Burst
 		}
 		s.Plans = append(s.Plans, p)
@@ -103,6 +103,32 @@
 	return s, classes, plans
 }
 
+const (
+	// The slack of the rule is used in two halves: one in the cap of every bucket, one for
+	// what limiters that begin anew start with.
+	firstSlack = 0.45
+	// A limiter that begins anew has been down for half a second at least.
+	leastDown = 0.5 // s
+)
+
+// endow gives accounts what this limiter begins with of their ceilings. A part that it had
+// before may be spent, so it begins with no more than all limiters may have once over: half of
+// the slack, and what has come up while it was down. The mutex is held.
+func (e *engine) endow(s limiter.Settings, position int) {
+	b := &e.y.set.Bounds
+	h := &limiter.Handover{Position: position, Balancers: e.size, Plans: s.Plans, HeadMs: 1e-6}
+	n := float64(e.size)
+	for tenant, i := range e.plans {
+		p := s.Plans[i]
+		if p.CeilingRate <= 0 {
+			continue
+		}
+		share := min(p.CeilingBurst, firstSlack*b.QuotaSlack+leastDown*p.CeilingRate) / n
+		h.Accounts = append(h.Accounts, limiter.AccountMemory{ID: account(tenant), Plan: i, Spread: e.size, Balance: p.Burst, Share: share})
+	}
+	e.handle(limiter.Recall{Memory: &limiter.Memory{Handover: h}})
+}
+
 // account is the number of a tenant's account, the same at all limiters.
 func account(tenant string) uint64 { return fnv64(tenant) >> 1 }
 
@@ -136,6 +162,7 @@
 		}
 		e.lim, e.classes, e.plans = lim, classes, plans
 		y.engine = e
+		e.endow(s, position)
 		e.lend(position)
 		y.log.WithFields(logrus.Fields{"place": position, "limiters": size}).Info("decisions begin")
 		return
--- a/internal/switchyard/loans.go
+++ b/internal/switchyard/loans.go
@@ -139,7 +139,7 @@
 			if l, ok := e.loans.desk.Hear(y.now(), i, m); ok {
 				e.parts() // what is lent is given up before the borrower hears of it
 				e.write(l)
-			} else if m.Answer {
+			} else if m.Answer { // more is held, or it is known what was lent
 				e.parts()
 			}
 		}
--- a/wagons/wagons.go
+++ b/wagons/wagons.go
@@ -7,7 +7,8 @@
 // again. A lender gives up what it lends before it answers, and takes it back a span after it
 // heard the last ask; the borrower counts the same span, less a margin, from when it asked.
 // Nobody lends more than half of an equal part, and a limiter that has just begun, which may
-// have lent before, uses half of one until what it may have lent has ended.
+// have lent before, uses half of one until those that may have borrowed have told what they
+// still hold of it, or until it must have ended.
 //
 // A [Desk] does no input or output and reads no clock: times are handed in, in milliseconds on
 // a clock that does not go backwards. Clocks of different limiters need not agree, only run at
@@ -53,11 +54,12 @@
 	Part float64 `cbor:"2,keyasint"`
 }
 
-// Message is an ask or the answer to one.
+// Message is an ask or a recall, or the answer to one.
 type Message struct {
 	Answer bool   `cbor:"1,keyasint,omitempty"`
-	Serial uint64 `cbor:"2,keyasint"` // of the ask
-	Life   uint64 `cbor:"3,keyasint"` // of the borrower's process
+	Recall bool   `cbor:"5,keyasint,omitempty"` // tell what you hold of mine
+	Serial uint64 `cbor:"2,keyasint"`           // of the ask
+	Life   uint64 `cbor:"3,keyasint"`           // of the borrower's process
 	Items  []Item `cbor:"4,keyasint"`
 }
 
@@ -94,13 +96,18 @@
 	accounts map[uint64]*account
 	out      map[uint64]asked // asks without an answer
 	near     []int            // whom to ask, the nearest first
+	unsure   map[int]bool     // of them those that may hold something of a former life
 	turn     int
 }
 
 // New returns the desk of the limiter at a position in a set of so many. near are those that it
 // may ask, life is of this process.
 func New(now float64, me, size int, near []int, life uint64) *Desk {
-	return &Desk{me: me, size: size, life: life, begun: now, near: near, accounts: map[uint64]*account{}, out: map[uint64]asked{}}
+	d := &Desk{me: me, size: size, life: life, begun: now, near: near, accounts: map[uint64]*account{}, out: map[uint64]asked{}, unsure: map[int]bool{}}
+	for _, k := range near {
+		d.unsure[k] = true
+	}
+	return d
 }
 
 func (d *Desk) get(id uint64) *account {
@@ -112,10 +119,13 @@
 	return a
 }
 
+// young tells that a former life's loans may still be in use.
+func (d *Desk) young(now float64) bool { return len(d.unsure) > 0 && now < d.begun+SpanMs }
+
 // own is the part of an account that this limiter has by itself now.
 func (d *Desk) own(now float64, a *account) float64 {
 	x := 1.0
-	if now < d.begun+SpanMs {
+	if d.young(now) {
 		x = 1 - Lendable
 	}
 	lent := 0.0
@@ -126,7 +136,7 @@
 		}
 		lent += l.part
 	}
-	return min(x, 1-lent)
+	return max(0, min(x, 1-lent))
 }
 
 func (d *Desk) borrowed(now float64, a *account) (sum float64) {
@@ -163,6 +173,15 @@
 			delete(d.out, s)
 		}
 	}
+	var out []Letter
+	if d.young(now) {
+		for _, to := range keys(d.unsure) {
+			d.serial++
+			d.out[d.serial] = asked{to, now}
+			out = append(out, Letter{to, Message{Recall: true, Serial: d.serial, Life: d.life}})
+		}
+		return out
+	}
 	if len(d.near) == 0 {
 		return nil
 	}
@@ -193,7 +212,6 @@
 		}
 	}
 	d.turn++
-	var out []Letter
 	for _, to := range keys(by) {
 		d.serial++
 		d.out[d.serial] = asked{to, now}
@@ -216,9 +234,15 @@
 	if from < 0 || from >= d.size || from == d.me {
 		return Letter{}, false
 	}
-	if m.Answer {
+	switch {
+	case m.Answer && m.Recall:
+		d.recalled(now, from, m)
+		return Letter{}, false
+	case m.Answer:
 		d.had(now, from, m)
 		return Letter{}, false
+	case m.Recall:
+		return Letter{from, d.held(now, from, m)}, true
 	}
 	a := Message{Answer: true, Serial: m.Serial, Life: m.Life}
 	for _, it := range m.Items {
@@ -232,7 +256,7 @@
 // lend gives up a part for a borrower and tells how much it may have. What it has already
 // stays its until that ends: it may be using it.
 func (d *Desk) lend(now float64, to int, it Item) float64 {
-	if !(it.Part > 0) || now < d.begun+SpanMs {
+	if !(it.Part > 0) || d.young(now) {
 		return 0
 	}
 	a := d.get(it.ID)
@@ -264,11 +288,41 @@
 	}
 }
 
+// held tells a limiter that has begun anew what is held here of its former life. Asks that it
+// may still have answered are given up.
+func (d *Desk) held(now float64, from int, m Message) Message {
+	a := Message{Answer: true, Recall: true, Serial: m.Serial, Life: m.Life}
+	for s, o := range d.out {
+		if o.to == from {
+			delete(d.out, s)
+		}
+	}
+	for _, id := range keys(d.accounts) {
+		if l := d.accounts[id].had[from]; now < l.until {
+			a.Items = append(a.Items, Item{id, l.part})
+		}
+	}
+	return a
+}
+
+// recalled takes in what another holds of a former life.
+func (d *Desk) recalled(now float64, from int, m Message) {
+	o, ok := d.out[m.Serial]
+	if !ok || m.Life != d.life || o.to != from || !d.unsure[from] {
+		return
+	}
+	delete(d.out, m.Serial)
+	for _, it := range m.Items {
+		d.get(it.ID).lent[from] = loan{it.Part, now + SpanMs}
+	}
+	delete(d.unsure, from)
+}
+
 // Parts are what this limiter may use of each account now that is not an equal part, and of
 // the rest; next is when one of them ends, or 0.
 func (d *Desk) Parts(now float64) (of map[uint64]float64, rest, next float64) {
 	rest = 1
-	if now < d.begun+SpanMs {
+	if d.young(now) {
 		rest, next = 1-Lendable, d.begun+SpanMs
 	}
 	of = map[uint64]float64{}
