--- /dev/null
+++ b/stock/stock_test.go
@@ -0,0 +1,150 @@
+package stock
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// content is what a book says, without when it learnt it.
+func content(now float64, b *Book) map[string]string {
+	m := map[string]string{}
+	b.Each(now, func(r Record) { m[r.ID] = r.State.String() + " " + r.Address })
+	return m
+}
+
+// Registries take beats, drains and ends at random, follow each other with losses and delays,
+// and begin anew; once all is quiet they say the same, and it is what the servers said last.
+func TestBooksAgree(t *testing.T) {
+	for seed := range uint64(30) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		books := []*Book{New("a0"), New("b0"), New("c0")}
+		said := map[string]Record{}
+		now := 0.0
+		follow := func(i, k int) {
+			records := books[k].Since(now, books[i].Vector())
+			books[i].Merge(now, records, true)
+			books[i].Know(books[k].Vector())
+		}
+		for step := range 400 {
+			now += 20
+			id := fmt.Sprintf("i-%d", rng.IntN(12))
+			r := said[id]
+			if r.State != Gone {
+				r.ID, r.Service, r.Sequence = id, "s", r.Sequence+1
+				switch x := rng.Float64(); {
+				case x < 0.05:
+					r.State = Gone
+				case x < 0.15:
+					r.State = Draining
+				}
+				said[id] = r
+				k := rng.IntN(3)
+				if r.State == Gone {
+					books[k].Leave(now, id)
+				} else {
+					books[k].Beat(now, r)
+					late := r // a beat that was overtaken
+					late.Sequence, late.State = r.Sequence-1, Available
+					books[k].Beat(now, late)
+				}
+			}
+			if rng.Float64() < 0.5 {
+				follow(rng.IntN(3), rng.IntN(3))
+			}
+			if rng.Float64() < 0.02 {
+				k := rng.IntN(3)
+				books[k] = New(fmt.Sprintf("%s%d", string("abc"[k]), step))
+			}
+		}
+		for range 3 {
+			for _, r := range said { // all beat on
+				if r.State != Gone {
+					r.Sequence += 1000
+					books[rng.IntN(3)].Beat(now, r)
+				}
+			}
+			for i := range books {
+				for k := range books {
+					follow(i, k)
+				}
+			}
+			for i := range books {
+				for k := range books {
+					books[i].Merge(now, books[k].Differing(now, books[i].Digests()), false)
+				}
+			}
+		}
+		for k := 1; k < 3; k++ {
+			if diff := cmp.Diff(content(now, books[0]), content(now, books[k])); diff != "" {
+				t.Fatalf("seed %d: book %d differs: %s", seed, k, diff)
+			}
+		}
+		for id, r := range said {
+			got, ok := books[0].Get(now, id)
+			if r.State != Gone && (!ok || got.State != r.State) {
+				t.Fatalf("seed %d: %s is %v, the server said %v", seed, id, got.State, r.State)
+			}
+		}
+	}
+}
+
+func TestVectorSkipsNothingThatWasLost(t *testing.T) {
+	a, b := New("a"), New("b")
+	a.Beat(0, Record{ID: "1", Service: "s", Sequence: 1})
+	a.Beat(0, Record{ID: "2", Service: "s", Sequence: 1})
+	r, _ := a.Get(0, "2")
+	b.Merge(0, []Record{r}, false) // pushed; the push of the first was lost
+	b.Merge(0, a.Since(0, b.Vector()), true)
+	if b.Len() != 2 {
+		t.Errorf("%d records, 2 wanted: a single record that is pushed must not hide an earlier one", b.Len())
+	}
+}
+
+func TestSilence(t *testing.T) {
+	alive := map[string]bool{"a": true}
+	a, b := New("a"), New("b")
+	a.Beat(0, Record{ID: "1", Service: "s", Sequence: 1})
+	b.Merge(0, a.Since(0, b.Vector()), true)
+	state := func(book *Book, now float64) State {
+		r, _ := book.Get(now, "1")
+		return r.State
+	}
+	up := func(s string) bool { return alive[s] }
+	if b.Expire(13000, 6000, 3000, up); state(b, 13000) != Available {
+		t.Error("the source of a record runs and sees to it itself")
+	}
+	alive["a"] = false
+	if b.Expire(13000, 6000, 3000, up); state(b, 13000) != Silent {
+		t.Error("a record of a source that is gone is nobody's to expire")
+	}
+	b.Beat(13100, Record{ID: "1", Service: "s", Sequence: 9})
+	if state(b, 13100) != Available {
+		t.Error("a server that beats again is available")
+	}
+	a.Merge(13200, b.Since(13200, a.Vector()), true)
+	if state(a, 13200) != Available {
+		t.Error("a later beat holds, wherever it came")
+	}
+}
+
+// A cold server's end of warming is news once, not with each beat.
+func TestWarmth(t *testing.T) {
+	a := New("a")
+	beat := func(now float64, seq, warm uint64) bool {
+		return a.Beat(now, Record{ID: "1", Service: "s", Sequence: seq, WarmMs: warm})
+	}
+	for i, step := range []struct {
+		now, warm uint64
+		news      bool
+	}{{0, 3000, true}, {1500, 1500, false}, {3000, 0, false}, {4500, 0, false}, {6000, 3000, true}, {6500, 2500, false}} {
+		if got := beat(float64(step.now), uint64(i+1), step.warm); got != step.news {
+			t.Errorf("beat at %d with %d ms left: news is %v", step.now, step.warm, got)
+		}
+	}
+	if r, _ := a.Get(7000, "1"); r.WarmMs != 2000 {
+		t.Errorf("%d ms left a second later, 2000 wanted", r.WarmMs)
+	}
+}
--- /dev/null
+++ b/timetable/timetable_test.go
@@ -0,0 +1,128 @@
+package timetable
+
+import (
+	"strings"
+	"testing"
+	"time"
+)
+
+const whole = `{"config_version":"r7","base_revision":0,"limits":{"max_header_bytes":16384,"idle_timeout":"15000ms"},
+"tenants":[{"name":"t1","api_keys":["k1","k2"],"priority":1,"rate_per_s":45,"burst_size":45,"allowed_regions":["north"]},{"name":"t2","api_keys":["k3"]}],
+"listeners":[{"hostname":"h.example","policy":[
+ {"name":"r1","route_type":"idempotent","target_latency":"600ms","priority":2,"match_criteria":{"path_prefix":"/a/"},"forward_action":{"traffic_split":[{"service":"s1","weight":90},{"service":"s2","weight":10}],"timeout":"2.5s","max_attempts":2,"allowed_regions":["north","south"]}},
+ {"name":"r2","route_type":"non_idempotent","target_latency":"600ms","priority":1,"match_criteria":{"path_prefix":"/a/b/"},"forward_action":{"service":"s2","timeout":"2500ms","max_attempts":2}}]}],
+"clusters":[{"name":"s1","health_path":"/health","max_connections":110,"warmup":"3s","cold_per_s":3.6},{"name":"s2","health_path":"/health"}]}`
+
+func TestRead(t *testing.T) {
+	table, f := Read([]byte(whole))
+	if f != nil {
+		t.Fatal(f)
+	}
+	if r := table.Find("h.example:8080", "/a/b/c?x=/a/"); r == nil || r.Name != "r2" || r.Kind != NonIdempotent || r.Timeout != 2500*time.Millisecond {
+		t.Errorf("the longest prefix counts: %+v", r)
+	}
+	if r := table.Find("H.example", "/a/x"); r == nil || r.Name != "r1" || len(r.To) != 2 {
+		t.Errorf("a host's letters are alike: %+v", r)
+	}
+	if table.Find("h.example", "/a") != nil || table.Find("other", "/a/x") != nil {
+		t.Error("a request without a route has found one")
+	}
+	homes, all := Homes(table.Find("h.example", "/a/x"), table.TenantOf("k2"))
+	if all || len(homes) != 1 || homes[0] != "north" {
+		t.Errorf("homes of route and tenant bind both: %v", homes)
+	}
+}
+
+func TestInvalid(t *testing.T) {
+	for name, x := range map[string]struct{ from, to, code string }{
+		"cut short":       {`"cold_per_s":3.6},{"name":"s2","health_path":"/health"}]}`, ``, Unreadable},
+		"unknown service": {`"service":"s2","timeout"`, `"service":"s9","timeout"`, UnknownService},
+		"odd kind":        {`"non_idempotent"`, `"sometimes"`, UnknownKind},
+		"no timeout":      {`"timeout":"2500ms"`, `"timeout":"0ms"`, NoTimeout},
+		"aim over":        {`"target_latency":"600ms","priority":1`, `"target_latency":"62500ms","priority":1`, AimBeyond},
+		"shared key":      {`"k3"`, `"k1"`, SharedKey},
+		"odd time":        {`"timeout":"2500ms"`, `"timeout":"soon"`, Unreadable},
+	} {
+		text := strings.Replace(whole, x.from, x.to, 1)
+		if text == whole {
+			t.Fatalf("%s: nothing was changed", name)
+		}
+		var code string
+		if c, f := ReadCall([]byte(text), false); f != nil {
+			code = f.Code
+		} else if _, f := Apply(nil, 0, c); f != nil {
+			code = f.Code
+			if f.Error() == "" || f.Wrong == "" {
+				t.Errorf("%s: no text that a person can act on", name)
+			}
+		}
+		if code != x.code {
+			t.Errorf("%s: code %q, %q wanted", name, code, x.code)
+		}
+	}
+}
+
+func TestUpdate(t *testing.T) {
+	call := func(text string) ([]byte, *Fault) {
+		c, f := ReadCall([]byte(text), true)
+		if f != nil {
+			return nil, f
+		}
+		return Apply([]byte(whole), 7, c)
+	}
+	next, f := call(`{"config_version":"r9","base_revision":"r7","upsert":{"listeners":[{"hostname":"new.example","policy":[{"name":"r1","route_type":"idempotent","match_criteria":{"path_prefix":"/z/"},"forward_action":{"service":"s2","timeout":"1s"}}]}],"tenants":[{"name":"t2","api_keys":["k4"]}]},"remove":{"routes":["r2"]}}`)
+	if f != nil {
+		t.Fatal(f)
+	}
+	table, f := Read(next)
+	if f != nil {
+		t.Fatal(f)
+	}
+	if table.Version != 9 || table.Find("h.example", "/a/b/c") != nil || table.Find("new.example", "/z/1") == nil {
+		t.Errorf("a rule that moves to another host, and one that is removed: %+v", table.Routes)
+	}
+	if table.TenantOf("k3") != nil || table.TenantOf("k4") == nil || table.TenantOf("k1") == nil {
+		t.Error("a tenant is replaced by its name, the others stay")
+	}
+	old, _ := Read([]byte(whole))
+	if !Lost(old, table) || Lost(table, table) {
+		t.Error("a key was taken away, and not by nothing")
+	}
+	for text, code := range map[string]string{
+		`{"config_version":"r9","base_revision":"r6","upsert":{}}`:                  WrongBase,
+		`{"config_version":"r7","base_revision":"r7","upsert":{}}`:                  StaleVersion,
+		`{"config_version":"r9","base_revision":"r7","remove":{"clusters":["s2"]}}`: UnknownService,
+		`{"config_version":"r9","base_revision":"r7","upsert":{"odd":[]}}`:          Unreadable,
+		`{"config_version":"r9","base_revision":"r7","remove":`:                     Unreadable,
+	} {
+		if _, f := call(text); f == nil || f.Code != code {
+			t.Errorf("%s: %v, %s wanted", text, f, code)
+		}
+	}
+}
+
+// No body makes the checks panic, and what they take can be read again.
+func FuzzCalls(f *testing.F) {
+	f.Add([]byte(whole), false)
+	f.Add([]byte(`{"config_version":"r9","base_revision":"r7","upsert":{"listeners":[{"hostname":"x","policy":[{}]}]},"remove":{"routes":["r2"]}}`), true)
+	f.Add([]byte(`{"config_version":1,"base_revision":"","upsert":{"limits":{},"clusters":[{}]},"remove":{"tenants":[1,null]}}`), true)
+	f.Fuzz(func(t *testing.T, body []byte, update bool) {
+		c, fault := ReadCall(body, update)
+		if fault != nil {
+			return
+		}
+		current, version := []byte(nil), uint64(0)
+		if update {
+			current, version = []byte(whole), 7
+		}
+		next, fault := Apply(current, version, c)
+		if fault != nil {
+			return
+		}
+		table, fault := Read(next)
+		if fault != nil {
+			t.Fatalf("taken and can't be read: %v", fault)
+		}
+		table.Find("h.example", "/a/")
+	})
+}
--- /dev/null
+++ b/trainregister/trainregister_test.go
@@ -0,0 +1,61 @@
+package trainregister
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+func config(version, base int, keys string) []byte {
+	return fmt.Appendf(nil, `{"config_version":"r%d","base_revision":"r%d","tenants":[{"name":"t","api_keys":[%s]}],"listeners":[],"clusters":[]}`, version, base, keys)
+}
+
+func TestOrders(t *testing.T) {
+	var r Register
+	give := func(what string, o Order, status int) {
+		t.Helper()
+		before := r.Clone()
+		out := r.Give(&o)
+		if out.Status != status {
+			t.Fatalf("%s: %d %s, %d wanted", what, out.Status, out.Text, status)
+		}
+		if status != 200 {
+			if diff := cmp.Diff(before, &r); diff != "" {
+				t.Fatalf("%s: an order that is refused has changed the register: %s", what, diff)
+			}
+		}
+	}
+	first := Order{Kind: Replace, Body: config(3, 0, `"k1","k2"`)}
+	give("the first", first, 200)
+	seq := r.Seq
+	give("the same call again", first, 200)
+	if r.Seq != seq {
+		t.Error("the same call again has made a version")
+	}
+	mine, theirs := Order{Kind: Replace, Body: config(5, 3, `"k1"`)}, Order{Kind: Replace, Body: config(5, 3, `"k2"`)}
+	give("the first of a race", mine, 200)
+	if r.Revoked != r.Seq {
+		t.Error("a key was taken away by the latest version")
+	}
+	give("the other of a race", theirs, 412)
+	give("the winner again", mine, 200)
+	give("a further one", Order{Kind: Replace, Body: config(8, 5, `"k1"`)}, 200)
+	if r.Revoked == r.Seq {
+		t.Error("nothing was taken away by the latest version")
+	}
+	give("an older one again, which was taken", mine, 200)
+	give("no configuration", Order{Kind: Replace, Body: []byte(`{"config_version"`)}, 400)
+	give("an evacuation", Order{Kind: Begin, Zone: "z"}, 200)
+	seq = r.Seq
+	give("the same", Order{Kind: Begin, Zone: "z"}, 200)
+	if r.Seq != seq || len(r.Evac) != 1 {
+		t.Error("the same evacuation again has made a version")
+	}
+	give("its end", Order{Kind: Finish, Zone: "z"}, 200)
+	give("places", Order{Kind: Enrol, Posts: []Post{{"b", "2", "z"}, {"a", "1", "z"}}}, 200)
+	give("another place", Order{Kind: Enrol, Posts: []Post{{"a", "9", "z"}, {"c", "3", "z"}}}, 200)
+	if diff := cmp.Diff([]Post{{"b", "2", "z"}, {"a", "9", "z"}, {"c", "3", "z"}}, r.Posts); diff != "" {
+		t.Errorf("places are kept for good: %s", diff)
+	}
+}
