Limiter: how far a server is weighs in the choice, by what the host says

Need: a zone of the new system has one to three servers of a service, and a limiter sends a few requests a second: tiers of zones took such a zone for lost at the first slow answer and gave it back in steps of seconds. Change: ServerInfo.Far multiplies the cost of a choice; it is 0 where the host names none, as in all that is in service.

--- a/limiter/api.go
+++ b/limiter/api.go
@@ -235,6 +235,9 @@
 	Weight  float64
 	Pool    uint64 // the one that it is in
 	Tier    int    // of its pool, 0 is preferred
+	// Far is by how much more an answer from it counts as it takes: 0 is near, 1 twice as
+	// long. It weighs what distance costs besides time.
+	Far float64
 }
 
 // Phase is a server's state in the list.
--- a/limiter/choice.go
+++ b/limiter/choice.go
@@ -87,6 +87,7 @@
 			if s.info.Zone != l.cfg.Zone {
 				cost *= 1 + crossWeight*l.cfg.CrossPrice
 			}
+			cost *= 1 + s.info.Far
 			if best == nil || cost < bestCost {
 				best, bestCost = s, cost
 			}
