Accounts are opened at once; zones weigh in the choice in place of tiers

Cause: after the first change of a configuration accounts that had not been seen began with nothing of their ceilings; caps of small tenants held two requests; tiers turned away what idle servers could have served.

Change: accounts of all tenants are opened when decisions begin; caps take the greater part of the slack, rates none; servers afar cost more (0.3 another zone, 1.5 another region, 4 for downloads).

--- a/internal/switchyard/engine.go
+++ b/internal/switchyard/engine.go
@@ -50,7 +50,11 @@
 	// Messages a second that a limiter takes in about tenants' spending: a few.
 	peerInPerS = 3.0
 	advice     = 150.0 // ms to stay away where the decisions give none
-	farTiers   = 3     // own zone, own region, elsewhere
+	// By how much more answers from afar count as they take. What crosses regions is paid for,
+	// most of all downloads.
+	farZone     = 0.3
+	farRegion   = 1.5
+	farDownload = 4.0
 )
 
 // settings are those of the decisions for a table.
@@ -58,7 +62,7 @@
 	b := &e.y.set.Bounds
 	s = limiter.Settings{Position: position, Balancers: e.size, Zone: 0, PeerInPerS: peerInPerS,
 		Caps:  limiter.Caps{Attempts: 8, Peers: e.size > 1, Probes: true, RetryAfter: true, MaxWaitMs: 1000, ConnectMs: 300},
-		Rules: limiter.Rules{FallMs: 1000}, Spills: map[uint64][]float64{}}
+		Rules: limiter.Rules{FallMs: 1000}}
 	classes, plans = map[string]int{}, map[string]int{}
 	for i := range t.Routes {
 		r := &t.Routes[i]
@@ -89,24 +93,23 @@
 			// What the rule allows, less what may be under way at the ends of a window. The
 			// bucket draws what is heard of others' spending; the ceiling binds whoever is out
 			// of touch, as each limiter owns a part of it.
-			over := b.QuotaOvershoot / 2
-			p.Rate = tn.Rate * (1 + over)
-			p.Burst = max(1, tn.Burst*(1+over)+firstSlack*b.QuotaSlack+over*tn.Rate*window/2)
+			p.Rate = tn.Rate
+			p.Burst = max(1, tn.Burst*(1+b.QuotaOvershoot)+capSlack*b.QuotaSlack+capOvershoot*b.QuotaOvershoot*tn.Rate*window)
 			p.CeilingRate, p.CeilingBurst = p.Rate, p.Burst
 		}
 		s.Plans = append(s.Plans, p)
 		e.ceilings[account(tn.Name)] = p
 	}
-	for _, id := range e.pools {
-		s.Spills[id] = slices.Repeat([]float64{1}, farTiers)
-	}
 	return s, classes, plans
 }
 
 const (
-	// The slack of the rule is used in two halves: one in the cap of every bucket, one for
-	// what limiters that begin anew start with.
-	firstSlack = 0.45
+	// Parts of the rule's slack that go into caps, and that limiters begin with.
+	capSlack   = 0.6
+	beginSlack = 0.3
+	// Part of what the rule lets a tenant have beyond its rate that goes into caps: the rest
+	// is for what is under way at the ends of a window.
+	capOvershoot = 0.8
 	// A limiter that begins anew has been down for half a second at least.
 	leastDown = 0.5 // s
 )
@@ -123,12 +126,20 @@
 		if p.CeilingRate <= 0 {
 			continue
 		}
-		share := min(p.CeilingBurst, firstSlack*b.QuotaSlack+leastDown*p.CeilingRate) / n
+		share := min(p.CeilingBurst, beginSlack*b.QuotaSlack+leastDown*p.CeilingRate) / n
 		h.Accounts = append(h.Accounts, limiter.AccountMemory{ID: account(tenant), Plan: i, Spread: e.size, Balance: p.Burst, Share: share})
 	}
 	e.handle(limiter.Recall{Memory: &limiter.Memory{Handover: h}})
+	// Accounts are opened at once: one that is opened after the next configuration would begin
+	// with nothing.
+	for tenant, i := range e.plans {
+		e.handle(limiter.Ask{Submit: limiter.Submit{ID: opens, ExpiresMs: 1, Plan: i, Customer: account(tenant), Spread: e.size}})
+	}
 }
 
+// opens is the id of what opens accounts: no request has it.
+const opens = "opens"
+
 // account is the number of a tenant's account, the same at all limiters.
 func account(tenant string) uint64 { return fnv64(tenant) >> 1 }
 
@@ -200,10 +211,16 @@
 	}
 }
 
+// downloads marks the pools of large answers.
+const downloads = "\x02"
+
 // poolOf is the pool of a service's servers in the regions where a request may be served.
 func (e *engine) poolOf(service string, r *timetable.Route, t *timetable.Tenant) uint64 {
 	homes, all := timetable.Homes(r, t)
 	key := service
+	if r.Kind == timetable.Download {
+		key += downloads
+	}
 	if !all {
 		homes = slices.Clone(homes)
 		slices.Sort(homes)
@@ -228,6 +245,7 @@
 	var list []limiter.ServerInfo
 	for key, pool := range e.pools {
 		service, homes, bound := strings.Cut(key, "\x00")
+		service, download := strings.CutSuffix(service, downloads)
 		y.book.Each(y.now(), func(r stock.Record) {
 			if r.Service != service || bound && !strings.Contains("\x00"+homes, "\x00"+y.set.Zones[r.Zone]+"\x00") {
 				return
@@ -240,7 +258,7 @@
 				n = uint64(e.names)
 				e.ids[id] = n
 			}
-			info := limiter.ServerInfo{ID: n, Pool: pool, Phase: limiter.Up, Tier: y.tier(r.Zone)}
+			info := limiter.ServerInfo{ID: n, Pool: pool, Phase: limiter.Up, Far: y.far(r.Zone, download)}
 			if r.State != stock.Available || y.evacuate[r.Zone] || y.gone[r.ID] {
 				info.Phase = limiter.Draining
 			}
@@ -259,14 +277,17 @@
 	e.handle(limiter.Endpoints{Scope: limiter.Complete, Servers: list})
 }
 
-func (y *Yard) tier(zone string) int {
+// far is by how much more an answer from a zone counts.
+func (y *Yard) far(zone string, download bool) float64 {
 	switch {
 	case zone == y.set.Zone:
 		return 0
 	case y.set.Zones[zone] == y.set.Region:
-		return 1
+		return farZone
+	case download:
+		return farDownload
 	}
-	return 2
+	return farRegion
 }
 
 // chill notes until when a server is cold, and has the list made anew then.
--- a/wagons/wagons.go
+++ b/wagons/wagons.go
@@ -34,10 +34,10 @@
 	// A part is to hold demand with room for what comes in clusters: requests come by chance,
 	// so that one second's number scatters by its root.
 	rateRoom  = 1.35
-	leastRate = 0.1 // requests a second
-	burstRoom = 2.0 // roots of a second's requests
-	leastRoom = 1.5 // requests
-	leastAsk  = 0.1 // of an equal part
+	leastRate = 0.05 // requests a second
+	burstRoom = 2.0  // roots of a second's requests
+	leastRoom = 2.5  // requests
+	leastAsk  = 0.1  // of an equal part
 )
 
 // Account is one tenant's ceiling as this limiter sees it.
