--- a/internal/switchyard/engine.go
+++ b/internal/switchyard/engine.go
@@ -312,11 +312,21 @@
 	}
 }
 
-// later makes the list of servers anew after a while.
+// later makes the list of servers anew after a while. Only the earliest of what is due waits:
+// whatever else is due is seen when the list is made. The mutex is held.
 func (y *Yard) later(d time.Duration) {
-	time.AfterFunc(d, func() {
+	at := time.Now().Add(d)
+	if !y.listAt.IsZero() && !at.Before(y.listAt) {
+		return
+	}
+	y.listAt = at
+	if y.listing != nil {
+		y.listing.Stop()
+	}
+	y.listing = time.AfterFunc(d, func() {
 		y.mu.Lock()
 		defer y.mu.Unlock()
+		y.listAt = time.Time{}
 		y.relist()
 	})
 }
--- a/internal/switchyard/switchyard.go
+++ b/internal/switchyard/switchyard.go
@@ -50,6 +50,8 @@
 	stations map[string]*station
 	budget   map[string]*tries // of further arrivals, by service
 	logged   time.Time
+	listing  *time.Timer    // makes the list of servers anew
+	listAt   time.Time      // when; zero: not due
 	ended    map[string]int // answers since the last line about them, by status and reason
 }
 
