The directory names a region; a store learns at once what a majority has accepted

Cause: clients of a zone that went dark had no other address; after a loss of power a store held a round of ballots to learn what all three had on disk.

--- a/internal/signalbox/signalbox.go
+++ b/internal/signalbox/signalbox.go
@@ -438,6 +438,7 @@
 		b.mu.Unlock()
 		answers := b.ask(ctx, callRead, readCall{known}, func() (interlocking.Reply, error) { return b.readDurable(known), nil })
 		agree, ahead := 0, false
+		same := map[interlocking.Ballot]int{}
 		b.gather(answers, callWithin, func(_ uint64, r interlocking.Reply) bool {
 			if !r.OK {
 				return false
@@ -447,6 +448,11 @@
 				agree++
 			default:
 				ahead = true
+				// What a majority has accepted is chosen, whoever asked for it.
+				if same[r.Accepted]++; same[r.Accepted] == interlocking.Majority(len(b.voters)) {
+					b.learn(r.Accepted, r.Value)
+					return true
+				}
 			}
 			return agree >= interlocking.Majority(len(b.voters))
 		})
@@ -467,11 +473,16 @@
 		if stuck {
 			b.give(ctx, nil, orderWithin/2)
 		}
+		b.mu.Lock()
+		learnt := b.chosen != known
+		b.mu.Unlock()
 		wait := confirmEvery
-		if ahead {
+		if learnt {
+			wait = 0 // the proof is still to come
+		} else if ahead {
 			wait = resolveAfter / 2
 		}
-		sleep(ctx, wait-time.Since(begun)+rand.N(40*time.Millisecond))
+		sleep(ctx, wait-time.Since(begun)+rand.N(wait/10+time.Millisecond))
 	}
 }
 
--- a/internal/switchyard/pull.go
+++ b/internal/switchyard/pull.go
@@ -18,6 +18,7 @@
 const (
 	pullHold  = 1000 * time.Millisecond
 	pullSlack = 450 * time.Millisecond // beyond what is held
+	leastNamed = 2 // limiters in an answer of the directory, if so many are ready
 	// A core machine that has had no proof for so long, or hears no majority, is left for
 	// another.
 	proofStale = 1600 * time.Millisecond
@@ -173,9 +174,10 @@
 		all = append(all, place{r.Address, far})
 	})
 	slices.SortFunc(all, func(a, b place) int { return cmp.Or(cmp.Compare(a.far, b.far), cmp.Compare(a.address, b.address)) })
+	// The whole region: where a zone goes dark its clients still have somebody to go to.
 	var out []string
-	for i, p := range all {
-		if i > 0 && p.far > all[0].far && len(out) >= 2 {
+	for _, p := range all {
+		if p.far > 1 && len(out) >= leastNamed {
 			break
 		}
 		out = append(out, p.address)
