Calls between processes try a connection again after 250 ms

Cause: after a loss of power the opening packets to core machines that were just starting were lost and sent again a second later.

--- a/internal/bell/bell.go
+++ b/internal/bell/bell.go
@@ -19,10 +19,13 @@
 )
 
 const (
-	maxFrame    = 16 << 20
-	maxIdle     = 4 // kept connections to one address
-	idleFor     = 20 * time.Second
-	userTimeout = 1500 // ms that sent bytes may be unacknowledged: a machine without power says nothing
+	maxFrame = 16 << 20
+	maxIdle  = 4 // kept connections to one address
+	idleFor  = 20 * time.Second
+	// connectWithin is several times as long as regions are apart. The opening packet to a
+	// machine that is just starting is lost, and sent again after a second.
+	connectWithin = 250 * time.Millisecond
+	userTimeout   = 1500 // ms that sent bytes may be unacknowledged: a machine without power says nothing
 )
 
 // Error tells what went wrong with a call.
@@ -140,7 +143,7 @@
 		l := c.take(to)
 		kept := l != nil
 		if l == nil {
-			d := net.Dialer{Deadline: until, KeepAlive: -1, Control: Patience}
+			d := net.Dialer{Timeout: min(connectWithin, time.Until(until)), KeepAlive: -1, Control: Patience}
 			nc, err := d.DialContext(ctx, "tcp", to)
 			if err != nil {
 				return &Error{to, call, true, err}
