A registry that hears no majority takes nobody for silent; a false word is taken back

The registry that was cut off heard no news of servers whose beats went to another one and took them for silent.

Change: a registry that hears no majority expires nobody. The one that hears a server's beats tells them again, with the latest number, when another says otherwise.

--- a/internal/roundhouse/roundhouse.go
+++ b/internal/roundhouse/roundhouse.go
@@ -131,7 +131,7 @@
 		sleep(ctx, expireEvery)
 		h.mu.Lock()
 		beat := float64(h.set.Heartbeat) / float64(time.Millisecond)
-		if h.book.Expire(h.now(), serverBeats*beat, limiterSilent, h.alive) {
+		if !h.apart() && time.Since(h.begun) > 2*syncHold && h.book.Expire(h.now(), serverBeats*beat, limiterSilent, h.alive) {
 			h.stir()
 		}
 		h.mu.Unlock()
--- a/stock/stock.go
+++ b/stock/stock.go
@@ -188,6 +188,12 @@
 			if r.Source == e.Source && r.Version > e.Version {
 				e.Version = r.Version
 			}
+			if e.Source == b.source && r.State != e.State && e.State != Gone {
+				// Another takes it for silent, and this process hears its beats: they are told
+				// again, with the number of the latest.
+				b.put(now, e.at(now))
+				news = append(news, b.get(r.ID).at(now))
+			}
 			continue
 		}
 		b.set(now, r, float64(r.Since))
@@ -228,7 +234,9 @@
 
 // Expire marks those whose beats have ceased. limit is how long a beat may be out for
 // servers and for limiters; alive tells whether another source still runs, which then sees
-// to its own. It forgets what has been gone for long. It tells whether there is news.
+// to its own. A process that hears no majority must not call it: it can't tell who is silent
+// from who is on the other side. It forgets what has been gone for long. It tells whether
+// there is news.
 func (b *Book) Expire(now, servers, limiters float64, alive func(source string) bool) (news bool) {
 	var due, old []*entry
 	b.all.Ascend(func(e *entry) bool {
--- a/stock/stock_test.go
+++ b/stock/stock_test.go
@@ -130,6 +130,31 @@
 	}
 }
 
+// A registry that was cut off takes servers for silent that beat to another one. When it is
+// back the word of the one that hears them holds, everywhere.
+func TestSilenceOfACutOffRegistry(t *testing.T) {
+	a, b, c := New("a"), New("b"), New("c")
+	a.Beat(0, Record{ID: "1", Service: "s", Sequence: 1})
+	b.Merge(0, a.Since(0, b.Vector()), true)
+	c.Merge(0, a.Since(0, c.Vector()), true)
+	for now := 1500.0; now <= 15000; now += 1500 {
+		a.Beat(now, Record{ID: "1", Service: "s", Sequence: 1 + uint64(now)/1500})
+	}
+	b.Expire(15000, 6000, 3000, func(string) bool { return false })
+	for range 2 {
+		for _, x := range []*Book{a, b, c} {
+			for _, y := range []*Book{a, b, c} {
+				x.Merge(15100, y.Since(15100, x.Vector()), true)
+			}
+		}
+	}
+	for name, book := range map[string]*Book{"a": a, "b": b, "c": c} {
+		if r, _ := book.Get(15100, "1"); r.State != Available {
+			t.Errorf("%s says %v of a server that beats", name, r.State)
+		}
+	}
+}
+
 // A cold server's end of warming is news once, not with each beat.
 func TestWarmth(t *testing.T) {
 	a := New("a")
