--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -125,7 +125,7 @@
 // smuggles tells that a head on the request's connection has had two lengths.
 func smuggles(hr *http.Request) bool {
 	c, ok := hr.Context().Value(connKey{}).(*framedConn)
-	return ok && c.both.Load()
+	return ok && c.heads.Both()
 }
 
 // errFull tells that there is no place for another request.
--- a/internal/node/framing.go
+++ b/internal/node/framing.go
@@ -1,11 +1,11 @@
 package node
 
 import (
-	"bytes"
 	"net"
 	"sync"
-	"sync/atomic"
 	"time"
+
+	"example.org/madderdrum/internal/framing"
 )
 
 // framedListener accepts connections that watch the framing of what comes in on them, and that
@@ -25,10 +25,7 @@
 // another reads as the next request may be hidden in such a body (RFC 9112, 6.3).
 type framedConn struct {
 	net.Conn
-	line [len("transfer-encoding:")]byte // the beginning of a line, in lower case
-	have int                             // of it
-	seen byte                            // of the head so far
-	both atomic.Bool
+	heads framing.Watch
 
 	mu      sync.Mutex // round what follows, and the deadline for reading
 	started bool       // something has been read since the connection began to wait
@@ -94,19 +91,7 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
-const (
-	sawLength = 1 << iota
-	sawEncoding
-)
-
-var (
-	lengthName   = []byte("content-length:")
-	encodingName = []byte("transfer-encoding:")
-)
-
-// Read passes on what comes, and looks at the beginnings of lines. Lines of bodies are looked
-// at too: one that reads like a header counts until the next empty line, and only against
-// a client that also sends a chunked body on the same connection.
+// Read passes on what comes, and has it looked at.
 func (c *framedConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if n > 0 {
@@ -116,39 +101,6 @@
 		}
 		c.mu.Unlock()
 	}
-	c.look(b[:n])
+	c.heads.Look(b[:n])
 	return n, err
 }
-
-func (c *framedConn) look(b []byte) {
-	for len(b) > 0 {
-		end := bytes.IndexByte(b, '\n')
-		part := b
-		if end >= 0 {
-			part = b[:end]
-		}
-		for _, x := range part[:min(len(part), len(c.line)-c.have)] {
-			if 'A' <= x && x <= 'Z' {
-				x += 'a' - 'A'
-			}
-			c.line[c.have] = x
-			c.have++
-		}
-		if end < 0 {
-			return
-		}
-		line := c.line[:c.have]
-		switch {
-		case c.have == 0 || c.have == 1 && line[0] == '\r':
-			c.seen = 0
-		case bytes.HasPrefix(line, lengthName):
-			c.seen |= sawLength
-		case bytes.HasPrefix(line, encodingName):
-			c.seen |= sawEncoding
-		}
-		if c.seen == sawLength|sawEncoding {
-			c.both.Store(true)
-		}
-		c.have, b = 0, b[end+1:]
-	}
-}
--- a/internal/node/stream_test.go
+++ b/internal/node/stream_test.go
@@ -445,10 +445,10 @@
 			c := &framedConn{}
 			for b := []byte(text); len(b) > 0; {
 				k := min(size, len(b))
-				c.look(b[:k])
+				c.heads.Look(b[:k])
 				b = b[k:]
 			}
-			if c.both.Load() != both {
+			if c.heads.Both() != both {
 				t.Errorf("%.60q in pieces of %d: %v", text, size, !both)
 				break
 			}
