--- a/internal/bell/bell.go
+++ b/internal/bell/bell.go
@@ -248,3 +248,11 @@
 	}
 	return b
 }
+
+// CallStatus asks a process how it stands.
+const CallStatus = "status"
+
+// Status is how a process stands: lines of key=value pairs.
+type Status struct {
+	Lines []string `cbor:"1,keyasint"`
+}
--- a/internal/boot/boot.go
+++ b/internal/boot/boot.go
@@ -154,9 +154,12 @@
 	}
 	var r reader
 	self, network, terms := v.Get("self_identity"), v.Get("network"), v.Get("timing_terms")
-	for field, table := range map[string]*fastjson.Value{"self_identity": self, "network": network, "timing_terms": terms} {
-		if table == nil || table.Type() != fastjson.TypeObject {
-			return nil, &Error{Field: field, Wrong: "is missing", Fix: "write a table of that name"}
+	for _, x := range []struct {
+		field string
+		table *fastjson.Value
+	}{{"self_identity", self}, {"network", network}, {"timing_terms", terms}} {
+		if x.table == nil || x.table.Type() != fastjson.TypeObject {
+			return nil, &Error{Field: x.field, Wrong: "is missing", Fix: "write a table of that name"}
 		}
 	}
 	s := &Settings{
--- a/internal/depot/depot.go
+++ b/internal/depot/depot.go
@@ -11,17 +11,22 @@
 	"runtime"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/sirupsen/logrus"
 	"github.com/spf13/cobra"
 
+	"example.org/madderdrum/internal/bell"
 	"example.org/madderdrum/internal/boot"
+	"example.org/madderdrum/timetable"
 )
 
 const (
 	gcPercent   = 50  // memory is dear, and heaps are of a few megabytes
 	memoryShare = 0.7 // of the limit: the heap's soft bound
 	logLevel    = "MADDERDRUM_LOG"
+
+	statusWithin = 3 * time.Second
 )
 
 // Run is a program's work until its context ends.
@@ -33,18 +38,56 @@
 	root.CompletionOptions.DisableDefaultCmd = true
 	root.AddCommand(&cobra.Command{Use: "serve", Short: "Serve until SIGTERM; " + boot.Variable + " names the settings file",
 		Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error { return serve(name, run) }})
-	root.AddCommand(&cobra.Command{Use: "check FILE", Short: "Check a settings file",
-		Args: cobra.ExactArgs(1), RunE: func(cmd *cobra.Command, args []string) error {
+	root.AddCommand(check(), status())
+	root.AddCommand(more...)
+	if root.ExecuteContext(context.Background()) != nil {
+		os.Exit(1)
+	}
+}
+
+// check is the command that checks settings and configurations.
+func check() *cobra.Command {
+	var configuration bool
+	cmd := &cobra.Command{Use: "check FILE", Short: "Check a settings file or, with --configuration, a configuration", Args: cobra.ExactArgs(1)}
+	cmd.Flags().BoolVar(&configuration, "configuration", false, "the file is a whole configuration")
+	cmd.RunE = func(cmd *cobra.Command, args []string) error {
+		if !configuration {
 			s, err := boot.LoadFile(args[0])
 			if err == nil {
 				fmt.Fprintf(cmd.OutOrStdout(), "settings of %v in zone %s are good\n", s, s.Zone)
 			}
 			return err
-		}})
-	root.AddCommand(more...)
-	if root.Execute() != nil {
-		os.Exit(1)
+		}
+		text, err := os.ReadFile(args[0])
+		if err != nil {
+			return err
+		}
+		if _, fault := timetable.ReadCall(text, false); fault != nil {
+			return fault
+		}
+		t, fault := timetable.Read(text)
+		if fault != nil {
+			return fault
+		}
+		fmt.Fprintf(cmd.OutOrStdout(), "configuration r%d is good: %d routes, %d services, %d tenants\n", t.Version, len(t.Routes), len(t.Services), len(t.Tenants))
+		return nil
 	}
+	return cmd
+}
+
+// status is the command that asks a process how it stands.
+func status() *cobra.Command {
+	return &cobra.Command{Use: "status ADDRESS", Short: "Ask a process how it stands; ADDRESS is that of its internal port", Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			var s bell.Status
+			if err := bell.NewCaller().Call(cmd.Context(), args[0], bell.CallStatus, nil, &s, statusWithin); err != nil {
+				return err
+			}
+			for _, l := range s.Lines {
+				fmt.Fprintln(cmd.OutOrStdout(), l)
+			}
+			return nil
+		}}
 }
 
 func serve(name string, run Run) error {
--- a/internal/roundhouse/roundhouse.go
+++ b/internal/roundhouse/roundhouse.go
@@ -105,7 +105,7 @@
 	if err != nil {
 		return fmt.Errorf("roundhouse: listen for outside calls: %w", err)
 	}
-	go bell.Serve(ctx, inner, map[string]bell.Handler{CallPull: h.pull, callPush: h.pushed, callRepair: h.repaired})
+	go bell.Serve(ctx, inner, map[string]bell.Handler{CallPull: h.pull, callPush: h.pushed, callRepair: h.repaired, bell.CallStatus: h.status})
 	go (&wicket.Server{Handler: h.outside, MaxBody: maxBody}).Serve(ctx, outer)
 	for _, ip := range h.others {
 		go h.follow(ctx, ip)
@@ -395,6 +395,21 @@
 	}
 }
 
+// status tells how this registry stands.
+func (h *House) status(context.Context, string, []byte) (any, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	proof := "none"
+	if !h.proved.IsZero() {
+		proof = time.Since(h.proved).Round(time.Millisecond).String()
+	}
+	lines := []string{
+		fmt.Sprintf("program=roundhouse node=%s zone=%s source=%s apart=%v proof_age=%s", h.set.Node, h.set.Zone, h.source(), h.apart(), proof),
+		fmt.Sprintf("register seq=%d version=r%d evacuated=%v limiters=%d", h.reg.Seq, h.reg.Version, h.reg.Evac, len(h.reg.Posts)),
+	}
+	return bell.Status{Lines: append(lines, h.book.Report(h.now())...)}, nil
+}
+
 // order gives an order to a store. ok is false when no clear answer came.
 func (h *House) order(ctx context.Context, o trainregister.Order) (out trainregister.Outcome, ok bool) {
 	until := time.Now().Add(storeWithin)
--- a/internal/signalbox/signalbox.go
+++ b/internal/signalbox/signalbox.go
@@ -149,6 +149,7 @@
 	go bell.Serve(ctx, l, map[string]bell.Handler{
 		callPrepare: b.prepare, callAccept: b.accept, callRead: b.read, callChosen: b.hear,
 		CallChange: b.change, CallWatch: b.watch, CallFetch: b.fetch,
+		bell.CallStatus: b.status,
 	})
 	if b.acceptor.Record.Blank {
 		go b.restore(ctx)
@@ -563,6 +564,24 @@
 	return w, nil
 }
 
+// status tells how this store stands.
+func (b *Box) status(context.Context, string, []byte) (any, error) {
+	b.accepting.Lock()
+	sick := b.disk.sick
+	b.accepting.Unlock()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	proof := "none"
+	if !b.proved.IsZero() {
+		proof = time.Since(b.proved).Round(time.Millisecond).String()
+	}
+	return bell.Status{Lines: []string{
+		fmt.Sprintf("program=signalbox node=%s zone=%s voters=%d place=%d blank=%v disk_fails=%v", b.set.Node, b.set.Zone, len(b.voters), b.me, b.durable.Blank, sick),
+		fmt.Sprintf("register seq=%d version=r%d revoked=%d evacuated=%v limiters=%d", b.reg.Seq, b.reg.Version, b.reg.Revoked, b.reg.Evac, len(b.reg.Posts)),
+		fmt.Sprintf("ballots promised=%d accepted=%d chosen=%d proof_age=%s", b.durable.Promised.Number, b.durable.Accepted.Number, b.chosen.Number, proof),
+	}}, nil
+}
+
 // restore reads from the others what a lost disk held before this machine votes.
 func (b *Box) restore(ctx context.Context) {
 	sleep(ctx, restoreAfter)
--- a/internal/switchyard/doors.go
+++ b/internal/switchyard/doors.go
@@ -7,7 +7,10 @@
 	"net"
 	"net/http"
 	"strings"
+	"time"
 
+	"example.org/madderdrum/internal/bell"
+	"example.org/madderdrum/internal/boot"
 	"example.org/madderdrum/internal/wicket"
 )
 
@@ -24,9 +27,43 @@
 		}
 		go (&wicket.Server{Handler: h, MaxBody: 1 << 10}).Serve(ctx, l)
 	}
+	l, err := net.Listen("tcp", y.set.Internal(y.set.IP, boot.SwitchyardPort))
+	if err != nil {
+		return fmt.Errorf("switchyard: listen for those who ask how it stands: %w", err)
+	}
+	go bell.Serve(ctx, l, map[string]bell.Handler{bell.CallStatus: y.status})
 	return nil
 }
 
+// status tells how this limiter stands.
+func (y *Yard) status(context.Context, string, []byte) (any, error) {
+	ready := y.ready()
+	y.mu.Lock()
+	defer y.mu.Unlock()
+	proof := "none"
+	if !y.proved.IsZero() {
+		proof = time.Since(y.proved).Round(time.Millisecond).String()
+	}
+	lines := []string{
+		fmt.Sprintf("program=switchyard node=%s zone=%s life=%s ready=%v leaving=%v in_hand=%d proof_age=%s keys_honoured=%v",
+			y.set.Node, y.set.Zone, y.self, ready, y.leaving.Load(), y.inHand.Load(), proof, y.vouched()),
+		fmt.Sprintf("register seq=%d version=r%d evacuated=%v limiters=%d", y.reg.Seq, y.reg.Version, y.reg.Evac, len(y.reg.Posts)),
+	}
+	lines = append(lines, y.book.Report(y.now())...)
+	if e := y.engine; e != nil {
+		of, rest, _ := e.loans.desk.Parts(y.now())
+		lines = append(lines, fmt.Sprintf("parts rest=%.3f limiters=%d", rest, e.size))
+		for i, t := range y.view.Load().table.Tenants {
+			part, ok := of[account(t.Name)]
+			if !ok {
+				part = rest
+			}
+			lines = append(lines, fmt.Sprintf("tenant=%s place=%d rate_per_s=%g part=%.3f demand_per_s=%.2f", t.Name, i, t.Rate, part, e.loans.desk.Rate(account(t.Name))))
+		}
+	}
+	return bell.Status{Lines: lines}, nil
+}
+
 func (y *Yard) readiness(_ context.Context, r *http.Request, _ []byte) wicket.Answer {
 	if !y.ready() {
 		return wicket.Answer{Status: 503}
--- a/internal/switchyard/front.go
+++ b/internal/switchyard/front.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"example.org/madderdrum/internal/framing"
 	"example.org/madderdrum/limiter"
 	"example.org/madderdrum/timetable"
 )
@@ -80,10 +81,11 @@
 	c.Close()
 }
 
-// limited reads no more than is left.
+// limited reads no more than is left, and has what it reads of a client looked at.
 type limited struct {
-	r    io.Reader
-	left int64
+	r     io.Reader
+	left  int64
+	heads *framing.Watch // nil: of a server
 }
 
 var errHeadTooLong = errors.New("the head is too long")
@@ -94,11 +96,14 @@
 	}
 	n, err := l.r.Read(b[:min(int64(len(b)), l.left)])
 	l.left -= int64(n)
+	if l.heads != nil {
+		l.heads.Look(b[:n])
+	}
 	return n, err
 }
 
 func (y *Yard) reads(c net.Conn, slots chan<- *slot) {
-	lim := &limited{r: c}
+	lim := &limited{r: c, heads: &framing.Watch{}}
 	in := bufio.NewReaderSize(lim, 4<<10)
 	for {
 		if y.closing.Load() && in.Buffered() == 0 {
@@ -134,7 +139,7 @@
 			}
 			return
 		}
-		if bad := misframed(r); bad != "" {
+		if bad := misframed(r, lim.heads); bad != "" {
 			y.turnAway(slots, 400, bad)
 			return
 		}
@@ -196,11 +201,11 @@
 }
 
 // misframed tells what is wrong with a request that might be read otherwise by another.
-func misframed(r *http.Request) string {
+func misframed(r *http.Request, heads *framing.Watch) string {
 	switch {
 	case !r.ProtoAtLeast(1, 1):
 		return "HTTP/1.1 is needed"
-	case len(r.TransferEncoding) > 0 && len(r.Header["Content-Length"]) > 0:
+	case len(r.TransferEncoding) > 0 && heads.Both():
 		return "Content-Length and Transfer-Encoding exclude each other"
 	case !strings.HasPrefix(r.RequestURI, "/"):
 		return "the target is not a path"
--- a/internal/switchyard/pull.go
+++ b/internal/switchyard/pull.go
@@ -16,9 +16,9 @@
 )
 
 const (
-	pullHold  = 1000 * time.Millisecond
-	pullSlack = 450 * time.Millisecond // beyond what is held
-	leastNamed = 2 // limiters in an answer of the directory, if so many are ready
+	pullHold   = 1000 * time.Millisecond
+	pullSlack  = 450 * time.Millisecond // beyond what is held
+	leastNamed = 2                      // limiters in an answer of the directory, if so many are ready
 	// A core machine that has had no proof for so long, or hears no majority, is left for
 	// another.
 	proofStale = 1600 * time.Millisecond
--- a/internal/switchyard/switchyard.go
+++ b/internal/switchyard/switchyard.go
@@ -69,10 +69,7 @@
 
 // Run serves until the context ends, which is a SIGTERM, and a while beyond.
 func Run(ctx context.Context, set *boot.Settings, log logrus.FieldLogger) error {
-	y := &Yard{set: set, log: log, caller: bell.NewCaller(), begun: time.Now(), self: fmt.Sprintf("%s#%08x", set.Node, rand.Uint32()),
-		cores: set.Cores(), nudge: make(chan struct{}, 1), book: stock.New(""), reg: &trainregister.Register{},
-		evacuate: map[string]bool{}, coldTo: map[string]time.Time{}, gone: map[string]bool{},
-		stations: map[string]*station{}, budget: map[string]*tries{}, ended: map[string]int{}}
+	y := newYardOf(set, log)
 	front, err := net.Listen("tcp", set.Listen["frontend"])
 	if err != nil {
 		return fmt.Errorf("switchyard: listen for clients: %w", err)
@@ -96,6 +93,14 @@
 	return nil
 }
 
+// newYardOf returns a limiter that knows nothing yet.
+func newYardOf(set *boot.Settings, log logrus.FieldLogger) *Yard {
+	return &Yard{set: set, log: log, caller: bell.NewCaller(), begun: time.Now(), self: fmt.Sprintf("%s#%08x", set.Node, rand.Uint32()),
+		cores: set.Cores(), nudge: make(chan struct{}, 1), book: stock.New(""), reg: &trainregister.Register{},
+		evacuate: map[string]bool{}, coldTo: map[string]time.Time{}, gone: map[string]bool{},
+		stations: map[string]*station{}, budget: map[string]*tries{}, ended: map[string]int{}}
+}
+
 // leave ends in order: out of the directory and not ready at once, no new request near the
 // end of the grace, and what is in hand is answered.
 func (y *Yard) leave(front net.Listener) {
--- /dev/null
+++ b/internal/switchyard/switchyard_test.go
@@ -0,0 +1,373 @@
+package switchyard
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"example.org/madderdrum/internal/bell"
+	"example.org/madderdrum/internal/boot"
+	"example.org/madderdrum/internal/roundhouse"
+	"example.org/madderdrum/stock"
+	"example.org/madderdrum/trainregister"
+)
+
+// yard is a limiter without its listeners, told directly what a core machine would tell.
+type yard struct {
+	*Yard
+	t       *testing.T
+	book    *stock.Book
+	version uint64
+}
+
+const routes = `{"config_version":"r1","base_revision":0,"limits":{"max_header_bytes":16384,"max_body_bytes":100000,"idle_timeout":"15s"},
+"tenants":[{"name":"t1","api_keys":["k1"],"rate_per_s":500,"burst_size":500}],
+"listeners":[{"hostname":"h","policy":[
+{"name":"read","route_type":"idempotent","target_latency":"600ms","match_criteria":{"path_prefix":"/read/"},"forward_action":{"service":"s","timeout":"1s","max_attempts":2}},
+{"name":"send","route_type":"non_idempotent","target_latency":"600ms","match_criteria":{"path_prefix":"/send/"},"forward_action":{"service":"s","timeout":"1s","max_attempts":2}}]}],
+"clusters":[{"name":"s","health_path":"/health","warmup":"3s","cold_per_s":3.6}]}`
+
+func newYard(t *testing.T) *yard {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	peers, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { peers.Close() })
+	set := &boot.Settings{Node: "e1", IP: "127.0.0.1", Zone: "z", Region: "r", Zones: map[string]string{"z": "r"}, Ports: [2]int{7460, 7475},
+		Bounds: boot.Bounds{RetryRatio: 0.2, QuotaWindow: 5 * time.Second, QuotaOvershoot: 0.1, QuotaSlack: 20, WarmupOvershoot: 1.5, WarmupSlack: 5}}
+	y := &yard{t: t, book: stock.New("core"), Yard: newYardOf(set, log)}
+	y.Yard.peers = peers
+	y.tell(&trainregister.Register{Seq: 1, Version: 1, Config: []byte(routes), Posts: []trainregister.Post{{Name: "e1", IP: "127.0.0.1", Zone: "z"}}})
+	return y
+}
+
+// tell has the limiter hear what is new in the core's book, and a register.
+func (y *yard) tell(reg *trainregister.Register) {
+	y.take(time.Now(), &roundhouse.Pulled{Register: reg, Records: y.book.Since(0, y.Yard.book.Vector()), Vector: y.book.Vector(), Proven: true, ProofMs: 1})
+}
+
+// server is a stand-in that answers each request with the next of its ways, the last for good.
+type server struct {
+	id, address string
+	mu          sync.Mutex
+	ways        []string
+	ran         []string // attempt ids
+}
+
+func (y *yard) server(id string, warmMs uint64, ways ...string) *server {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		y.t.Fatal(err)
+	}
+	y.t.Cleanup(func() { l.Close() })
+	s := &server{id: id, address: l.Addr().String(), ways: ways}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go s.conn(c)
+		}
+	}()
+	y.book.Beat(0, stock.Record{ID: id, Service: "s", Address: s.address, Zone: "z", Sequence: 1, WarmMs: warmMs})
+	return s
+}
+
+// conn serves one connection. A way is: ok, shed, misdirected, fail, cut (runs and closes), half (half
+// an answer), other (the answer of another request), twice (a second answer behind the first).
+func (s *server) conn(c net.Conn) {
+	defer c.Close()
+	in := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		id := r.Header.Get(headerAttempt)
+		s.mu.Lock()
+		way := s.ways[0]
+		if len(s.ways) > 1 {
+			s.ways = s.ways[1:]
+		}
+		if way != "shed" && way != "misdirected" {
+			s.ran = append(s.ran, id)
+		}
+		s.mu.Unlock()
+		answer := func(status int, id, extra, body string) string {
+			return fmt.Sprintf("HTTP/1.1 %d x\r\n%s: %s\r\n%sContent-Length: %d\r\n\r\n%s", status, headerAttempt, id, extra, len(body), body)
+		}
+		seal := headerSeal + ": 1\r\n"
+		whole := answer(200, id, seal, s.id+" "+string(body)+" "+r.Header.Get(headerTenant)+r.Header.Get(headerCredential))
+		switch way {
+		case "ok":
+			io.WriteString(c, whole)
+		case "shed":
+			io.WriteString(c, answer(503, id, headerUnrun+": 1\r\n", ""))
+		case "misdirected":
+			io.WriteString(c, answer(421, id, "", ""))
+		case "fail":
+			io.WriteString(c, answer(500, id, seal, "no"))
+		case "cut":
+			return
+		case "half":
+			io.WriteString(c, whole[:len(whole)-3])
+			return
+		case "other":
+			io.WriteString(c, answer(200, "another", seal, "another's"))
+		case "twice":
+			io.WriteString(c, whole+whole)
+		}
+	}
+}
+
+// client sends bytes on one connection and reads that many answers.
+func (y *yard) client(text string, n int) (all []*http.Response, bodies []string) {
+	y.t.Helper()
+	a, b := net.Pipe()
+	defer a.Close()
+	go y.Yard.client(b)
+	go io.WriteString(a, text)
+	a.SetReadDeadline(time.Now().Add(5 * time.Second))
+	in := bufio.NewReader(a)
+	for range n {
+		r, err := http.ReadResponse(in, nil)
+		if err != nil {
+			y.t.Fatalf("answer %d to %.60q: %v", len(all)+1, text, err)
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			y.t.Fatal(err)
+		}
+		all, bodies = append(all, r), append(bodies, string(body))
+	}
+	return all, bodies
+}
+
+func request(method, path, id, more, body string) string {
+	text := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: h\r\n%s: %s\r\n%s: 1000\r\n%s: k1\r\n%s", method, path, headerAttempt, id, headerDeadline, headerCredential, more)
+	if body != "" {
+		text += fmt.Sprintf("Content-Length: %d\r\n", len(body))
+	}
+	return text + "\r\n" + body
+}
+
+// What a request of each kind gets, and how often it runs, when its first server behaves in
+// each way: what can't be repeated runs once, and only what has not run gets a promise.
+func TestKindsAndWays(t *testing.T) {
+	for _, x := range []struct {
+		way        string
+		read, send int // status
+		runs       int // of the send
+	}{
+		{"ok", 200, 200, 1}, {"shed", 200, 200, 1}, {"misdirected", 200, 200, 1}, {"fail", 200, 500, 1}, {"cut", 200, 502, 1},
+		{"half", 200, 502, 1}, {"other", 200, 502, 1}, {"twice", 200, 200, 1},
+	} {
+		for _, send := range []bool{false, true} {
+			y := newYard(t)
+			var all []*server
+			for i := range 2 {
+				// Whichever is chosen first behaves so; the other one is well by then.
+				all = append(all, y.server(fmt.Sprintf("i-%d", i), 0, x.way, "ok"))
+			}
+			y.tell(nil)
+			y.mu.Lock()
+			y.budget["s"] = &tries{have: 1}
+			y.mu.Unlock()
+			method, path, want := "GET", "/read/1", x.read
+			if send {
+				method, path, want = "POST", "/send/1", x.send
+			}
+			if x.way != "ok" && !send { // the second is well at once
+				all[1].mu.Lock()
+				all[1].ways = []string{"ok"}
+				all[1].mu.Unlock()
+				all[0].mu.Lock()
+				all[0].ways = []string{x.way, "ok"}
+				all[0].mu.Unlock()
+			}
+			if send && (x.way == "shed" || x.way == "misdirected") {
+				all[1].mu.Lock()
+				all[1].ways = []string{"ok"}
+				all[1].mu.Unlock()
+			}
+			body := ""
+			if send {
+				body = "payload"
+			}
+			got, bodies := y.client(request(method, path, "id-1", "", body), 1)
+			if got[0].StatusCode != want {
+				t.Errorf("%s, send %v: %d, %d wanted", x.way, send, got[0].StatusCode, want)
+			}
+			if want == 200 && (!strings.Contains(bodies[0], "t1") || strings.Contains(bodies[0], "k1")) {
+				t.Errorf("%s: the server has seen %q: the tenant's name, and not the key", x.way, bodies[0])
+			}
+			runs := 0
+			for _, s := range all {
+				s.mu.Lock()
+				runs += len(s.ran)
+				s.mu.Unlock()
+			}
+			if send && runs != x.runs {
+				t.Errorf("%s: what can't be repeated ran %d times", x.way, runs)
+			}
+		}
+	}
+}
+
+// Requests that come at once on one connection are answered in their order, also where a later
+// one is ready first; what comes behind a late second answer belongs to nobody.
+func TestPipeline(t *testing.T) {
+	y := newYard(t)
+	y.server("i-1", 0, "twice", "ok")
+	y.tell(nil)
+	text := ""
+	for i := range 6 {
+		text += request("GET", "/read/1", fmt.Sprintf("id-%d", i), "", "")
+	}
+	got, _ := y.client(text, 6)
+	for i, r := range got {
+		if id := r.Header.Get(headerAttempt); id != fmt.Sprintf("id-%d", i) || r.StatusCode != 200 {
+			t.Errorf("answer %d is %d of %s", i, r.StatusCode, id)
+		}
+	}
+}
+
+func TestTurnedAway(t *testing.T) {
+	y := newYard(t)
+	y.server("i-1", 0, "ok")
+	y.tell(nil)
+	for name, x := range map[string]struct {
+		text   string
+		status int
+	}{
+		"no route":         {request("GET", "/none/", "a", "", ""), 404},
+		"unknown key":      {strings.Replace(request("GET", "/read/1", "a", "", ""), "k1", "k9", 1), 401},
+		"two keys":         {request("GET", "/read/1", "a", headerCredential+": k9\r\n", ""), 401},
+		"no id":            {strings.Replace(request("GET", "/read/1", "a", "", ""), headerAttempt, "X-Other", 1), 400},
+		"odd deadline":     {strings.Replace(request("GET", "/read/1", "a", "", ""), "1000", "soon", 1), 400},
+		"long head":        {request("GET", "/read/1", "a", "X-Long: "+strings.Repeat("x", 40000)+"\r\n", ""), 431},
+		"long body":        {request("POST", "/send/1", "a", "Content-Length: 200000\r\n", ""), 413},
+		"two lengths":      {request("POST", "/send/1", "a", "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n", ""), 400},
+		"no HTTP":          {"what is this\r\n\r\n", 400},
+		"whole, of HTTP/1": {strings.Replace(request("GET", "/read/1", "a", "", ""), "HTTP/1.1", "HTTP/1.0", 1), 400},
+		"a forged tenant":  {request("GET", "/read/1", "a", headerTenant+": someone\r\n", ""), 200},
+		"a chunked body":   {request("POST", "/send/1", "a", "Transfer-Encoding: chunked\r\n", "") + "3\r\nabc\r\n0\r\n\r\n", 200},
+	} {
+		got, bodies := y.client(x.text, 1)
+		if got[0].StatusCode != x.status {
+			t.Errorf("%s: %d, %d wanted", name, got[0].StatusCode, x.status)
+		}
+		if name == "a forged tenant" && strings.Contains(bodies[0], "someone") {
+			t.Errorf("the server has seen a tenant that the client named: %q", bodies[0])
+		}
+		if name == "a chunked body" && !strings.Contains(bodies[0], "abc") {
+			t.Errorf("the server has seen %q", bodies[0])
+		}
+	}
+}
+
+// However often the list of servers is made while many are cold, one timer waits.
+func TestOneTimerForTheList(t *testing.T) {
+	y := newYard(t)
+	for i := range 8 {
+		y.server(fmt.Sprintf("i-%d", i), 3000, "ok")
+	}
+	y.tell(nil)
+	y.mu.Lock()
+	defer y.mu.Unlock()
+	timers := map[*time.Timer]bool{}
+	for range 50 {
+		y.relist()
+		timers[y.listing] = true
+	}
+	if len(timers) > 25 {
+		t.Errorf("%d timers were set for one list", len(timers))
+	}
+}
+
+// A cold server gets no more than its allowance from this limiter, however much is asked.
+func TestColdAllowance(t *testing.T) {
+	y := newYard(t)
+	s := y.server("i-1", 60000, "ok")
+	y.tell(nil)
+	for i := range 40 {
+		y.client(request("GET", "/read/1", fmt.Sprintf("id-%d", i), "", ""), 1)
+	}
+	// One limiter of the zone and one that may join: 10.4 a second, less a tenth, over two.
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.ran) > 5 {
+		t.Errorf("a cold server got %d requests within a moment, 5 at most", len(s.ran))
+	}
+}
+
+// Where keys that are taken away bind strictly, none is honoured without a young proof.
+func TestNoProofNoKeys(t *testing.T) {
+	y := newYard(t)
+	y.set.Bounds.RevocationStrict, y.set.Bounds.Revoke = true, 5*time.Second
+	y.server("i-1", 0, "ok")
+	y.tell(nil)
+	if got, _ := y.client(request("GET", "/read/1", "a", "", ""), 1); got[0].StatusCode != 200 {
+		t.Errorf("%d with a young proof", got[0].StatusCode)
+	}
+	y.mu.Lock()
+	y.proved = time.Now().Add(-4600 * time.Millisecond)
+	y.mu.Unlock()
+	got, _ := y.client(request("GET", "/read/1", "a", "", ""), 1)
+	if got[0].StatusCode != 503 || got[0].Header.Get("Retry-After") == "" {
+		t.Errorf("%d with a proof of 4.6 s, 503 and a time to come back wanted", got[0].StatusCode)
+	}
+}
+
+// A pull says what this limiter lacks, and one that has news for the core goes at once.
+func TestPullAsksForWhatIsLacking(t *testing.T) {
+	y := newYard(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	asks := make(chan roundhouse.Pull, 4)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go bell.Serve(ctx, l, map[string]bell.Handler{roundhouse.CallPull: func(ctx context.Context, _ string, body []byte) (any, error) {
+		var m roundhouse.Pull
+		if err := bell.Decode(body, &m); err != nil {
+			return nil, err
+		}
+		asks <- m
+		if m.Me.State != stock.Draining {
+			<-ctx.Done() // held
+		}
+		return roundhouse.Pulled{Proven: true}, nil
+	}})
+	done := make(chan bool, 1)
+	go func() { done <- y.pull(ctx, l.Addr().String()) }()
+	if a := <-asks; a.Seq != 1 || a.Me.State != stock.Available {
+		t.Errorf("asked with %+v", a)
+	}
+	y.leaving.Store(true)
+	y.poke()
+	if !<-done {
+		t.Error("a pull that this limiter gave up speaks against the core machine")
+	}
+	y.pull(ctx, l.Addr().String())
+	if a := <-asks; a.Me.State != stock.Draining {
+		t.Errorf("a limiter that leaves says %v", a.Me.State)
+	}
+}
--- a/stock/stock.go
+++ b/stock/stock.go
@@ -9,7 +9,9 @@
 package stock
 
 import (
+	"fmt"
 	"hash/fnv"
+	"maps"
 	"slices"
 
 	"github.com/google/btree"
@@ -324,3 +326,28 @@
 	slices.Sort(all)
 	return all
 }
+
+// Report is one line of key=value pairs for each source and each service.
+func (b *Book) Report(now float64) (lines []string) {
+	for _, s := range b.Sources() {
+		lines = append(lines, fmt.Sprintf("source=%s version=%d", s, b.vector[s]))
+	}
+	counts, cold := map[string]*[len(stateNames)]int{}, map[string]int{}
+	b.Each(now, func(r Record) {
+		if counts[r.Service] == nil {
+			counts[r.Service] = &[len(stateNames)]int{}
+		}
+		counts[r.Service][r.State]++
+		if r.WarmMs > 0 {
+			cold[r.Service]++
+		}
+	})
+	for _, s := range slices.Sorted(maps.Keys(counts)) {
+		line := "service=" + s
+		for k, n := range counts[s] {
+			line += fmt.Sprintf(" %s=%d", stateNames[k], n)
+		}
+		lines = append(lines, fmt.Sprintf("%s cold=%d", line, cold[s]))
+	}
+	return lines
+}
