Many limiters: parts of small tenants are gathered at keepers; registries meet

Two of five core machines are no seeds, and the seeds' registries did not follow theirs: two servers in five were unknown.

Change: where an equal part holds less than two requests two limiters a region or more hold all of it, by rendezvous over the places, and the others ask one of them for each request; it answers at once out of its part. Registries tell of themselves in the book, and are followed by all. Choices scatter by as much again.

--- a/internal/roundhouse/outside.go
+++ b/internal/roundhouse/outside.go
@@ -152,7 +152,7 @@
 
 func (h *House) fetch(ctx context.Context) wicket.Answer {
 	until := time.Now().Add(storeWithin)
-	for _, ip := range append([]string{h.set.IP}, h.others...) {
+	for _, ip := range h.cores() {
 		left := time.Until(until)
 		if left < 50*time.Millisecond {
 			break
--- a/internal/roundhouse/roundhouse.go
+++ b/internal/roundhouse/roundhouse.go
@@ -43,9 +43,10 @@
 	log    logrus.FieldLogger
 	caller *bell.Caller
 	begun  time.Time
-	others []string // IP numbers of the other core machines
+	ctx    context.Context
 
 	mu      sync.Mutex
+	others  []string // IP numbers of the other core machines: those of the seeds, and those heard of
 	book    *stock.Book
 	news    chan struct{} // closed when the book or the register changes
 	reg     *trainregister.Register
@@ -89,14 +90,9 @@
 
 // Run serves until the context ends.
 func Run(ctx context.Context, set *boot.Settings, log logrus.FieldLogger) error {
-	h := &House{set: set, log: log, caller: bell.NewCaller(), begun: time.Now(), news: make(chan struct{}),
+	h := &House{set: set, log: log, ctx: ctx, caller: bell.NewCaller(), begun: time.Now(), news: make(chan struct{}),
 		reg: &trainregister.Register{}, met: map[string]time.Time{}, lives: map[string]time.Time{}, enrol: map[string]trainregister.Post{},
 		book: stock.New(fmt.Sprintf("%s#%08x", set.Node, rand.Uint32()))}
-	for _, ip := range set.Cores() {
-		if ip != set.IP && !slices.Contains(h.others, ip) {
-			h.others = append(h.others, ip)
-		}
-	}
 	inner, err := net.Listen("tcp", set.Internal(set.IP, boot.RoundhousePort))
 	if err != nil {
 		return fmt.Errorf("roundhouse: listen for other processes: %w", err)
@@ -107,11 +103,13 @@
 	}
 	go bell.Serve(ctx, inner, map[string]bell.Handler{CallPull: h.pull, callPush: h.pushed, callRepair: h.repaired, bell.CallStatus: h.status})
 	go (&wicket.Server{Handler: h.outside, MaxBody: maxBody}).Serve(ctx, outer)
-	for _, ip := range h.others {
-		go h.follow(ctx, ip)
+	h.mu.Lock()
+	for _, ip := range set.Cores() {
+		h.meet(ip)
 	}
+	h.mu.Unlock()
 	go h.watch(ctx)
-	log.WithFields(logrus.Fields{"others": len(h.others)}).Info("begins")
+	log.WithFields(logrus.Fields{"seeds": len(set.Cores())}).Info("begins")
 	h.keep(ctx)
 	return nil
 }
@@ -124,6 +122,40 @@
 	h.news = make(chan struct{})
 }
 
+// meet has another registry followed, from the first time that it is heard of. The mutex is
+// held.
+func (h *House) meet(ip string) {
+	if ip != h.set.IP && ip != "" && !slices.Contains(h.others, ip) {
+		h.others = append(h.others, ip)
+		go h.follow(h.ctx, ip)
+	}
+}
+
+// meetAll meets the registries that the book names. The mutex is held.
+func (h *House) meetAll() {
+	var found []string
+	h.book.Each(h.now(), func(r stock.Record) {
+		if r.Service == stock.Cores && r.State == stock.Available {
+			found = append(found, r.Address)
+		}
+	})
+	for _, ip := range found {
+		h.meet(ip)
+	}
+}
+
+// cores are the IP numbers of the core machines, this one first.
+func (h *House) cores() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return append([]string{h.set.IP}, h.others...)
+}
+
+// self is this registry's word of itself, with a number that rises.
+func (h *House) self() stock.Record {
+	return stock.Record{ID: h.source(), Service: stock.Cores, Address: h.set.IP, Zone: h.set.Zone, Sequence: uint64(h.now())}
+}
+
 // keep does what is due at intervals.
 func (h *House) keep(ctx context.Context) {
 	repairAt := time.Now().Add(repairEvery)
@@ -131,6 +163,10 @@
 		sleep(ctx, expireEvery)
 		h.mu.Lock()
 		beat := float64(h.set.Heartbeat) / float64(time.Millisecond)
+		if h.book.Beat(h.now(), h.self()) {
+			h.stir()
+		}
+		h.meetAll()
 		if !h.apart() && time.Since(h.begun) > 2*syncHold && h.book.Expire(h.now(), serverBeats*beat, limiterSilent, h.alive) {
 			h.stir()
 		}
@@ -165,6 +201,8 @@
 	for ctx.Err() == nil {
 		h.mu.Lock()
 		ask := Pull{Vector: copyOf(h.book.Vector()), HoldMs: uint64(syncHold / time.Millisecond), Source: h.source()}
+		me := h.self()
+		ask.Me = &me
 		h.mu.Unlock()
 		var a Pulled
 		if err := h.caller.Call(ctx, to, CallPull, ask, &a, syncHold+callSlack); err != nil {
@@ -205,7 +243,10 @@
 	if m.Source != "" {
 		h.lives[m.Source] = begun
 	}
-	if m.Me != nil {
+	switch {
+	case m.Me != nil && m.Me.Service == stock.Cores:
+		h.registry(*m.Me)
+	case m.Me != nil:
 		h.limiter(*m.Me)
 	}
 	for waiting := true; waiting && !h.book.Lacks(m.Vector) && (m.Source != "" || h.reg.Seq <= m.Seq); {
@@ -239,6 +280,15 @@
 	return a, nil
 }
 
+// registry takes in another registry's word of itself, if nobody has told of it yet. The mutex
+// is held.
+func (h *House) registry(r stock.Record) {
+	if _, known := h.book.Get(h.now(), r.ID); !known && h.book.Beat(h.now(), r) {
+		h.stir()
+	}
+	h.meet(r.Address)
+}
+
 // limiter takes in a limiter's word of itself. Its earlier lives are over. The mutex is held.
 func (h *House) limiter(r stock.Record) {
 	now := h.now()
@@ -293,18 +343,19 @@
 	h.mu.Lock()
 	r, _ := h.book.Get(h.now(), id)
 	h.mu.Unlock()
-	need := (len(h.others)+1)/2 + 1 - 1 // this one has it
+	others := h.cores()[1:]
+	need := (len(others)+1)/2 + 1 - 1 // this one has it
 	if need == 0 {
 		return true
 	}
-	done := make(chan bool, len(h.others))
-	for _, ip := range h.others {
+	done := make(chan bool, len(others))
+	for _, ip := range others {
 		go func() {
 			err := h.caller.Call(ctx, h.set.Internal(ip, boot.RoundhousePort), callPush, []stock.Record{r}, nil, pushWithin)
 			done <- err == nil
 		}()
 	}
-	for range h.others {
+	for range others {
 		if <-done {
 			if need--; need == 0 {
 				return true
@@ -329,10 +380,11 @@
 
 // repair compares digests with one other registry, and mends what differs.
 func (h *House) repair(ctx context.Context) {
-	if len(h.others) == 0 {
+	others := h.cores()[1:]
+	if len(others) == 0 {
 		return
 	}
-	ip := h.others[rand.IntN(len(h.others))]
+	ip := others[rand.IntN(len(others))]
 	h.mu.Lock()
 	d := h.book.Digests()
 	h.mu.Unlock()
@@ -359,8 +411,9 @@
 
 // watch follows the store of configuration on this machine or, while that is down, another.
 func (h *House) watch(ctx context.Context) {
-	stores := append([]string{h.set.IP}, h.others...)
 	for k := 0; ctx.Err() == nil; {
+		stores := h.cores()
+		k %= len(stores)
 		h.mu.Lock()
 		ask := signalbox.Watch{Seq: h.reg.Seq, HoldMs: uint64(watchHold / time.Millisecond)}
 		h.mu.Unlock()
@@ -413,7 +466,7 @@
 // order gives an order to a store. ok is false when no clear answer came.
 func (h *House) order(ctx context.Context, o trainregister.Order) (out trainregister.Outcome, ok bool) {
 	until := time.Now().Add(storeWithin)
-	for _, ip := range append([]string{h.set.IP}, h.others...) {
+	for _, ip := range h.cores() {
 		left := time.Until(until)
 		if left < 50*time.Millisecond {
 			break
--- a/internal/switchyard/engine.go
+++ b/internal/switchyard/engine.go
@@ -20,6 +20,7 @@
 	y       *Yard
 	lim     *limiter.Limiter
 	size    int // limiters of the set
+	place   int // this one's among them
 	queue   []limiter.Event
 	working bool
 	calls   map[string]*call
@@ -32,6 +33,9 @@
 	loans   loans
 	// ceilings are the plans by the accounts of their tenants.
 	ceilings map[uint64]limiter.Plan
+	planOf   map[uint64]int   // plans by account
+	keepers  map[uint64][]int // of accounts whose parts are gathered
+	ask      *tokenAnswer     // of another limiter, while it is decided on
 }
 
 // entry is a server in one pool.
@@ -49,7 +53,9 @@
 	stretch = 3.0
 	// Messages a second that a limiter takes in about tenants' spending: a few.
 	peerInPerS = 3.0
-	advice     = 150.0 // ms to stay away where the decisions give none
+	// By so much choices scatter among limiters that each know little of a server.
+	scatter = 1.0
+	advice  = 150.0 // ms to stay away where the decisions give none
 	// By how much more answers from afar count as they take. What crosses regions is paid for,
 	// most of all downloads.
 	farZone     = 0.3
@@ -60,7 +66,7 @@
 // settings are those of the decisions for a table.
 func (e *engine) settings(t *timetable.Table, position int) (s limiter.Settings, classes, plans map[string]int) {
 	b := &e.y.set.Bounds
-	s = limiter.Settings{Position: position, Balancers: e.size, Zone: 0, PeerInPerS: peerInPerS,
+	s = limiter.Settings{Position: position, Balancers: e.size, Zone: 0, PeerInPerS: peerInPerS, Scatter: scatter,
 		Caps:  limiter.Caps{Attempts: 8, Peers: e.size > 1, Probes: true, RetryAfter: true, MaxWaitMs: 1000, ConnectMs: 300},
 		Rules: limiter.Rules{FallMs: 1000}}
 	classes, plans = map[string]int{}, map[string]int{}
@@ -83,7 +89,7 @@
 		s.Classes = []limiter.Class{{AimMs: 1000, DeadlineMs: 1000, Worth: 1}}
 	}
 	s.Plans = []limiter.Plan{{Price: 1}} // of requests without a tenant
-	e.ceilings = map[uint64]limiter.Plan{}
+	e.ceilings, e.planOf, e.keepers = map[uint64]limiter.Plan{}, map[uint64]int{}, map[uint64][]int{}
 	window := max(1, b.QuotaWindow.Seconds())
 	for i := range t.Tenants {
 		tn := &t.Tenants[i]
@@ -97,8 +103,12 @@
 			p.Burst = max(1, tn.Burst*(1+b.QuotaOvershoot)+capSlack*b.QuotaSlack+capOvershoot*b.QuotaOvershoot*tn.Rate*window)
 			p.CeilingRate, p.CeilingBurst = p.Rate, p.Burst
 		}
+		e.planOf[account(tn.Name)] = len(s.Plans)
 		s.Plans = append(s.Plans, p)
 		e.ceilings[account(tn.Name)] = p
+		if k := keepersOf(tn.Name, p, e.y.reg.Posts, e.y.set.Zones); k != nil {
+			e.keepers[account(tn.Name)] = k
+		}
 	}
 	return s, classes, plans
 }
@@ -127,6 +137,9 @@
 			continue
 		}
 		share := min(p.CeilingBurst, beginSlack*b.QuotaSlack+leastDown*p.CeilingRate) / n
+		if e.keepers[account(tenant)] != nil {
+			share = 0 // what a keeper begins with comes up with its part's rate
+		}
 		h.Accounts = append(h.Accounts, limiter.AccountMemory{ID: account(tenant), Plan: i, Spread: e.size, Balance: p.Burst, Share: share})
 	}
 	e.handle(limiter.Recall{Memory: &limiter.Memory{Handover: h}})
@@ -163,7 +176,7 @@
 	size := len(y.reg.Posts)
 	e := y.engine
 	if e == nil || e.size != size {
-		e = &engine{y: y, size: size, calls: map[string]*call{}, pools: map[string]uint64{}, ids: map[string]uint64{}, servers: map[uint64]*entry{}}
+		e = &engine{y: y, size: size, place: position, calls: map[string]*call{}, pools: map[string]uint64{}, ids: map[string]uint64{}, servers: map[uint64]*entry{}}
 		e.name(t)
 		s, classes, plans := e.settings(t, position)
 		lim, err := limiter.New(s, uint64(time.Now().UnixNano()))
@@ -194,6 +207,7 @@
 	classAt := from(e.classes, classes, max(1, len(e.classes)))
 	e.handle(limiter.Reconfigure{Settings: s, Classes: classAt, Plans: planAt})
 	e.classes, e.plans = classes, plans
+	e.parts()
 }
 
 // name gives the services and homes of a table their pools.
@@ -386,7 +400,15 @@
 		if c := e.calls[a.ID]; c != nil {
 			e.passOn(c, a)
 		}
+	case limiter.Grant:
+		if e.ask != nil {
+			e.ask.OK = true
+		}
 	case limiter.Refuse:
+		if e.ask != nil && strings.HasPrefix(a.ID, asksID) {
+			e.ask.WaitMs = a.WaitMs
+			return
+		}
 		if c := e.calls[a.ID]; c != nil {
 			c.next(step{refuse: &a})
 		}
--- a/internal/switchyard/front.go
+++ b/internal/switchyard/front.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -320,6 +321,7 @@
 	arrived int // at servers
 	over    bool
 
+	paid bool    // another limiter has taken the token
 	ran  bool    // some attempt may have run
 	last *answer // a server's own answer that is of no use, for want of a better one
 }
@@ -399,16 +401,49 @@
 		y.budget[c.service] = b
 	}
 	b.earn(y.set.Bounds.RetryRatio)
+	gathered := tenant != nil && c.e.keepers[account(tenant.Name)] != nil
+	keeps := gathered && slices.Contains(c.e.keepers[account(tenant.Name)], c.e.place)
+	if gathered && !keeps {
+		y.mu.Unlock()
+		ok, wait := y.token(c)
+		if !ok {
+			return &answer{status: 429, retryAfter: wait, why: "keepers"}
+		}
+		c.paid = true
+		y.mu.Lock()
+	}
+	return c.submit(patience, keeps)
+}
+
+// submit has the decisions decide on a call, and gives it its answer. The mutex is held at
+// first. keeps tells that this limiter is a keeper of the tenant: where its part is short another
+// may have a token.
+func (c *call) submit(patience time.Duration, keeps bool) *answer {
+	y, route, tenant := c.y, c.route, c.tenant
 	c.e.calls[c.id] = c
 	ev := limiter.Submit{ID: c.id, ExpiresMs: stretch * ms(patience), Units: 1, Class: c.e.classes[route.Name], Spread: c.e.size,
 		Pool: c.e.poolOf(c.service, route, tenant)}
 	if tenant != nil {
 		ev.Plan, ev.Customer = c.e.plans[tenant.Name], account(tenant.Name)
 	}
+	if c.paid {
+		ev.Leased = 1
+	}
 	c.e.partsDue()
 	c.e.handle(ev)
 	y.mu.Unlock()
 	a := c.run()
+	if a.status == 429 && keeps && !c.paid {
+		if ok, wait := y.token(c); ok {
+			y.mu.Lock()
+			c.paid = true
+			c.e.handle(ev2(ev))
+			y.mu.Unlock()
+			a = c.run()
+		} else {
+			a.retryAfter = wait
+		}
+	}
 	y.mu.Lock()
 	c.over = true
 	delete(c.e.calls, c.id)
@@ -427,6 +462,12 @@
 	y.mu.Unlock()
 }
 
+// ev2 is a submit that another limiter has paid for.
+func ev2(ev limiter.Submit) limiter.Submit {
+	ev.Leased = 1
+	return ev
+}
+
 // share draws a service of a route by their weights.
 func share(r *timetable.Route, x float64) string {
 	if len(r.To) == 1 {
--- a/internal/switchyard/loans.go
+++ b/internal/switchyard/loans.go
@@ -16,6 +16,8 @@
 const (
 	datagramSpending byte = 1 // of package limiter
 	datagramLoans    byte = 2 // of package wagons, in CBOR
+	datagramAsk      byte = 3 // a tokenAsk, in CBOR
+	datagramAnswer   byte = 4 // a tokenAnswer, in CBOR
 )
 
 const loansEvery = 400 * time.Millisecond
@@ -55,6 +57,9 @@
 	var all []wagons.Account
 	n := float64(e.size)
 	for _, d := range e.lim.Demands() {
+		if e.keepers[d.Account] != nil {
+			continue
+		}
 		p := e.ceilings[d.Account]
 		all = append(all, wagons.Account{ID: d.Account, Rate: p.CeilingRate / n, Burst: p.CeilingBurst / n, Asked: d.Asked})
 	}
@@ -78,6 +83,12 @@
 // parts has the parts that are held now be in force. The mutex is held.
 func (e *engine) parts() {
 	of, rest, until := e.loans.desk.Parts(e.y.now())
+	for id, keepers := range e.keepers {
+		of[id] = 0
+		if slices.Contains(keepers, e.place) {
+			of[id] = float64(e.size) / float64(len(keepers))
+		}
+	}
 	e.loans.until = until
 	if rest == e.loans.rest && maps.Equal(of, e.loans.of) {
 		return
@@ -131,6 +142,19 @@
 		switch kind {
 		case datagramSpending:
 			e.handle(limiter.PeerMessage{From: i, Data: data})
+		case datagramAsk:
+			var m tokenAsk
+			if bell.Decode(data, &m) == nil {
+				y.tell(y.set.Internal(ip, boot.SwitchyardPort), datagramAnswer, bell.Encode(e.asked(m)))
+			}
+		case datagramAnswer:
+			var a tokenAnswer
+			if bell.Decode(data, &a) == nil && y.asks[a.Serial] != nil {
+				select {
+				case y.asks[a.Serial] <- a:
+				default: // doubled
+				}
+			}
 		case datagramLoans:
 			var m wagons.Message
 			if bell.Decode(data, &m) != nil {
--- a/internal/switchyard/pull.go
+++ b/internal/switchyard/pull.go
@@ -29,6 +29,8 @@
 func (y *Yard) pulls(ctx context.Context) {
 	k := rand.IntN(len(y.cores))
 	for failed := 0; ctx.Err() == nil; {
+		y.meet()
+		k %= len(y.cores)
 		to := y.set.Internal(y.cores[k], boot.RoundhousePort)
 		if y.pull(ctx, to) {
 			failed = 0
@@ -41,6 +43,17 @@
 	}
 }
 
+// meet has the core machines that the book names asked too: seeds may be gone.
+func (y *Yard) meet() {
+	y.mu.Lock()
+	defer y.mu.Unlock()
+	y.book.Each(y.now(), func(r stock.Record) {
+		if r.Service == stock.Cores && r.State == stock.Available && !slices.Contains(y.cores, r.Address) {
+			y.cores = append(y.cores, r.Address)
+		}
+	})
+}
+
 // pull asks once and takes in the answer. It tells whether the other may be asked again.
 func (y *Yard) pull(ctx context.Context, to string) bool {
 	y.mu.Lock()
--- a/internal/switchyard/switchyard.go
+++ b/internal/switchyard/switchyard.go
@@ -50,9 +50,11 @@
 	stations map[string]*station
 	budget   map[string]*tries // of further arrivals, by service
 	logged   time.Time
-	listing  *time.Timer    // makes the list of servers anew
-	listAt   time.Time      // when; zero: not due
-	ended    map[string]int // answers since the last line about them, by status and reason
+	asks     map[uint64]chan tokenAnswer // that wait for a keeper
+	serial   uint64                      // of the latest
+	listing  *time.Timer                 // makes the list of servers anew
+	listAt   time.Time                   // when; zero: not due
+	ended    map[string]int              // answers since the last line about them, by status and reason
 }
 
 // view is what a request needs of a version; it does not change.
@@ -98,7 +100,7 @@
 	return &Yard{set: set, log: log, caller: bell.NewCaller(), begun: time.Now(), self: fmt.Sprintf("%s#%08x", set.Node, rand.Uint32()),
 		cores: set.Cores(), nudge: make(chan struct{}, 1), book: stock.New(""), reg: &trainregister.Register{},
 		evacuate: map[string]bool{}, coldTo: map[string]time.Time{}, gone: map[string]bool{},
-		stations: map[string]*station{}, budget: map[string]*tries{}, ended: map[string]int{}}
+		stations: map[string]*station{}, budget: map[string]*tries{}, ended: map[string]int{}, asks: map[uint64]chan tokenAnswer{}}
 }
 
 // leave ends in order: out of the directory and not ready at once, no new request near the
--- a/internal/switchyard/switchyard_test.go
+++ b/internal/switchyard/switchyard_test.go
@@ -17,6 +17,7 @@
 	"example.org/madderdrum/internal/bell"
 	"example.org/madderdrum/internal/boot"
 	"example.org/madderdrum/internal/roundhouse"
+	"example.org/madderdrum/limiter"
 	"example.org/madderdrum/stock"
 	"example.org/madderdrum/trainregister"
 )
@@ -371,3 +372,52 @@
 		t.Errorf("a limiter that leaves says %v", a.Me.State)
 	}
 }
+
+// Parts that would hold less than two requests are gathered: each region has two keepers or
+// more, the same ones whoever works it out, and their parts come to the whole ceiling.
+func TestKeepers(t *testing.T) {
+	var posts []trainregister.Post
+	zones := map[string]string{}
+	for i := range 85 {
+		zone := fmt.Sprintf("z%d", i%9)
+		zones[zone] = fmt.Sprintf("r%d", i%3)
+		posts = append(posts, trainregister.Post{Name: fmt.Sprintf("e%d", i), Zone: zone})
+	}
+	plan := limiter.Plan{CeilingRate: 9, CeilingBurst: 26}
+	a := keepersOf("t", plan, posts, zones)
+	byRegion := map[string]int{}
+	for _, k := range a {
+		byRegion[zones[posts[k].Zone]]++
+	}
+	if len(byRegion) != 3 || byRegion["r0"] < leastKeepers || byRegion["r1"] < leastKeepers || byRegion["r2"] < leastKeepers {
+		t.Errorf("keepers by region: %v", byRegion)
+	}
+	if fmt.Sprint(a) != fmt.Sprint(keepersOf("t", plan, posts, zones)) {
+		t.Error("two limiters work out other keepers")
+	}
+	if keepersOf("t", limiter.Plan{CeilingRate: 200, CeilingBurst: 300}, posts, zones) != nil {
+		t.Error("parts of three requests and more are of use as they are")
+	}
+}
+
+// A keeper pays for what another limiter asks as long as its part lasts, and then says no.
+func TestKeeperPaysOutOfItsPart(t *testing.T) {
+	y := newYard(t)
+	y.server("i-1", 0, "ok")
+	y.tell(nil)
+	y.mu.Lock()
+	defer y.mu.Unlock()
+	id := account("t1")
+	paid := 0
+	for i := range 2000 {
+		if y.engine.asked(tokenAsk{Serial: uint64(i), Account: id, Route: "read", Service: "s"}).OK {
+			paid++
+		}
+	}
+	if most := y.engine.ceilings[id].CeilingBurst; float64(paid) > most+100 || paid < 100 {
+		t.Errorf("%d of 2000 asks were paid for, the ceiling holds %.0f", paid, most)
+	}
+	if y.engine.asked(tokenAsk{Account: id, Route: "none"}).OK || y.engine.asked(tokenAsk{Account: 1, Route: "read", Service: "s"}).OK {
+		t.Error("an ask for a route or a tenant that is not there is paid for")
+	}
+}
--- a/limiter/api.go
+++ b/limiter/api.go
@@ -23,7 +23,10 @@
 	PeerInPerS float64 // messages a second that a gateway takes in
 	TrueUp     bool    // units are a guess, settled by the answer
 	CrossPrice float64 // price of one attempt that crosses zones
-	AskWithin  float64 // ms within which membership must be asked again
+	// Scatter has a choice differ by chance from the best by so much more: where many gateways
+	// send each server little, all know the same fast ones idle.
+	Scatter   float64
+	AskWithin float64 // ms within which membership must be asked again
 	// Spills are pools with tiers of preference: of each tier the share of requests that
 	// may spill to the next one while it has servers that can be used.
 	Spills map[uint64][]float64
--- a/stock/stock.go
+++ b/stock/stock.go
@@ -47,8 +47,11 @@
 	Since    uint64 `cbor:"11,keyasint,omitempty"` // ms for which it has stood so, when it is told
 }
 
-// Limiters is the service of limiters themselves.
-const Limiters = "@limiters"
+// Limiters is the service of limiters themselves, Cores that of registries.
+const (
+	Limiters = "@limiters"
+	Cores    = "@cores"
+)
 
 // newer tells that a takes the place of b.
 func newer(a, b *Record) bool {
@@ -243,7 +246,7 @@
 	var due, old []*entry
 	b.all.Ascend(func(e *entry) bool {
 		limit := servers
-		if e.Service == Limiters {
+		if e.Service == Limiters || e.Service == Cores {
 			limit = limiters
 		}
 		switch silent := now - e.heardAt; {
