Core machines that no seed names come to vote: voters change by joint rounds

Need: five core machines bear the loss of two with their disks, and a process is told three of them. Change: the register holds its voters, and while they change those before them; a round counts by both sets, and a proposer that meets a newer set begins again with it. A machine that starts with the system and has no vote asks for one. A lost disk reads of each set that the newest value counts by.

--- a/interlocking/interlocking.go
+++ b/interlocking/interlocking.go
@@ -10,7 +10,10 @@
 // record must be safe on disk before its reply leaves.
 package interlocking
 
-import "cmp"
+import (
+	"cmp"
+	"slices"
+)
 
 // Ballot orders rounds. The zero Ballot is before all others.
 type Ballot struct {
@@ -98,46 +101,63 @@
 // many others that whatever a majority accepted, or promised, is among what it has read even
 // if lost disks were in that majority: all but lost of the n machines, which it is one of.
 type Restore struct {
-	n, lost int
-	read    map[uint64]Reply
+	lost int
+	read map[string]Reply
 }
 
 // NewRestore begins to read. lost is how many disks may be lost at once.
-func NewRestore(n, lost int) *Restore {
-	return &Restore{n: n, lost: max(1, lost), read: map[uint64]Reply{}}
+func NewRestore(lost int) *Restore {
+	return &Restore{lost: max(1, lost), read: map[string]Reply{}}
 }
 
 // Read takes in what another machine tells. One that is blank itself says nothing.
-func (r *Restore) Read(from uint64, m Reply) {
+func (r *Restore) Read(from string, m Reply) {
 	if m.OK {
 		r.read[from] = m
 	}
 }
 
-// Done gives the record to begin with, once enough was read.
-func (r *Restore) Done() (Record, bool) {
-	if len(r.read) < r.n-r.lost {
-		return Record{}, false
+// Newest is the newest value read.
+func (r *Restore) Newest() (newest Reply) {
+	for _, m := range r.read {
+		if m.Accepted.Compare(newest.Accepted) > 0 {
+			newest = m
+		}
 	}
-	var rec Record
+	return newest
+}
+
+// Done gives the record to begin with, once enough was read of each of the sets of voters that
+// the newest value read counts by.
+func (r *Restore) Done(sets ...[]string) (Record, bool) {
+	for _, set := range sets {
+		have := 0
+		for _, v := range set {
+			if _, ok := r.read[v]; ok {
+				have++
+			}
+		}
+		if have < len(set)-min(r.lost, (len(set)-1)/2) {
+			return Record{}, false
+		}
+	}
+	newest := r.Newest()
+	rec := Record{Accepted: newest.Accepted, Value: newest.Value}
 	for _, m := range r.read {
 		if m.Promised.Compare(rec.Promised) > 0 {
 			rec.Promised = m.Promised
 		}
-		if m.Accepted.Compare(rec.Accepted) > 0 {
-			rec.Accepted, rec.Value = m.Accepted, m.Value
-		}
 	}
 	return rec, true
 }
 
-// Round is one ballot as its proposer sees it.
+// Round is one ballot as its proposer sees it. Usually it counts by one set of voters. While
+// the voters change it counts by the old and the new set, and needs a majority of each.
 type Round struct {
 	Ballot   Ballot
-	n        int
-	promised map[uint64]bool
-	voted    map[uint64]bool
-	same     int // promises whose accepted ballot is the newest one told
+	sets     [][]string
+	promised map[string]Ballot // what those who promised have accepted
+	voted    map[string]bool
 	newest   Reply
 	highest  Ballot // seen in a refusal
 	phase    Phase
@@ -154,9 +174,25 @@
 	Beaten // another ballot is ahead
 )
 
-// NewRound begins a round among n acceptors. Its first message is Prepare.
-func NewRound(n int, b Ballot) *Round {
-	return &Round{Ballot: b, n: n, promised: map[uint64]bool{}, voted: map[uint64]bool{}}
+// NewRound begins a round that counts by sets of voters. Its first message is Prepare.
+func NewRound(b Ballot, sets ...[]string) *Round {
+	return &Round{Ballot: b, sets: sets, promised: map[string]Ballot{}, voted: map[string]bool{}}
+}
+
+// Agreed tells that a majority of each set is in.
+func Agreed(sets [][]string, in func(voter string) bool) bool {
+	for _, set := range sets {
+		n := 0
+		for _, v := range set {
+			if in(v) {
+				n++
+			}
+		}
+		if n < Majority(len(set)) {
+			return false
+		}
+	}
+	return true
 }
 
 // Phase is how far the round has come.
@@ -164,25 +200,22 @@
 
 // Promise takes in an answer to Prepare and tells that a majority has promised just now: the
 // newest value is then known, and Accept is to be sent with what is made of it.
-func (r *Round) Promise(from uint64, m Reply) bool {
-	if r.phase != Preparing || r.promised[from] {
+func (r *Round) Promise(from string, m Reply) bool {
+	if _, twice := r.promised[from]; r.phase != Preparing || twice {
 		return false
 	}
 	if !m.OK {
 		r.refused(m)
 		return false
 	}
-	r.promised[from] = true
+	r.promised[from] = m.Accepted
 	switch c := m.Accepted.Compare(r.newest.Accepted); {
 	case c > 0:
-		r.newest, r.same = m, 1
-	case c == 0:
-		r.same++
-		if r.newest.Value == nil {
-			r.newest.Value = m.Value
-		}
+		r.newest = m
+	case c == 0 && r.newest.Value == nil:
+		r.newest.Value = m.Value
 	}
-	if len(r.promised) < Majority(r.n) {
+	if !Agreed(r.sets, func(v string) bool { _, ok := r.promised[v]; return ok }) {
 		return false
 	}
 	r.phase = Accepting
@@ -195,11 +228,15 @@
 
 // Unanimous tells that a majority has accepted the newest value: it is chosen already.
 func (r *Round) Unanimous() bool {
-	return r.phase == Accepting && r.same >= Majority(r.n) && r.newest.Accepted != Ballot{}
+	return r.phase == Accepting && r.newest.Accepted != Ballot{} &&
+		Agreed(r.sets, func(v string) bool { a, ok := r.promised[v]; return ok && a == r.newest.Accepted })
 }
 
+// Widen has the votes count by another set too: the voters that the value brings in.
+func (r *Round) Widen(set []string) { r.sets = append(slices.Clone(r.sets), set) }
+
 // Vote takes in an answer to Accept and tells that the value is chosen just now.
-func (r *Round) Vote(from uint64, m Reply) bool {
+func (r *Round) Vote(from string, m Reply) bool {
 	if r.phase != Accepting || r.voted[from] {
 		return false
 	}
@@ -208,7 +245,7 @@
 		return false
 	}
 	r.voted[from] = true
-	if len(r.voted) < Majority(r.n) {
+	if !Agreed(r.sets, func(v string) bool { return r.voted[v] }) {
 		return false
 	}
 	r.phase = Chosen
--- a/internal/signalbox/signalbox.go
+++ b/internal/signalbox/signalbox.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"hash/fnv"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -42,9 +43,9 @@
 	set    *boot.Settings
 	log    logrus.FieldLogger
 	caller *bell.Caller
-	voters []string // IP numbers, sorted
-	me     int      // this one's place among them; -1: none
+	first  []string // the voters that everyone began with: IP numbers, sorted
 	life   uint64
+	node   uint64 // of its ballots: no two stores share one
 	orders chan *pending
 
 	accepting sync.Mutex // round the acceptor and the disk
@@ -59,6 +60,7 @@
 	changed chan struct{} // closed when reg changes
 	proved  time.Time     // nothing newer had been chosen then
 	number  uint64        // of the latest ballot seen
+	hint    [][]string    // sets of voters that a round has met, newer than those of reg
 	ahead   time.Time     // since when another's value is accepted and not chosen, as far as known
 }
 
@@ -120,20 +122,19 @@
 	if err != nil {
 		return err
 	}
-	b := &Box{set: set, log: log, caller: bell.NewCaller(), disk: d, life: rand.Uint64(),
+	b := &Box{set: set, log: log, caller: bell.NewCaller(), disk: d, life: rand.Uint64(), node: nodeOf(set.IP),
 		orders: make(chan *pending, 64), reg: &trainregister.Register{}, changed: make(chan struct{})}
-	b.voters = k.voters
-	if b.voters == nil {
-		b.voters = slices.Clone(set.Cores())
-		slices.Sort(b.voters)
-		b.voters = slices.Compact(b.voters)
+	b.first = k.voters
+	if b.first == nil {
+		b.first = slices.Clone(set.Cores())
+		slices.Sort(b.first)
+		b.first = slices.Compact(b.first)
 	}
-	b.me = slices.Index(b.voters, set.IP)
 	b.acceptor.Record = k.record
 	switch {
 	case k.found:
 	case set.Bootstrap:
-		if err := d.begin(&b.acceptor.Record, b.voters); err != nil {
+		if err := d.begin(&b.acceptor.Record, b.first); err != nil {
 			return fmt.Errorf("signalbox: begin the log: %w", err)
 		}
 	default:
@@ -144,7 +145,7 @@
 	if err != nil {
 		return fmt.Errorf("signalbox: listen for other processes: %w", err)
 	}
-	log.WithFields(logrus.Fields{"voters": len(b.voters), "place": b.me, "blank": b.acceptor.Record.Blank,
+	log.WithFields(logrus.Fields{"voters": len(b.first), "votes": slices.Contains(b.first, set.IP), "blank": b.acceptor.Record.Blank,
 		"accepted": b.acceptor.Record.Accepted.Number}).Info("begins")
 	go bell.Serve(ctx, l, map[string]bell.Handler{
 		callPrepare: b.prepare, callAccept: b.accept, callRead: b.read, callChosen: b.hear,
@@ -154,11 +155,21 @@
 	if b.acceptor.Record.Blank {
 		go b.restore(ctx)
 	}
+	if set.Bootstrap && !slices.Contains(b.first, set.IP) {
+		go b.takeSeat(ctx)
+	}
 	go b.confirm(ctx)
 	b.propose(ctx)
 	return nil
 }
 
+// nodeOf is a store's number in ballots.
+func nodeOf(ip string) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(ip))
+	return h.Sum64()
+}
+
 var errSick = errors.New("the disk takes no record")
 
 // vote has a changed record written down, or takes the change back.
@@ -168,7 +179,7 @@
 	before := b.acceptor.Record
 	r, write := do()
 	if write {
-		if err := b.disk.write(&b.acceptor.Record, &before, b.voters); err != nil {
+		if err := b.disk.write(&b.acceptor.Record, &before, b.first); err != nil {
 			b.acceptor.Record = before
 			b.log.WithField("err", err).Warn("disk fails")
 			return interlocking.Reply{}, errSick
@@ -256,7 +267,7 @@
 	if ballot.Compare(b.chosen) <= 0 {
 		return
 	}
-	b.chosen, b.value = ballot, value
+	b.chosen, b.value, b.hint = ballot, value, nil
 	b.number = max(b.number, ballot.Number)
 	if reg.Seq == b.reg.Seq {
 		return
@@ -269,24 +280,42 @@
 
 // answered is a voter's answer to a message of a round.
 type answered struct {
-	from  uint64
+	from  string
 	reply interlocking.Reply
 	err   error
 }
 
-// ask sends a message to all voters, itself among them; answers come as they are there.
-func (b *Box) ask(ctx context.Context, call string, m any, self func() (interlocking.Reply, error)) <-chan answered {
-	out := make(chan answered, len(b.voters))
-	for i, ip := range b.voters {
+// sets are the sets of voters to count by, as far as known here. The mutex is held.
+func (b *Box) sets() [][]string {
+	if b.hint != nil {
+		return b.hint
+	}
+	return b.reg.Sets(b.first)
+}
+
+// union are the voters of all sets, each once.
+func union(sets [][]string) (voters []string) {
+	for _, s := range sets {
+		voters = append(voters, s...)
+	}
+	slices.Sort(voters)
+	return slices.Compact(voters)
+}
+
+// ask sends a message to voters, which may be this store itself; answers come as they are
+// there.
+func (b *Box) ask(ctx context.Context, voters []string, call string, m any, self func() (interlocking.Reply, error)) <-chan answered {
+	out := make(chan answered, len(voters))
+	for _, ip := range voters {
 		go func() {
 			var r interlocking.Reply
 			var err error
-			if i == b.me {
+			if ip == b.set.IP {
 				r, err = self()
 			} else {
 				err = b.caller.Call(ctx, b.set.Internal(ip, boot.SignalboxPort), call, m, &r, callWithin)
 			}
-			out <- answered{uint64(i), r, err}
+			out <- answered{ip, r, err}
 		}()
 	}
 	return out
@@ -337,13 +366,15 @@
 func (b *Box) round(ctx context.Context, all []*pending) bool {
 	b.mu.Lock()
 	b.number++
-	ballot := interlocking.Ballot{Number: b.number, Node: uint64(b.me + 1), Life: b.life}
+	ballot := interlocking.Ballot{Number: b.number, Node: b.node, Life: b.life}
 	known, own := b.chosen, b.value
+	sets := b.sets()
 	b.mu.Unlock()
-	r, begun := interlocking.NewRound(len(b.voters), ballot), time.Now()
+	r, begun := interlocking.NewRound(ballot, sets...), time.Now()
+	voters := union(sets)
 	prep := interlocking.Prepare{Ballot: ballot, Known: known}
-	answers := b.ask(ctx, callPrepare, prep, func() (interlocking.Reply, error) { return b.votePrepare(prep) })
-	if !b.gather(answers, callWithin, r.Promise) {
+	answers := b.ask(ctx, voters, callPrepare, prep, func() (interlocking.Reply, error) { return b.votePrepare(prep) })
+	if !gather(answers, len(voters), callWithin, r.Promise) {
 		b.met(r)
 		return false
 	}
@@ -357,7 +388,18 @@
 			panic(fmt.Sprintf("signalbox: an accepted value can't be read: %v", err)) // a broken invariant
 		}
 	}
+	// The voters of the newest value are those that count, and they have to have promised.
+	if need := reg.Sets(b.first); !slices.EqualFunc(need, sets, slices.Equal) {
+		b.mu.Lock()
+		b.hint = need
+		b.mu.Unlock()
+		return false
+	}
 	seq := reg.Seq
+	if newest == known && len(reg.Prior) > 0 { // the change of voters that it holds is chosen
+		reg.Prior = nil
+		reg.Seq++
+	}
 	outcomes := make([][]trainregister.Outcome, len(all))
 	for i, p := range all {
 		for k := range p.orders {
@@ -373,14 +415,19 @@
 		if time.Since(begun) > roundMost {
 			return false
 		}
+		now := reg.Sets(b.first)
+		if !slices.Equal(now[len(now)-1], sets[len(sets)-1]) {
+			r.Widen(now[len(now)-1])
+			voters = union(append(slices.Clone(sets), now...))
+		}
 		acc := interlocking.Accept{Ballot: ballot, Value: next}
-		answers = b.ask(ctx, callAccept, acc, func() (interlocking.Reply, error) { return b.voteAccept(acc) })
-		if !b.gather(answers, callWithin, r.Vote) {
+		answers = b.ask(ctx, voters, callAccept, acc, func() (interlocking.Reply, error) { return b.voteAccept(acc) })
+		if !gather(answers, len(voters), callWithin, r.Vote) {
 			b.met(r)
 			return false
 		}
 		b.learn(ballot, next)
-		b.tell(ctx, ballot, next)
+		b.tell(ctx, voters, ballot, next)
 	}
 	for i, p := range all {
 		p.done <- outcomes[i]
@@ -388,11 +435,11 @@
 	return true
 }
 
-// gather feeds answers until one completes the half of the round.
-func (b *Box) gather(answers <-chan answered, within time.Duration, take func(uint64, interlocking.Reply) bool) bool {
+// gather feeds so many answers until one completes the half of the round.
+func gather(answers <-chan answered, n int, within time.Duration, take func(string, interlocking.Reply) bool) bool {
 	late := time.NewTimer(within + 50*time.Millisecond)
 	defer late.Stop()
-	for range b.voters {
+	for range n {
 		select {
 		case a := <-answers:
 			if a.err == nil && take(a.from, a.reply) {
@@ -414,9 +461,9 @@
 
 // tell tells the other voters what is chosen. Those that have accepted it need its ballot
 // alone.
-func (b *Box) tell(ctx context.Context, ballot interlocking.Ballot, value []byte) {
-	for i, ip := range b.voters {
-		if i == b.me {
+func (b *Box) tell(ctx context.Context, voters []string, ballot interlocking.Ballot, value []byte) {
+	for _, ip := range voters {
+		if ip == b.set.IP {
 			continue
 		}
 		go func() {
@@ -436,29 +483,29 @@
 		begun := time.Now()
 		b.mu.Lock()
 		known := b.chosen
+		sets, counted := b.sets(), b.reg.Sets(b.first)
 		b.mu.Unlock()
-		answers := b.ask(ctx, callRead, readCall{known}, func() (interlocking.Reply, error) { return b.readDurable(known), nil })
-		agree, ahead := 0, false
-		same := map[interlocking.Ballot]int{}
-		b.gather(answers, callWithin, func(_ uint64, r interlocking.Reply) bool {
+		voters := union(sets)
+		answers := b.ask(ctx, voters, callRead, readCall{known}, func() (interlocking.Reply, error) { return b.readDurable(known), nil })
+		agree, proven, ahead := map[string]bool{}, false, false
+		told := map[string]interlocking.Ballot{}
+		gather(answers, len(voters), callWithin, func(from string, r interlocking.Reply) bool {
 			if !r.OK {
 				return false
 			}
 			switch c := r.Accepted.Compare(known); {
 			case c <= 0:
-				agree++
+				agree[from] = true
 			default:
 				ahead = true
-				// What a majority has accepted is chosen, whoever asked for it.
-				if same[r.Accepted]++; same[r.Accepted] == interlocking.Majority(len(b.voters)) {
-					b.learn(r.Accepted, r.Value)
-					return true
-				}
+				told[from] = r.Accepted
+				b.hear1(r.Accepted, r.Value, told)
 			}
-			return agree >= interlocking.Majority(len(b.voters))
+			proven = interlocking.Agreed(counted, func(v string) bool { return agree[v] })
+			return proven
 		})
 		b.mu.Lock()
-		if agree >= interlocking.Majority(len(b.voters)) && begun.After(b.proved) {
+		if proven && b.chosen == known && begun.After(b.proved) {
 			b.proved = begun
 		}
 		stuck := false
@@ -487,6 +534,39 @@
 	}
 }
 
+// hear1 learns a value that those who told of it have chosen, whoever asked for it: a majority
+// of each set that it counts by itself has accepted it.
+func (b *Box) hear1(ballot interlocking.Ballot, value []byte, told map[string]interlocking.Ballot) {
+	var reg trainregister.Register
+	if len(value) == 0 || bell.Decode(value, &reg) != nil {
+		return
+	}
+	sets := reg.Sets(b.first)
+	if interlocking.Agreed(sets, func(v string) bool { return told[v] == ballot }) {
+		b.learn(ballot, value)
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !slices.EqualFunc(sets, b.sets(), slices.Equal) { // others have to be asked too
+		b.hint = sets
+	}
+}
+
+// takeSeat asks to be let vote: only the first three machines are named to all at the start.
+func (b *Box) takeSeat(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, 300*time.Millisecond+rand.N(200*time.Millisecond))
+		b.mu.Lock()
+		seated := slices.Contains(b.reg.Voters, b.set.IP) && len(b.reg.Prior) == 0
+		b.mu.Unlock()
+		if seated {
+			return
+		}
+		b.give(ctx, []trainregister.Order{{Kind: trainregister.Seat, Seats: []string{b.set.IP}, First: b.first}}, orderWithin)
+	}
+}
+
 // give has orders carried out. It returns nil when no majority answered in time.
 func (b *Box) give(ctx context.Context, orders []trainregister.Order, within time.Duration) []trainregister.Outcome {
 	p := &pending{orders: orders, done: make(chan []trainregister.Outcome, 1), until: time.Now().Add(within)}
@@ -576,7 +656,7 @@
 		proof = time.Since(b.proved).Round(time.Millisecond).String()
 	}
 	return bell.Status{Lines: []string{
-		fmt.Sprintf("program=signalbox node=%s zone=%s voters=%d place=%d blank=%v disk_fails=%v", b.set.Node, b.set.Zone, len(b.voters), b.me, b.durable.Blank, sick),
+		fmt.Sprintf("program=signalbox node=%s zone=%s voters=%d votes=%v blank=%v disk_fails=%v", b.set.Node, b.set.Zone, len(union(b.sets())), slices.Contains(union(b.sets()), b.set.IP), b.durable.Blank, sick),
 		fmt.Sprintf("register seq=%d version=r%d revoked=%d evacuated=%v limiters=%d", b.reg.Seq, b.reg.Version, b.reg.Revoked, b.reg.Evac, len(b.reg.Posts)),
 		fmt.Sprintf("ballots promised=%d accepted=%d chosen=%d proof_age=%s", b.durable.Promised.Number, b.durable.Accepted.Number, b.chosen.Number, proof),
 	}}, nil
@@ -586,14 +666,27 @@
 func (b *Box) restore(ctx context.Context) {
 	sleep(ctx, restoreAfter)
 	for ctx.Err() == nil {
-		rest := interlocking.NewRestore(len(b.voters), b.set.Tolerate)
-		for i, ip := range b.voters {
-			var r interlocking.Reply
-			if i != b.me && b.caller.Call(ctx, b.set.Internal(ip, boot.SignalboxPort), callRead, readCall{}, &r, callWithin) == nil {
-				rest.Read(uint64(i), r)
+		rest := interlocking.NewRestore(b.set.Tolerate)
+		asked := map[string]bool{b.set.IP: true}
+		sets := [][]string{b.first}
+		for more := true; more; {
+			more = false
+			for _, ip := range union(sets) {
+				if asked[ip] {
+					continue
+				}
+				asked[ip], more = true, true
+				var r interlocking.Reply
+				if b.caller.Call(ctx, b.set.Internal(ip, boot.SignalboxPort), callRead, readCall{}, &r, callWithin) == nil {
+					rest.Read(ip, r)
+				}
+			}
+			var reg trainregister.Register
+			if v := rest.Newest().Value; len(v) > 0 && bell.Decode(v, &reg) == nil {
+				sets = reg.Sets(b.first)
 			}
 		}
-		if rec, ok := rest.Done(); ok {
+		if rec, ok := rest.Done(sets...); ok {
 			_, err := b.vote(func() (interlocking.Reply, bool) {
 				b.acceptor.Record = rec
 				return interlocking.Reply{}, true
--- a/trainregister/trainregister.go
+++ b/trainregister/trainregister.go
@@ -21,6 +21,23 @@
 	Taken   []Taken  `cbor:"6,keyasint,omitempty"` // the latest changes, oldest first
 	// Revoked is the Seq of the latest change that took a key away.
 	Revoked uint64 `cbor:"7,keyasint,omitempty"`
+	// Voters are the machines that agree, sorted; none: those that everyone began with. Prior
+	// are those before them, while it is not known that the change of voters is chosen.
+	Voters []string `cbor:"8,keyasint,omitempty"`
+	Prior  []string `cbor:"9,keyasint,omitempty"`
+}
+
+// Sets are the sets of voters by which a register counts; first are those that everyone began
+// with.
+func (r *Register) Sets(first []string) [][]string {
+	voters := r.Voters
+	if len(voters) == 0 {
+		voters = first
+	}
+	if len(r.Prior) > 0 {
+		return [][]string{r.Prior, voters}
+	}
+	return [][]string{voters}
 }
 
 // Post is a limiter's place. It keeps it for good: its part of quotas stands by it.
@@ -48,6 +65,7 @@
 	Begin                    // evacuate a zone
 	Finish                   // and take it back
 	Enrol                    // give limiters their places
+	Seat                     // let core machines vote
 )
 
 // Order is one change that somebody asks for.
@@ -56,6 +74,8 @@
 	Body  []byte    `cbor:"2,keyasint,omitempty"` // of Replace and Update
 	Zone  string    `cbor:"3,keyasint,omitempty"` // of Begin and Finish
 	Posts []Post    `cbor:"4,keyasint,omitempty"` // of Enrol
+	Seats []string  `cbor:"5,keyasint,omitempty"` // of Seat: those to be voters, with those that are
+	First []string  `cbor:"6,keyasint,omitempty"` // of Seat: the voters that everyone began with
 }
 
 // Outcome is what became of an order.
@@ -70,6 +90,7 @@
 func (r *Register) Clone() *Register {
 	c := *r
 	c.Evac, c.Posts, c.Taken = slices.Clone(r.Evac), slices.Clone(r.Posts), slices.Clone(r.Taken)
+	c.Voters, c.Prior = slices.Clone(r.Voters), slices.Clone(r.Prior)
 	return &c
 }
 
@@ -110,6 +131,8 @@
 		return have, Outcome{Status: 200}
 	case Enrol:
 		return r.enrol(o.Posts), Outcome{Status: 200}
+	case Seat:
+		return r.seat(o.Seats, o.First), Outcome{Status: 200}
 	}
 	return false, Outcome{Status: 400, Code: timetable.Unreadable, Text: fmt.Sprintf("order of kind %d is not known", o.Kind)}
 }
@@ -163,3 +186,21 @@
 	}
 	return changed
 }
+
+// seat lets further machines vote. One change of voters is chosen before the next one.
+func (r *Register) seat(seats, first []string) (changed bool) {
+	if len(r.Prior) > 0 {
+		return false
+	}
+	old := r.Sets(first)[0]
+	voters := slices.Clone(old)
+	for _, s := range seats {
+		if i, have := slices.BinarySearch(voters, s); !have {
+			voters, changed = slices.Insert(voters, i, s), true
+		}
+	}
+	if changed {
+		r.Prior, r.Voters = slices.Clone(old), voters
+	}
+	return changed
+}
