Limiters of a region look at each other: lineside

Need: a limiter that goes dark stayed in the directory until its pulls had been missing for three seconds. Change: package lineside, probes to one other in turn, two third parties for a second opinion, suspicion with time to object, a way back. Who is out is not named by the directory nor asked for tokens; nothing is given away by it.

--- a/internal/switchyard/asks.go
+++ b/internal/switchyard/asks.go
@@ -77,7 +77,7 @@
 	var near, far []int
 	for _, k := range e.keepers[account(c.tenant.Name)] {
 		switch {
-		case k == e.place:
+		case k == e.place, y.out[y.reg.Posts[k].Name]:
 		case y.set.Zones[y.reg.Posts[k].Zone] == y.set.Region:
 			near = append(near, k)
 		default:
--- a/internal/switchyard/doors.go
+++ b/internal/switchyard/doors.go
@@ -4,8 +4,10 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -49,6 +51,7 @@
 			y.set.Node, y.set.Zone, y.self, ready, y.leaving.Load(), y.inHand.Load(), proof, y.vouched()),
 		fmt.Sprintf("register seq=%d version=r%d evacuated=%v limiters=%d", y.reg.Seq, y.reg.Version, y.reg.Evac, len(y.reg.Posts)),
 	}
+	lines = append(lines, fmt.Sprintf("line looked_at=%d out=%v", len(y.lineIPs), slices.Sorted(maps.Keys(y.out))))
 	lines = append(lines, y.book.Report(y.now())...)
 	if e := y.engine; e != nil {
 		of, rest, _ := e.loans.desk.Parts(y.now())
--- a/internal/switchyard/pull.go
+++ b/internal/switchyard/pull.go
@@ -5,6 +5,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -117,6 +118,7 @@
 		}
 	}
 	if news {
+		y.setLine()
 		y.relist()
 	}
 }
@@ -177,6 +179,9 @@
 		if r.Service != stock.Limiters || r.State != stock.Available {
 			return
 		}
+		if name, _, _ := strings.Cut(r.ID, "#"); y.out[name] {
+			return
+		}
 		far := 2
 		switch {
 		case r.Zone == zone:
--- a/internal/switchyard/switchyard.go
+++ b/internal/switchyard/switchyard.go
@@ -16,6 +16,7 @@
 
 	"example.org/madderdrum/internal/bell"
 	"example.org/madderdrum/internal/boot"
+	"example.org/madderdrum/lineside"
 	"example.org/madderdrum/stock"
 	"example.org/madderdrum/timetable"
 	"example.org/madderdrum/trainregister"
@@ -50,6 +51,9 @@
 	stations map[string]*station
 	budget   map[string]*tries // of further arrivals, by service
 	logged   time.Time
+	line     *lineside.Line              // the other limiters of the region
+	lineIPs  map[string]string           // of their lives
+	out      map[string]bool             // those out of reach, by name
 	asks     map[uint64]chan tokenAnswer // that wait for a keeper
 	serial   uint64                      // of the latest
 	listing  *time.Timer                 // makes the list of servers anew
@@ -89,6 +93,7 @@
 	go y.sweep(life)
 	go y.accept(front)
 	go y.account(life)
+	go y.watchLine(life)
 	log.WithFields(logrus.Fields{"cores": len(y.cores), "life": y.self}).Info("begins")
 	<-ctx.Done()
 	y.leave(front)
@@ -97,10 +102,13 @@
 
 // newYardOf returns a limiter that knows nothing yet.
 func newYardOf(set *boot.Settings, log logrus.FieldLogger) *Yard {
-	return &Yard{set: set, log: log, caller: bell.NewCaller(), begun: time.Now(), self: fmt.Sprintf("%s#%08x", set.Node, rand.Uint32()),
+	y := &Yard{set: set, log: log, caller: bell.NewCaller(), begun: time.Now(), self: fmt.Sprintf("%s#%08x", set.Node, rand.Uint32()),
 		cores: set.Cores(), nudge: make(chan struct{}, 1), book: stock.New(""), reg: &trainregister.Register{},
 		evacuate: map[string]bool{}, coldTo: map[string]time.Time{}, gone: map[string]bool{},
-		stations: map[string]*station{}, budget: map[string]*tries{}, ended: map[string]int{}, asks: map[uint64]chan tokenAnswer{}}
+		stations: map[string]*station{}, budget: map[string]*tries{}, ended: map[string]int{}, asks: map[uint64]chan tokenAnswer{},
+		lineIPs: map[string]string{}, out: map[string]bool{}}
+	y.line = lineside.New(y.self, rand.Uint64())
+	return y
 }
 
 // leave ends in order: out of the directory and not ready at once, no new request near the
