--- a/internal/switchyard/asks.go
+++ b/internal/switchyard/asks.go
@@ -26,11 +26,12 @@
 	// at least: one that is lost takes its part with it.
 	keeperPart   = 8.0
 	leastKeepers = 2
-	// Asked are so many keepers, each for so long.
+	// Asked are so many keepers, each for so long: a download may be before an ask on a link, which
+	// takes a tenth of a second on the narrowest.
 	askNear    = 2
 	askFar     = 1
-	nearWithin = 40 * time.Millisecond
-	farWithin  = 150 * time.Millisecond
+	nearWithin = 180 * time.Millisecond
+	farWithin  = 250 * time.Millisecond
 )
 
 // keepersOf are the places of a tenant's keepers, the same at all limiters that go by the same
@@ -68,10 +69,11 @@
 	Serial uint64  `cbor:"1,keyasint"`
 	OK     bool    `cbor:"2,keyasint,omitempty"`
 	WaitMs float64 `cbor:"3,keyasint,omitempty"`
+	Why    string  `cbor:"4,keyasint,omitempty"`
 }
 
 // token asks keepers of a call's tenant, near ones first, until one pays for it.
-func (y *Yard) token(c *call) (ok bool, waitMs float64) {
+func (y *Yard) token(c *call) (ok bool, waitMs float64, why string) {
 	y.mu.Lock()
 	e := c.e
 	var near, far []int
@@ -104,13 +106,16 @@
 		}
 		a, heard := y.askToken(c, k, within)
 		if a.OK {
-			return true, 0
+			return true, 0, ""
+		}
+		if why = "keepers_silent"; heard {
+			why = "keepers_" + a.Why
 		}
 		if heard && a.WaitMs > 0 {
 			waitMs = min(max(a.WaitMs, advice/2), 1000)
 		}
 	}
-	return false, waitMs
+	return false, waitMs, why
 }
 
 func (y *Yard) askToken(c *call, place int, within time.Duration) (a tokenAnswer, heard bool) {
--- a/internal/switchyard/engine.go
+++ b/internal/switchyard/engine.go
@@ -406,7 +406,7 @@
 		}
 	case limiter.Refuse:
 		if e.ask != nil && strings.HasPrefix(a.ID, asksID) {
-			e.ask.WaitMs = a.WaitMs
+			e.ask.WaitMs, e.ask.Why = a.WaitMs, a.Why.String()
 			return
 		}
 		if c := e.calls[a.ID]; c != nil {
--- a/internal/switchyard/front.go
+++ b/internal/switchyard/front.go
@@ -405,9 +405,9 @@
 	keeps := gathered && slices.Contains(c.e.keepers[account(tenant.Name)], c.e.place)
 	if gathered && !keeps {
 		y.mu.Unlock()
-		ok, wait := y.token(c)
+		ok, wait, why := y.token(c)
 		if !ok {
-			return &answer{status: 429, retryAfter: wait, why: "keepers"}
+			return &answer{status: 429, retryAfter: wait, why: why}
 		}
 		c.paid = true
 		y.mu.Lock()
@@ -434,7 +434,7 @@
 	y.mu.Unlock()
 	a := c.run()
 	if a.status == 429 && keeps && !c.paid {
-		if ok, wait := y.token(c); ok {
+		if ok, wait, _ := y.token(c); ok {
 			y.mu.Lock()
 			c.paid = true
 			c.e.handle(ev2(ev))
