A register comes without what its limiter has; beats that are no news get no body

Need: each change of the register, and at a start there are several, sent the configuration and all places to every limiter.

--- a/internal/roundhouse/outside.go
+++ b/internal/roundhouse/outside.go
@@ -122,6 +122,9 @@
 	if apart && news {
 		return problem(503, "apart", "no majority of the registries is heard: call another")
 	}
+	if !news {
+		return wicket.Answer{Status: 200} // it comes here already
+	}
 	return wicket.Answer{Status: 200, Body: []byte(`{"heartbeat_target":"` + h.set.Listen["control_plane"] + `"}`)}
 }
 
--- a/internal/roundhouse/roundhouse.go
+++ b/internal/roundhouse/roundhouse.go
@@ -72,6 +72,11 @@
 	HoldMs uint64        `cbor:"3,keyasint,omitempty"` // wait so long for news
 	Me     *stock.Record `cbor:"4,keyasint,omitempty"` // a limiter's word of itself
 	Source string        `cbor:"5,keyasint,omitempty"` // a registry's own
+	// What a limiter has of the register: the version of the configuration, so many places, and
+	// their sum.
+	Version  uint64 `cbor:"6,keyasint,omitempty"`
+	Posts    int    `cbor:"7,keyasint,omitempty"`
+	PostsSum uint64 `cbor:"8,keyasint,omitempty"`
 }
 
 // Pulled is the answer.
@@ -86,6 +91,9 @@
 	// Apart tells that this registry does not hear a majority of the others.
 	Apart  bool   `cbor:"7,keyasint,omitempty"`
 	HeldMs uint64 `cbor:"8,keyasint,omitempty"`
+	// The register comes without what the caller has: its configuration, where that has the same
+	// version, and its first places, so many.
+	SamePosts int `cbor:"9,keyasint,omitempty"`
 }
 
 // Run serves until the context ends.
@@ -270,7 +278,13 @@
 	if m.Source == "" {
 		if h.reg.Seq > m.Seq {
 			r := *h.reg
-			r.Taken = nil
+			r.Taken, r.Voters, r.Prior = nil, nil, nil
+			if r.Version == m.Version {
+				r.Config = nil
+			}
+			if n := m.Posts; n > 0 && n <= len(r.Posts) && trainregister.Sum(r.Posts[:n]) == m.PostsSum {
+				a.SamePosts, r.Posts = n, r.Posts[n:]
+			}
 			a.Register = &r
 		}
 		if !h.proved.IsZero() {
--- a/internal/switchyard/pull.go
+++ b/internal/switchyard/pull.go
@@ -14,6 +14,7 @@
 	"example.org/madderdrum/internal/roundhouse"
 	"example.org/madderdrum/stock"
 	"example.org/madderdrum/timetable"
+	"example.org/madderdrum/trainregister"
 )
 
 const (
@@ -66,7 +67,8 @@
 	} else if y.engine == nil {
 		me.State, hold = stock.Silent, pullHold/2
 	}
-	ask := roundhouse.Pull{Vector: copyOf(y.book.Vector()), Seq: y.reg.Seq, HoldMs: uint64(hold / time.Millisecond), Me: me}
+	ask := roundhouse.Pull{Vector: copyOf(y.book.Vector()), Seq: y.reg.Seq, HoldMs: uint64(hold / time.Millisecond), Me: me,
+		Version: y.reg.Version, Posts: len(y.reg.Posts), PostsSum: trainregister.Sum(y.reg.Posts)}
 	y.mu.Unlock()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -107,6 +109,11 @@
 	news := len(y.book.Merge(y.now(), a.Records, true)) > 0
 	y.book.Know(a.Vector)
 	if a.Register != nil && a.Register.Seq > y.reg.Seq {
+		// What this limiter has is left out, as it was when it asked: nothing else changes it.
+		if a.Register.Version == y.reg.Version {
+			a.Register.Config = y.reg.Config
+		}
+		a.Register.Posts = append(slices.Clone(y.reg.Posts[:a.SamePosts]), a.Register.Posts...)
 		y.adopt(a)
 		news = true
 	}
--- a/trainregister/trainregister.go
+++ b/trainregister/trainregister.go
@@ -6,6 +6,7 @@
 import (
 	"crypto/sha256"
 	"fmt"
+	"hash/fnv"
 	"slices"
 
 	"example.org/madderdrum/timetable"
@@ -47,6 +48,15 @@
 	Zone string `cbor:"3,keyasint"`
 }
 
+// Sum is a digest of places, by which two can tell that they have the same.
+func Sum(posts []Post) uint64 {
+	h := fnv.New64a()
+	for _, p := range posts {
+		fmt.Fprintf(h, "%s\x00%s\x00%s\x00", p.Name, p.IP, p.Zone)
+	}
+	return h.Sum64()
+}
+
 // Taken is a change that was taken, so that the same call can be known when it comes again.
 type Taken struct {
 	Version uint64   `cbor:"1,keyasint"`
