Choices scatter with the number of limiters

Cause: scatter is for many limiters that each send a server little; at nine it sent one request in four to another zone, whose bytes are paid for.

--- a/internal/switchyard/engine.go
+++ b/internal/switchyard/engine.go
@@ -53,9 +53,10 @@
 	stretch = 3.0
 	// Messages a second that a limiter takes in about tenants' spending: a few.
 	peerInPerS = 3.0
-	// By so much choices scatter among limiters that each know little of a server.
-	scatter = 1.0
-	advice  = 150.0 // ms to stay away where the decisions give none
+	// Choices scatter the more limiters there are that each know little of a server: all of it
+	// at so many.
+	scatterAll = 100.0
+	advice     = 150.0 // ms to stay away where the decisions give none
 	// By how much more answers from afar count as they take. What crosses regions is paid for,
 	// most of all downloads.
 	farZone     = 0.3
@@ -66,7 +67,7 @@
 // settings are those of the decisions for a table.
 func (e *engine) settings(t *timetable.Table, position int) (s limiter.Settings, classes, plans map[string]int) {
 	b := &e.y.set.Bounds
-	s = limiter.Settings{Position: position, Balancers: e.size, Zone: 0, PeerInPerS: peerInPerS, Scatter: scatter,
+	s = limiter.Settings{Position: position, Balancers: e.size, Zone: 0, PeerInPerS: peerInPerS, Scatter: min(1, float64(e.size)/scatterAll),
 		Caps:  limiter.Caps{Attempts: 8, Peers: e.size > 1, Probes: true, RetryAfter: true, MaxWaitMs: 1000, ConnectMs: 300},
 		Rules: limiter.Rules{FallMs: 1000}}
 	classes, plans = map[string]int{}, map[string]int{}
