--- a/internal/boot/boot.go
+++ b/internal/boot/boot.go
@@ -2,11 +2,15 @@
 package boot
 
 import (
+	"bytes"
+	"context"
 	"fmt"
 	"math"
 	"os"
+	"os/signal"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/valyala/fastjson"
@@ -17,6 +21,7 @@
 
 // Settings is what a process is told about itself and its surroundings.
 type Settings struct {
+	Path      string // of the file; empty where it is none
 	Node      string
 	Role      string
 	Class     string
@@ -91,9 +96,48 @@
 	if e, ok := err.(*Error); ok {
 		e.Path = path
 	}
+	if s != nil {
+		s.Path = path
+	}
 	return s, err
 }
 
+// followEvery is how often the file is looked at: it may change without a signal.
+const followEvery = 2 * time.Second
+
+// Follow hands over the settings each time that their file has changed, until the context
+// ends; a signal has it looked at at once. What can't be used is told, and the settings that
+// hold stay.
+func (s *Settings) Follow(ctx context.Context, changed func(*Settings), wrong func(error)) {
+	if s.Path == "" {
+		return
+	}
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	tick := time.NewTicker(followEvery)
+	defer tick.Stop()
+	old, _ := os.ReadFile(s.Path)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+		case <-tick.C:
+		}
+		data, err := os.ReadFile(s.Path)
+		if err != nil || bytes.Equal(data, old) {
+			continue // a file that is being replaced is there the next time
+		}
+		old = data
+		next, err := LoadFile(s.Path)
+		if err != nil {
+			wrong(err)
+			continue
+		}
+		changed(next)
+	}
+}
+
 // reader collects the first mistake while fields are read.
 type reader struct{ err *Error }
 
--- a/internal/depot/depot.go
+++ b/internal/depot/depot.go
@@ -91,8 +91,9 @@
 }
 
 func serve(name string, run Run) error {
-	// From the very start on: Go's default action on SIGHUP ends the program.
-	signal.Ignore(syscall.SIGHUP)
+	// From the very start on: Go's default action on SIGHUP ends the program. Who follows the
+	// settings takes it in too.
+	signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	set, err := boot.Load()
--- a/internal/roundhouse/roundhouse.go
+++ b/internal/roundhouse/roundhouse.go
@@ -117,6 +117,14 @@
 	}
 	h.mu.Unlock()
 	go h.watch(ctx)
+	go set.Follow(ctx, func(next *boot.Settings) {
+		log.WithField("seeds", len(next.Seeds)).Info("settings have changed")
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		for _, ip := range next.Cores() {
+			h.meet(ip)
+		}
+	}, func(err error) { log.WithField("err", err).Warn("settings can't be used") })
 	log.WithFields(logrus.Fields{"seeds": len(set.Cores())}).Info("begins")
 	h.keep(ctx)
 	return nil
--- a/internal/switchyard/pull.go
+++ b/internal/switchyard/pull.go
@@ -29,24 +29,25 @@
 // pulls keeps asking a core machine for what this limiter lacks. One that does not answer, or
 // has no proof that it is up to date, is left for the next.
 func (y *Yard) pulls(ctx context.Context) {
-	k := rand.IntN(len(y.cores))
+	k := rand.IntN(1 << 10)
 	for failed := 0; ctx.Err() == nil; {
-		y.meet()
-		k %= len(y.cores)
-		to := y.set.Internal(y.cores[k], boot.RoundhousePort)
+		cores := y.meet()
+		k %= len(cores)
+		to := y.set.Internal(cores[k], boot.RoundhousePort)
 		if y.pull(ctx, to) {
 			failed = 0
 			continue
 		}
-		k = (k + 1) % len(y.cores)
-		if failed++; failed >= len(y.cores) {
+		k++
+		if failed++; failed >= len(cores) {
 			sleep(ctx, 50*time.Millisecond+rand.N(150*time.Millisecond))
 		}
 	}
 }
 
-// meet has the core machines that the book names asked too: seeds may be gone.
-func (y *Yard) meet() {
+// meet has the core machines that the book names asked too, as seeds may be gone, and returns
+// all.
+func (y *Yard) meet() []string {
 	y.mu.Lock()
 	defer y.mu.Unlock()
 	y.book.Each(y.now(), func(r stock.Record) {
@@ -54,6 +55,7 @@
 			y.cores = append(y.cores, r.Address)
 		}
 	})
+	return slices.Clone(y.cores)
 }
 
 // pull asks once and takes in the answer. It tells whether the other may be asked again.
--- a/internal/switchyard/switchyard.go
+++ b/internal/switchyard/switchyard.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -94,6 +95,16 @@
 	go y.accept(front)
 	go y.account(life)
 	go y.watchLine(life)
+	go set.Follow(life, func(next *boot.Settings) {
+		log.WithField("seeds", len(next.Seeds)).Info("settings have changed")
+		y.mu.Lock()
+		defer y.mu.Unlock()
+		for _, ip := range next.Cores() {
+			if !slices.Contains(y.cores, ip) {
+				y.cores = append(y.cores, ip)
+			}
+		}
+	}, func(err error) { log.WithField("err", err).Warn("settings can't be used") })
 	log.WithFields(logrus.Fields{"cores": len(y.cores), "life": y.self}).Info("begins")
 	<-ctx.Done()
 	y.leave(front)
--- a/internal/switchyard/switchyard_test.go
+++ b/internal/switchyard/switchyard_test.go
@@ -18,8 +18,10 @@
 	"example.org/madderdrum/internal/boot"
 	"example.org/madderdrum/internal/roundhouse"
 	"example.org/madderdrum/limiter"
+	"example.org/madderdrum/lineside"
 	"example.org/madderdrum/stock"
 	"example.org/madderdrum/trainregister"
+	"example.org/madderdrum/wagons"
 )
 
 // yard is a limiter without its listeners, told directly what a core machine would tell.
@@ -421,3 +423,50 @@
 		t.Error("an ask for a route or a tenant that is not there is paid for")
 	}
 }
+
+// A register that comes without the configuration and places that this limiter has is whole here.
+func TestRegisterInParts(t *testing.T) {
+	y := newYard(t)
+	post := trainregister.Post{Name: "e2", IP: "127.0.0.2", Zone: "z"}
+	y.take(time.Now(), &roundhouse.Pulled{SamePosts: 1, Register: &trainregister.Register{Seq: 2, Version: 1, Posts: []trainregister.Post{post}, Evac: []string{"z"}}})
+	y.mu.Lock()
+	defer y.mu.Unlock()
+	if len(y.reg.Posts) != 2 || y.reg.Posts[1] != post || len(y.reg.Config) == 0 || !y.evacuate["z"] || y.view.Load().seq != 2 || y.engine.size != 2 {
+		t.Errorf("%+v", y.reg)
+	}
+	// An older one, of another core machine, changes nothing.
+	y.mu.Unlock()
+	y.take(time.Now(), &roundhouse.Pulled{Register: &trainregister.Register{Seq: 1, Version: 1, Config: []byte(routes)}})
+	y.mu.Lock()
+	if y.reg.Seq != 2 || !y.evacuate["z"] {
+		t.Errorf("it went back to %+v", y.reg)
+	}
+}
+
+// No datagram makes a limiter end, or hand out more than its parts.
+func FuzzDatagrams(f *testing.F) {
+	f.Add(datagramAsk, bell.Encode(tokenAsk{1, 2, "read", "s"}))
+	f.Add(datagramAnswer, bell.Encode(tokenAnswer{Serial: 1, OK: true}))
+	f.Add(datagramLoans, bell.Encode(wagons.Message{Serial: 1, Items: []wagons.Item{{ID: 1, Part: -1}, {ID: 2, Part: 1e300}}}))
+	f.Add(datagramLine, bell.Encode(lineside.Message{From: "e2#1", Claims: []lineside.Claim{{ID: "e1", State: 200}}}))
+	f.Add(datagramSpending, []byte{1, 2, 3, 4, 5, 6, 7, 8, 9})
+	f.Fuzz(func(t *testing.T, kind byte, data []byte) {
+		y := newYard(t)
+		y.take(time.Now(), &roundhouse.Pulled{SamePosts: 1, Register: &trainregister.Register{Seq: 2, Version: 1,
+			Posts: []trainregister.Post{{Name: "e2", IP: "127.0.0.2", Zone: "z"}}}})
+		for range 3 {
+			y.heard("127.0.0.2", kind, data)
+		}
+		y.mu.Lock()
+		defer y.mu.Unlock()
+		of, rest, _ := y.engine.loans.desk.Parts(y.now())
+		for id, part := range of {
+			if part > 1 {
+				t.Errorf("account %d: a part of %g, and nothing was asked for", id, part)
+			}
+		}
+		if rest > 1 {
+			t.Errorf("a part of %g of the rest", rest)
+		}
+	})
+}
