Code that both proxies or several hosts need stands once

What tells a silent connection, waits and reads times was written twice; the limiter in service links the first from a package now. The test of five voters waits for those that were blank.

--- a/internal/boot/boot.go
+++ b/internal/boot/boot.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"context"
 	"fmt"
-	"math"
 	"os"
 	"os/signal"
 	"strconv"
@@ -14,6 +13,8 @@
 	"time"
 
 	"github.com/valyala/fastjson"
+
+	"example.org/madderdrum/timetable"
 )
 
 // Variable names the environment variable that holds the path of the settings file.
@@ -162,28 +163,11 @@
 	return string(b)
 }
 
-// Duration reads a number followed by ms or s.
-func Duration(text string) (time.Duration, bool) {
-	unit := time.Millisecond
-	number, ok := strings.CutSuffix(text, "ms")
-	if !ok {
-		unit = time.Second
-		if number, ok = strings.CutSuffix(text, "s"); !ok {
-			return 0, false
-		}
-	}
-	x, err := strconv.ParseFloat(number, 64)
-	if err != nil || math.IsNaN(x) || x < 0 || x*float64(unit) > math.MaxInt64/2 {
-		return 0, false
-	}
-	return time.Duration(x * float64(unit)), true
-}
-
 func (r *reader) duration(v *fastjson.Value, field string, keys ...string) time.Duration {
 	if v.Get(keys...) == nil {
 		return 0
 	}
-	d, ok := Duration(r.text(v, field, true, keys...))
+	d, ok := timetable.Duration(r.text(v, field, true, keys...))
 	if !ok {
 		r.fail(field, "is not a time", "write a number and its unit, as in 1500ms or 2.5s")
 	}
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -14,9 +14,9 @@
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
+	"example.org/madderdrum/internal/sockets"
 	"example.org/madderdrum/limiter"
 )
 
@@ -342,20 +342,7 @@
 // quiet tells that an idle connection is open and silent. One that the server
 // has closed must not be used: the request would end as a Cut, and an unsafe
 // one could not be sent again.
-func (c *conn) quiet() bool {
-	raw, err := c.Conn.(syscall.Conn).SyscallConn()
-	if err != nil {
-		return false
-	}
-	quiet := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = errors.Is(err, syscall.EAGAIN)
-		return true
-	})
-	return err == nil && quiet
-}
+func (c *conn) quiet() bool { return sockets.Quiet(c.Conn) }
 
 // try carries out an attempt and returns what came of it.
 func (n *Node) try(at *attempt) reply {
--- a/internal/roundhouse/outside.go
+++ b/internal/roundhouse/outside.go
@@ -14,6 +14,7 @@
 	"example.org/madderdrum/internal/signalbox"
 	"example.org/madderdrum/internal/wicket"
 	"example.org/madderdrum/stock"
+	"example.org/madderdrum/timetable"
 	"example.org/madderdrum/trainregister"
 )
 
@@ -93,7 +94,7 @@
 		return problem(400, "unreadable", "state is neither available nor draining")
 	}
 	if text := string(v.GetStringBytes("warmup_left")); text != "" {
-		left, ok := boot.Duration(text)
+		left, ok := timetable.Duration(text)
 		if !ok {
 			return problem(400, "unreadable", "warmup_left is not a time: write a number and its unit, as in 1500ms")
 		}
--- a/internal/roundhouse/roundhouse.go
+++ b/internal/roundhouse/roundhouse.go
@@ -18,6 +18,7 @@
 	"example.org/madderdrum/internal/bell"
 	"example.org/madderdrum/internal/boot"
 	"example.org/madderdrum/internal/signalbox"
+	"example.org/madderdrum/internal/wait"
 	"example.org/madderdrum/internal/wicket"
 	"example.org/madderdrum/stock"
 	"example.org/madderdrum/trainregister"
@@ -176,7 +177,7 @@
 func (h *House) keep(ctx context.Context) {
 	repairAt := time.Now().Add(repairEvery)
 	for ctx.Err() == nil {
-		sleep(ctx, expireEvery)
+		wait.Sleep(ctx, expireEvery)
 		h.mu.Lock()
 		beat := float64(h.set.Heartbeat) / float64(time.Millisecond)
 		if h.book.Beat(h.now(), h.self()) {
@@ -222,7 +223,7 @@
 		h.mu.Unlock()
 		var a Pulled
 		if err := h.caller.Call(ctx, to, CallPull, ask, &a, syncHold+callSlack); err != nil {
-			sleep(ctx, 100*time.Millisecond+rand.N(100*time.Millisecond))
+			wait.Sleep(ctx, 100*time.Millisecond+rand.N(100*time.Millisecond))
 			continue
 		}
 		h.mu.Lock()
@@ -271,7 +272,7 @@
 		select {
 		case <-news:
 			// Changes come in clusters: those of a moment go together.
-			sleep(ctx, 2*time.Millisecond)
+			wait.Sleep(ctx, 2*time.Millisecond)
 		case <-late.C:
 			waiting = false
 		case <-ctx.Done():
@@ -444,7 +445,7 @@
 		err := h.caller.Call(ctx, h.set.Internal(stores[k], boot.SignalboxPort), signalbox.CallWatch, ask, &w, watchHold+callSlack)
 		if err != nil {
 			k = (k + 1) % len(stores)
-			sleep(ctx, 50*time.Millisecond)
+			wait.Sleep(ctx, 50*time.Millisecond)
 			continue
 		}
 		h.mu.Lock()
@@ -463,7 +464,7 @@
 		h.mu.Unlock()
 		if stale && len(stores) > 1 { // another store may hear a majority
 			k = (k + 1) % len(stores)
-			sleep(ctx, 50*time.Millisecond)
+			wait.Sleep(ctx, 50*time.Millisecond)
 		} else {
 			k = 0
 		}
@@ -502,12 +503,3 @@
 	}
 	return out, false
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/signalbox/signalbox.go
+++ b/internal/signalbox/signalbox.go
@@ -20,6 +20,7 @@
 	"example.org/madderdrum/interlocking"
 	"example.org/madderdrum/internal/bell"
 	"example.org/madderdrum/internal/boot"
+	"example.org/madderdrum/internal/wait"
 	"example.org/madderdrum/trainregister"
 )
 
@@ -355,7 +356,7 @@
 		if b.round(ctx, all) {
 			return
 		}
-		sleep(ctx, 5*time.Millisecond+rand.N(60*time.Millisecond))
+		wait.Sleep(ctx, 5*time.Millisecond+rand.N(60*time.Millisecond))
 	}
 	for _, p := range all {
 		p.done <- nil
@@ -524,13 +525,13 @@
 		b.mu.Lock()
 		learnt := b.chosen != known
 		b.mu.Unlock()
-		wait := confirmEvery
+		pause := confirmEvery
 		if learnt {
-			wait = 0 // the proof is still to come
+			pause = 0 // the proof is still to come
 		} else if ahead {
-			wait = resolveAfter / 2
+			pause = resolveAfter / 2
 		}
-		sleep(ctx, wait-time.Since(begun)+rand.N(wait/10+time.Millisecond))
+		wait.Sleep(ctx, pause-time.Since(begun)+rand.N(pause/10+time.Millisecond))
 	}
 }
 
@@ -556,7 +557,7 @@
 // takeSeat asks to be let vote: only the first three machines are named to all at the start.
 func (b *Box) takeSeat(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleep(ctx, 300*time.Millisecond+rand.N(200*time.Millisecond))
+		wait.Sleep(ctx, 300*time.Millisecond+rand.N(200*time.Millisecond))
 		b.mu.Lock()
 		seated := slices.Contains(b.reg.Voters, b.set.IP) && len(b.reg.Prior) == 0
 		b.mu.Unlock()
@@ -664,7 +665,7 @@
 
 // restore reads from the others what a lost disk held before this machine votes.
 func (b *Box) restore(ctx context.Context) {
-	sleep(ctx, restoreAfter)
+	wait.Sleep(ctx, restoreAfter)
 	for ctx.Err() == nil {
 		rest := interlocking.NewRestore(b.set.Tolerate)
 		asked := map[string]bool{b.set.IP: true}
@@ -696,18 +697,6 @@
 				return
 			}
 		}
-		sleep(ctx, restoreEvery)
-	}
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
+		wait.Sleep(ctx, restoreEvery)
 	}
 }
--- a/internal/signalbox/signalbox_test.go
+++ b/internal/signalbox/signalbox_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"os"
+	"strings"
 	"testing"
 	"time"
 
@@ -114,6 +115,12 @@
 	s.start(2, false)
 	s.start(3, false)
 	s.until(ctx, "orders are taken again", func() bool { return s.order(ctx, 0, "c") })
+	for i := range 2 {
+		s.until(ctx, "a blank one votes again", func() bool {
+			var st bell.Status
+			return s.call.Call(ctx, s.ip(i)+":7460", bell.CallStatus, nil, &st, time.Second) == nil && strings.Contains(st.Lines[0], "blank=false")
+		})
+	}
 	s.end(2, false)
 	s.end(3, false)
 	s.until(ctx, "also by those that were blank", func() bool { return s.order(ctx, 1, "d") })
--- /dev/null
+++ b/internal/sockets/sockets.go
@@ -0,0 +1,30 @@
+// Package sockets holds what both proxies ask of a connection.
+package sockets
+
+import (
+	"errors"
+	"net"
+	"syscall"
+)
+
+// Quiet tells that an idle connection is open and silent. One that the other end has closed
+// must not be used: the request would be cut, and what can't be repeated could not be sent
+// again. What has come on one that is idle belongs to no request.
+func Quiet(c net.Conn) bool {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = errors.Is(err, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && quiet
+}
--- a/internal/switchyard/pull.go
+++ b/internal/switchyard/pull.go
@@ -12,6 +12,7 @@
 
 	"example.org/madderdrum/internal/boot"
 	"example.org/madderdrum/internal/roundhouse"
+	"example.org/madderdrum/internal/wait"
 	"example.org/madderdrum/stock"
 	"example.org/madderdrum/timetable"
 	"example.org/madderdrum/trainregister"
@@ -40,7 +41,7 @@
 		}
 		k++
 		if failed++; failed >= len(cores) {
-			sleep(ctx, 50*time.Millisecond+rand.N(150*time.Millisecond))
+			wait.Sleep(ctx, 50*time.Millisecond+rand.N(150*time.Millisecond))
 		}
 	}
 }
@@ -211,12 +212,3 @@
 	}
 	return out
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/switchyard/switchyard.go
+++ b/internal/switchyard/switchyard.go
@@ -17,6 +17,7 @@
 
 	"example.org/madderdrum/internal/bell"
 	"example.org/madderdrum/internal/boot"
+	"example.org/madderdrum/internal/wait"
 	"example.org/madderdrum/lineside"
 	"example.org/madderdrum/stock"
 	"example.org/madderdrum/timetable"
@@ -162,7 +163,7 @@
 // account logs how requests ended.
 func (y *Yard) account(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleep(ctx, accountEvery)
+		wait.Sleep(ctx, accountEvery)
 		y.mu.Lock()
 		fields := logrus.Fields{}
 		for k, n := range y.ended {
--- a/internal/switchyard/upstream.go
+++ b/internal/switchyard/upstream.go
@@ -12,10 +12,11 @@
 	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"example.org/madderdrum/internal/bell"
+	"example.org/madderdrum/internal/sockets"
+	"example.org/madderdrum/internal/wait"
 	"example.org/madderdrum/limiter"
 	"example.org/madderdrum/stock"
 )
@@ -123,30 +124,13 @@
 	s.idle = append(s.idle, r)
 }
 
-// quiet tells that an idle connection is open and silent: what has come on it belongs to no
-// request.
-func (r *rail) quiet() bool {
-	if r.in.Buffered() > 0 {
-		return false
-	}
-	raw, err := r.Conn.(syscall.Conn).SyscallConn()
-	if err != nil {
-		return false
-	}
-	quiet := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = errors.Is(err, syscall.EAGAIN)
-		return true
-	})
-	return err == nil && quiet
-}
+// quiet tells that an idle connection is open and silent.
+func (r *rail) quiet() bool { return r.in.Buffered() == 0 && sockets.Quiet(r.Conn) }
 
 // sweep closes connections whose time is up, and forgets servers that are gone.
 func (y *Yard) sweep(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleep(ctx, time.Second)
+		wait.Sleep(ctx, time.Second)
 		y.mu.Lock()
 		for life, st := range y.stations {
 			st.mu.Lock()
--- a/timetable/timetable.go
+++ b/timetable/timetable.go
@@ -224,19 +224,31 @@
 	if x == nil || x.Type() == fastjson.TypeNull {
 		return 0
 	}
-	text := string(x.GetStringBytes())
-	unit, number := time.Millisecond, ""
-	if n, ok := strings.CutSuffix(text, "ms"); ok {
-		number = n
-	} else if n, ok := strings.CutSuffix(text, "s"); ok {
-		unit, number = time.Second, n
+	d, ok := Duration(string(x.GetStringBytes()))
+	if !ok {
+		r.fail(Unreadable, where+"."+key, fmt.Sprintf("%q is not a time", x.GetStringBytes()), "write a number and its unit, as in 1500ms or 2.5s")
+	}
+	return d
+}
+
+// longest is the longest time that is taken for one.
+const longest = 1000 * 24 * time.Hour
+
+// Duration reads a time: a number followed by ms or s.
+func Duration(text string) (time.Duration, bool) {
+	unit := time.Millisecond
+	number, ok := strings.CutSuffix(text, "ms")
+	if !ok {
+		unit = time.Second
+		if number, ok = strings.CutSuffix(text, "s"); !ok {
+			return 0, false
+		}
 	}
 	f, err := strconv.ParseFloat(number, 64)
-	if err != nil || f < 0 || f > 1e9 {
-		r.fail(Unreadable, where+"."+key, fmt.Sprintf("%q is not a time", text), "write a number and its unit, as in 1500ms or 2.5s")
-		return 0
+	if err != nil || !(f >= 0) || f*float64(unit) > float64(longest) {
+		return 0, false
 	}
-	return time.Duration(f * float64(unit))
+	return time.Duration(f * float64(unit)), true
 }
 
 func (r *read) list(v *fastjson.Value, where, key string) []*fastjson.Value {
