An answer that says that its connection closes is the last one on it

Cause, found in review: a limiter that leaves said so with every answer, and went on answering what its client had sent behind it: requests that a client then sends again, and answers that belong to none. Change: the answer says so when no other is due; what is read behind it is not begun, and the sending half closes. Test: TestLastAnswerIsTheLast.

--- a/internal/switchyard/front.go
+++ b/internal/switchyard/front.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"example.org/madderdrum/internal/framing"
@@ -27,14 +28,14 @@
 	headerUnrun      = "X-Madderdrum-Not-Executed"
 	headerWarmup     = "X-Madderdrum-Warmup-Ms"
 
-	pipelineMost  = 8 // requests of one connection in hand
-	headMost      = 64 << 10
-	bodyMost      = 8 << 20 // held whole
-	headWithin    = 5 * time.Second
-	idleWithin    = 60 * time.Second
-	bodyWithin    = 20 * time.Second
-	writeWithin   = 10 * time.Second
-	defaultWithin = 30 * time.Second
+	pipelineMost = 8 // requests of one connection in hand
+	headMost     = 64 << 10
+	bodyMost     = 8 << 20 // held whole
+	headWithin   = 5 * time.Second
+	idleWithin   = 60 * time.Second
+	bodyWithin   = 20 * time.Second
+	writeWithin  = 10 * time.Second
+	hangUpWithin = time.Second
 )
 
 func (y *Yard) accept(l net.Listener) {
@@ -68,16 +69,48 @@
 	id   string
 }
 
+// lane is the order of a connection's requests. An answer that says that the connection closes
+// is its last: what is read behind it is not begun, and its client sends it again.
+type lane struct {
+	mu    sync.Mutex
+	slots chan *slot
+	due   int // requests that were taken in and whose answers are still to be begun
+	ended bool
+}
+
+// enter takes a request in, unless the connection's last answer has been begun.
+func (l *lane) enter(s *slot) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.ended {
+		return false
+	}
+	l.due++
+	l.slots <- s // the reader waits where as many are in hand as may be: see room
+	return true
+}
+
+// last tells, when an answer is begun, whether it is the connection's last: with closing it is
+// when no other is due.
+func (l *lane) last(s *slot, closing bool) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.due--
+	l.ended = l.ended || s.end || closing && l.due == 0
+	return l.ended
+}
+
 // client serves one connection: requests are read as they come and answered in their order.
 func (y *Yard) client(c net.Conn) {
-	slots := make(chan *slot, pipelineMost)
+	l := &lane{slots: make(chan *slot, pipelineMost+1)}
+	room := make(chan struct{}, pipelineMost)
 	written := make(chan struct{})
 	go func() {
 		defer close(written)
-		y.writes(c, slots)
+		y.writes(c, l, room)
 	}()
-	y.reads(c, slots)
-	close(slots)
+	y.reads(c, l, room)
+	close(l.slots)
 	<-written
 	c.Close()
 }
@@ -103,7 +136,8 @@
 	return n, err
 }
 
-func (y *Yard) reads(c net.Conn, slots chan<- *slot) {
+// reads takes in the requests of a connection. room holds a place for each that is in hand.
+func (y *Yard) reads(c net.Conn, l *lane, room chan<- struct{}) {
 	lim := &limited{r: c, heads: &framing.Watch{}}
 	in := bufio.NewReaderSize(lim, 4<<10)
 	for {
@@ -112,15 +146,15 @@
 		}
 		idle, headMax, bodyMax := idleWithin, int64(headMost), int64(bodyMost)
 		if v := y.view.Load(); v != nil {
-			l := v.table.Limits
-			if l.IdleTimeout > 0 {
-				idle = l.IdleTimeout + time.Second
+			most := v.table.Limits
+			if most.IdleTimeout > 0 {
+				idle = most.IdleTimeout + time.Second
 			}
-			if l.Header > 0 {
-				headMax = l.Header
+			if most.Header > 0 {
+				headMax = most.Header
 			}
-			if l.Body > 0 {
-				bodyMax = min(bodyMax, l.Body)
+			if most.Body > 0 {
+				bodyMax = min(bodyMax, most.Body)
 			}
 		}
 		lim.left = headMax + 4<<10
@@ -133,19 +167,19 @@
 			var ne net.Error
 			switch {
 			case errors.Is(err, errHeadTooLong):
-				y.turnAway(slots, 431, "the head is too long")
+				y.turnAway(l, room, 431, "the head is too long")
 			case err == io.EOF, errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &ne):
 			default:
-				y.turnAway(slots, 400, "the request can't be read")
+				y.turnAway(l, room, 400, "the request can't be read")
 			}
 			return
 		}
 		if bad := misframed(r, lim.heads); bad != "" {
-			y.turnAway(slots, 400, bad)
+			y.turnAway(l, room, 400, bad)
 			return
 		}
 		if r.ContentLength > bodyMax {
-			y.turnAway(slots, 413, "the body is too long")
+			y.turnAway(l, room, 413, "the body is too long")
 			return
 		}
 		var body []byte
@@ -157,13 +191,17 @@
 				return
 			}
 			if int64(len(body)) > bodyMax {
-				y.turnAway(slots, 413, "the body is too long")
+				y.turnAway(l, room, 413, "the body is too long")
 				return
 			}
 		}
 		s := &slot{done: make(chan *answer, 1), end: r.Close, id: r.Header.Get(headerAttempt)}
+		room <- struct{}{}
 		y.inHand.Add(1)
-		slots <- s
+		if !l.enter(s) {
+			y.inHand.Add(-1)
+			return
+		}
 		go func() {
 			a := y.serve(r, body)
 			y.count(a)
@@ -215,10 +253,14 @@
 }
 
 // turnAway answers what can't be read; the connection closes behind it.
-func (y *Yard) turnAway(slots chan<- *slot, status int, why string) {
+func (y *Yard) turnAway(l *lane, room chan<- struct{}, status int, why string) {
 	s := &slot{done: make(chan *answer, 1), end: true}
+	room <- struct{}{}
 	y.inHand.Add(1)
-	slots <- s
+	if !l.enter(s) {
+		y.inHand.Add(-1)
+		return
+	}
 	s.done <- &answer{status: status, why: why}
 	y.warn("request is turned away", "", why)
 }
@@ -236,25 +278,39 @@
 	}
 }
 
-func (y *Yard) writes(c net.Conn, slots <-chan *slot) {
-	broken := false
-	for s := range slots {
+// writes answers the requests of a connection in their order.
+func (y *Yard) writes(c net.Conn, l *lane, room <-chan struct{}) {
+	over := false
+	for s := range l.slots {
 		a := <-s.done
-		if !broken {
-			broken = !y.write(c, s, a)
-		} else if a.stream != nil {
+		end := l.last(s, y.leaving.Load())
+		switch {
+		case over && a.stream != nil:
 			a.stream.drop()
-		}
-		y.inHand.Add(-1)
-		if broken {
+		case over:
+		case !y.write(c, s, a, end):
+			over = true
 			c.Close()
+		case end:
+			over = true
+			hangUp(c)
 		}
+		y.inHand.Add(-1)
+		<-room
+	}
+}
+
+// hangUp tells a client that nothing more comes. What it has sent behind its last request is
+// left to the reader: closing with bytes unread would take the answer with it.
+func hangUp(c net.Conn) {
+	c.SetReadDeadline(time.Now().Add(hangUpWithin))
+	if t, ok := c.(*net.TCPConn); ok {
+		t.CloseWrite()
 	}
 }
 
 // write writes one answer and tells that the connection can go on.
-func (y *Yard) write(c net.Conn, s *slot, a *answer) bool {
-	end := s.end || y.leaving.Load()
+func (y *Yard) write(c net.Conn, s *slot, a *answer, end bool) bool {
 	out := make([]byte, 0, 512+min(len(a.body), 64<<10))
 	out = append(out, "HTTP/1.1 "...)
 	out = strconv.AppendInt(out, int64(a.status), 10)
--- a/internal/switchyard/switchyard_test.go
+++ b/internal/switchyard/switchyard_test.go
@@ -470,3 +470,50 @@
 		}
 	})
 }
+
+// When a limiter leaves, the answer that says so is the last of its connection, and what is read
+// behind it does not run.
+func TestLastAnswerIsTheLast(t *testing.T) {
+	y := newYard(t)
+	s := y.server("i-1", 0, "ok")
+	y.tell(nil)
+	y.leaving.Store(true)
+	a, b := net.Pipe()
+	defer a.Close()
+	go y.Yard.client(b)
+	sent := 0
+	send := func(n int) {
+		text := ""
+		for range n {
+			sent++
+			text += request("GET", "/read/1", fmt.Sprintf("id-%d", sent), "", "")
+		}
+		go io.WriteString(a, text)
+	}
+	send(5)
+	a.SetReadDeadline(time.Now().Add(5 * time.Second))
+	in := bufio.NewReader(a)
+	answered := 0
+	for {
+		r, err := http.ReadResponse(in, nil)
+		if err != nil {
+			t.Fatalf("after %d answers, none of which was the last: %v", answered, err)
+		}
+		if _, err := io.ReadAll(r.Body); err != nil {
+			t.Fatal(err)
+		}
+		answered++
+		if r.Close {
+			break
+		}
+	}
+	send(1)
+	if r, err := http.ReadResponse(in, nil); err == nil {
+		t.Errorf("behind the last answer another one came: %d", r.StatusCode)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.ran) != answered {
+		t.Errorf("%d requests ran and %d were answered", len(s.ran), answered)
+	}
+}
