Review: what nobody uses is gone, one way to pay for a request, maps.Clone in place of our own

A request's second submit set its lease through a function of its own; the chunked half of a streamed answer could not be reached; fields and constants that nobody reads. A fault of a field at the top of a configuration is named without a dot.

--- a/interlocking/interlocking.go
+++ b/interlocking/interlocking.go
@@ -32,8 +32,8 @@
 	Promised Ballot `cbor:"1,keyasint"`
 	Accepted Ballot `cbor:"2,keyasint"`
 	Value    []byte `cbor:"3,keyasint,omitempty"`
-	// Reads counts whom a machine that came back with an empty disk has still to read from
-	// before it may vote.
+	// Blank is a machine that came back with an empty disk: it may not vote before it has read
+	// from others.
 	Blank bool `cbor:"4,keyasint,omitempty"`
 }
 
--- a/internal/roundhouse/roundhouse.go
+++ b/internal/roundhouse/roundhouse.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -35,7 +36,6 @@
 	limiterSilent = 3200.0 // ms: a limiter pulls once a second
 	serverBeats   = 4.0    // beats that may be missed
 	maxBody       = 64 << 20
-	errorRate     = time.Second
 )
 
 // House is one registry.
@@ -56,7 +56,6 @@
 	lives   map[string]time.Time // when a source was last known to run
 	enrol   map[string]trainregister.Post
 	enrolAt time.Time
-	logged  time.Time
 }
 
 // Calls of a roundhouse.
@@ -217,7 +216,7 @@
 	to := h.set.Internal(ip, boot.RoundhousePort)
 	for ctx.Err() == nil {
 		h.mu.Lock()
-		ask := Pull{Vector: copyOf(h.book.Vector()), HoldMs: uint64(syncHold / time.Millisecond), Source: h.source()}
+		ask := Pull{Vector: maps.Clone(h.book.Vector()), HoldMs: uint64(syncHold / time.Millisecond), Source: h.source()}
 		me := h.self()
 		ask.Me = &me
 		h.mu.Unlock()
@@ -238,14 +237,6 @@
 
 func (h *House) source() string { return h.book.Source() }
 
-func copyOf(v stock.Vector) stock.Vector {
-	c := make(stock.Vector, len(v))
-	for k, n := range v {
-		c[k] = n
-	}
-	return c
-}
-
 // pull answers another registry or a limiter, at once where it has news for it.
 func (h *House) pull(ctx context.Context, from string, body []byte) (any, error) {
 	var m Pull
@@ -282,7 +273,7 @@
 	}
 	a := Pulled{Source: h.source(), Apart: h.apart(), HeldMs: uint64(time.Since(begun).Milliseconds())}
 	if h.book.Lacks(m.Vector) {
-		a.Records, a.Vector = h.book.Since(h.now(), m.Vector), copyOf(h.book.Vector())
+		a.Records, a.Vector = h.book.Since(h.now(), m.Vector), maps.Clone(h.book.Vector())
 	}
 	if m.Source == "" {
 		if h.reg.Seq > m.Seq {
--- a/internal/switchyard/engine.go
+++ b/internal/switchyard/engine.go
@@ -40,7 +40,6 @@
 
 // entry is a server in one pool.
 type entry struct {
-	id   uint64
 	life string
 	pool uint64
 	info limiter.ServerInfo
@@ -283,9 +282,8 @@
 					info.Phase = limiter.Draining
 				}
 			}
-			st.up = info.Phase == limiter.Up
 			st.usable = r.State == stock.Available && !y.evacuate[r.Zone] && !y.gone[r.ID]
-			e.servers[n] = &entry{id: n, life: r.ID, pool: pool, info: info}
+			e.servers[n] = &entry{life: r.ID, pool: pool, info: info}
 			list = append(list, info)
 		})
 	}
@@ -451,7 +449,6 @@
 	}
 	if now := time.Now(); st.cold(now) {
 		st.nextAt = now.Add(st.pause)
-		st.up = false
 		info := s.info
 		info.Phase = limiter.Draining
 		e.queue = append(e.queue, limiter.Endpoints{Scope: limiter.Partial, Servers: []limiter.ServerInfo{info}})
--- a/internal/switchyard/front.go
+++ b/internal/switchyard/front.go
@@ -26,7 +26,6 @@
 	headerTarget     = "X-Madderdrum-Target-Instance"
 	headerSeal       = "X-Madderdrum-Server-Seal"
 	headerUnrun      = "X-Madderdrum-Not-Executed"
-	headerWarmup     = "X-Madderdrum-Warmup-Ms"
 
 	pipelineMost = 8 // requests of one connection in hand
 	headMost     = 64 << 10
@@ -335,18 +334,14 @@
 	if a.stream != nil {
 		length = a.stream.length
 	}
-	if length >= 0 {
-		out = appendHeader(out, "Content-Length", strconv.FormatInt(length, 10))
-	} else {
-		out = appendHeader(out, "Transfer-Encoding", "chunked")
-	}
+	out = appendHeader(out, "Content-Length", strconv.FormatInt(length, 10))
 	out = append(append(out, "\r\n"...), a.body...)
 	c.SetWriteDeadline(time.Now().Add(writeWithin))
 	_, err := c.Write(out)
 	if a.stream != nil {
 		if err != nil {
 			a.stream.drop()
-		} else if err = a.stream.copy(c, length < 0); err != nil {
+		} else if err = a.stream.copy(c); err != nil {
 			c.Close() // before the end that was announced
 		}
 	}
@@ -377,7 +372,6 @@
 	arrived int // at servers
 	over    bool
 
-	paid bool    // another limiter has taken the token
 	ran  bool    // some attempt may have run
 	last *answer // a server's own answer that is of no use, for want of a better one
 }
@@ -465,16 +459,15 @@
 		if !ok {
 			return &answer{status: 429, retryAfter: wait, why: why}
 		}
-		c.paid = true
 		y.mu.Lock()
 	}
-	return c.submit(patience, keeps)
+	return c.submit(patience, gathered && !keeps, keeps)
 }
 
 // submit has the decisions decide on a call, and gives it its answer. The mutex is held at
-// first. keeps tells that this limiter is a keeper of the tenant: where its part is short another
-// may have a token.
-func (c *call) submit(patience time.Duration, keeps bool) *answer {
+// first. paid tells that a keeper has taken the token. keeps tells that this limiter is a keeper
+// of the tenant itself: where its part is short another may have a token.
+func (c *call) submit(patience time.Duration, paid, keeps bool) *answer {
 	y, route, tenant := c.y, c.route, c.tenant
 	c.e.calls[c.id] = c
 	ev := limiter.Submit{ID: c.id, ExpiresMs: stretch * ms(patience), Units: 1, Class: c.e.classes[route.Name], Spread: c.e.size,
@@ -482,19 +475,17 @@
 	if tenant != nil {
 		ev.Plan, ev.Customer = c.e.plans[tenant.Name], account(tenant.Name)
 	}
-	if c.paid {
+	if paid {
 		ev.Leased = 1
 	}
 	c.e.partsDue()
 	c.e.handle(ev)
 	y.mu.Unlock()
 	a := c.run()
-	if a.status == 429 && keeps && !c.paid {
+	if a.status == 429 && keeps {
 		if ok, wait, _ := y.token(c); ok {
-			y.mu.Lock()
-			c.paid = true
-			c.e.handle(ev2(ev))
-			y.mu.Unlock()
+			ev.Leased = 1
+			c.e.dispatch(ev)
 			a = c.run()
 		} else {
 			a.retryAfter = wait
@@ -518,12 +509,6 @@
 	y.mu.Unlock()
 }
 
-// ev2 is a submit that another limiter has paid for.
-func ev2(ev limiter.Submit) limiter.Submit {
-	ev.Leased = 1
-	return ev
-}
-
 // share draws a service of a route by their weights.
 func share(r *timetable.Route, x float64) string {
 	if len(r.To) == 1 {
@@ -552,7 +537,7 @@
 		case s.fail:
 			return c.failed()
 		}
-		rep := c.y.try(c, s.station, s.try)
+		rep := c.y.try(c, s.station)
 		done := rep.result == limiter.Pass
 		if rep.answer != nil && !done {
 			c.last = rep.answer
@@ -560,10 +545,7 @@
 		if !unrun(rep.result) {
 			c.ran = true
 		}
-		late := !time.Now().Before(c.stopAt)
-		if !done && (late || rep.final) {
-			done = true
-		}
+		done = done || !time.Now().Before(c.stopAt)
 		c.e.dispatch(limiter.Outcome{ID: c.id, Try: s.try, Server: s.server, Result: rep.result, SpentMs: rep.spentMs, Done: done,
 			Load: limiter.Load{Busy: -1, Pending: -1, ServiceMs: -1}})
 		if rep.result == limiter.Pass {
--- a/internal/switchyard/pull.go
+++ b/internal/switchyard/pull.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -70,7 +71,7 @@
 	} else if y.engine == nil {
 		me.State, hold = stock.Silent, pullHold/2
 	}
-	ask := roundhouse.Pull{Vector: copyOf(y.book.Vector()), Seq: y.reg.Seq, HoldMs: uint64(hold / time.Millisecond), Me: me,
+	ask := roundhouse.Pull{Vector: maps.Clone(y.book.Vector()), Seq: y.reg.Seq, HoldMs: uint64(hold / time.Millisecond), Me: me,
 		Version: y.reg.Version, Posts: len(y.reg.Posts), PostsSum: trainregister.Sum(y.reg.Posts)}
 	y.mu.Unlock()
 	ctx, cancel := context.WithCancel(ctx)
@@ -97,14 +98,6 @@
 	return !a.Apart && a.Proven && a.ProofMs < uint64(proofStale/time.Millisecond)
 }
 
-func copyOf(v stock.Vector) stock.Vector {
-	c := make(stock.Vector, len(v))
-	for k, n := range v {
-		c[k] = n
-	}
-	return c
-}
-
 // take takes in what a core machine told. begun is when it was asked.
 func (y *Yard) take(begun time.Time, a *roundhouse.Pulled) {
 	y.mu.Lock()
--- a/internal/switchyard/switchyard.go
+++ b/internal/switchyard/switchyard.go
@@ -94,7 +94,7 @@
 	go y.pulls(life)
 	go y.sweep(life)
 	go y.accept(front)
-	go y.account(life)
+	go y.tally(life)
 	go y.watchLine(life)
 	go set.Follow(life, func(next *boot.Settings) {
 		log.WithField("seeds", len(next.Seeds)).Info("settings have changed")
@@ -157,13 +157,13 @@
 	y.log.WithField("in_hand", y.inHand.Load()).Info("ends")
 }
 
-// accountEvery is how often a line tells how requests ended, where any did.
-const accountEvery = 10 * time.Second
+// tallyEvery is how often a line tells how requests ended, where any did.
+const tallyEvery = 10 * time.Second
 
-// account logs how requests ended.
-func (y *Yard) account(ctx context.Context) {
+// tally logs how requests ended.
+func (y *Yard) tally(ctx context.Context) {
 	for ctx.Err() == nil {
-		wait.Sleep(ctx, accountEvery)
+		wait.Sleep(ctx, tallyEvery)
 		y.mu.Lock()
 		fields := logrus.Fields{}
 		for k, n := range y.ended {
--- a/internal/switchyard/upstream.go
+++ b/internal/switchyard/upstream.go
@@ -39,14 +39,13 @@
 	service string
 
 	// The yard's mutex guards these.
-	up, usable bool
-	coldTo     time.Time
-	nextAt     time.Time // when the next request may go to it while it is cold
-	pause      time.Duration
+	usable bool
+	coldTo time.Time
+	nextAt time.Time // when the next request may go to it while it is cold
+	pause  time.Duration
 
 	mu   sync.Mutex
 	idle []*rail // the latest used last
-	gone bool
 }
 
 func (s *station) cold(now time.Time) bool { return s.coldTo.After(now) }
@@ -180,11 +179,10 @@
 	result  limiter.Result
 	answer  *answer
 	spentMs float64
-	final   bool // no further attempt is of use
 }
 
 // try carries out one attempt of a call at a server.
-func (y *Yard) try(c *call, st *station, n int) (rep reply) {
+func (y *Yard) try(c *call, st *station) (rep reply) {
 	begun := time.Now()
 	defer func() { rep.spentMs = ms(time.Since(begun)) }()
 	most := idleMost
@@ -295,14 +293,13 @@
 	a := &answer{status: resp.StatusCode, head: forwarded(h)}
 	r.lim.left = wholeMost + wholeMost/8
 	if resp.ContentLength > wholeMost {
-		p := &passage{resp: resp, rail: r, station: st, length: resp.ContentLength, stopAt: c.stopAt}
-		r.lim.left = resp.ContentLength + 64<<10
-		a.stream = p
-		if resp.StatusCode/100 == 2 && h.Get(headerSeal) != "" {
-			return reply{result: limiter.Pass, answer: a}, false
+		if resp.StatusCode/100 != 2 || h.Get(headerSeal) == "" {
+			r.Close()
+			return reply{result: limiter.Spoilt}, false
 		}
-		p.drop()
-		return reply{result: limiter.Spoilt}, false
+		r.lim.left = resp.ContentLength + 64<<10
+		a.stream = &passage{resp: resp, rail: r, station: st, length: resp.ContentLength, stopAt: c.stopAt}
+		return reply{result: limiter.Pass, answer: a}, false
 	}
 	if resp.ContentLength >= 0 {
 		a.body = make([]byte, resp.ContentLength)
@@ -318,9 +315,6 @@
 		r.Close()
 		return reply{result: limiter.Spoilt}, false
 	}
-	if resp.ContentLength == 0 || resp.ContentLength > 0 {
-		io.Copy(io.Discard, resp.Body)
-	}
 	if resp.Close || r.in.Buffered() > 0 {
 		r.Close()
 	} else {
@@ -389,7 +383,7 @@
 func (p *passage) drop() { p.rail.Close() }
 
 // copy passes the rest on. Its error tells that the answer is not whole.
-func (p *passage) copy(to net.Conn, chunked bool) error {
+func (p *passage) copy(to net.Conn) error {
 	buf := make([]byte, 16<<10)
 	total := int64(0)
 	for {
--- a/timetable/timetable.go
+++ b/timetable/timetable.go
@@ -193,6 +193,7 @@
 type read struct{ fault *Fault }
 
 func (r *read) fail(code, where, wrong, fix string) {
+	where = strings.TrimPrefix(where, ".") // of what stands at the top
 	if r.fault == nil {
 		r.fault = &Fault{Code: code, Where: where, Wrong: wrong, Fix: fix}
 	}
