Review: the list of servers is made in one pass over the book; what is news is taken in once

Each pool of a service and its homes read the whole book, and each pull looked through it for core machines. Pools have fields in place of a text that is cut.

--- a/internal/switchyard/engine.go
+++ b/internal/switchyard/engine.go
@@ -25,10 +25,10 @@
 	queue    []limiter.Event
 	working  bool
 	calls    map[string]*call
-	classes  map[string]int    // by route
-	plans    map[string]int    // by tenant
-	pools    map[string]uint64 // by service and homes
-	ids      map[string]uint64 // of servers, by pool and life
+	classes  map[string]int // by route
+	plans    map[string]int // by tenant
+	pools    map[poolKey]*pool
+	ids      map[berth]uint64 // of servers
 	servers  map[uint64]*entry
 	names    int
 	loans    loans
@@ -38,6 +38,27 @@
 	ask      *tokenAnswer              // of another limiter, while it is decided on
 }
 
+// poolKey says which servers of a service may take the same requests.
+type poolKey struct {
+	service  string
+	homes    string // regions that they stand in, sorted, where bound
+	bound    bool
+	download bool // for large answers
+}
+
+// pool is those servers.
+type pool struct {
+	poolKey
+	id      uint64
+	regions []string // homes
+}
+
+// berth is a life of a server in a pool.
+type berth struct {
+	pool uint64
+	life string
+}
+
 // entry is a server in one pool.
 type entry struct {
 	life string
@@ -154,7 +175,7 @@
 	size := len(y.reg.Posts)
 	e := y.engine
 	if e == nil || e.size != size {
-		e = &engine{y: y, size: size, place: position, calls: map[string]*call{}, pools: map[string]uint64{}, ids: map[string]uint64{}, servers: map[uint64]*entry{}}
+		e = &engine{y: y, size: size, place: position, calls: map[string]*call{}, pools: map[poolKey]*pool{}, ids: map[berth]uint64{}, servers: map[uint64]*entry{}}
 		e.name(t)
 		s, classes, plans := e.settings(t, position)
 		lim, err := limiter.New(s, uint64(time.Now().UnixNano()))
@@ -203,68 +224,61 @@
 	}
 }
 
-// downloads marks the pools of large answers.
-const downloads = "\x02"
-
 // poolOf is the pool of a service's servers in the regions where a request may be served.
 func (e *engine) poolOf(service string, r *timetable.Route, t *timetable.Tenant) uint64 {
 	homes, all := timetable.Homes(r, t)
-	key := service
-	if r.Kind == timetable.Download {
-		key += downloads
-	}
-	if !all {
-		homes = slices.Clone(homes)
-		slices.Sort(homes)
-		key += "\x00" + strings.Join(homes, "\x00") + "\x00"
-	}
-	id, ok := e.pools[key]
-	if !ok {
-		id = uint64(len(e.pools) + 1)
-		e.pools[key] = id
-	}
-	return id
+	homes = slices.Sorted(slices.Values(homes))
+	key := poolKey{service, strings.Join(homes, " "), !all, r.Kind == timetable.Download}
+	p := e.pools[key]
+	if p == nil {
+		p = &pool{key, uint64(len(e.pools) + 1), homes}
+		e.pools[key] = p
+	}
+	return p.id
 }
 
 // relist hands the decisions the servers that may be used now. The mutex is held.
 func (y *Yard) relist() {
 	e := y.engine
-	v := y.view.Load()
-	if e == nil || v == nil {
+	if e == nil || y.view.Load() == nil {
 		return
 	}
+	pools := map[string][]*pool{}
+	for _, p := range e.pools {
+		pools[p.service] = append(pools[p.service], p)
+	}
 	now := time.Now()
 	var list []limiter.ServerInfo
-	for key, pool := range e.pools {
-		service, homes, bound := strings.Cut(key, "\x00")
-		service, download := strings.CutSuffix(service, downloads)
-		y.book.Each(y.now(), func(r stock.Record) {
-			if r.Service != service || bound && !strings.Contains("\x00"+homes, "\x00"+y.set.Zones[r.Zone]+"\x00") {
-				return
+	y.book.Each(y.now(), func(r stock.Record) {
+		of := pools[r.Service]
+		if len(of) == 0 {
+			return
+		}
+		st := y.station(&r)
+		st.usable = r.State == stock.Available && !y.evacuate[r.Zone] && !y.gone[r.ID]
+		phase := limiter.Draining
+		if st.usable {
+			y.chill(st, &r, now)
+			if !st.cold(now) || r.Zone == y.set.Zone && !now.Before(st.nextAt) {
+				phase = limiter.Up
 			}
-			st := y.station(&r)
-			id := key + "\x01" + r.ID
-			n, ok := e.ids[id]
+		}
+		for _, p := range of {
+			if p.bound && !slices.Contains(p.regions, y.set.Zones[r.Zone]) {
+				continue
+			}
+			at := berth{p.id, r.ID}
+			n, ok := e.ids[at]
 			if !ok {
 				e.names++
 				n = uint64(e.names)
-				e.ids[id] = n
-			}
-			info := limiter.ServerInfo{ID: n, Pool: pool, Phase: limiter.Up, Far: y.far(r.Zone, download)}
-			if r.State != stock.Available || y.evacuate[r.Zone] || y.gone[r.ID] {
-				info.Phase = limiter.Draining
+				e.ids[at] = n
 			}
-			if info.Phase == limiter.Up {
-				y.chill(st, &r, now)
-				if st.cold(now) && (r.Zone != y.set.Zone || now.Before(st.nextAt)) {
-					info.Phase = limiter.Draining
-				}
-			}
-			st.usable = r.State == stock.Available && !y.evacuate[r.Zone] && !y.gone[r.ID]
-			e.servers[n] = &entry{life: r.ID, pool: pool, info: info}
+			info := limiter.ServerInfo{ID: n, Pool: p.id, Phase: phase, Far: y.far(r.Zone, p.download)}
+			e.servers[n] = &entry{life: r.ID, pool: p.id, info: info}
 			list = append(list, info)
-		})
-	}
+		}
+	})
 	e.handle(limiter.Endpoints{Scope: limiter.Complete, Servers: list})
 }
 
--- a/internal/switchyard/pull.go
+++ b/internal/switchyard/pull.go
@@ -33,7 +33,9 @@
 func (y *Yard) pulls(ctx context.Context) {
 	k := rand.IntN(1 << 10)
 	for failed := 0; ctx.Err() == nil; {
-		cores := y.meet()
+		y.mu.Lock()
+		cores := slices.Clone(y.cores)
+		y.mu.Unlock()
 		k %= len(cores)
 		to := y.set.Internal(cores[k], boot.RoundhousePort)
 		if y.pull(ctx, to) {
@@ -47,17 +49,13 @@
 	}
 }
 
-// meet has the core machines that the book names asked too, as seeds may be gone, and returns
-// all.
-func (y *Yard) meet() []string {
-	y.mu.Lock()
-	defer y.mu.Unlock()
+// meet has the core machines that the book names asked too: seeds may be gone. The mutex is held.
+func (y *Yard) meet() {
 	y.book.Each(y.now(), func(r stock.Record) {
 		if r.Service == stock.Cores && r.State == stock.Available && !slices.Contains(y.cores, r.Address) {
 			y.cores = append(y.cores, r.Address)
 		}
 	})
-	return slices.Clone(y.cores)
 }
 
 // pull asks once and takes in the answer. It tells whether the other may be asked again.
@@ -121,6 +119,7 @@
 		}
 	}
 	if news {
+		y.meet()
 		y.setLine()
 		y.relist()
 	}
