--- a/internal/roundhouse/outside.go
+++ b/internal/roundhouse/outside.go
@@ -75,6 +75,9 @@
 			return h.change(ctx, trainregister.Order{Kind: trainregister.Finish, Zone: zone})
 		}
 	}
+	if path == pathReplace || path == pathUpdate || path == pathFetch || strings.HasPrefix(path, pathEvacuation) {
+		return problem(405, "method", "no call "+r.Method+" "+path+": see api/control.yaml for its method and path")
+	}
 	return problem(404, "unknown_call", "no call "+r.Method+" "+path)
 }
 
--- a/internal/switchyard/front.go
+++ b/internal/switchyard/front.go
@@ -332,6 +332,10 @@
 	if end {
 		out = appendHeader(out, "Connection", "close")
 	}
+	if a.head == nil && a.body == nil && a.why != "" {
+		a.body = []byte(a.why + "\n")
+		out = appendHeader(out, "Content-Type", "text/plain; charset=utf-8")
+	}
 	length := int64(len(a.body))
 	if a.stream != nil {
 		length = a.stream.length
@@ -407,11 +411,11 @@
 	arrived := time.Now()
 	v := y.view.Load()
 	if v == nil {
-		return &answer{status: 503, retryAfter: 300, why: "no configuration"}
+		return &answer{status: 503, retryAfter: 300, why: "no configuration yet"}
 	}
 	route := v.table.Find(r.Host, r.URL.EscapedPath())
 	if route == nil {
-		return &answer{status: 404, why: "no route"}
+		return &answer{status: 404, why: "no route takes this"}
 	}
 	var tenant *timetable.Tenant
 	if v.table.Guarded() && !route.Open {
@@ -420,18 +424,18 @@
 			tenant = v.table.TenantOf(keys[0])
 		}
 		if tenant == nil {
-			return &answer{status: 401, why: "key"}
+			return &answer{status: 401, why: "key is missing or not known"}
 		}
 	}
 	id := r.Header.Get(headerAttempt)
 	if id == "" || len(r.Header[headerAttempt]) > 1 {
-		return &answer{status: 400, why: "no attempt id"}
+		return &answer{status: 400, why: "attempt id is missing or doubled"}
 	}
 	within := route.Timeout
 	if text := r.Header.Get(headerDeadline); text != "" {
 		n, err := strconv.ParseInt(text, 10, 64)
 		if err != nil || n < 0 || n > 1<<40 {
-			return &answer{status: 400, why: "deadline"}
+			return &answer{status: 400, why: "deadline is not a number of milliseconds"}
 		}
 		within = min(within, time.Duration(n)*time.Millisecond)
 	}
