Review: what a round makes of the register is decided in trainregister, with a model

The sets of voters to count by, the end of a change of voters and whether anything is to be written stood in the store's host among messages. They move to Register.Turn. A model plays a change from three voters to five among three proposers, 3,000 schedules with losses: what is chosen builds on all that was chosen under older ballots. A round that goes on with the sets it began with is found wrong. Behaviour stays.

--- a/internal/signalbox/signalbox.go
+++ b/internal/signalbox/signalbox.go
@@ -389,25 +389,18 @@
 			panic(fmt.Sprintf("signalbox: an accepted value can't be read: %v", err)) // a broken invariant
 		}
 	}
-	// The voters of the newest value are those that count, and they have to have promised.
-	if need := reg.Sets(b.first); !slices.EqualFunc(need, sets, slices.Equal) {
+	var batches [][]trainregister.Order
+	for _, p := range all {
+		batches = append(batches, p.orders)
+	}
+	turn := reg.Turn(b.first, sets, newest == known, batches)
+	if turn.Need != nil {
 		b.mu.Lock()
-		b.hint = need
+		b.hint = turn.Need
 		b.mu.Unlock()
 		return false
 	}
-	seq := reg.Seq
-	if newest == known && len(reg.Prior) > 0 { // the change of voters that it holds is chosen
-		reg.Prior = nil
-		reg.Seq++
-	}
-	outcomes := make([][]trainregister.Outcome, len(all))
-	for i, p := range all {
-		for k := range p.orders {
-			outcomes[i] = append(outcomes[i], reg.Give(&p.orders[k]))
-		}
-	}
-	if reg.Seq == seq && (r.Unanimous() || newest == interlocking.Ballot{}) {
+	if !turn.Changed && (r.Unanimous() || newest == interlocking.Ballot{}) {
 		if newest != (interlocking.Ballot{}) {
 			b.learn(newest, value)
 		}
@@ -416,10 +409,9 @@
 		if time.Since(begun) > roundMost {
 			return false
 		}
-		now := reg.Sets(b.first)
-		if !slices.Equal(now[len(now)-1], sets[len(sets)-1]) {
-			r.Widen(now[len(now)-1])
-			voters = union(append(slices.Clone(sets), now...))
+		if turn.Brings != nil {
+			r.Widen(turn.Brings)
+			voters = union(append(slices.Clone(sets), turn.Brings))
 		}
 		acc := interlocking.Accept{Ballot: ballot, Value: next}
 		answers = b.ask(ctx, voters, callAccept, acc, func() (interlocking.Reply, error) { return b.voteAccept(acc) })
@@ -431,7 +423,7 @@
 		b.tell(ctx, voters, ballot, next)
 	}
 	for i, p := range all {
-		p.done <- outcomes[i]
+		p.done <- turn.Outcomes[i]
 	}
 	return true
 }
--- a/trainregister/trainregister.go
+++ b/trainregister/trainregister.go
@@ -214,3 +214,40 @@
 	}
 	return changed
 }
+
+// Turn is what a round makes of the newest register that its majority told.
+type Turn struct {
+	// Need are the sets of voters that the register counts by, where the round has counted by
+	// others: it has to begin again with these.
+	Need     [][]string
+	Outcomes [][]Outcome // of each batch of orders
+	Changed  bool        // the register is another one now
+	Brings   []string    // voters that the votes have to count by too; nil: none
+}
+
+// Turn gives a round's orders to the newest register told. first are the voters that everyone
+// began with, counted the sets that the round has counted promises by, and chosen tells that the
+// register is known to be chosen, and with it the change of voters that it may hold.
+func (r *Register) Turn(first []string, counted [][]string, chosen bool, batches [][]Order) (t Turn) {
+	if need := r.Sets(first); !slices.EqualFunc(need, counted, slices.Equal) {
+		return Turn{Need: need}
+	}
+	seq := r.Seq
+	if chosen && len(r.Prior) > 0 {
+		r.Prior = nil
+		r.Seq++
+	}
+	for _, orders := range batches {
+		var outcomes []Outcome
+		for k := range orders {
+			outcomes = append(outcomes, r.Give(&orders[k]))
+		}
+		t.Outcomes = append(t.Outcomes, outcomes)
+	}
+	t.Changed = r.Seq != seq
+	sets := r.Sets(first)
+	if voters := sets[len(sets)-1]; !slices.Equal(voters, counted[len(counted)-1]) {
+		t.Brings = voters
+	}
+	return t
+}
--- /dev/null
+++ b/trainregister/voters_test.go
@@ -0,0 +1,177 @@
+package trainregister
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"example.org/madderdrum/interlocking"
+)
+
+// The model of a change of voters: proposers change the register by rounds, one of them lets
+// two further machines vote, the others evacuate zones. Messages arrive in any order or are
+// lost, rounds are given up and begun again, and a proposer may learn of what is chosen late.
+type voting struct {
+	rng    *rand.Rand
+	acc    map[string]*interlocking.Acceptor
+	values []*Register // by number; a value on the wire is its number
+	props  []*proposer
+	chosen []choice // in the order of their ballots, which may be seen out of order
+	stale  bool     // the rule broken: a round goes on with the sets it began with
+}
+
+type choice struct {
+	ballot interlocking.Ballot
+	*Register
+}
+
+type proposer struct {
+	node   uint64
+	orders []Order
+	known  interlocking.Ballot
+	reg    *Register
+	hint   [][]string
+	number uint64
+	round  *interlocking.Round
+	sets   [][]string
+	next   *Register
+	value  []byte
+	flying []string // acceptors that are still to hear the present message
+}
+
+var first = []string{"1", "2", "3"}
+
+func (v *voting) begin(p *proposer) {
+	p.number++
+	p.sets = p.reg.Sets(first)
+	if p.hint != nil {
+		p.sets = p.hint
+	}
+	p.round = interlocking.NewRound(interlocking.Ballot{Number: p.number, Node: p.node}, p.sets...)
+	p.flying = all(p.sets)
+}
+
+func all(sets [][]string) (voters []string) {
+	for _, s := range sets {
+		voters = append(voters, s...)
+	}
+	slices.Sort(voters)
+	return slices.Compact(voters)
+}
+
+// step delivers one message of one proposer, or loses it.
+func (v *voting) step() {
+	p := v.props[v.rng.IntN(len(v.props))]
+	if p.round == nil || p.round.Phase() == interlocking.Beaten || len(p.flying) == 0 || v.rng.IntN(20) == 0 {
+		v.begin(p)
+		return
+	}
+	k := v.rng.IntN(len(p.flying))
+	to := v.acc[p.flying[k]]
+	name := p.flying[k]
+	p.flying = slices.Delete(p.flying, k, k+1)
+	if v.rng.IntN(5) == 0 {
+		return
+	}
+	if p.round.Phase() == interlocking.Preparing {
+		reply, _ := to.Prepare(interlocking.Prepare{Ballot: p.round.Ballot})
+		p.number = max(p.number, reply.Promised.Number)
+		if p.round.Promise(name, reply) {
+			v.turn(p)
+		}
+		return
+	}
+	reply, _ := to.Accept(interlocking.Accept{Ballot: p.round.Ballot, Value: p.value})
+	if p.round.Vote(name, reply) {
+		v.chosen = append(v.chosen, choice{p.round.Ballot, p.next})
+		slices.SortFunc(v.chosen, func(a, b choice) int { return a.ballot.Compare(b.ballot) })
+		p.known, p.reg, p.hint, p.round = p.round.Ballot, p.next, nil, nil
+	}
+}
+
+func (v *voting) turn(p *proposer) {
+	newest, value := p.round.Newest()
+	reg := &Register{}
+	if len(value) > 0 {
+		reg = v.values[value[0]].Clone()
+	}
+	counted := p.sets
+	if v.stale {
+		counted = reg.Sets(first)
+	}
+	t := reg.Turn(first, counted, newest == p.known && newest != interlocking.Ballot{}, [][]Order{p.orders})
+	if t.Need != nil {
+		p.hint, p.round = t.Need, nil
+		return
+	}
+	p.flying = all(p.sets)
+	if t.Brings != nil && !v.stale {
+		p.round.Widen(t.Brings)
+		p.flying = all(append(slices.Clone(p.sets), t.Brings))
+	}
+	p.next, p.value = reg, []byte{byte(len(v.values))}
+	v.values = append(v.values, reg)
+	// The next order of a proposer is another one.
+	if p.orders[0].Kind == Begin {
+		p.orders = []Order{{Kind: Begin, Zone: fmt.Sprintf("z%d-%d", p.node, len(v.values))}}
+	}
+}
+
+// wrong tells that something chosen is not built on what was chosen before it.
+func (v *voting) wrong() error {
+	for i := 1; i < len(v.chosen); i++ {
+		a, b := v.chosen[i-1], v.chosen[i]
+		for _, z := range a.Evac {
+			if !slices.Contains(b.Evac, z) {
+				return fmt.Errorf("%v was chosen, and then %v without it", a.Evac, b.Evac)
+			}
+		}
+	}
+	return nil
+}
+
+func play(seed uint64, stale bool) (*voting, error) {
+	v := &voting{rng: rand.New(rand.NewPCG(seed, 11)), acc: map[string]*interlocking.Acceptor{}, stale: stale}
+	for _, name := range []string{"1", "2", "3", "4", "5"} {
+		v.acc[name] = &interlocking.Acceptor{}
+	}
+	for i := range 3 {
+		p := &proposer{node: uint64(i + 1), reg: &Register{}, orders: []Order{{Kind: Begin, Zone: fmt.Sprint("z", i)}}}
+		if i == 0 {
+			p.orders = []Order{{Kind: Seat, Seats: []string{"4", "5"}, First: first}, {Kind: Begin, Zone: "seat"}}
+		}
+		v.props = append(v.props, p)
+	}
+	for range 400 {
+		if len(v.values) < 200 {
+			v.step()
+		}
+		if err := v.wrong(); err != nil {
+			return v, err
+		}
+	}
+	return v, nil
+}
+
+func TestVotersChange(t *testing.T) {
+	five := 0
+	for seed := range uint64(3000) {
+		v, err := play(seed, false)
+		if err != nil {
+			t.Fatalf("seed %d: %v", seed, err)
+		}
+		if n := len(v.chosen); n > 0 && len(v.chosen[n-1].Voters) == 5 && len(v.chosen[n-1].Prior) == 0 {
+			five++
+		}
+	}
+	if five < 300 {
+		t.Errorf("five vote at the end of %d of 3000 schedules", five)
+	}
+	for seed := range uint64(20000) {
+		if _, err := play(seed, true); err != nil {
+			return
+		}
+	}
+	t.Error("nothing is found wrong where rounds go on with the sets that they began with")
+}
