--- /dev/null
+++ b/internal/roundhouse/roundhouse_test.go
@@ -0,0 +1,136 @@
+package roundhouse
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"example.org/madderdrum/internal/bell"
+	"example.org/madderdrum/internal/boot"
+	"example.org/madderdrum/stock"
+)
+
+// houses are registries of three on loopback; there are no stores.
+type houses struct {
+	t    *testing.T
+	stop [3]context.CancelFunc
+	call *bell.Caller
+}
+
+func (h *houses) ip(i int) string { return fmt.Sprintf("127.80.1.%d", i+1) }
+
+func (h *houses) start(i int) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	set := &boot.Settings{Node: fmt.Sprintf("core-%d", i+1), IP: h.ip(i), Zone: "z", Zones: map[string]string{"z": "r"}, Ports: [2]int{7460, 7475}, Heartbeat: 300 * time.Millisecond,
+		Listen: map[string]string{"control_plane": h.ip(i) + ":8383"}, Seeds: []string{h.ip(0) + ":8383", h.ip(1) + ":8383", h.ip(2) + ":8383"}}
+	ctx, stop := context.WithCancel(context.Background())
+	h.stop[i] = stop
+	go func() {
+		if err := Run(ctx, set, log); err != nil {
+			h.t.Error(err)
+		}
+	}()
+}
+
+func (h *houses) post(i int, path, body string) (int, string) {
+	c := &http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	r, err := c.Post("http://"+h.ip(i)+":8383"+path, "application/json", strings.NewReader(body))
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer r.Body.Close()
+	text, _ := io.ReadAll(r.Body)
+	return r.StatusCode, string(text)
+}
+
+func beat(state string, sequence int) string {
+	return fmt.Sprintf(`{"service":"s","address":"10.0.0.1:80","zone":"z","capacity_slots":2,"state":%q,"warmup_left":"0ms","sequence":%d}`, state, sequence)
+}
+
+func (h *houses) until(ctx context.Context, what string, ok func() bool) {
+	h.t.Helper()
+	tick := time.NewTicker(20 * time.Millisecond)
+	defer tick.Stop()
+	for !ok() {
+		select {
+		case <-ctx.Done():
+			h.t.Fatalf("%s: not in time", what)
+		case <-tick.C:
+		}
+	}
+}
+
+// pulled is what a limiter that knows nothing gets.
+func (h *houses) pulled(ctx context.Context, i int) (a Pulled, err error) {
+	err = h.call.Call(ctx, h.ip(i)+":7461", CallPull, Pull{}, &a, time.Second)
+	return a, err
+}
+
+// A registry that hears no majority acknowledges no drain, takes nobody for silent, and tells
+// those who pull; with another it acknowledges what that one has too, and what it has outlives
+// it.
+func TestDrainsAreAcknowledgedByAMajority(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	h := &houses{t: t, call: bell.NewCaller()}
+	h.start(0)
+	h.until(ctx, "the first registry answers", func() bool {
+		status, _ := h.post(0, "/instances/i-1/heartbeat", beat("available", 1))
+		return status != 0
+	})
+	for _, what := range []string{"/instances/i-1/heartbeat", "/instances/i-2/deregister"} {
+		if status, text := h.post(0, what, beat("draining", 2)); status != 503 || !strings.Contains(text, "apart") {
+			t.Errorf("%s alone: %d %s", what, status, text)
+		}
+	}
+	if a, err := h.pulled(ctx, 0); err != nil || !a.Apart {
+		t.Errorf("a registry alone says that it is not apart: %v", err)
+	}
+	h.start(1)
+	h.until(ctx, "a drain is acknowledged by two", func() bool {
+		status, _ := h.post(0, "/instances/i-1/heartbeat", beat("draining", 3))
+		return status == 200
+	})
+	// It dies right after: the other one has the drain, and a late beat does not undo it.
+	h.stop[0]()
+	h.until(ctx, "the other knows of the drain", func() bool {
+		h.post(1, "/instances/i-1/heartbeat", beat("available", 1))
+		a, err := h.pulled(ctx, 1)
+		for _, r := range a.Records {
+			if r.ID == "i-1" {
+				return err == nil && r.State == stock.Draining
+			}
+		}
+		return false
+	})
+	h.stop[1]()
+}
+
+func TestBadCalls(t *testing.T) {
+	h := &House{set: &boot.Settings{Zones: map[string]string{"z": "r"}, Listen: map[string]string{}}, book: stock.New("s"), news: make(chan struct{})}
+	for _, x := range []struct {
+		method, path, body string
+		status             int
+	}{
+		{"GET", "/instances/i/heartbeat", "", 405}, {"POST", "/instances//heartbeat", "", 400}, {"POST", "/instances/i/dance", "", 404},
+		{"POST", "/instances/i/heartbeat", "{", 400}, {"POST", "/instances/i/heartbeat", beat("dizzy", 1), 400},
+		{"POST", "/instances/i/heartbeat", `{"service":"@cores","address":"a","state":"available"}`, 400},
+		{"POST", "/instances/i/heartbeat", `{"service":"s","address":"a","state":"available","warmup_left":"long"}`, 400},
+		{"POST", "/evacuation/nowhere/begin", "", 404}, {"GET", "/evacuation/z/begin", "", 405}, {"POST", "/config/fetch", "", 405}, {"GET", "/", "", 404},
+	} {
+		r, err := http.NewRequest(x.method, "http://h"+x.path, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if a := h.outside(context.Background(), r, []byte(x.body)); a.Status != x.status || len(a.Body) == 0 {
+			t.Errorf("%s %s: %d %s, %d wanted", x.method, x.path, a.Status, a.Body, x.status)
+		}
+	}
+}
