The register names its voters from its first change on

Cause: before another machine asked for a seat the voters were those that a store's settings named when it began. Seeds change: a machine that began again with an empty disk and other seeds counted by those, and two of them and two of the voters may share nobody. Seen in the code, not on the bench; the test fails without the line.

--- a/trainregister/trainregister.go
+++ b/trainregister/trainregister.go
@@ -22,7 +22,8 @@
 	Taken   []Taken  `cbor:"6,keyasint,omitempty"` // the latest changes, oldest first
 	// Revoked is the Seq of the latest change that took a key away.
 	Revoked uint64 `cbor:"7,keyasint,omitempty"`
-	// Voters are the machines that agree, sorted; none: those that everyone began with. Prior
+	// Voters are the machines that agree, sorted; none before the first change, when it is those
+	// that everyone began with. Prior
 	// are those before them, while it is not known that the change of voters is chosen.
 	Voters []string `cbor:"8,keyasint,omitempty"`
 	Prior  []string `cbor:"9,keyasint,omitempty"`
@@ -244,7 +245,11 @@
 		}
 		t.Outcomes = append(t.Outcomes, outcomes)
 	}
-	t.Changed = r.Seq != seq
+	if t.Changed = r.Seq != seq; t.Changed && len(r.Voters) == 0 {
+		// From its first change on the register names its voters itself: a machine that begins
+		// again with other seeds would take those for the voters.
+		r.Voters = slices.Clone(first)
+	}
 	sets := r.Sets(first)
 	if voters := sets[len(sets)-1]; !slices.Equal(voters, counted[len(counted)-1]) {
 		t.Brings = voters
--- a/trainregister/voters_test.go
+++ b/trainregister/voters_test.go
@@ -175,3 +175,19 @@
 	}
 	t.Error("nothing is found wrong where rounds go on with the sets that they began with")
 }
+
+// A machine that begins again without its disk is told other seeds than it was at first. It must
+// not count by those: two of them and two of the voters may share nobody.
+func TestVotersOutliveSeeds(t *testing.T) {
+	r := &Register{}
+	if turn := r.Turn(first, [][]string{first}, false, [][]Order{{{Kind: Begin, Zone: "north-a"}}}); !turn.Changed || turn.Brings != nil {
+		t.Fatalf("%+v", turn)
+	}
+	later := []string{"1", "4", "5"}
+	for _, counted := range [][][]string{{later}, {first}} {
+		turn := r.Clone().Turn(later, counted, true, [][]Order{{{Kind: Finish, Zone: "north-a"}}})
+		if begins := turn.Need != nil; begins != !slices.Equal(counted[0], first) || begins && !slices.Equal(turn.Need[0], first) {
+			t.Errorf("counted by %v with the seeds %v: %+v", counted, later, turn)
+		}
+	}
+}
