A limiter whose part is short asks another of its region for a single token

Change: such a limiter asks up to two others of its region for one token, which pay out of their parts, more rarely while they have none either (tariff.Asks). The next keeper is asked after 60 ms in place of 180. Limiters that begin with the system have half of the rule's slack of further tries; what all have saved up stays under it.

--- a/internal/switchyard/asks.go
+++ b/internal/switchyard/asks.go
@@ -1,27 +1,32 @@
 package switchyard
 
 import (
-	"context"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"time"
 
 	"example.org/madderdrum/internal/bell"
 	"example.org/madderdrum/internal/boot"
 	"example.org/madderdrum/limiter"
+	"example.org/madderdrum/tariff"
 	"example.org/madderdrum/timetable"
 )
 
 // Where a tenant's ceiling divided by all limiters comes to less than a few requests, no part
 // is of use: its parts are gathered at a few limiters, its keepers, and the others ask one of
-// them for each request. A keeper answers at once, out of its part, and nobody waits for a
-// token: a request that no keeper has one for is refused.
+// them for each request. Where parts are of use but small, a limiter whose part is short at the
+// moment asks another of its region for a single token, as requests come in clusters. Whoever is
+// asked answers at once, out of its part, and nobody waits for a token: a request that none of
+// them has one for is refused.
 
 const (
-	// Asked are so many keepers, each for so long: a download may be before an ask on a link, which
-	// takes a tenth of a second on the narrowest.
+	// Asked are so many limiters, the next one where the one before has no token or does not
+	// answer soon. A download may be before an ask on a link, which takes a tenth of a second
+	// on the narrowest: answers are waited for so long behind the last ask.
 	askNear    = 2
 	askFar     = 1
+	askNext    = 60 * time.Millisecond
 	nearWithin = 180 * time.Millisecond
 	farWithin  = 250 * time.Millisecond
 )
@@ -42,68 +47,122 @@
 	Why    string  `cbor:"4,keyasint,omitempty"`
 }
 
-// token asks keepers of a call's tenant, near ones first, until one pays for it.
-func (y *Yard) token(c *call) (ok bool, waitMs float64, why string) {
-	y.mu.Lock()
-	e := c.e
-	var near, far []int
-	for _, k := range e.keepers[account(c.tenant.Name)] {
+// askees are whom a call may ask for a token, near ones first, and how many of them are near: the
+// keepers of its tenant or, where its parts are not gathered, others of the region. The mutex is
+// held.
+func (c *call) askees() (all []int, near int) {
+	y, e := c.y, c.e
+	keepers := e.keepers[account(c.tenant.Name)]
+	var close, far []int
+	for i, p := range y.reg.Posts[:min(e.size, len(y.reg.Posts))] {
 		switch {
-		case k == e.place, y.out[y.reg.Posts[k].Name]:
-		case y.set.Zones[y.reg.Posts[k].Zone] == y.set.Region:
-			near = append(near, k)
-		default:
-			far = append(far, k)
+		case i == e.place, y.out[p.Name], keepers != nil && !slices.Contains(keepers, i):
+		case y.set.Zones[p.Zone] == y.set.Region:
+			close = append(close, i)
+		case keepers != nil:
+			far = append(far, i)
 		}
 	}
-	for _, all := range [][]int{near, far} {
-		rand.Shuffle(len(all), func(i, k int) { all[i], all[k] = all[k], all[i] })
+	for _, k := range [][]int{close, far} {
+		rand.Shuffle(len(k), func(i, j int) { k[i], k[j] = k[j], k[i] })
 	}
-	near, far = near[:min(askNear, len(near))], far[:min(askFar, len(far))]
+	near = min(askNear, len(close))
+	return append(close[:near], far[:min(askFar, len(far))]...), near
+}
+
+// token asks others for one token of a call's tenant until one pays for it.
+func (y *Yard) token(c *call) (ok bool, waitMs float64, why string) {
+	y.mu.Lock()
+	all, near := c.askees()
 	y.mu.Unlock()
-	waitMs = advice
-	for i, k := range append(near, far...) {
-		within := nearWithin
-		if i >= len(near) {
+	answers := make(chan tokenAnswer, len(all))
+	waitMs, why = advice, "keepers_silent"
+	open := 0 // asks without an answer
+	for i, k := range all {
+		within, last := nearWithin, i == len(all)-1
+		if i >= near {
 			within = farWithin
 		}
-		if left := time.Until(c.stopAt); left < within {
+		if time.Until(c.stopAt) < within {
 			break
 		}
-		a, heard := y.askToken(c, k, within)
-		if a.OK {
-			return true, 0, ""
+		serial := y.askToken(c, k, answers)
+		defer y.endAsk(serial)
+		open++
+		if !last {
+			within = askNext
 		}
-		if why = "keepers_silent"; heard {
-			why = "keepers_" + a.Why
-		}
-		if heard && a.WaitMs > 0 {
-			waitMs = min(max(a.WaitMs, advice/2), 1000)
+		for late := time.After(within); open > 0; {
+			select {
+			case a := <-answers:
+				open--
+				if a.OK {
+					return true, 0, ""
+				}
+				why = "keepers_" + a.Why
+				if a.WaitMs > 0 {
+					waitMs = min(max(a.WaitMs, advice/2), 1000)
+				}
+				continue
+			case <-late:
+			}
+			break
 		}
 	}
 	return false, waitMs, why
 }
 
-func (y *Yard) askToken(c *call, place int, within time.Duration) (a tokenAnswer, heard bool) {
+// askToken asks a limiter for a token. Its answer, if one comes, is put into answers.
+func (y *Yard) askToken(c *call, place int, answers chan tokenAnswer) (serial uint64) {
 	y.mu.Lock()
 	y.serial++
-	serial := y.serial
-	answer := make(chan tokenAnswer, 1)
-	y.asks[serial] = answer
+	serial = y.serial
+	y.asks[serial] = answers
 	to := y.set.Internal(y.reg.Posts[place].IP, boot.SwitchyardPort)
 	y.mu.Unlock()
 	y.tell(to, datagramAsk, bell.Encode(tokenAsk{serial, account(c.tenant.Name), c.route.Name, c.service}))
-	ctx, cancel := context.WithTimeout(context.Background(), within)
-	defer cancel()
-	select {
-	case a = <-answer:
-		heard = true
-	case <-ctx.Done():
-	}
+	return serial
+}
+
+// endAsk has an answer that is still to come be let go.
+func (y *Yard) endAsk(serial uint64) {
 	y.mu.Lock()
+	defer y.mu.Unlock()
 	delete(y.asks, serial)
+}
+
+// answered hands an answer to the call that waits for it, once. The mutex is held.
+func (y *Yard) answered(a tokenAnswer) {
+	if answers := y.asks[a.Serial]; answers != nil {
+		delete(y.asks, a.Serial)
+		answers <- a // it has room for one answer to each ask
+	}
+}
+
+// shortOf has a call whose tenant's part is short here ask others for a token, unless they had
+// none a moment ago.
+func (y *Yard) shortOf(c *call) (ok bool, waitMs float64) {
+	id := account(c.tenant.Name)
+	y.mu.Lock()
+	asks := y.asking[id]
+	if asks == nil {
+		asks = &tariff.Asks{}
+		y.asking[id] = asks
+	}
+	due := asks.Due(y.now())
 	y.mu.Unlock()
-	return a, heard
+	if !due {
+		return false, 0
+	}
+	ok, waitMs, _ = y.token(c)
+	y.mu.Lock()
+	defer y.mu.Unlock()
+	if ok {
+		asks.Paid()
+	} else {
+		asks.Refused(y.now())
+	}
+	return ok, waitMs
 }
 
 // asked answers another limiter's ask out of this one's part. The mutex is held.
--- a/internal/switchyard/front.go
+++ b/internal/switchyard/front.go
@@ -61,6 +61,7 @@
 	body       []byte
 	stream     *passage // the rest of a long body
 	why        string
+	short      bool // only this limiter's part of a ceiling is
 }
 
 // slot is the place of a request in the order of its connection.
@@ -454,9 +455,12 @@
 	b := y.budget[c.service]
 	if b == nil {
 		b = &tariff.Tries{}
+		if y.set.Bootstrap {
+			b = y.rules.First(c.e.size)
+		}
 		y.budget[c.service] = b
 	}
-	b.Earn(y.rules)
+	b.Earn(y.rules, c.e.size)
 	gathered := tenant != nil && c.e.keepers[account(tenant.Name)] != nil
 	keeps := gathered && slices.Contains(c.e.keepers[account(tenant.Name)], c.e.place)
 	if gathered && !keeps {
@@ -488,12 +492,12 @@
 	c.e.handle(ev)
 	y.mu.Unlock()
 	a := c.run()
-	if a.status == 429 && keeps {
-		if ok, wait, _ := y.token(c); ok {
+	if a.status == 429 && (keeps || tenant != nil && !paid && a.short) {
+		if ok, wait := y.shortOf(c); ok {
 			ev.Leased = 1
 			c.e.dispatch(ev)
 			a = c.run()
-		} else {
+		} else if wait > 0 {
 			a.retryAfter = wait
 		}
 	}
@@ -595,5 +599,5 @@
 	if wait <= 0 {
 		wait = advice
 	}
-	return &answer{status: status, retryAfter: wait, why: r.Why.String()}
+	return &answer{status: status, retryAfter: wait, why: r.Why.String(), short: r.Why == limiter.CeilingShort}
 }
--- a/internal/switchyard/loans.go
+++ b/internal/switchyard/loans.go
@@ -159,11 +159,8 @@
 			}
 		case datagramAnswer:
 			var a tokenAnswer
-			if bell.Decode(data, &a) == nil && y.asks[a.Serial] != nil {
-				select {
-				case y.asks[a.Serial] <- a:
-				default: // doubled
-				}
+			if bell.Decode(data, &a) == nil {
+				y.answered(a)
 			}
 		case datagramLoans:
 			var m wagons.Message
--- a/internal/switchyard/switchyard.go
+++ b/internal/switchyard/switchyard.go
@@ -58,7 +58,8 @@
 	line     *lineside.Line              // the other limiters of the region
 	lineIPs  map[string]string           // of their lives
 	out      map[string]bool             // those out of reach, by name
-	asks     map[uint64]chan tokenAnswer // that wait for a keeper
+	asks     map[uint64]chan tokenAnswer // that wait for an answer
+	asking   map[uint64]*tariff.Asks     // of single tokens, by account
 	serial   uint64                      // of the latest
 	listing  *time.Timer                 // makes the list of servers anew
 	listAt   time.Time                   // when; zero: not due
@@ -119,10 +120,10 @@
 	y := &Yard{set: set, log: log, caller: bell.NewCaller(), begun: time.Now(), self: fmt.Sprintf("%s#%08x", set.Node, rand.Uint32()),
 		cores: set.Cores(), nudge: make(chan struct{}, 1), book: stock.New(""), reg: &trainregister.Register{},
 		evacuate: map[string]bool{}, coldTo: map[string]time.Time{}, gone: map[string]bool{},
-		stations: map[string]*station{}, budget: map[string]*tariff.Tries{}, ended: map[string]int{}, asks: map[uint64]chan tokenAnswer{},
+		stations: map[string]*station{}, budget: map[string]*tariff.Tries{}, ended: map[string]int{}, asks: map[uint64]chan tokenAnswer{}, asking: map[uint64]*tariff.Asks{},
 		lineIPs: map[string]string{}, out: map[string]bool{}}
 	b := &set.Bounds
-	y.rules = tariff.Rules{QuotaWindow: b.QuotaWindow, QuotaOvershoot: b.QuotaOvershoot, QuotaSlack: b.QuotaSlack, RetryRatio: b.RetryRatio,
+	y.rules = tariff.Rules{QuotaWindow: b.QuotaWindow, QuotaOvershoot: b.QuotaOvershoot, QuotaSlack: b.QuotaSlack, RetryRatio: b.RetryRatio, RetrySlack: b.RetrySlack,
 		WarmupOvershoot: b.WarmupOvershoot, WarmupSlack: b.WarmupSlack}
 	y.line = lineside.New(y.self, rand.Uint64())
 	return y
--- a/tariff/tariff.go
+++ b/tariff/tariff.go
@@ -15,7 +15,8 @@
 	QuotaWindow     time.Duration
 	QuotaOvershoot  float64 // share by which a tenant may be over its quota in a window ...
 	QuotaSlack      float64 // ... and requests besides
-	RetryRatio      float64 // arrivals beyond the first of each request, by requests
+	RetryRatio      float64 // arrivals beyond the first of each request, by requests ...
+	RetrySlack      float64 // ... and a number besides
 	WarmupOvershoot float64 // factor on what a cold server bears ...
 	WarmupSlack     float64 // ... and requests besides, in one second
 }
@@ -112,16 +113,29 @@
 }
 
 // Tries is a limiter's budget of arrivals beyond the first of each request. It is earned by
-// requests alone, so that the sum over any number of limiters keeps the rule.
+// requests alone, and what all limiters have saved up stays under the rule's slack, so that the
+// sum keeps the rule as long as an equal part of that slack holds one arrival.
 type Tries struct{ have float64 }
 
 const (
 	triesPart = 0.8 // of the ratio of the rule
 	triesMost = 3.0 // that a limiter may have saved up
+	triesAll  = 0.9 // of the slack of the rule that all limiters may have saved up
+	// Part of that slack that the limiters of a system that starts for the first time have
+	// together at once. One that starts later has to earn it: how many do is not known.
+	triesFirst = 0.5
 )
 
-// Earn adds what one request earns.
-func (t *Tries) Earn(r Rules) { t.have = min(triesMost, t.have+triesPart*r.RetryRatio) }
+// First is a budget as the limiters that begin together have it, each of so many.
+func (r Rules) First(limiters int) *Tries {
+	return &Tries{min(triesMost, triesFirst*r.RetrySlack/float64(max(1, limiters)))}
+}
+
+// Earn adds what one request earns to the budget of one of so many limiters.
+func (t *Tries) Earn(r Rules, limiters int) {
+	most := min(triesMost, max(1, triesAll*r.RetrySlack/float64(max(1, limiters))))
+	t.have = max(t.have, min(most, t.have+triesPart*r.RetryRatio))
+}
 
 // Take takes one further arrival, if there is one left.
 func (t *Tries) Take() bool {
@@ -131,3 +145,26 @@
 	t.have--
 	return true
 }
+
+// Asks says when a limiter whose part of a tenant's ceiling is short asks another for a single
+// token. While others have none either the asks become rare: a tenant that sends many times its
+// quota must not have every refusal cost two messages. Times are in milliseconds on a clock that
+// does not go backwards. The zero value asks at once.
+type Asks struct{ notBefore, pause float64 }
+
+const (
+	asksPause = 100.0  // ms without asks after a refusal, doubled by each further one
+	asksMost  = 1600.0 // ms
+)
+
+// Due tells whether another may be asked now.
+func (a *Asks) Due(now float64) bool { return now >= a.notBefore }
+
+// Paid notes that another had a token.
+func (a *Asks) Paid() { *a = Asks{} }
+
+// Refused notes that nobody who was asked had one.
+func (a *Asks) Refused(now float64) {
+	a.pause = min(asksMost, max(asksPause, 2*a.pause))
+	a.notBefore = now + a.pause
+}
