--- a/internal/switchyard/asks.go
+++ b/internal/switchyard/asks.go
@@ -52,7 +52,7 @@
 // held.
 func (c *call) askees() (all []int, near int) {
 	y, e := c.y, c.e
-	keepers := e.keepers[account(c.tenant.Name)]
+	keepers := e.holding.Keepers[account(c.tenant.Name)]
 	var close, far []int
 	for i, p := range y.reg.Posts[:min(e.size, len(y.reg.Posts))] {
 		switch {
--- a/internal/switchyard/doors.go
+++ b/internal/switchyard/doors.go
@@ -54,14 +54,14 @@
 	lines = append(lines, fmt.Sprintf("line looked_at=%d out=%v", len(y.lineIPs), slices.Sorted(maps.Keys(y.out))))
 	lines = append(lines, y.book.Report(y.now())...)
 	if e := y.engine; e != nil {
-		of, rest, _ := e.loans.desk.Parts(y.now())
+		of, rest, _ := e.holding.Desk.Parts(y.now())
 		lines = append(lines, fmt.Sprintf("parts rest=%.3f limiters=%d", rest, e.size))
 		for i, t := range y.view.Load().table.Tenants {
 			part, ok := of[account(t.Name)]
 			if !ok {
 				part = rest
 			}
-			lines = append(lines, fmt.Sprintf("tenant=%s place=%d rate_per_s=%g part=%.3f demand_per_s=%.2f", t.Name, i, t.Rate, part, e.loans.desk.Rate(account(t.Name))))
+			lines = append(lines, fmt.Sprintf("tenant=%s place=%d rate_per_s=%g part=%.3f demand_per_s=%.2f", t.Name, i, t.Rate, part, e.holding.Desk.Rate(account(t.Name))))
 		}
 	}
 	return bell.Status{Lines: lines}, nil
--- a/internal/switchyard/engine.go
+++ b/internal/switchyard/engine.go
@@ -12,30 +12,29 @@
 	"example.org/madderdrum/stock"
 	"example.org/madderdrum/tariff"
 	"example.org/madderdrum/timetable"
+	"example.org/madderdrum/wagons"
 )
 
 // engine drives the decisions of one limiter.Limiter: as many limiters stand in its set as
 // have places. Where their number changes another engine takes the requests that come, and
 // this one ends those that it has. The yard's mutex guards it.
 type engine struct {
-	y        *Yard
-	lim      *limiter.Limiter
-	size     int // limiters of the set
-	place    int // this one's among them
-	queue    []limiter.Event
-	working  bool
-	calls    map[string]*call
-	classes  map[string]int // by route
-	plans    map[string]int // by tenant
-	pools    map[poolKey]*pool
-	ids      map[berth]uint64 // of servers
-	servers  map[uint64]*entry
-	names    int
-	loans    loans
-	ceilings map[uint64]tariff.Ceiling // by account
-	planOf   map[uint64]int            // plans by account
-	keepers  map[uint64][]int          // of accounts whose parts are gathered
-	ask      *tokenAnswer              // of another limiter, while it is decided on
+	y       *Yard
+	lim     *limiter.Limiter
+	size    int // limiters of the set
+	place   int // this one's among them
+	queue   []limiter.Event
+	working bool
+	calls   map[string]*call
+	classes map[string]int // by route
+	plans   map[string]int // by tenant
+	pools   map[poolKey]*pool
+	ids     map[berth]uint64 // of servers
+	servers map[uint64]*entry
+	names   int
+	holding *wagons.Holding // of tenants' ceilings
+	planOf  map[uint64]int  // plans by account
+	ask     *tokenAnswer    // of another limiter, while it is decided on
 }
 
 // poolKey says which servers of a service may take the same requests.
@@ -109,7 +108,8 @@
 		s.Classes = []limiter.Class{{AimMs: 1000, DeadlineMs: 1000, Worth: 1}}
 	}
 	s.Plans = []limiter.Plan{{Price: 1}} // of requests without a tenant
-	e.ceilings, e.planOf, e.keepers = map[uint64]tariff.Ceiling{}, map[uint64]int{}, map[uint64][]int{}
+	h := e.holding
+	h.Ceilings, h.Keepers, e.planOf = map[uint64]tariff.Ceiling{}, map[uint64][]int{}, map[uint64]int{}
 	places := e.y.places()
 	for i := range t.Tenants {
 		tn := &t.Tenants[i]
@@ -120,9 +120,9 @@
 		p := limiter.Plan{Price: 1, Rate: c.Rate, Burst: c.Burst, CeilingRate: c.Rate, CeilingBurst: c.Burst}
 		e.planOf[account(tn.Name)] = len(s.Plans)
 		s.Plans = append(s.Plans, p)
-		e.ceilings[account(tn.Name)] = c
+		h.Ceilings[account(tn.Name)] = c
 		if k := tariff.Keepers(tn.Name, c, places); k != nil {
-			e.keepers[account(tn.Name)] = k
+			h.Keepers[account(tn.Name)] = k
 		}
 	}
 	return s, classes, plans
@@ -130,18 +130,18 @@
 
 // endow gives accounts what this limiter begins with of their ceilings. The mutex is held.
 func (e *engine) endow(s limiter.Settings, position int) {
-	h := &limiter.Handover{Position: position, Balancers: e.size, Plans: s.Plans, HeadMs: 1e-6}
+	from := &limiter.Handover{Position: position, Balancers: e.size, Plans: s.Plans, HeadMs: 1e-6}
 	for tenant, i := range e.plans {
-		c, share := e.ceilings[account(tenant)], 0.0
+		c, share := e.holding.Ceilings[account(tenant)], 0.0
 		if c.Rate <= 0 {
 			continue
 		}
-		if e.keepers[account(tenant)] == nil { // what a keeper begins with comes up with its part's rate
+		if gathered, _ := e.holding.Keeps(account(tenant)); !gathered { // what a keeper begins with comes up with its part's rate
 			share = e.y.rules.Begins(c) / float64(e.size)
 		}
-		h.Accounts = append(h.Accounts, limiter.AccountMemory{ID: account(tenant), Plan: i, Spread: e.size, Balance: c.Burst, Share: share})
+		from.Accounts = append(from.Accounts, limiter.AccountMemory{ID: account(tenant), Plan: i, Spread: e.size, Balance: c.Burst, Share: share})
 	}
-	e.handle(limiter.Recall{Memory: &limiter.Memory{Handover: h}})
+	e.handle(limiter.Recall{Memory: &limiter.Memory{Handover: from}})
 	// Accounts are opened at once: one that is opened after the next configuration would begin
 	// with nothing.
 	for tenant, i := range e.plans {
@@ -175,7 +175,7 @@
 	size := len(y.reg.Posts)
 	e := y.engine
 	if e == nil || e.size != size {
-		e = &engine{y: y, size: size, place: position, calls: map[string]*call{}, pools: map[poolKey]*pool{}, ids: map[berth]uint64{}, servers: map[uint64]*entry{}}
+		e = &engine{y: y, size: size, place: position, holding: wagons.Hold(nil, position, size), calls: map[string]*call{}, pools: map[poolKey]*pool{}, ids: map[berth]uint64{}, servers: map[uint64]*entry{}}
 		e.name(t)
 		s, classes, plans := e.settings(t, position)
 		lim, err := limiter.New(s, uint64(time.Now().UnixNano()))
--- a/internal/switchyard/front.go
+++ b/internal/switchyard/front.go
@@ -8,7 +8,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -461,8 +460,10 @@
 		y.budget[c.service] = b
 	}
 	b.Earn(y.rules, c.e.size)
-	gathered := tenant != nil && c.e.keepers[account(tenant.Name)] != nil
-	keeps := gathered && slices.Contains(c.e.keepers[account(tenant.Name)], c.e.place)
+	gathered, keeps := false, false
+	if tenant != nil {
+		gathered, keeps = c.e.holding.Keeps(account(tenant.Name))
+	}
 	if gathered && !keeps {
 		y.mu.Unlock()
 		ok, wait, why := y.token(c)
--- a/internal/switchyard/loans.go
+++ b/internal/switchyard/loans.go
@@ -1,7 +1,6 @@
 package switchyard
 
 import (
-	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -24,14 +23,6 @@
 
 const loansEvery = 400 * time.Millisecond
 
-// loans is an engine's dealing in parts of ceilings.
-type loans struct {
-	desk  *wagons.Desk
-	of    map[uint64]float64 // parts that are in force
-	rest  float64
-	until float64 // they hold no longer than this; 0: for good
-}
-
 // lend begins an engine's dealing in parts. The mutex is held.
 func (e *engine) lend(position int) {
 	y := e.y
@@ -45,7 +36,7 @@
 			region = append(region, i)
 		}
 	}
-	e.loans = loans{desk: wagons.New(y.now(), position, e.size, append(near, region...), rand.Uint64()), rest: 1}
+	e.holding.Desk = wagons.New(y.now(), position, e.size, append(near, region...), rand.Uint64())
 	e.parts()
 	e.lookAtLoans()
 }
@@ -56,16 +47,11 @@
 	if y.engine != nil && y.engine != e && len(e.calls) == 0 {
 		return // another has taken its place
 	}
-	var all []wagons.Account
-	n := float64(e.size)
+	var demands []wagons.Demand
 	for _, d := range e.lim.Demands() {
-		if e.keepers[d.Account] != nil {
-			continue
-		}
-		c := e.ceilings[d.Account]
-		all = append(all, wagons.Account{ID: d.Account, Rate: c.Rate / n, Burst: c.Burst / n, Asked: d.Asked})
+		demands = append(demands, wagons.Demand{ID: d.Account, Asked: d.Asked})
 	}
-	for _, l := range e.loans.desk.Look(y.now(), all) {
+	for _, l := range e.holding.Look(y.now(), demands) {
 		e.write(l)
 	}
 	e.parts()
@@ -84,25 +70,14 @@
 
 // parts has the parts that are held now be in force. The mutex is held.
 func (e *engine) parts() {
-	of, rest, until := e.loans.desk.Parts(e.y.now())
-	for id, keepers := range e.keepers {
-		of[id] = 0
-		if slices.Contains(keepers, e.place) {
-			of[id] = float64(e.size) / float64(len(keepers))
-		}
-	}
-	e.loans.until = until
-	if rest == e.loans.rest && maps.Equal(of, e.loans.of) {
-		return
+	if of, rest, changed := e.holding.Parts(e.y.now()); changed {
+		e.handle(limiter.Parts{Of: of, Rest: rest})
 	}
-	e.loans.of, e.loans.rest = of, rest
-	e.handle(limiter.Parts{Of: of, Rest: rest})
 }
 
-// partsDue is parts, where some have ended: also where this process stood still meanwhile. The
-// mutex is held.
+// partsDue is parts, where some have ended. The mutex is held.
 func (e *engine) partsDue() {
-	if e.loans.until > 0 && e.y.now() >= e.loans.until {
+	if e.holding.Due(e.y.now()) {
 		e.parts()
 	}
 }
@@ -167,7 +142,7 @@
 			if bell.Decode(data, &m) != nil {
 				return
 			}
-			if l, ok := e.loans.desk.Hear(y.now(), i, m); ok {
+			if l, ok := e.holding.Desk.Hear(y.now(), i, m); ok {
 				e.parts() // what is lent is given up before the borrower hears of it
 				e.write(l)
 			} else if m.Answer { // more is held, or it is known what was lent
--- a/internal/switchyard/switchyard_test.go
+++ b/internal/switchyard/switchyard_test.go
@@ -393,7 +393,7 @@
 			paid++
 		}
 	}
-	if most := y.engine.ceilings[id].Burst; float64(paid) > most+100 || paid < 100 {
+	if most := y.engine.holding.Ceilings[id].Burst; float64(paid) > most+100 || paid < 100 {
 		t.Errorf("%d of 2000 asks were paid for, the ceiling holds %.0f", paid, most)
 	}
 	if y.engine.asked(tokenAsk{Account: id, Route: "none"}).OK || y.engine.asked(tokenAsk{Account: 1, Route: "read", Service: "s"}).OK {
@@ -436,7 +436,7 @@
 		}
 		y.mu.Lock()
 		defer y.mu.Unlock()
-		of, rest, _ := y.engine.loans.desk.Parts(y.now())
+		of, rest, _ := y.engine.holding.Desk.Parts(y.now())
 		for id, part := range of {
 			if part > 1 {
 				t.Errorf("account %d: a part of %g, and nothing was asked for", id, part)
--- /dev/null
+++ b/wagons/holding.go
@@ -0,0 +1,69 @@
+package wagons
+
+import (
+	"maps"
+	"slices"
+
+	"example.org/madderdrum/tariff"
+)
+
+// Demand is what was asked for at this limiter of one account with a ceiling.
+type Demand struct {
+	ID    uint64
+	Asked float64 // requests, since the process began
+}
+
+// Holding is what one limiter may use of all ceilings: by loans from others and to them and,
+// where parts are gathered, as a keeper. Like a [Desk] it reads no clock.
+type Holding struct {
+	Desk        *Desk
+	place, size int
+	Ceilings    map[uint64]tariff.Ceiling // by account
+	Keepers     map[uint64][]int          // of accounts whose parts are gathered
+	of          map[uint64]float64        // parts that are in force
+	rest        float64
+	until       float64 // they hold no longer than this; 0: for good
+}
+
+// Hold returns what a limiter holds that begins at a place among so many.
+func Hold(d *Desk, place, size int) *Holding {
+	return &Holding{Desk: d, place: place, size: size, rest: 1}
+}
+
+// Keeps tells that an account's parts are gathered, and that this limiter is one of its keepers.
+func (h *Holding) Keeps(id uint64) (gathered, keeper bool) {
+	k := h.Keepers[id]
+	return k != nil, slices.Contains(k, h.place)
+}
+
+// Look returns what to ask others for.
+func (h *Holding) Look(now float64, demands []Demand) []Letter {
+	var all []Account
+	n := float64(h.size)
+	for _, d := range demands {
+		if h.Keepers[d.ID] == nil {
+			c := h.Ceilings[d.ID]
+			all = append(all, Account{ID: d.ID, Rate: c.Rate / n, Burst: c.Burst / n, Asked: d.Asked})
+		}
+	}
+	return h.Desk.Look(now, all)
+}
+
+// Parts are what this limiter may use from now on, in equal parts: of some accounts, and of the
+// rest. changed tells that they are others than before.
+func (h *Holding) Parts(now float64) (of map[uint64]float64, rest float64, changed bool) {
+	of, rest, h.until = h.Desk.Parts(now)
+	for id, keepers := range h.Keepers {
+		of[id] = 0
+		if slices.Contains(keepers, h.place) {
+			of[id] = float64(h.size) / float64(len(keepers))
+		}
+	}
+	changed = rest != h.rest || !maps.Equal(of, h.of)
+	h.of, h.rest = of, rest
+	return of, rest, changed
+}
+
+// Due tells that some of the parts in force have ended: also where the process stood still
+// meanwhile.
+func (h *Holding) Due(now float64) bool { return h.until > 0 && now >= h.until }
