--- a/internal/switchyard/asks.go
+++ b/internal/switchyard/asks.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"strconv"
 	"time"
 
@@ -21,11 +20,9 @@
 // them has one for is refused.
 
 const (
-	// Asked are so many limiters, the next one where the one before has no token or does not
-	// answer soon. A download may be before an ask on a link, which takes a tenth of a second
-	// on the narrowest: answers are waited for so long behind the last ask.
-	askNear    = 2
-	askFar     = 1
+	// The next limiter is asked where the one before has no token or does not answer soon. A
+	// download may be before an ask on a link, which takes a tenth of a second on the narrowest:
+	// answers are waited for so long behind the last ask.
 	askNext    = 60 * time.Millisecond
 	nearWithin = 180 * time.Millisecond
 	farWithin  = 250 * time.Millisecond
@@ -47,33 +44,10 @@
 	Why    string  `cbor:"4,keyasint,omitempty"`
 }
 
-// askees are whom a call may ask for a token, near ones first, and how many of them are near: the
-// keepers of its tenant or, where its parts are not gathered, others of the region. The mutex is
-// held.
-func (c *call) askees() (all []int, near int) {
-	y, e := c.y, c.e
-	keepers := e.holding.Keepers[account(c.tenant.Name)]
-	var close, far []int
-	for i, p := range y.reg.Posts[:min(e.size, len(y.reg.Posts))] {
-		switch {
-		case i == e.place, y.out[p.Name], keepers != nil && !slices.Contains(keepers, i):
-		case y.set.Zones[p.Zone] == y.set.Region:
-			close = append(close, i)
-		case keepers != nil:
-			far = append(far, i)
-		}
-	}
-	for _, k := range [][]int{close, far} {
-		rand.Shuffle(len(k), func(i, j int) { k[i], k[j] = k[j], k[i] })
-	}
-	near = min(askNear, len(close))
-	return append(close[:near], far[:min(askFar, len(far))]...), near
-}
-
 // token asks others for one token of a call's tenant until one pays for it.
 func (y *Yard) token(c *call) (ok bool, waitMs float64, why string) {
 	y.mu.Lock()
-	all, near := c.askees()
+	all, near := c.e.holding.Askees(account(c.tenant.Name), c.e.places, func(name string) bool { return y.out[name] }, rand.Shuffle)
 	y.mu.Unlock()
 	answers := make(chan tokenAnswer, len(all))
 	waitMs, why = advice, "keepers_silent"
--- a/internal/switchyard/engine.go
+++ b/internal/switchyard/engine.go
@@ -32,6 +32,7 @@
 	ids     map[berth]uint64 // of servers
 	servers map[uint64]*entry
 	names   int
+	places  []tariff.Place
 	holding *wagons.Holding // of tenants' ceilings
 	planOf  map[uint64]int  // plans by account
 	ask     *tokenAnswer    // of another limiter, while it is decided on
@@ -110,7 +111,7 @@
 	s.Plans = []limiter.Plan{{Price: 1}} // of requests without a tenant
 	h := e.holding
 	h.Ceilings, h.Keepers, e.planOf = map[uint64]tariff.Ceiling{}, map[uint64][]int{}, map[uint64]int{}
-	places := e.y.places()
+	e.places = e.y.places()
 	for i := range t.Tenants {
 		tn := &t.Tenants[i]
 		plans[tn.Name] = len(s.Plans)
@@ -121,7 +122,7 @@
 		e.planOf[account(tn.Name)] = len(s.Plans)
 		s.Plans = append(s.Plans, p)
 		h.Ceilings[account(tn.Name)] = c
-		if k := tariff.Keepers(tn.Name, c, places); k != nil {
+		if k := tariff.Keepers(tn.Name, c, e.places); k != nil {
 			h.Keepers[account(tn.Name)] = k
 		}
 	}
@@ -132,14 +133,12 @@
 func (e *engine) endow(s limiter.Settings, position int) {
 	from := &limiter.Handover{Position: position, Balancers: e.size, Plans: s.Plans, HeadMs: 1e-6}
 	for tenant, i := range e.plans {
-		c, share := e.holding.Ceilings[account(tenant)], 0.0
+		c := e.holding.Ceilings[account(tenant)]
 		if c.Rate <= 0 {
 			continue
 		}
-		if gathered, _ := e.holding.Keeps(account(tenant)); !gathered { // what a keeper begins with comes up with its part's rate
-			share = e.y.rules.Begins(c) / float64(e.size)
-		}
-		from.Accounts = append(from.Accounts, limiter.AccountMemory{ID: account(tenant), Plan: i, Spread: e.size, Balance: c.Burst, Share: share})
+		from.Accounts = append(from.Accounts, limiter.AccountMemory{ID: account(tenant), Plan: i, Spread: e.size, Balance: c.Burst,
+			Share: e.holding.Begins(e.y.rules, account(tenant))})
 	}
 	e.handle(limiter.Recall{Memory: &limiter.Memory{Handover: from}})
 	// Accounts are opened at once: one that is opened after the next configuration would begin
--- a/wagons/holding.go
+++ b/wagons/holding.go
@@ -67,3 +67,40 @@
 // Due tells that some of the parts in force have ended: also where the process stood still
 // meanwhile.
 func (h *Holding) Due(now float64) bool { return h.until > 0 && now >= h.until }
+
+// Begins is what a limiter that begins anew has of an account's ceiling at once. What a keeper
+// begins with comes up with its part's rate.
+func (h *Holding) Begins(r tariff.Rules, id uint64) float64 {
+	if gathered, _ := h.Keeps(id); gathered {
+		return 0
+	}
+	return r.Begins(h.Ceilings[id]) / float64(h.size)
+}
+
+// Asked for a single token are so many others, those of the own region first.
+const (
+	askNear = 2
+	askFar  = 1
+)
+
+// Askees are whom to ask for a token of an account, one after the other, and how many of them are
+// near: its keepers or, where its parts are not gathered, others of the region. out tells who is
+// out of reach, shuffle is as in math/rand.
+func (h *Holding) Askees(id uint64, places []tariff.Place, out func(name string) bool, shuffle func(int, func(int, int))) (all []int, near int) {
+	keepers, region := h.Keepers[id], places[h.place].Region
+	var close, far []int
+	for i, p := range places[:min(h.size, len(places))] {
+		switch {
+		case i == h.place, out(p.Name), keepers != nil && !slices.Contains(keepers, i):
+		case p.Region == region:
+			close = append(close, i)
+		case keepers != nil:
+			far = append(far, i)
+		}
+	}
+	for _, k := range [][]int{close, far} {
+		shuffle(len(k), func(i, j int) { k[i], k[j] = k[j], k[i] })
+	}
+	near = min(askNear, len(close))
+	return append(close[:near], far[:min(askFar, len(far))]...), near
+}
