Rig: the pure parts of the control state run together in virtual time; bridges cut

It found at once: where two zones can't reach each other and a third reaches both, limiters that are there were taken for out of reach, as both third parties could stand in the zones that are cut. Now three are asked, of other zones first, and again while it is suspected; who hears of it from a third party takes the suspicion back.

--- a/internal/switchyard/watch.go
+++ b/internal/switchyard/watch.go
@@ -44,14 +44,14 @@
 // setLine says whom of the region there is to look at, by the book. The mutex is held.
 func (y *Yard) setLine() {
 	clear(y.lineIPs)
-	var ids []string
+	zones := map[string]string{y.self: y.set.Zone}
 	y.book.Each(y.now(), func(r stock.Record) {
 		if r.Service == stock.Limiters && r.State == stock.Available && y.set.Zones[r.Zone] == y.set.Region {
-			ids = append(ids, r.ID)
+			zones[r.ID] = r.Zone
 			y.lineIPs[r.ID] = boot.HostOf(r.Address)
 		}
 	})
-	y.line.Set(ids)
+	y.line.Set(zones)
 }
 
 // outs notes who is out of reach. The mutex is held.
--- /dev/null
+++ b/internal/testring/testring_test.go
@@ -0,0 +1,145 @@
+package testring
+
+import (
+	"testing"
+	"time"
+
+	"example.org/madderdrum/stock"
+	"example.org/madderdrum/tariff"
+)
+
+var rules = tariff.Rules{QuotaWindow: 5 * time.Second, QuotaOvershoot: 0.1, QuotaSlack: 20, RetryRatio: 0.2, RetrySlack: 200, WarmupOvershoot: 1.5, WarmupSlack: 8}
+
+func options(seed uint64, limiters int) Options {
+	return Options{Seed: seed, Regions: 3, Zones: 3, Limiters: limiters, Cores: 3, Servers: 36, Tenants: 8, PerS: 15 * float64(limiters), Rules: rules, Loss: 0.002}
+}
+
+// On a calm day requests within their quotas pass, and nobody is taken for out of reach.
+func TestCalm(t *testing.T) {
+	o := options(1, 45)
+	o.Tenants, o.Cores = 45, 5
+	w := New(o)
+	w.Run(5000)
+	for range 10 {
+		w.Run(1000)
+		if n := w.Out(); n > 0 {
+			t.Errorf("%d times somebody is taken for out of reach", n)
+		}
+	}
+	if share := float64(w.Refused) / float64(w.Requests); share > 0.01 || w.Requests < 5000 {
+		t.Errorf("%d of %d requests within their quotas are refused", w.Refused, w.Requests)
+	}
+	if over := w.Over(); over > 0 {
+		t.Errorf("a tenant is %.0f requests over its quota", over)
+	}
+}
+
+// A tenant presses on all limiters at eight times its usual while half of them are killed at once
+// and come back, while the lines between two zones are cut, and while limiters choke: all of
+// them together keep its quota, and the others' requests pass.
+func TestQuotasHoldUnderFaults(t *testing.T) {
+	for name, fault := range map[string]func(w *World){
+		"half killed": func(w *World) {
+			for i := 0; i < len(w.nodes); i += 2 {
+				w.Stop(i)
+				w.after(700, func() { w.Start(i) })
+			}
+		},
+		"killed twice": func(w *World) {
+			for i := 0; i < len(w.nodes); i += 2 {
+				w.Stop(i)
+				w.after(700, func() { w.Start(i) })
+				w.after(2500, func() { w.Stop(i) })
+				w.after(3200, func() { w.Start(i) })
+			}
+		},
+		"bridge": func(w *World) { w.Cut(func(a, b int) bool { return a == 0 && b == 3 || a == 3 && b == 0 }) },
+		"parted": func(w *World) { w.Cut(func(a, b int) bool { return a%3 != b%3 }) },
+		"choked": func(w *World) {
+			for i := range 6 {
+				w.Choke(i, 6000)
+			}
+		},
+		"core lost": func(w *World) { w.StopCore(0); w.after(3000, func() { w.StartCore(0) }) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(2) {
+				o := options(seed, 18)
+				o.HotX, o.HotFrom, o.HotTo = 8, 8000, 16000
+				w := New(o)
+				w.Run(10000)
+				fault(w)
+				w.Run(10000)
+				if over := w.Over(); over > 0 {
+					t.Errorf("seed %d: a tenant is %.0f requests over its quota", seed, over)
+				}
+				if share := float64(w.Refused) / float64(w.Requests); share > 0.05 {
+					t.Errorf("seed %d: %d of %d requests of the others are refused", seed, w.Refused, w.Requests)
+				}
+			}
+		})
+	}
+}
+
+// Two zones that can't reach each other while a third reaches both: nobody is taken for out of
+// reach, and a drain that one side's registry hears of is known everywhere.
+func TestBridge(t *testing.T) {
+	for seed := range uint64(3) {
+		o := options(seed, 27)
+		w := New(o)
+		w.Run(6000)
+		w.Cut(func(a, b int) bool { return a == 0 && b == 3 || a == 3 && b == 0 }) // of one region, each with a registry
+		wrong := 0
+		for range 10 {
+			w.Run(500)
+			wrong += w.Out()
+		}
+		if wrong > 0 {
+			t.Errorf("seed %d: limiters are taken for out of reach %d times", seed, wrong)
+		}
+		w.Drain(5, 1)
+		w.Run(2500)
+		if n := w.Knows(5, stock.Draining); n != w.Up() {
+			t.Errorf("seed %d: %d of %d limiters know of a drain 2.5 s after it", seed, n, w.Up())
+		}
+	}
+}
+
+// One whose link is full is late, not gone.
+func TestChokedIsNotGone(t *testing.T) {
+	for seed := range uint64(5) {
+		w := New(options(seed, 27))
+		w.Run(6000)
+		w.Choke(4, 10000)
+		for range 10 {
+			w.Run(1000)
+			if n := w.Out(); n > len(w.nodes)/3 {
+				t.Errorf("seed %d: %d take somebody for out of reach", seed, n)
+			}
+		}
+	}
+}
+
+// What one limiter says a second does not grow with their number, but for what it learns of
+// those that begin.
+func TestBytesPerLimiter(t *testing.T) {
+	per := func(limiters int) (line, loans, pulls float64) {
+		o := options(1, limiters)
+		w := New(o)
+		w.Run(8000) // all have begun
+		clear(w.Sent)
+		w.Run(5000)
+		rate := func(kind string) float64 {
+			if k := w.Sent[kind]; k != nil {
+				return k.Bytes / float64(limiters) / 5
+			}
+			return 0
+		}
+		return rate("line"), rate("loans"), rate("pulls")
+	}
+	line, loans, pulls := per(9)
+	line2, loans2, pulls2 := per(90)
+	if line2 > 1.5*line+50 || loans2 > 1.5*loans+500 || pulls2 > 1.5*pulls+100 {
+		t.Errorf("bytes a second of a limiter: line %.0f, loans %.0f, pulls %.0f at 9; %.0f, %.0f, %.0f at 90", line, loans, pulls, line2, loans2, pulls2)
+	}
+}
--- a/lineside/lineside.go
+++ b/lineside/lineside.go
@@ -1,8 +1,8 @@
 // Package lineside is how the limiters of a region know which of them are there, as watchmen
-// along a line do. Each looks at one other in turn; where that does not answer, two third
-// parties are asked to look too; where nobody gets an answer it is suspected, which all are
-// told, itself among them if it hears; it has a while to object; then it is out, until it is
-// heard of again.
+// along a line do. Each looks at one other in turn; where that does not answer, three third
+// parties of other zones are asked to look too; where nobody gets an answer it is suspected, which
+// all are told, itself among them if it hears; it has a while to object, or to be heard by third
+// parties that are asked again; then it is out, until it is heard of again.
 //
 // Whom there is to look at comes from the book of the registries. What is found here says only
 // who is out of reach now: nobody's part of anything is given away by it.
@@ -21,7 +21,7 @@
 	answerMs  = 120.0 // for an answer, before third parties are asked
 	secondMs  = 300.0 // for theirs
 	objectMs  = 700.0 // for a suspect to object
-	third     = 2     // parties that are asked
+	third     = 3     // parties that are asked
 	claimsMax = 6     // in one message
 	tellTimes = 4     // a claim is told in so many messages
 	outLooks  = 3     // one look in so many goes to those that are out
@@ -70,11 +70,13 @@
 }
 
 type member struct {
+	zone        string
 	incarnation uint64
 	state       State
 	since       float64
 	tell        int // messages in which its claim is still to be told
 	askedAt     float64
+	mine        bool // this limiter was the one to suspect it
 }
 
 type look struct {
@@ -88,7 +90,7 @@
 
 // Line is what one limiter knows of the others of its region.
 type Line struct {
-	me          string
+	me, zone    string
 	incarnation uint64
 	rng         *rand.Rand
 	members     map[string]*member
@@ -105,16 +107,18 @@
 	return &Line{me: me, rng: rand.New(rand.NewPCG(seed, 7)), members: map[string]*member{}, looks: map[uint64]*look{}}
 }
 
-// Set says whom there is to look at.
-func (l *Line) Set(ids []string) {
+// Set says whom there is to look at, and in which zone each stands. This limiter's own zone is
+// there too, if it is known.
+func (l *Line) Set(zones map[string]string) {
+	l.zone = zones[l.me]
 	for id := range l.members {
-		if !slices.Contains(ids, id) {
+		if _, there := zones[id]; !there {
 			delete(l.members, id)
 		}
 	}
-	for _, id := range ids {
+	for id, zone := range zones {
 		if id != l.me && l.members[id] == nil {
-			l.members[id] = &member{}
+			l.members[id] = &member{zone: zone}
 		}
 	}
 }
@@ -148,13 +152,14 @@
 			}
 		case !k.asked && now-k.at > answerMs:
 			k.asked, k.at = true, now
-			for _, id := range l.others(k.target, third) {
+			for _, id := range l.parties(k.target, third) {
 				out = append(out, l.letter(id, Message{Kind: Ask, Serial: serial, Target: k.target}))
 			}
 		case k.asked && now-k.at > secondMs:
 			delete(l.looks, serial)
 			if m.state == Here {
 				l.claim(now, k.target, Claim{k.target, m.incarnation, Suspect})
+				m.mine = true
 			}
 		}
 	}
@@ -168,6 +173,13 @@
 			m.askedAt = now
 			l.serial++
 			out = append(out, l.letter(id, Message{Kind: Look, Serial: l.serial}))
+			if m.mine { // who suspects first goes on to ask others, whom it may reach
+				l.serial++
+				l.looks[l.serial] = &look{target: id, at: now, asked: true}
+				for _, to := range l.parties(id, third) {
+					out = append(out, l.letter(to, Message{Kind: Ask, Serial: l.serial, Target: id}))
+				}
+			}
 		}
 	}
 	if now >= l.lookAt {
@@ -201,16 +213,33 @@
 	return ""
 }
 
-// others draws some that are here, but for one.
-func (l *Line) others(but string, n int) (all []string) {
+// parties draws some that are here to look at a target too: most of them in zones that are neither
+// this limiter's nor the target's, one in its own. What is cut between two zones is cut for all
+// that stand there, and a third one may reach both; or it is the third one that this zone does not
+// reach.
+func (l *Line) parties(target string, n int) (all []string) {
+	var here []string
 	for id, m := range l.members {
-		if id != but && m.state == Here {
-			all = append(all, id)
+		if id != target && m.state == Here {
+			here = append(here, id)
 		}
 	}
-	slices.Sort(all)
-	l.rng.Shuffle(len(all), func(i, k int) { all[i], all[k] = all[k], all[i] })
-	return all[:min(n, len(all))]
+	slices.Sort(here)
+	l.rng.Shuffle(len(here), func(i, k int) { here[i], here[k] = here[k], here[i] })
+	met := map[string]int{l.zone: 1}
+	met[l.members[target].zone] += n
+	for len(all) < n && len(here) > 0 {
+		best := 0
+		for i, id := range here {
+			if met[l.members[id].zone] < met[l.members[here[best]].zone] {
+				best = i
+			}
+		}
+		met[l.members[here[best]].zone] += 2
+		all = append(all, here[best])
+		here = slices.Delete(here, best, best+1)
+	}
+	return all
 }
 
 // letter adds what is to be told. Whoever is taken for more than here is told so itself.
@@ -255,6 +284,9 @@
 			break
 		}
 		delete(l.looks, m.Serial)
+		if t := l.members[k.target]; t != nil && t.state == Suspect && m.From != k.target { // a third party heard it
+			l.claim(now, m.From, Claim{k.target, t.incarnation + 1, Here})
+		}
 		if k.client != "" {
 			out = append(out, l.letter(k.client, Message{Kind: Answer, Serial: k.serial}))
 		}
@@ -275,7 +307,7 @@
 		return
 	}
 	l.changed = l.changed || (c.State == Out) != (m.state == Out)
-	m.incarnation, m.state, m.since, m.tell = c.Incarnation, c.State, now, tellTimes
+	m.incarnation, m.state, m.since, m.tell, m.mine = c.Incarnation, c.State, now, tellTimes, false
 }
 
 func sorted[K ~string | ~uint64, V any](m map[K]V) []K {
--- a/lineside/lineside_test.go
+++ b/lineside/lineside_test.go
@@ -17,6 +17,7 @@
 	now   float64
 	lines map[string]*Line
 	ids   []string
+	zones map[string]string
 	gone  map[string]bool // dead, or without power
 	cut   func(from, to string) bool
 	loss  float64
@@ -25,13 +26,14 @@
 }
 
 func newWorld(seed uint64, n int) *world {
-	w := &world{rng: rand.New(rand.NewPCG(seed, 1)), lines: map[string]*Line{}, gone: map[string]bool{}, cut: func(string, string) bool { return false }}
+	w := &world{rng: rand.New(rand.NewPCG(seed, 1)), lines: map[string]*Line{}, zones: map[string]string{}, gone: map[string]bool{}, cut: func(string, string) bool { return false }}
 	for i := range n {
 		w.ids = append(w.ids, fmt.Sprintf("e%d", i))
+		w.zones[w.ids[i]] = fmt.Sprint("z", i%3)
 	}
 	for i, id := range w.ids {
 		w.lines[id] = New(id, seed*100+uint64(i))
-		w.lines[id].Set(w.ids)
+		w.lines[id].Set(w.zones)
 	}
 	return w
 }
@@ -131,6 +133,34 @@
 	}
 }
 
+// Two zones that can't reach each other, while a third reaches both: nobody is out, and few are
+// even suspected.
+func TestBridgeOfZones(t *testing.T) {
+	for seed := range uint64(10) {
+		w := newWorld(seed, 18)
+		w.loss = 0.01
+		w.run(2000)
+		w.cut = func(a, b string) bool { return w.zones[a] != w.zones[b] && w.zones[a] != "z2" && w.zones[b] != "z2" }
+		suspects := 0
+		for range 20 {
+			w.run(500)
+			for _, id := range w.ids {
+				if w.seen(id) > 0 {
+					t.Errorf("seed %d: %s is taken for out", seed, id)
+				}
+				for _, o := range w.ids {
+					if w.lines[o].State(id) == Suspect {
+						suspects++
+					}
+				}
+			}
+		}
+		if suspects > 40 {
+			t.Errorf("seed %d: %d suspicions in 10 s", seed, suspects)
+		}
+	}
+}
+
 // What one limiter sends does not grow with their number.
 func TestMessagesPerLimiter(t *testing.T) {
 	rate := func(n int) float64 {
