--- a/internal/testring/cores.go
+++ b/internal/testring/cores.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"strings"
 
 	"example.org/madderdrum/internal/bell"
 	"example.org/madderdrum/internal/roundhouse"
@@ -168,9 +169,9 @@
 		}
 	} else {
 		n.book.Each(w.now, func(r stock.Record) {
-			var i, life int
 			if r.Service == stock.Limiters && r.State == stock.Available {
-				if k, _ := fmt.Sscanf(r.ID, "edge-%d#%x", &i, &life); k == 2 && w.nodes[i].region == n.region && w.nodes[i].life <= life {
+				name, _, _ := strings.Cut(r.ID, "#")
+				if o := w.byName[name]; o != nil && o.region == n.region && o.id() == r.ID {
 					zones[r.ID] = r.Zone
 				}
 			}
--- a/internal/testring/testring.go
+++ b/internal/testring/testring.go
@@ -11,6 +11,8 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"strconv"
+	"strings"
 	"time"
 
 	"example.org/madderdrum/internal/bell"
@@ -53,11 +55,11 @@
 	due      events
 	serial   int
 	nodes    []*node
+	byName   map[string]*node
 	cores    []*core
 	tenants  []*tenant
 	places   []tariff.Place
 	cut      func(a, b spot) bool
-	waits    map[uint64]float64
 }
 
 // spot is where a machine stands.
@@ -148,7 +150,7 @@
 	if o.ZoneMs == 0 {
 		o.ZoneMs, o.CrossMs = 1.4, 20
 	}
-	w := &World{Options: o, Sent: map[string]*Kind{}, rng: rand.New(rand.NewPCG(o.Seed, 11)), cut: func(a, b spot) bool { return false }}
+	w := &World{Options: o, Sent: map[string]*Kind{}, byName: map[string]*node{}, rng: rand.New(rand.NewPCG(o.Seed, 11)), cut: func(a, b spot) bool { return false }}
 	total := 0.0
 	for i := range o.Tenants {
 		t := &tenant{id: uint64(i + 1), usual: math.Pow(float64(i+1), -0.8)}
@@ -164,7 +166,7 @@
 	for i := range o.Limiters {
 		z := i % all
 		n := &node{spot: spot{fmt.Sprintf("edge-%d", i), z, z % o.Regions}, place: i}
-		w.nodes = append(w.nodes, n)
+		w.nodes, w.byName[n.name] = append(w.nodes, n), n
 		w.places = append(w.places, tariff.Place{Name: n.name, Region: fmt.Sprint(n.region)})
 	}
 	for i := range o.Cores {
@@ -285,7 +287,7 @@
 // Choke fills the link of a limiter for a while.
 func (w *World) Choke(i int, ms float64) { w.nodes[i].choked = w.now + ms }
 
-func (n *node) id() string { return fmt.Sprintf("%s#%08x", n.name, n.life) }
+func (n *node) id() string { return n.name + "#" + strconv.Itoa(n.life) }
 
 // every does something again and again while a limiter lives.
 func (w *World) every(n *node, ms float64, do func()) {
@@ -345,11 +347,9 @@
 // say sends what a limiter's line has to say.
 func (w *World) say(n *node, out []lineside.Letter) {
 	for _, l := range out {
-		for _, to := range w.nodes {
-			if to.up && to.region == n.region && to.id() == l.To {
-				w.datagram("line", n, to, len(bell.Encode(l.Message))+1, func() { w.say(to, to.line.Hear(w.now, l.Message)) })
-				break
-			}
+		name, _, _ := strings.Cut(l.To, "#")
+		if to := w.byName[name]; to != nil && to.up && to.id() == l.To {
+			w.datagram("line", n, to, len(bell.Encode(l.Message))+1, func() { w.say(to, to.line.Hear(w.now, l.Message)) })
 		}
 	}
 }
@@ -515,12 +515,8 @@
 
 // outFor tells whether a limiter takes another for out of reach.
 func (w *World) outFor(n *node, name string) bool {
-	for _, o := range w.nodes {
-		if o.name == name {
-			return o.region == n.region && n.line.State(o.id()) == lineside.Out
-		}
-	}
-	return false
+	o := w.byName[name]
+	return o.region == n.region && n.line.State(o.id()) == lineside.Out
 }
 
 // Out counts how many limiters that run take one that runs for out of reach.
