Which limiters clients are sent to is decided in departures, evenly beyond 64

Cause: of a region with more than 64 limiters the directory named the first 64 by zone and address, so that the rest got no clients; and the host decided it. Now a part is drawn by lot.

--- /dev/null
+++ b/departures/departures_test.go
@@ -0,0 +1,59 @@
+package departures
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+func TestBoard(t *testing.T) {
+	all := []Limiter{{"a1", "a", "r"}, {"b1", "b", "r"}, {"c1", "c", "q"}, {"b2", "b", "r"}, {"c2", "c", "q"}}
+	for _, x := range []struct {
+		zone, region string
+		want         []string
+	}{
+		{"b", "r", []string{"b1", "b2", "a1"}}, // the whole region, its own zone first
+		{"a", "r", []string{"a1", "b1", "b2"}},
+		{"c", "q", []string{"c1", "c2"}},
+	} {
+		if d := cmp.Diff(x.want, Board(all, x.zone, x.region, 64, rand.Shuffle)); d != "" {
+			t.Errorf("%s: %s", x.zone, d)
+		}
+	}
+	// Of a region with one limiter, and with none, others are named too.
+	if got := Board(all[:3], "c", "q", 64, rand.Shuffle); len(got) != 2 || got[0] != "c1" {
+		t.Error(got)
+	}
+	if got := Board(all, "x", "y", 64, rand.Shuffle); len(got) != 2 {
+		t.Error(got)
+	}
+	if got := Board(nil, "x", "y", 64, rand.Shuffle); got != nil {
+		t.Error(got)
+	}
+}
+
+// Of more than an answer holds all are named as often as each other.
+func TestEvenBoards(t *testing.T) {
+	var all []Limiter
+	for i := range 283 {
+		all = append(all, Limiter{fmt.Sprint("l", i), fmt.Sprint("z", i%3), "r"})
+	}
+	rng := rand.New(rand.NewPCG(1, 1))
+	named := map[string]int{}
+	for i := range 3000 {
+		out := Board(all, fmt.Sprint("z", i%3), "r", 64, rng.Shuffle)
+		if len(out) != 64 {
+			t.Fatal(len(out))
+		}
+		for _, a := range out {
+			named[a]++
+		}
+	}
+	for _, l := range all {
+		if n := named[l.Address]; n < 500 || n > 860 { // 678 on average
+			t.Errorf("%s is named %d times in 3000 answers", l.Address, n)
+		}
+	}
+}
--- a/internal/switchyard/doors.go
+++ b/internal/switchyard/doors.go
@@ -92,9 +92,6 @@
 	if len(all) == 0 {
 		return wicket.Answer{Status: 503, Body: []byte(`{"error":"no limiter is known to be ready"}`)}
 	}
-	if len(all) > 64 {
-		all = all[:64]
-	}
 	body, err := json.Marshal(resolved{all, strings.TrimSuffix(ttl.String(), "0ms")})
 	if err != nil {
 		return wicket.Answer{Status: 500}
--- a/internal/switchyard/pull.go
+++ b/internal/switchyard/pull.go
@@ -1,7 +1,6 @@
 package switchyard
 
 import (
-	"cmp"
 	"context"
 	"maps"
 	"math/rand/v2"
@@ -11,6 +10,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"example.org/madderdrum/departures"
 	"example.org/madderdrum/internal/boot"
 	"example.org/madderdrum/internal/roundhouse"
 	"example.org/madderdrum/internal/wait"
@@ -20,9 +20,9 @@
 )
 
 const (
-	pullHold   = 1000 * time.Millisecond
-	pullSlack  = 450 * time.Millisecond // beyond what is held
-	leastNamed = 2                      // limiters in an answer of the directory, if so many are ready
+	pullHold  = 1000 * time.Millisecond
+	pullSlack = 450 * time.Millisecond // beyond what is held
+	mostNamed = 64                     // limiters in an answer of the directory
 	// A core machine that has had no proof for so long, or hears no majority, is left for
 	// another.
 	proofStale = 1600 * time.Millisecond
@@ -172,35 +172,11 @@
 func (y *Yard) nearby(zone, region string) []string {
 	y.mu.Lock()
 	defer y.mu.Unlock()
-	type place struct {
-		address string
-		far     int
-	}
-	var all []place
+	var all []departures.Limiter
 	y.book.Each(y.now(), func(r stock.Record) {
-		if r.Service != stock.Limiters || r.State != stock.Available {
-			return
-		}
-		if name, _, _ := strings.Cut(r.ID, "#"); y.out[name] {
-			return
+		if name, _, _ := strings.Cut(r.ID, "#"); r.Service == stock.Limiters && r.State == stock.Available && !y.out[name] {
+			all = append(all, departures.Limiter{Address: r.Address, Zone: r.Zone, Region: y.set.Zones[r.Zone]})
 		}
-		far := 2
-		switch {
-		case r.Zone == zone:
-			far = 0
-		case y.set.Zones[r.Zone] == region:
-			far = 1
-		}
-		all = append(all, place{r.Address, far})
 	})
-	slices.SortFunc(all, func(a, b place) int { return cmp.Or(cmp.Compare(a.far, b.far), cmp.Compare(a.address, b.address)) })
-	// The whole region: where a zone goes dark its clients still have somebody to go to.
-	var out []string
-	for _, p := range all {
-		if p.far > 1 && len(out) >= leastNamed {
-			break
-		}
-		out = append(out, p.address)
-	}
-	return out
+	return departures.Board(all, zone, region, mostNamed, rand.Shuffle)
 }
