Long request bodies are passed on while they come, up to the configuration's limit

Cause: a body over 8 MB got 413 though max_body_bytes allows 64 MB, as bodies were held whole. Now 1 MB is held; the rest goes on to the first server that takes the request, which then is never sent to a second one. Behind it the connection closes, and what the client still sends is taken in for a second, so that the answer is not lost.

--- a/internal/switchyard/front.go
+++ b/internal/switchyard/front.go
@@ -30,7 +30,7 @@
 
 	pipelineMost = 8 // requests of one connection in hand
 	headMost     = 64 << 10
-	bodyMost     = 8 << 20 // held whole
+	bodyMost     = 64 << 20 // where the configuration names no limit
 	headWithin   = 5 * time.Second
 	idleWithin   = 60 * time.Second
 	bodyWithin   = 20 * time.Second
@@ -77,6 +77,9 @@
 	slots chan *slot
 	due   int // requests that were taken in and whose answers are still to be begun
 	ended bool
+	// unread tells, once the reader has ended, that what stands behind the last answer was left
+	// in the middle of a request.
+	unread bool
 }
 
 // enter takes a request in, unless the connection's last answer has been begun.
@@ -113,6 +116,9 @@
 	y.reads(c, l, room)
 	close(l.slots)
 	<-written
+	if l.unread {
+		linger(c)
+	}
 	c.Close()
 }
 
@@ -155,7 +161,7 @@
 				headMax = most.Header
 			}
 			if most.Body > 0 {
-				bodyMax = min(bodyMax, most.Body)
+				bodyMax = most.Body
 			}
 		}
 		lim.left = headMax + 4<<10
@@ -184,19 +190,27 @@
 			return
 		}
 		var body []byte
+		var rest *upload
 		if r.ContentLength != 0 {
 			lim.left = bodyMax + bodyMax/8 + 64<<10
 			c.SetReadDeadline(time.Now().Add(bodyWithin))
-			body, err = io.ReadAll(io.LimitReader(r.Body, bodyMax+1))
+			held := min(bodyHeld, bodyMax)
+			body, err = io.ReadAll(io.LimitReader(r.Body, held+1))
 			if err != nil {
 				return
 			}
-			if int64(len(body)) > bodyMax {
+			switch {
+			case int64(len(body)) <= held:
+			case held == bodyMax:
 				y.turnAway(l, room, 413, "the body is too long")
 				return
+			default:
+				rest = &upload{rest: r.Body, from: c, length: r.ContentLength, left: bodyMax - int64(len(body))}
 			}
 		}
-		s := &slot{done: make(chan *answer, 1), end: r.Close, id: r.Header.Get(headerAttempt)}
+		// Behind a long body the connection closes: how far it is read is not known when the answer
+		// is due.
+		s := &slot{done: make(chan *answer, 1), end: r.Close || rest != nil, id: r.Header.Get(headerAttempt)}
 		room <- struct{}{}
 		y.inHand.Add(1)
 		if !l.enter(s) {
@@ -204,11 +218,12 @@
 			return
 		}
 		go func() {
-			a := y.serve(r, body)
+			a := y.serve(r, body, rest)
 			y.count(a)
 			s.done <- a
 		}()
-		if r.Close {
+		if s.end {
+			l.unread = rest != nil
 			return
 		}
 	}
@@ -255,6 +270,7 @@
 
 // turnAway answers what can't be read; the connection closes behind it.
 func (y *Yard) turnAway(l *lane, room chan<- struct{}, status int, why string) {
+	l.unread = true
 	s := &slot{done: make(chan *answer, 1), end: true}
 	room <- struct{}{}
 	y.inHand.Add(1)
@@ -366,6 +382,7 @@
 	id      string // of the decisions: ids of clients may come twice
 	req     *http.Request
 	body    []byte
+	rest    *upload // what is not in body; nil: nothing
 	route   *timetable.Route
 	tenant  *timetable.Tenant
 	service string
@@ -407,7 +424,7 @@
 }
 
 // serve gives a request its final answer.
-func (y *Yard) serve(r *http.Request, body []byte) *answer {
+func (y *Yard) serve(r *http.Request, body []byte, rest *upload) *answer {
 	arrived := time.Now()
 	v := y.view.Load()
 	if v == nil {
@@ -440,7 +457,7 @@
 		within = min(within, time.Duration(n)*time.Millisecond)
 	}
 	patience := within - min(margin, within/8)
-	c := &call{y: y, req: r, body: body, route: route, tenant: tenant, stopAt: arrived.Add(patience),
+	c := &call{y: y, req: r, body: body, rest: rest, route: route, tenant: tenant, stopAt: arrived.Add(patience),
 		most: max(1, route.Attempts), steps: make(chan step, 1)}
 	y.mu.Lock()
 	if y.engine == nil || tenant != nil && !y.vouched() || y.inHand.Load() > requestsMost {
@@ -556,7 +573,8 @@
 		if !unrun(rep.result) {
 			c.ran = true
 		}
-		done = done || !time.Now().Before(c.stopAt)
+		// What a client's connection has given once can't be had again.
+		done = done || !time.Now().Before(c.stopAt) || c.rest != nil && c.rest.begun
 		c.e.dispatch(limiter.Outcome{ID: c.id, Try: s.try, Server: s.server, Result: rep.result, SpentMs: rep.spentMs, Done: done,
 			Load: limiter.Load{Busy: -1, Pending: -1, ServiceMs: -1}})
 		if rep.result == limiter.Pass {
@@ -576,6 +594,8 @@
 // failed is the answer of a request that servers did not serve.
 func (c *call) failed() *answer {
 	switch {
+	case c.rest != nil && c.rest.long:
+		return &answer{status: 413, why: errBodyTooLong.Error()}
 	case c.last != nil:
 		return c.last
 	case !c.ran:
--- a/internal/switchyard/switchyard_test.go
+++ b/internal/switchyard/switchyard_test.go
@@ -289,6 +289,49 @@
 	}
 }
 
+// A body that is longer than what is held is passed on while it comes, once: its request is never
+// sent to a second server. One that is longer than may be gets 413.
+func TestLongBodies(t *testing.T) {
+	long := strings.Repeat("0123456789abcdef", bodyHeld/8)
+	chunked := fmt.Sprintf("%x\r\n%s\r\n%x\r\n%s\r\n0\r\n\r\n", len(long)/2, long[:len(long)/2], len(long)-len(long)/2, long[len(long)/2:])
+	for name, x := range map[string]struct {
+		ways   []string
+		text   string
+		most   int64
+		status int
+		ran    int
+	}{
+		"length":           {[]string{"ok"}, request("POST", "/send/1", "a", "", long), 8 << 20, 200, 1},
+		"chunks":           {[]string{"ok"}, request("POST", "/send/1", "a", "Transfer-Encoding: chunked\r\n", "") + chunked, 8 << 20, 200, 1},
+		"repeatable, cut":  {[]string{"cut", "ok"}, request("PUT", "/read/1", "a", "", long), 8 << 20, 502, 1},
+		"turned away":      {[]string{"shed", "ok"}, request("POST", "/send/1", "a", "", long), 8 << 20, 503, 0},
+		"too long, length": {[]string{"ok"}, request("POST", "/send/1", "a", "", long), 1 << 20, 413, 0},
+		"too long, chunks": {[]string{"ok"}, request("POST", "/send/1", "a", "Transfer-Encoding: chunked\r\n", "") + chunked, bodyHeld + 1000, 413, 0},
+	} {
+		y := newYard(t)
+		v := *y.view.Load()
+		table := *v.table
+		table.Limits.Body = x.most
+		v.table = &table
+		y.view.Store(&v)
+		s := y.server("i-1", 0, x.ways...)
+		y.tell(nil)
+		got, bodies := y.client(x.text, 1)
+		s.mu.Lock()
+		ran := len(s.ran)
+		s.mu.Unlock()
+		if got[0].StatusCode != x.status || ran != x.ran {
+			t.Errorf("%s: %d, run %d times; %d and %d wanted", name, got[0].StatusCode, ran, x.status, x.ran)
+		}
+		if x.status == 200 && !strings.Contains(bodies[0], long) {
+			t.Errorf("%s: the server has seen another body of %d bytes", name, len(bodies[0]))
+		}
+		if !got[0].Close {
+			t.Errorf("%s: the connection goes on behind it", name)
+		}
+	}
+}
+
 // However often the list of servers is made while many are cold, one timer waits.
 func TestOneTimerForTheList(t *testing.T) {
 	y := newYard(t)
--- a/internal/switchyard/upstream.go
+++ b/internal/switchyard/upstream.go
@@ -256,7 +256,14 @@
 	if c.tenant != nil {
 		out = appendHeader(out, headerTenant, c.tenant.Name)
 	}
-	if len(c.body) > 0 || c.req.ContentLength != 0 || c.req.Method == http.MethodPost || c.req.Method == http.MethodPut {
+	switch {
+	case c.rest != nil && c.rest.length < 0:
+		out = appendHeader(out, "Transfer-Encoding", "chunked")
+		out = append(strconv.AppendInt(append(out, "\r\n"...), int64(len(c.body)), 16), "\r\n"...)
+		return append(append(out, c.body...), "\r\n"...)
+	case c.rest != nil:
+		out = appendHeader(out, "Content-Length", strconv.FormatInt(c.rest.length, 10))
+	case len(c.body) > 0 || c.req.ContentLength != 0 || c.req.Method == http.MethodPost || c.req.Method == http.MethodPut:
 		out = appendHeader(out, "Content-Length", strconv.Itoa(len(c.body)))
 	}
 	return append(append(out, "\r\n"...), c.body...)
@@ -275,6 +282,11 @@
 		r.Close()
 		return reply{result: limiter.NoRoute}, false
 	}
+	if c.rest != nil {
+		if err := c.rest.pass(r, c.y.link, c.stopAt); err != nil {
+			return c.broke(r, err), false
+		}
+	}
 	resp, err := http.ReadResponse(r.in, c.req)
 	for err == nil && resp.StatusCode < 200 {
 		resp, err = http.ReadResponse(r.in, c.req)
