--- a/internal/switchyard/engine.go
+++ b/internal/switchyard/engine.go
@@ -129,16 +129,37 @@
 	return s, classes, plans
 }
 
-// endow gives accounts what this limiter begins with of their ceilings. The mutex is held.
-func (e *engine) endow(s limiter.Settings, position int) {
+// leave is what this engine has left of accounts, when another takes its place: it gets no
+// further requests. The mutex is held.
+func (e *engine) leave() map[uint64]limiter.AccountMemory {
+	left := map[uint64]limiter.AccountMemory{}
+	e.lim.HandOver(e.y.now())
+	for more := true; more; {
+		var told []limiter.AccountMemory
+		told, more = e.lim.Leave(e.y.now(), 1<<10)
+		for _, a := range told {
+			left[a.ID] = a
+		}
+	}
+	return left
+}
+
+// endow gives accounts what this limiter begins with of their ceilings. Where the number of
+// limiters has changed while it runs that is what another engine of so many before has left: what was
+// spent stays spent, and what those that join begin with is given up by the others. The mutex is
+// held.
+func (e *engine) endow(s limiter.Settings, position int, left map[uint64]limiter.AccountMemory, before int) {
 	from := &limiter.Handover{Position: position, Balancers: e.size, Plans: s.Plans, HeadMs: 1e-6}
 	for tenant, i := range e.plans {
 		c := e.holding.Ceilings[account(tenant)]
 		if c.Rate <= 0 {
 			continue
 		}
-		from.Accounts = append(from.Accounts, limiter.AccountMemory{ID: account(tenant), Plan: i, Spread: e.size, Balance: c.Burst,
-			Share: e.holding.Begins(e.y.rules, account(tenant))})
+		a := limiter.AccountMemory{ID: account(tenant), Plan: i, Spread: e.size, Balance: c.Burst, Share: e.holding.Begins(e.y.rules, account(tenant))}
+		if old, ok := left[a.ID]; ok {
+			a.Balance, a.Share, a.Flow = min(c.Burst, old.Balance), old.Share*min(1, float64(before)/float64(e.size)), old.Flow
+		}
+		from.Accounts = append(from.Accounts, a)
 	}
 	e.handle(limiter.Recall{Memory: &limiter.Memory{Handover: from}})
 	// Accounts are opened at once: one that is opened after the next configuration would begin
@@ -174,6 +195,11 @@
 	size := len(y.reg.Posts)
 	e := y.engine
 	if e == nil || e.size != size {
+		var left map[uint64]limiter.AccountMemory
+		before := 0
+		if e != nil {
+			left, before = e.leave(), e.size
+		}
 		e = &engine{y: y, size: size, place: position, holding: wagons.Hold(nil, position, size), calls: map[string]*call{}, pools: map[poolKey]*pool{}, ids: map[berth]uint64{}, servers: map[uint64]*entry{}}
 		e.name(t)
 		s, classes, plans := e.settings(t, position)
@@ -184,7 +210,7 @@
 		}
 		e.lim, e.classes, e.plans = lim, classes, plans
 		y.engine = e
-		e.endow(s, position)
+		e.endow(s, position, left, before)
 		e.lend(position)
 		y.log.WithFields(logrus.Fields{"place": position, "limiters": size}).Info("decisions begin")
 		return
--- a/internal/switchyard/switchyard_test.go
+++ b/internal/switchyard/switchyard_test.go
@@ -463,6 +463,34 @@
 	}
 }
 
+// A limiter that joins gives nobody anew what is spent: the others go on with what they have left.
+func TestJoinersRenewNothing(t *testing.T) {
+	y := newYard(t)
+	y.server("i-1", 0, "ok")
+	y.tell(nil)
+	ask := func() (paid int) {
+		y.mu.Lock()
+		defer y.mu.Unlock()
+		for i := range 2000 {
+			if y.engine.asked(tokenAsk{Serial: uint64(i), Account: account("t1"), Route: "read", Service: "s"}).OK {
+				paid++
+			}
+		}
+		return paid
+	}
+	first := ask()
+	again := 0
+	for k := range 4 {
+		post := trainregister.Post{Name: fmt.Sprint("e", k+2), IP: fmt.Sprint("127.0.0.", k+2), Zone: "z"}
+		y.take(time.Now(), &roundhouse.Pulled{SamePosts: k + 1, Register: &trainregister.Register{Seq: uint64(k + 2), Version: 1, Posts: []trainregister.Post{post}}})
+		y.tell(nil)
+		again += ask()
+	}
+	if first < 100 || again > first/10 {
+		t.Errorf("%d requests pass at first, %d more while four limiters join", first, again)
+	}
+}
+
 // No datagram makes a limiter end, or hand out more than its parts.
 func FuzzDatagrams(f *testing.F) {
 	f.Add(datagramAsk, bell.Encode(tokenAsk{1, 2, "read", "s"}))
