Operators give a lost core machine's seat to another: signalbox voters

Cause: seats of machines that are gone for good stayed, and orders need a majority of all seats. The order that lets machines vote also unseats; three are left at least, one change at a time. The model plays a replacement in 3,000 schedules without a loss; a test does it with processes: a fourth machine with an empty disk takes the third one's seat and votes.

--- a/cmd/signalbox/main.go
+++ b/cmd/signalbox/main.go
@@ -6,4 +6,6 @@
 	"example.org/madderdrum/internal/signalbox"
 )
 
-func main() { depot.Main("signalbox", "Keeps the configuration", signalbox.Run) }
+func main() {
+	depot.Main("signalbox", "Keeps the configuration", signalbox.Run, signalbox.Voters())
+}
--- a/internal/signalbox/signalbox.go
+++ b/internal/signalbox/signalbox.go
@@ -581,6 +581,11 @@
 	if err := bell.Decode(body, &m); err != nil {
 		return nil, err
 	}
+	for i := range m.Orders {
+		if o := &m.Orders[i]; o.Kind == trainregister.Seat && len(o.First) == 0 {
+			o.First = b.first
+		}
+	}
 	return Changed{b.give(ctx, m.Orders, orderWithin)}, nil
 }
 
@@ -649,7 +654,7 @@
 		proof = time.Since(b.proved).Round(time.Millisecond).String()
 	}
 	return bell.Status{Lines: []string{
-		fmt.Sprintf("program=signalbox node=%s zone=%s voters=%d votes=%v blank=%v disk_fails=%v", b.set.Node, b.set.Zone, len(union(b.sets())), slices.Contains(union(b.sets()), b.set.IP), b.durable.Blank, sick),
+		fmt.Sprintf("program=signalbox node=%s zone=%s voters=%v votes=%v blank=%v disk_fails=%v", b.set.Node, b.set.Zone, union(b.sets()), slices.Contains(union(b.sets()), b.set.IP), b.durable.Blank, sick),
 		fmt.Sprintf("register seq=%d version=r%d revoked=%d evacuated=%v limiters=%d", b.reg.Seq, b.reg.Version, b.reg.Revoked, b.reg.Evac, len(b.reg.Posts)),
 		fmt.Sprintf("ballots promised=%d accepted=%d chosen=%d proof_age=%s", b.durable.Promised.Number, b.durable.Accepted.Number, b.chosen.Number, proof),
 	}}, nil
--- a/internal/signalbox/signalbox_test.go
+++ b/internal/signalbox/signalbox_test.go
@@ -131,3 +131,49 @@
 		s.end(i, false)
 	}
 }
+
+// A machine that is gone for good gives its seat to another, by the operators' command; what was
+// agreed is there, and the loss of one more is borne.
+func TestVotersCommand(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), 60*time.Second)
+	defer cancel()
+	s := &stores{t: t, dir: t.TempDir(), call: bell.NewCaller()}
+	for i := range 3 {
+		s.start(i, true)
+	}
+	s.until(ctx, "an order", func() bool { return s.order(ctx, 0, "a") })
+	s.end(2, true)
+	s.start(3, false)
+	run := func(args ...string) (string, error) {
+		cmd := Voters()
+		var out strings.Builder
+		cmd.SetOut(&out)
+		cmd.SetErr(&out)
+		cmd.SetArgs(append([]string{s.ip(0) + ":7460"}, args...))
+		err := cmd.ExecuteContext(ctx)
+		return out.String(), err
+	}
+	if _, err := run("--unseat", s.ip(2)); err == nil || !strings.Contains(err.Error(), "2 voters would be left") {
+		t.Errorf("two are to be left: %v", err)
+	}
+	for _, bad := range [][]string{nil, {"--seat", "core-4"}} {
+		if _, err := run(bad...); err == nil {
+			t.Errorf("%v is taken", bad)
+		}
+	}
+	s.until(ctx, "the fourth takes the third one's seat", func() bool {
+		out, err := run("--seat", s.ip(3), "--unseat", s.ip(2))
+		return err == nil && strings.Contains(out, s.ip(3)) && !strings.Contains(out, s.ip(2))
+	})
+	s.until(ctx, "it votes", func() bool {
+		var st bell.Status
+		return s.call.Call(ctx, s.ip(3)+":7460", bell.CallStatus, nil, &st, time.Second) == nil && strings.Contains(st.Lines[0], "blank=false")
+	})
+	s.end(1, false)
+	s.until(ctx, "an order by the first and the fourth", func() bool { return s.order(ctx, 3, "b") })
+	if r := s.fetch(ctx, 0); r == nil || len(r.Evac) != 2 {
+		t.Errorf("what was acknowledged is gone: %+v", r)
+	}
+	s.end(0, false)
+	s.end(3, false)
+}
--- a/trainregister/trainregister.go
+++ b/trainregister/trainregister.go
@@ -76,7 +76,7 @@
 	Begin                    // evacuate a zone
 	Finish                   // and take it back
 	Enrol                    // give limiters their places
-	Seat                     // let core machines vote
+	Seat                     // let core machines vote, or have them vote no more
 )
 
 // Order is one change that somebody asks for.
@@ -87,6 +87,7 @@
 	Posts []Post    `cbor:"4,keyasint,omitempty"` // of Enrol
 	Seats []string  `cbor:"5,keyasint,omitempty"` // of Seat: those to be voters, with those that are
 	First []string  `cbor:"6,keyasint,omitempty"` // of Seat: the voters that everyone began with
+	Leave []string  `cbor:"7,keyasint,omitempty"` // of Seat: those to vote no more
 }
 
 // Outcome is what became of an order.
@@ -143,7 +144,7 @@
 	case Enrol:
 		return r.enrol(o.Posts), Outcome{Status: 200}
 	case Seat:
-		return r.seat(o.Seats, o.First), Outcome{Status: 200}
+		return r.seat(o)
 	}
 	return false, Outcome{Status: 400, Code: timetable.Unreadable, Text: fmt.Sprintf("order of kind %d is not known", o.Kind)}
 }
@@ -198,22 +199,33 @@
 	return changed
 }
 
-// seat lets further machines vote. One change of voters is chosen before the next one.
-func (r *Register) seat(seats, first []string) (changed bool) {
-	if len(r.Prior) > 0 {
-		return false
-	}
-	old := r.Sets(first)[0]
+// leastVoters are left at least: two can't lose one.
+const leastVoters = 3
+
+// seat changes who votes. One change of voters is chosen before the next one.
+func (r *Register) seat(o *Order) (changed bool, out Outcome) {
+	old := r.Sets(o.First)[0]
 	voters := slices.Clone(old)
-	for _, s := range seats {
+	for _, s := range o.Seats {
 		if i, have := slices.BinarySearch(voters, s); !have {
 			voters, changed = slices.Insert(voters, i, s), true
 		}
 	}
-	if changed {
-		r.Prior, r.Voters = slices.Clone(old), voters
+	for _, s := range o.Leave {
+		if i, have := slices.BinarySearch(voters, s); have {
+			voters, changed = slices.Delete(voters, i, i+1), true
+		}
 	}
-	return changed
+	switch {
+	case !changed:
+		return false, Outcome{Status: 200}
+	case len(r.Prior) > 0:
+		return false, Outcome{Status: 409, Code: "busy", Text: "another change of voters is under way: ask again"}
+	case len(voters) < leastVoters && len(voters) < len(old):
+		return false, Outcome{Status: 400, Code: "too_few", Text: fmt.Sprintf("%d voters would be left: seat another machine with the same order, %d are the least", len(voters), leastVoters)}
+	}
+	r.Prior, r.Voters = slices.Clone(old), voters
+	return true, Outcome{Status: 200}
 }
 
 // Turn is what a round makes of the newest register that its majority told.
--- a/trainregister/voters_test.go
+++ b/trainregister/voters_test.go
@@ -131,7 +131,8 @@
 	return nil
 }
 
-func play(seed uint64, stale bool) (*voting, error) {
+// play has voters change: two more come to vote or, with replace, one takes the place of another.
+func play(seed uint64, stale, replace bool) (*voting, error) {
 	v := &voting{rng: rand.New(rand.NewPCG(seed, 11)), acc: map[string]*interlocking.Acceptor{}, stale: stale}
 	for _, name := range []string{"1", "2", "3", "4", "5"} {
 		v.acc[name] = &interlocking.Acceptor{}
@@ -140,6 +141,9 @@
 		p := &proposer{node: uint64(i + 1), reg: &Register{}, orders: []Order{{Kind: Begin, Zone: fmt.Sprint("z", i)}}}
 		if i == 0 {
 			p.orders = []Order{{Kind: Seat, Seats: []string{"4", "5"}, First: first}, {Kind: Begin, Zone: "seat"}}
+			if replace {
+				p.orders[0].Seats, p.orders[0].Leave = []string{"4"}, []string{"1"}
+			}
 		}
 		v.props = append(v.props, p)
 	}
@@ -157,7 +161,7 @@
 func TestVotersChange(t *testing.T) {
 	five := 0
 	for seed := range uint64(3000) {
-		v, err := play(seed, false)
+		v, err := play(seed, false, false)
 		if err != nil {
 			t.Fatalf("seed %d: %v", seed, err)
 		}
@@ -169,13 +173,40 @@
 		t.Errorf("five vote at the end of %d of 3000 schedules", five)
 	}
 	for seed := range uint64(20000) {
-		if _, err := play(seed, true); err != nil {
+		if _, err := play(seed, true, false); err != nil {
 			return
 		}
 	}
 	t.Error("nothing is found wrong where rounds go on with the sets that they began with")
 }
 
+// One machine takes the place of another, and nothing that was chosen is lost by it.
+func TestVoterReplaced(t *testing.T) {
+	done := 0
+	for seed := range uint64(3000) {
+		v, err := play(seed, false, true)
+		if err != nil {
+			t.Fatalf("seed %d: %v", seed, err)
+		}
+		if n := len(v.chosen); n > 0 && slices.Equal(v.chosen[n-1].Voters, []string{"2", "3", "4"}) && len(v.chosen[n-1].Prior) == 0 {
+			done++
+		}
+	}
+	if done < 300 {
+		t.Errorf("the other machine votes at the end of %d of 3000 schedules", done)
+	}
+	r := &Register{}
+	if out := r.Give(&Order{Kind: Seat, Leave: []string{"1"}, First: first}); out.Status != 400 || r.Seq != 0 {
+		t.Errorf("two are left: %+v", out)
+	}
+	if out := r.Give(&Order{Kind: Seat, Seats: []string{"4"}, Leave: []string{"1"}, First: first}); out.Status != 200 {
+		t.Errorf("one for another: %+v", out)
+	}
+	if out := r.Give(&Order{Kind: Seat, Seats: []string{"5"}, First: first}); out.Status != 409 {
+		t.Errorf("a second change before the first one is chosen: %+v", out)
+	}
+}
+
 // A machine that begins again without its disk is told other seeds than it was at first. It must
 // not count by those: two of them and two of the voters may share nobody.
 func TestVotersOutliveSeeds(t *testing.T) {
