A server has one number at all limiters: what they tell of failing ones is of that one

Cause: limiters tell each other by the decisions' numbers at which servers a class fails; each gave its servers numbers as it learnt of them, so a hint put another server under suspicion. The number follows from the pool and the server's life now, and log lines name the instance. TestServersAreKnownByOneNumber fails without.

--- a/internal/switchyard/engine.go
+++ b/internal/switchyard/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -295,8 +296,7 @@
 			at := berth{p.id, r.ID}
 			n, ok := e.ids[at]
 			if !ok {
-				e.names++
-				n = uint64(e.names)
+				n = berthID(p, r.ID)
 				e.ids[at] = n
 			}
 			info := limiter.ServerInfo{ID: n, Pool: p.id, Phase: phase, Far: y.far(r.Zone, p.download)}
@@ -307,6 +307,12 @@
 	e.handle(limiter.Endpoints{Scope: limiter.Complete, Servers: list})
 }
 
+// berthID is a server's number for the decisions, the same at all limiters: they tell each other
+// by it at which ones requests fail.
+func berthID(p *pool, life string) uint64 {
+	return fnv64(p.service+"\x00"+p.homes+"\x00"+life+"\x00"+strconv.FormatBool(p.download)+strconv.FormatBool(p.bound)) >> 1
+}
+
 // far is by how much more an answer from a zone counts.
 func (y *Yard) far(zone string, download bool) float64 {
 	switch {
@@ -444,7 +450,14 @@
 			y.tell(y.set.Internal(y.reg.Posts[a.To].IP, boot.SwitchyardPort), datagramSpending, a.Data)
 		}
 	case limiter.Log:
-		y.log.Info(a.Line)
+		log := y.log
+		if text, ok := strings.CutPrefix(a.Line, "server "); ok { // which goes by its number
+			id, _, _ := strings.Cut(text, " ")
+			if n, err := strconv.ParseUint(strings.TrimSuffix(id, ":"), 10, 64); err == nil && e.servers[n] != nil {
+				log = log.WithField("instance", e.servers[n].life)
+			}
+		}
+		log.Info(a.Line)
 	}
 }
 
--- a/internal/switchyard/switchyard_test.go
+++ b/internal/switchyard/switchyard_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
 	"github.com/sirupsen/logrus"
 
 	"example.org/madderdrum/internal/bell"
@@ -463,6 +464,28 @@
 	}
 }
 
+// All limiters give a server the same number, whatever they learnt first: they tell each other by
+// it where requests fail.
+func TestServersAreKnownByOneNumber(t *testing.T) {
+	numbers := func(ids ...string) map[string]uint64 {
+		y := newYard(t)
+		for _, id := range ids {
+			y.server(id, 0, "ok")
+			y.tell(nil)
+		}
+		y.mu.Lock()
+		defer y.mu.Unlock()
+		all := map[string]uint64{}
+		for n, s := range y.engine.servers {
+			all[fmt.Sprint(s.life, " ", y.engine.pools[poolKey{service: "s"}].id == s.pool)] = n
+		}
+		return all
+	}
+	if d := cmp.Diff(numbers("i-1", "i-2", "i-3"), numbers("i-3", "i-1", "i-2")); d != "" {
+		t.Error(d)
+	}
+}
+
 // A limiter that joins gives nobody anew what is spent: the others go on with what they have left.
 func TestJoinersRenewNothing(t *testing.T) {
 	y := newYard(t)
