Limiters of a region tell each other of failing servers along the line: telegraph

Cause: at 85 limiters each sends a grey server a request in twelve seconds and may hint at one in two minutes. Single failures go now with the line's messages, four times each, and count as met; a server that fails anew each time is kept off twice as long, 16 s at most.

--- a/internal/switchyard/engine.go
+++ b/internal/switchyard/engine.go
@@ -36,6 +36,7 @@
 	places  []tariff.Place
 	holding *wagons.Holding // of tenants' ceilings
 	planOf  map[uint64]int  // plans by account
+	classOf map[uint64]int  // classes by the number that limiters tell each other for a route
 	ask     *tokenAnswer    // of another limiter, while it is decided on
 }
 
@@ -78,6 +79,8 @@
 	// at so many.
 	scatterAll = 100.0
 	advice     = 150.0 // ms to stay away where the decisions give none
+	// A server that fails a class anew each time that it is used again is kept off so long at most.
+	illMostMs = 16_000.0
 	// By how much more answers from afar count as they take. What crosses regions is paid for,
 	// most of all downloads.
 	farZone     = 0.3
@@ -87,10 +90,11 @@
 
 // settings are those of the decisions for a table.
 func (e *engine) settings(t *timetable.Table, position int) (s limiter.Settings, classes, plans map[string]int) {
-	s = limiter.Settings{Position: position, Balancers: e.size, Zone: 0, PeerInPerS: peerInPerS, Scatter: min(1, float64(e.size)/scatterAll),
+	s = limiter.Settings{Position: position, Balancers: e.size, Zone: 0, PeerInPerS: peerInPerS, Scatter: min(1, float64(e.size)/scatterAll), IllMostMs: illMostMs,
 		Caps:  limiter.Caps{Attempts: 8, Peers: e.size > 1, Probes: true, RetryAfter: true, MaxWaitMs: 1000, ConnectMs: 300},
 		Rules: limiter.Rules{FallMs: 1000}}
 	classes, plans = map[string]int{}, map[string]int{}
+	e.classOf = map[uint64]int{}
 	for i := range t.Routes {
 		r := &t.Routes[i]
 		repeat := limiter.Safe
@@ -98,6 +102,7 @@
 			repeat = limiter.Unsafe
 		}
 		classes[r.Name] = len(s.Classes)
+		e.classOf[routeID(r.Name)] = len(s.Classes)
 		aim := r.Aim
 		if aim == 0 {
 			aim = r.Timeout
@@ -313,6 +318,9 @@
 	return fnv64(p.service+"\x00"+p.homes+"\x00"+life+"\x00"+strconv.FormatBool(p.download)+strconv.FormatBool(p.bound)) >> 1
 }
 
+// routeID is the number by which limiters tell each other of a route's class.
+func routeID(name string) uint64 { return fnv64(name) >> 32 }
+
 // far is by how much more an answer from a zone counts.
 func (y *Yard) far(zone string, download bool) float64 {
 	switch {
--- a/internal/switchyard/front.go
+++ b/internal/switchyard/front.go
@@ -573,6 +573,9 @@
 		if !unrun(rep.result) {
 			c.ran = true
 		}
+		if failure(rep.result) {
+			c.saw(s.server)
+		}
 		// What a client's connection has given once can't be had again.
 		done = done || !time.Now().Before(c.stopAt) || c.rest != nil && c.rest.begun
 		c.e.dispatch(limiter.Outcome{ID: c.id, Try: s.try, Server: s.server, Result: rep.result, SpentMs: rep.spentMs, Done: done,
@@ -591,6 +594,11 @@
 	return r == limiter.NoRoom || r == limiter.NoRoute || r == limiter.StaleSend
 }
 
+// failure tells that a result speaks against its server.
+func failure(r limiter.Result) bool {
+	return r == limiter.Fault || r == limiter.Cut || r == limiter.TooSlow
+}
+
 // failed is the answer of a request that servers did not serve.
 func (c *call) failed() *answer {
 	switch {
--- a/internal/switchyard/loans.go
+++ b/internal/switchyard/loans.go
@@ -8,7 +8,6 @@
 	"example.org/madderdrum/internal/bell"
 	"example.org/madderdrum/internal/boot"
 	"example.org/madderdrum/limiter"
-	"example.org/madderdrum/lineside"
 	"example.org/madderdrum/wagons"
 )
 
@@ -18,7 +17,7 @@
 	datagramLoans    byte = 2 // of package wagons, in CBOR
 	datagramAsk      byte = 3 // a tokenAsk, in CBOR
 	datagramAnswer   byte = 4 // a tokenAnswer, in CBOR
-	datagramLine     byte = 5 // of package lineside, in CBOR
+	datagramLine     byte = 5 // a lineMessage, in CBOR
 )
 
 const loansEvery = 400 * time.Millisecond
@@ -109,11 +108,7 @@
 	y.mu.Lock()
 	defer y.mu.Unlock()
 	if kind == datagramLine {
-		var m lineside.Message
-		if bell.Decode(data, &m) == nil && y.lineIPs[m.From] == ip {
-			y.along(y.line.Hear(y.now(), m))
-			y.outs()
-		}
+		y.hearLine(ip, data)
 		return
 	}
 	e := y.engine
--- a/internal/switchyard/switchyard.go
+++ b/internal/switchyard/switchyard.go
@@ -21,6 +21,7 @@
 	"example.org/madderdrum/lineside"
 	"example.org/madderdrum/stock"
 	"example.org/madderdrum/tariff"
+	"example.org/madderdrum/telegraph"
 	"example.org/madderdrum/timetable"
 	"example.org/madderdrum/trainregister"
 )
@@ -44,27 +45,28 @@
 
 	view atomic.Pointer[view]
 
-	mu       sync.Mutex // round what follows
-	book     *stock.Book
-	reg      *trainregister.Register
-	sequence uint64 // of this limiter's own word
-	proved   time.Time
-	evacuate map[string]bool
-	coldTo   map[string]time.Time // servers that are held for cold, by life, beyond what their beats tell
-	gone     map[string]bool      // lives whose address another server answered at
-	engine   *engine
-	stations map[string]*station
-	budget   map[string]*tariff.Tries // of further arrivals, by service
-	logged   time.Time
-	line     *lineside.Line              // the other limiters of the region
-	lineIPs  map[string]string           // of their lives
-	out      map[string]bool             // those out of reach, by name
-	asks     map[uint64]chan tokenAnswer // that wait for an answer
-	asking   map[uint64]*tariff.Asks     // of single tokens, by account
-	serial   uint64                      // of the latest
-	listing  *time.Timer                 // makes the list of servers anew
-	listAt   time.Time                   // when; zero: not due
-	ended    map[string]int              // answers since the last line about them, by status and reason
+	mu        sync.Mutex // round what follows
+	book      *stock.Book
+	reg       *trainregister.Register
+	sequence  uint64 // of this limiter's own word
+	proved    time.Time
+	evacuate  map[string]bool
+	coldTo    map[string]time.Time // servers that are held for cold, by life, beyond what their beats tell
+	gone      map[string]bool      // lives whose address another server answered at
+	engine    *engine
+	stations  map[string]*station
+	budget    map[string]*tariff.Tries // of further arrivals, by service
+	logged    time.Time
+	line      *lineside.Line              // the other limiters of the region
+	telegraph *telegraph.Desk             // where requests fail, of the region
+	lineIPs   map[string]string           // of their lives
+	out       map[string]bool             // those out of reach, by name
+	asks      map[uint64]chan tokenAnswer // that wait for an answer
+	asking    map[uint64]*tariff.Asks     // of single tokens, by account
+	serial    uint64                      // of the latest
+	listing   *time.Timer                 // makes the list of servers anew
+	listAt    time.Time                   // when; zero: not due
+	ended     map[string]int              // answers since the last line about them, by status and reason
 }
 
 // view is what a request needs of a version; it does not change.
@@ -127,6 +129,7 @@
 	y.rules = tariff.Rules{QuotaWindow: b.QuotaWindow, QuotaOvershoot: b.QuotaOvershoot, QuotaSlack: b.QuotaSlack, RetryRatio: b.RetryRatio, RetrySlack: b.RetrySlack,
 		WarmupOvershoot: b.WarmupOvershoot, WarmupSlack: b.WarmupSlack}
 	y.line = lineside.New(y.self, rand.Uint64())
+	y.telegraph = telegraph.New(rand.Uint32() | 1)
 	return y
 }
 
--- a/internal/switchyard/switchyard_test.go
+++ b/internal/switchyard/switchyard_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
@@ -21,6 +22,7 @@
 	"example.org/madderdrum/lineside"
 	"example.org/madderdrum/stock"
 	"example.org/madderdrum/tariff"
+	"example.org/madderdrum/telegraph"
 	"example.org/madderdrum/trainregister"
 	"example.org/madderdrum/wagons"
 )
@@ -519,7 +521,7 @@
 	f.Add(datagramAsk, bell.Encode(tokenAsk{1, 2, "read", "s"}))
 	f.Add(datagramAnswer, bell.Encode(tokenAnswer{Serial: 1, OK: true}))
 	f.Add(datagramLoans, bell.Encode(wagons.Message{Serial: 1, Items: []wagons.Item{{ID: 1, Part: -1}, {ID: 2, Part: 1e300}}}))
-	f.Add(datagramLine, bell.Encode(lineside.Message{From: "e2#1", Claims: []lineside.Claim{{ID: "e1", State: 200}}}))
+	f.Add(datagramLine, bell.Encode(lineMessage{lineside.Message{From: "e2#1", Claims: []lineside.Claim{{ID: "e1", State: 200}}}, []telegraph.Sighting{{Server: 1, Class: 9, Source: 2, Serial: 3}}}))
 	f.Add(datagramSpending, []byte{1, 2, 3, 4, 5, 6, 7, 8, 9})
 	f.Fuzz(func(t *testing.T, kind byte, data []byte) {
 		y := newYard(t)
@@ -588,3 +590,59 @@
 		t.Errorf("%d requests ran and %d were answered", len(s.ran), answered)
 	}
 }
+
+// storm is a version of a configuration in a storm of them: fifty routes that no other one has.
+func storm(version int) []byte {
+	var all []string
+	for k := range 50 {
+		all = append(all, fmt.Sprintf(`{"name":"r-%d-%d","route_type":"idempotent","target_latency":"400ms","priority":1,"auth_exempt":true,
+"match_criteria":{"path_prefix":"/v%d/%d/"},"forward_action":{"service":"s","timeout":"1000ms","max_attempts":2}}`, version, k, version, k))
+	}
+	return fmt.Appendf(nil, `{"config_version":"r%d","limits":{},"tenants":[],"base_revision":"r%d","listeners":[{"hostname":"h","policy":[%s]}],
+"clusters":[{"name":"s","health_path":"/health","max_connections":100,"protocol":"h1","tls":false,"warmup":"3s","cold_per_s":4}]}`, version, version-1, strings.Join(all, ","))
+}
+
+// Versions that each remove fifty routes and add fifty come in a storm from core machines of which
+// some are behind, while a limiter begins in the middle: nobody goes back, what is in force is one
+// version whole, and in the end it is the newest.
+func TestStormOfVersions(t *testing.T) {
+	const versions = 30
+	for seed := range uint64(4) {
+		rng := rand.New(rand.NewPCG(seed, 5))
+		yards := []*yard{newYard(t)}
+		newest := make([]int, 2)
+		posts := yards[0].reg.Posts
+		for v := 2; v <= versions; v++ {
+			if v == versions/2 {
+				yards = append(yards, newYard(t))
+			}
+			for range 3 {
+				for i, y := range yards {
+					from := max(1, v-rng.IntN(6)) // a core machine that is so far behind
+					if v == versions {
+						from = v
+					}
+					if from == 1 {
+						continue
+					}
+					y.take(time.Now(), &roundhouse.Pulled{Proven: true, Register: &trainregister.Register{Seq: uint64(from), Version: uint64(from), Config: storm(from), Posts: posts}})
+					newest[i] = max(newest[i], from)
+					table := y.view.Load().table
+					for x := max(1, v-6); x <= v; x++ {
+						for _, k := range []int{0, 49} {
+							have := table.Find("h", fmt.Sprintf("/v%d/%d/x", x, k)) != nil
+							if want := x == newest[i]; have != want && newest[i] > 1 {
+								t.Fatalf("seed %d: at r%d the route of r%d is there: %v", seed, newest[i], x, have)
+							}
+						}
+					}
+				}
+			}
+		}
+		for _, y := range yards {
+			if y.reg.Version != versions {
+				t.Errorf("seed %d: r%d is in force in the end", seed, y.reg.Version)
+			}
+		}
+	}
+}
--- a/internal/switchyard/watch.go
+++ b/internal/switchyard/watch.go
@@ -9,8 +9,10 @@
 
 	"example.org/madderdrum/internal/bell"
 	"example.org/madderdrum/internal/boot"
+	"example.org/madderdrum/limiter"
 	"example.org/madderdrum/lineside"
 	"example.org/madderdrum/stock"
+	"example.org/madderdrum/telegraph"
 )
 
 const lineEvery = 100 * time.Millisecond
@@ -32,15 +34,46 @@
 	}
 }
 
-// along sends what the line has to say. The mutex is held.
+// lineMessage is a message of the line, and what else it carries.
+type lineMessage struct {
+	Line lineside.Message     `cbor:"1,keyasint"`
+	Seen []telegraph.Sighting `cbor:"2,keyasint,omitempty"`
+}
+
+// along sends what the line has to say, and with it where requests fail. The mutex is held.
 func (y *Yard) along(out []lineside.Letter) {
 	for _, l := range out {
 		if ip := y.lineIPs[l.To]; ip != "" {
-			y.tell(y.set.Internal(ip, boot.SwitchyardPort), datagramLine, bell.Encode(l.Message))
+			m := lineMessage{l.Message, y.telegraph.Next(y.now())}
+			y.tell(y.set.Internal(ip, boot.SwitchyardPort), datagramLine, bell.Encode(m))
 		}
 	}
 }
 
+// hearLine takes in a message of the line. The mutex is held.
+func (y *Yard) hearLine(ip string, data []byte) {
+	var m lineMessage
+	if bell.Decode(data, &m) != nil || y.lineIPs[m.Line.From] != ip {
+		return
+	}
+	for _, s := range y.telegraph.Hear(y.now(), m.Seen) {
+		if e := y.engine; e != nil {
+			if class, known := e.classOf[s.Class]; known {
+				e.handle(limiter.Sighting{Server: s.Server, Class: class})
+			}
+		}
+	}
+	y.along(y.line.Hear(y.now(), m.Line))
+	y.outs()
+}
+
+// saw notes that the call failed at a server, for the others of the region.
+func (c *call) saw(server uint64) {
+	c.y.mu.Lock()
+	defer c.y.mu.Unlock()
+	c.y.telegraph.Saw(c.y.now(), server, routeID(c.route.Name))
+}
+
 // setLine says whom of the region there is to look at, by the book. The mutex is held.
 func (y *Yard) setLine() {
 	clear(y.lineIPs)
--- a/limiter/api.go
+++ b/limiter/api.go
@@ -25,7 +25,10 @@
 	CrossPrice float64 // price of one attempt that crosses zones
 	// Scatter has a choice differ by chance from the best by so much more: where many gateways
 	// send each server little, all know the same fast ones idle.
-	Scatter   float64
+	Scatter float64
+	// IllMostMs is how long at most a class is kept off a server that fails it anew each time that
+	// it is used again: twice as long each time. 0: the same time each time.
+	IllMostMs float64
 	AskWithin float64 // ms within which membership must be asked again
 	// Spills are pools with tiers of preference: of each tier the share of requests that
 	// may spill to the next one while it has servers that can be used.
@@ -97,7 +100,7 @@
 
 // Event is something that happened. The event types are [Submit], [Ask],
 // [Settle], [Outcome], [Aborted], [Progress], [FirstByte], [Alarm], [Endpoints],
-// [Probed], [PeerMessage], [Recall], [Parts] and [Reconfigure].
+// [Probed], [PeerMessage], [Sighting], [Recall], [Parts] and [Reconfigure].
 type Event interface{ event() }
 
 // Submit is a client's request, which is now owed one final answer.
--- a/limiter/health.go
+++ b/limiter/health.go
@@ -38,9 +38,12 @@
 	likely := p.failed * p.recent(now) * float64(l.cfg.Balancers) / float64(len(p.order))
 	if float64(e.n) >= illAfter+likely && 2*(off+1) <= len(p.order) {
 		if now >= e.to {
+			if e.rounds++; now > e.to+illMs { // it has done well since
+				e.rounds = 0
+			}
 			l.log("server %d: class %d fails there, kept off", s.info.ID, class)
 		}
-		e.to = now + illMs
+		e.to = now + max(illMs, min(l.cfg.IllMostMs, illMs*float64(int(1)<<min(e.rounds, 8))))
 	}
 }
 
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -78,6 +78,8 @@
 		l.probed(now, e)
 	case PeerMessage:
 		l.heard(now, e)
+	case Sighting:
+		l.sighted(now, e)
 	case Recall:
 		l.recall(now, e.Memory)
 	case Parts:
--- a/limiter/scale_test.go
+++ b/limiter/scale_test.go
@@ -444,3 +444,79 @@
 		}
 	}
 }
+
+// One of 64 servers runs what can't be repeated and drops a third of its answers, others one in
+// 500. 85 limiters, each of which sends it one request in 12 s, find it out together by what a
+// third of them, a region, tells each other, and keep few well ones off for it.
+func TestGreyServerOfMany(t *testing.T) {
+	const n, perS, seconds = 85, 460, 40
+	cfg := testSettings()
+	cfg.PeerInPerS = 3
+	cfg.Scatter, cfg.IllMostMs = 0.85, 16_000
+	cfg.Classes = []Class{{Repeat: Unsafe, AimMs: 2400, DeadlineMs: 1, Worth: 2}}
+	cfg.Plans = []Plan{{Price: 1}}
+	for seed := range uint64(3) {
+		rng := rand.New(rand.NewPCG(seed, 3))
+		servers := fleet(64)
+		c := newCrowd(t, cfg, n, servers)
+		grey, lost := servers[7].ID, 0
+		var failed []uint64 // just now
+		c.took = func(server uint64) (float64, Result) {
+			share := 0.002
+			if server == grey {
+				share = 0.3
+			}
+			if rng.Float64() < share {
+				if server == grey {
+					lost++
+				}
+				failed = append(failed, server)
+				return 100, Cut
+			}
+			return 100 + 100*rng.Float64(), Pass
+		}
+		c.ticks(4000)
+		off, looks, found := 0, 0, 0.0
+		for k := range seconds * 20 {
+			for range perS / 20 {
+				at := rng.IntN(n)
+				c.submit(at, Submit{Customer: 5, Spread: n})
+				for _, server := range failed {
+					for i := at % 3; i < n; i += 3 {
+						if i != at {
+							c.event(i, Sighting{server, 0})
+						}
+					}
+				}
+				failed = failed[:0]
+			}
+			c.ticks(tickMs)
+			if k%20 != 0 {
+				continue
+			}
+			kept := 0
+			for _, l := range c.limiters {
+				for _, s := range servers {
+					switch ill := l.Regards(c.now, s.ID, 0) == TakenIll; {
+					case s.ID == grey && ill:
+						kept++
+					case s.ID != grey:
+						looks++
+						if ill {
+							off++
+						}
+					}
+				}
+			}
+			if found == 0 && 2*kept > n {
+				found = float64(k) / 20
+			}
+		}
+		even := perS * seconds / 64
+		t.Logf("seed %d: most limiters keep it off after %.0f s; it got %d requests, %d evenly, and lost %d; well servers kept off %.4f of the time",
+			seed, found, c.sent[grey], even, lost, float64(off)/float64(looks))
+		if c.sent[grey] > even/2 || float64(off)/float64(looks) > 0.05 {
+			t.Errorf("seed %d: the grey server got %d requests of %d; well ones are kept off %.3f of the time", seed, c.sent[grey], even, float64(off)/float64(looks))
+		}
+	}
+}
--- a/limiter/state.go
+++ b/limiter/state.go
@@ -96,6 +96,7 @@
 type illness struct {
 	n      int
 	at, to float64
+	rounds int // times that it failed anew soon after it was used again
 }
 
 type request struct {
