--- a/internal/switchyard/asks.go
+++ b/internal/switchyard/asks.go
@@ -28,7 +28,7 @@
 	farWithin  = 250 * time.Millisecond
 )
 
-// tokenAsk asks a keeper to pay for one request.
+// tokenAsk asks another limiter to pay for one request.
 type tokenAsk struct {
 	Serial  uint64 `cbor:"1,keyasint"`
 	Account uint64 `cbor:"2,keyasint"`
@@ -36,7 +36,7 @@
 	Service string `cbor:"4,keyasint"`
 }
 
-// tokenAnswer is a keeper's answer.
+// tokenAnswer is its answer.
 type tokenAnswer struct {
 	Serial uint64  `cbor:"1,keyasint"`
 	OK     bool    `cbor:"2,keyasint,omitempty"`
