--- a/limiter/scale_test.go
+++ b/limiter/scale_test.go
@@ -520,3 +520,26 @@
 		}
 	}
 }
+
+// Word of others' failures keeps a server off, but not where servers are short.
+func TestSightingsWhereServersAreShort(t *testing.T) {
+	for _, short := range []bool{false, true} {
+		cfg := testSettings()
+		s := newScript(t, cfg, fleet(4)...)
+		s.do(Alarm{Handle: "tick"})
+		if short {
+			for _, p := range s.l.pools {
+				p.pressure = 0.1
+			}
+		}
+		id := fleet(4)[1].ID
+		for range 4 {
+			s.do(Sighting{id, 0})
+		}
+		s.do(Sighting{12345, 0})
+		s.do(Sighting{id, 99})
+		if off := s.l.Regards(s.now, id, 0) == TakenIll; off == short {
+			t.Errorf("servers are short: %v; the server is kept off: %v", short, off)
+		}
+	}
+}
--- a/limiter/sighting.go
+++ b/limiter/sighting.go
@@ -10,9 +10,15 @@
 
 func (Sighting) event() {}
 
+// sightedBelow is the share of a pool's requests refused for want of servers above which word of
+// others counts for nothing: a server kept off then turns away more than it would fail.
+const sightedBelow = 0.02
+
 // sighted takes in what another gateway has met.
 func (l *Limiter) sighted(now float64, e Sighting) {
-	if s := l.servers[e.Server]; s != nil && e.Class >= 0 && e.Class < len(l.cfg.Classes) {
-		l.suspect(now, s, e.Class)
+	s := l.servers[e.Server]
+	if s == nil || e.Class < 0 || e.Class >= len(l.cfg.Classes) || s.pool.pressure > sightedBelow {
+		return
 	}
+	l.suspect(now, s, e.Class)
 }
