--- a/internal/modelrailway/modelrailway_test.go
+++ b/internal/modelrailway/modelrailway_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -68,9 +69,18 @@
 		}
 		return answer
 	}
+	last := "nothing" // of a limiter, for whoever reads why the day failed
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Log(last)
+		}
+	})
 	serves := func(edge int, path, key string, want int) func() bool {
 		return func() bool {
-			status, _, err := s.Send(ctx, edge, path, key)
+			status, body, err := s.Send(ctx, edge, path, key)
+			if err == nil || ctx.Err() == nil {
+				last = fmt.Sprintf("limiter %d answered %d %q, %v", edge+1, status, body, err)
+			}
 			return err == nil && status == want
 		}
 	}
