Review: how a token is asked for is decided in wagons; a limiter that leaves suspects nobody

The order, the pauses and the end of asks stood in the proxy's host, and again in the rig: wagons.Enquiry has them for both. The test fails without.

--- a/internal/switchyard/asks.go
+++ b/internal/switchyard/asks.go
@@ -1,6 +1,7 @@
 package switchyard
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"strconv"
 	"time"
@@ -10,6 +11,7 @@
 	"example.org/madderdrum/limiter"
 	"example.org/madderdrum/tariff"
 	"example.org/madderdrum/timetable"
+	"example.org/madderdrum/wagons"
 )
 
 // Where a tenant's ceiling divided by all limiters comes to less than a few requests, no part
@@ -19,15 +21,6 @@
 // asked answers at once, out of its part, and nobody waits for a token: a request that none of
 // them has one for is refused.
 
-const (
-	// The next limiter is asked where the one before has no token or does not answer soon. A
-	// download may be before an ask on a link, which takes a tenth of a second on the narrowest:
-	// answers are waited for so long behind the last ask.
-	askNext    = 60 * time.Millisecond
-	nearWithin = 180 * time.Millisecond
-	farWithin  = 250 * time.Millisecond
-)
-
 // tokenAsk asks another limiter to pay for one request.
 type tokenAsk struct {
 	Serial  uint64 `cbor:"1,keyasint"`
@@ -49,41 +42,27 @@
 	y.mu.Lock()
 	all, near := c.e.holding.Askees(account(c.tenant.Name), c.e.places, func(name string) bool { return y.out[name] }, rand.Shuffle)
 	y.mu.Unlock()
-	answers := make(chan tokenAnswer, len(all))
-	waitMs, why = advice, "keepers_silent"
-	open := 0 // asks without an answer
-	for i, k := range all {
-		within, last := nearWithin, i == len(all)-1
-		if i >= near {
-			within = farWithin
-		}
-		if time.Until(c.stopAt) < within {
-			break
+	q, answers := wagons.Enquire(all, near), make(chan tokenAnswer, len(all))
+	for {
+		place, within, more := q.Next(ms(time.Until(c.stopAt)))
+		if !more {
+			return false, cmp.Or(q.WaitMs, advice), "keepers_" + cmp.Or(q.Why, "silent")
 		}
-		serial := y.askToken(c, k, answers)
+		serial := y.askToken(c, place, answers)
 		defer y.endAsk(serial)
-		open++
-		if !last {
-			within = askNext
-		}
-		for late := time.After(within); open > 0; {
+		late := time.After(time.Duration(within * float64(time.Millisecond)))
+		for waiting := true; waiting; {
 			select {
 			case a := <-answers:
-				open--
 				if a.OK {
 					return true, 0, ""
 				}
-				why = "keepers_" + a.Why
-				if a.WaitMs > 0 {
-					waitMs = min(max(a.WaitMs, advice/2), 1000)
-				}
-				continue
+				waiting = !q.Refused(a.WaitMs, a.Why)
 			case <-late:
+				waiting = false
 			}
-			break
 		}
 	}
-	return false, waitMs, why
 }
 
 // askToken asks a limiter for a token. Its answer, if one comes, is put into answers.
--- a/internal/switchyard/switchyard_test.go
+++ b/internal/switchyard/switchyard_test.go
@@ -466,6 +466,26 @@
 	}
 }
 
+// A limiter that leaves takes nobody for out of reach: the others don't answer it any more.
+func TestLeaverSuspectsNobody(t *testing.T) {
+	for _, leaves := range []bool{false, true} {
+		y := newYard(t)
+		y.begun = time.Now().Add(-time.Hour)
+		y.leaving.Store(leaves)
+		y.mu.Lock()
+		y.lineIPs["e2#1"] = "127.0.0.2" // which never answers
+		y.line.Set(map[string]string{"e2#1": "z"})
+		y.mu.Unlock()
+		for range 100 {
+			y.lookAlong()
+			y.begun = y.begun.Add(-50 * time.Millisecond) // the time goes on
+		}
+		if y.out["e2"] == leaves {
+			t.Errorf("leaves: %v; it takes another for out of reach: %v", leaves, y.out["e2"])
+		}
+	}
+}
+
 // All limiters give a server the same number, whatever they learnt first: they tell each other by
 // it where requests fail.
 func TestServersAreKnownByOneNumber(t *testing.T) {
--- a/internal/switchyard/watch.go
+++ b/internal/switchyard/watch.go
@@ -27,13 +27,22 @@
 			return
 		case <-tick.C:
 		}
-		y.mu.Lock()
-		y.along(y.line.Tick(y.now()))
-		y.outs()
-		y.mu.Unlock()
+		y.lookAlong()
 	}
 }
 
+// lookAlong does what is due on the line. One that leaves looks at nobody: the others answer
+// those alone whom the book names, and are no less there for it.
+func (y *Yard) lookAlong() {
+	if y.leaving.Load() {
+		return
+	}
+	y.mu.Lock()
+	defer y.mu.Unlock()
+	y.along(y.line.Tick(y.now()))
+	y.outs()
+}
+
 // lineMessage is a message of the line, and what else it carries.
 type lineMessage struct {
 	Line lineside.Message     `cbor:"1,keyasint"`
--- a/internal/testring/testring.go
+++ b/internal/testring/testring.go
@@ -468,19 +468,21 @@
 // token asks others for a token, the next one where there is no answer for a while.
 func (w *World) token(n *node, t *tenant, end func(ok bool)) {
 	life, over := n.life, false
-	all, _ := n.holding.Askees(t.id, w.places, func(name string) bool { return w.outFor(n, name) }, w.rng.Shuffle)
-	var next func(i int)
-	next = func(i int) {
+	q := wagons.Enquire(n.holding.Askees(t.id, w.places, func(name string) bool { return w.outFor(n, name) }, w.rng.Shuffle))
+	asked := 0
+	var next func()
+	next = func() {
 		if over || !n.up || n.life != life {
 			return
 		}
-		if i >= len(all) {
+		place, patience, more := q.Next(tokenTime)
+		if !more {
 			over = true
 			end(false)
 			return
 		}
-		k := w.nodes[all[i]]
-		answered := false
+		asked++
+		turn, k := asked, w.nodes[place]
 		w.datagram("asks", n, k, 40, func() {
 			paid := false
 			k.granted = &paid
@@ -493,26 +495,23 @@
 				case paid:
 					over = true
 					end(true)
-				case !answered:
-					answered = true
-					next(i + 1)
+				case q.Refused(0, "") && turn == asked:
+					next()
 				}
 			})
 		})
-		patience := 60.0
-		if i == len(all)-1 {
-			patience = 250
-		}
 		w.after(patience, func() {
-			if !answered {
-				answered = true
-				next(i + 1)
+			if turn == asked {
+				next()
 			}
 		})
 	}
-	next(0)
+	next()
 }
 
+// tokenTime is the time that a request has left when it asks for a token, in ms.
+const tokenTime = 3000.0
+
 // outFor tells whether a limiter takes another for out of reach.
 func (w *World) outFor(n *node, name string) bool {
 	o := w.byName[name]
--- a/wagons/wagons_test.go
+++ b/wagons/wagons_test.go
@@ -157,3 +157,31 @@
 		w.step(200, []float64{2, 2}, false)
 	}
 }
+
+// An enquiry asks the next one when all have answered or time is up, near ones first, and not
+// where the time left is too short.
+func TestEnquiry(t *testing.T) {
+	q := Enquire([]int{4, 7, 9}, 2)
+	place, wait, ok := q.Next(1000)
+	if place != 4 || wait != askNextMs || !ok {
+		t.Error(place, wait, ok)
+	}
+	if place, wait, ok = q.Next(1000); place != 7 || wait != askNextMs || !ok { // the first is silent
+		t.Error(place, wait, ok)
+	}
+	if q.Refused(10, "ceiling") {
+		t.Error("one of two has answered")
+	}
+	if !q.Refused(5000, "quota") || q.WaitMs != mostWaitMs || q.Why != "quota" {
+		t.Errorf("%+v", q)
+	}
+	if _, _, ok = q.Next(200); ok {
+		t.Error("a far one is asked where its answer would be too late")
+	}
+	if place, wait, ok = q.Next(1000); place != 9 || wait != farWithinMs || !ok {
+		t.Error(place, wait, ok)
+	}
+	if _, _, ok = q.Next(1000); ok {
+		t.Error("there is nobody left")
+	}
+}
