Review: calls between processes are decoded once, listeners and stores are gone through once

Nine handlers decoded their bodies by the same five lines, three loops accepted connections, two went through the stores: bell.Taking, sockets.Accept and anyStore have them. Nobody used the caller's address that handlers were given. Behaviour stays.

--- a/internal/bell/bell.go
+++ b/internal/bell/bell.go
@@ -16,6 +16,8 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"golang.org/x/sys/unix"
+
+	"example.org/madderdrum/internal/sockets"
 )
 
 const (
@@ -191,24 +193,29 @@
 }
 
 // Handler answers a call. body is its CBOR value.
-type Handler func(ctx context.Context, from string, body []byte) (any, error)
+type Handler func(ctx context.Context, body []byte) (any, error)
 
-// Serve answers calls on a listener until the context ends.
-func Serve(ctx context.Context, l net.Listener, calls map[string]Handler) {
-	context.AfterFunc(ctx, func() { l.Close() })
-	for {
-		nc, err := l.Accept()
-		if err != nil {
-			if ctx.Err() != nil {
-				return
-			}
-			time.Sleep(10 * time.Millisecond) // out of descriptors
-			continue
+// Taking is a handler of calls that carry a value of one type.
+func Taking[M any](answer func(context.Context, M) (any, error)) Handler {
+	return func(ctx context.Context, body []byte) (any, error) {
+		var m M
+		if err := Decode(body, &m); err != nil {
+			return nil, err
 		}
-		go serve(ctx, nc, calls)
+		return answer(ctx, m)
 	}
 }
 
+// Asking is a handler of calls that carry nothing.
+func Asking(answer func(context.Context) (any, error)) Handler {
+	return func(ctx context.Context, _ []byte) (any, error) { return answer(ctx) }
+}
+
+// Serve answers calls on a listener until the context ends.
+func Serve(ctx context.Context, l net.Listener, calls map[string]Handler) {
+	sockets.Accept(ctx, l, func(c net.Conn) { serve(ctx, c, calls) })
+}
+
 func serve(ctx context.Context, nc net.Conn, calls map[string]Handler) {
 	defer nc.Close()
 	ctx, cancel := context.WithCancel(ctx)
@@ -225,7 +232,7 @@
 		var r response
 		if h := calls[q.Call]; h == nil {
 			r.Err = "unknown call"
-		} else if answer, err := h(ctx, nc.RemoteAddr().String(), q.Body); err != nil {
+		} else if answer, err := h(ctx, q.Body); err != nil {
 			r.Err = err.Error()
 		} else if r.Body, err = cbor.Marshal(answer); err != nil {
 			r.Err = err.Error()
--- a/internal/roundhouse/outside.go
+++ b/internal/roundhouse/outside.go
@@ -10,7 +10,6 @@
 	"github.com/sirupsen/logrus"
 	"github.com/valyala/fastjson"
 
-	"example.org/madderdrum/internal/boot"
 	"example.org/madderdrum/internal/signalbox"
 	"example.org/madderdrum/internal/wicket"
 	"example.org/madderdrum/stock"
@@ -158,19 +157,14 @@
 }
 
 func (h *House) fetch(ctx context.Context) wicket.Answer {
-	until := time.Now().Add(storeWithin)
-	for _, ip := range h.cores() {
-		left := time.Until(until)
-		if left < 50*time.Millisecond {
-			break
-		}
-		var w signalbox.Watched
-		if h.caller.Call(ctx, h.set.Internal(ip, boot.SignalboxPort), signalbox.CallFetch, nil, &w, left) == nil && w.Register != nil {
-			if len(w.Register.Config) == 0 {
-				return problem(404, "none", "there is no configuration yet")
-			}
-			return wicket.Answer{Status: 200, Body: w.Register.Config}
-		}
+	var w signalbox.Watched
+	if !h.anyStore(func(to string, left time.Duration) bool {
+		return h.caller.Call(ctx, to, signalbox.CallFetch, nil, &w, left) == nil && w.Register != nil
+	}) {
+		return problem(503, "no_majority", "no majority of the stores answers: ask again, here or elsewhere")
+	}
+	if len(w.Register.Config) == 0 {
+		return problem(404, "none", "there is no configuration yet")
 	}
-	return problem(503, "no_majority", "no majority of the stores answers: ask again, here or elsewhere")
+	return wicket.Answer{Status: 200, Body: w.Register.Config}
 }
--- a/internal/roundhouse/roundhouse.go
+++ b/internal/roundhouse/roundhouse.go
@@ -109,7 +109,7 @@
 	if err != nil {
 		return fmt.Errorf("roundhouse: listen for outside calls: %w", err)
 	}
-	go bell.Serve(ctx, inner, map[string]bell.Handler{CallPull: h.pull, callPush: h.pushed, callRepair: h.repaired, bell.CallStatus: h.status})
+	go bell.Serve(ctx, inner, map[string]bell.Handler{CallPull: bell.Taking(h.pull), callPush: bell.Taking(h.pushed), callRepair: bell.Taking(h.repaired), bell.CallStatus: bell.Asking(h.status)})
 	go (&wicket.Server{Handler: h.outside, MaxBody: maxBody}).Serve(ctx, outer)
 	h.mu.Lock()
 	for _, ip := range set.Cores() {
@@ -238,11 +238,7 @@
 func (h *House) source() string { return h.book.Source() }
 
 // pull answers another registry or a limiter, at once where it has news for it.
-func (h *House) pull(ctx context.Context, from string, body []byte) (any, error) {
-	var m Pull
-	if err := bell.Decode(body, &m); err != nil {
-		return nil, err
-	}
+func (h *House) pull(ctx context.Context, m Pull) (any, error) {
 	begun := time.Now()
 	late := time.NewTimer(time.Duration(m.HoldMs) * time.Millisecond)
 	defer late.Stop()
@@ -379,11 +375,7 @@
 	return false
 }
 
-func (h *House) pushed(_ context.Context, _ string, body []byte) (any, error) {
-	var records []stock.Record
-	if err := bell.Decode(body, &records); err != nil {
-		return nil, err
-	}
+func (h *House) pushed(_ context.Context, records []stock.Record) (any, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if len(h.book.Merge(h.now(), records, false)) > 0 {
@@ -413,11 +405,7 @@
 	}
 }
 
-func (h *House) repaired(_ context.Context, _ string, body []byte) (any, error) {
-	var d [stock.Ranges]uint64
-	if err := bell.Decode(body, &d); err != nil {
-		return nil, err
-	}
+func (h *House) repaired(_ context.Context, d [stock.Ranges]uint64) (any, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return h.book.Differing(h.now(), d), nil
@@ -463,7 +451,7 @@
 }
 
 // status tells how this registry stands.
-func (h *House) status(context.Context, string, []byte) (any, error) {
+func (h *House) status(context.Context) (any, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	proof := "none"
@@ -479,18 +467,29 @@
 
 // order gives an order to a store. ok is false when no clear answer came.
 func (h *House) order(ctx context.Context, o trainregister.Order) (out trainregister.Outcome, ok bool) {
+	ok = h.anyStore(func(to string, left time.Duration) bool {
+		var c signalbox.Changed
+		err := h.caller.Call(ctx, to, signalbox.CallChange, signalbox.Change{Orders: []trainregister.Order{o}}, &c, left)
+		if err != nil || len(c.Outcomes) != 1 {
+			return false
+		}
+		out = c.Outcomes[0]
+		return true
+	})
+	return out, ok
+}
+
+// anyStore calls one store after the other until one has answered, and tells whether one has.
+func (h *House) anyStore(call func(to string, left time.Duration) bool) bool {
 	until := time.Now().Add(storeWithin)
 	for _, ip := range h.cores() {
 		left := time.Until(until)
 		if left < 50*time.Millisecond {
 			break
 		}
-		var c signalbox.Changed
-		err := h.caller.Call(ctx, h.set.Internal(ip, boot.SignalboxPort), signalbox.CallChange,
-			signalbox.Change{Orders: []trainregister.Order{o}}, &c, left)
-		if err == nil && len(c.Outcomes) == 1 {
-			return c.Outcomes[0], true
+		if call(h.set.Internal(ip, boot.SignalboxPort), left) {
+			return true
 		}
 	}
-	return out, false
+	return false
 }
--- a/internal/signalbox/signalbox.go
+++ b/internal/signalbox/signalbox.go
@@ -149,9 +149,9 @@
 	log.WithFields(logrus.Fields{"voters": len(b.first), "votes": slices.Contains(b.first, set.IP), "blank": b.acceptor.Record.Blank,
 		"accepted": b.acceptor.Record.Accepted.Number}).Info("begins")
 	go bell.Serve(ctx, l, map[string]bell.Handler{
-		callPrepare: b.prepare, callAccept: b.accept, callRead: b.read, callChosen: b.hear,
-		CallChange: b.change, CallWatch: b.watch, CallFetch: b.fetch,
-		bell.CallStatus: b.status,
+		callPrepare: bell.Taking(b.prepare), callAccept: bell.Taking(b.accept), callRead: bell.Taking(b.read), callChosen: bell.Taking(b.hear),
+		CallChange: bell.Taking(b.change), CallWatch: bell.Taking(b.watch), CallFetch: bell.Asking(b.fetch),
+		bell.CallStatus: bell.Asking(b.status),
 	})
 	if b.acceptor.Record.Blank {
 		go b.restore(ctx)
@@ -193,11 +193,7 @@
 	return r, nil
 }
 
-func (b *Box) prepare(_ context.Context, _ string, body []byte) (any, error) {
-	var m interlocking.Prepare
-	if err := bell.Decode(body, &m); err != nil {
-		return nil, err
-	}
+func (b *Box) prepare(_ context.Context, m interlocking.Prepare) (any, error) {
 	return b.votePrepare(m)
 }
 
@@ -205,11 +201,7 @@
 	return b.vote(func() (interlocking.Reply, bool) { return b.acceptor.Prepare(m) })
 }
 
-func (b *Box) accept(_ context.Context, _ string, body []byte) (any, error) {
-	var m interlocking.Accept
-	if err := bell.Decode(body, &m); err != nil {
-		return nil, err
-	}
+func (b *Box) accept(_ context.Context, m interlocking.Accept) (any, error) {
 	return b.voteAccept(m)
 }
 
@@ -222,11 +214,7 @@
 	Known interlocking.Ballot `cbor:"1,keyasint"`
 }
 
-func (b *Box) read(_ context.Context, _ string, body []byte) (any, error) {
-	var m readCall
-	if err := bell.Decode(body, &m); err != nil {
-		return nil, err
-	}
+func (b *Box) read(_ context.Context, m readCall) (any, error) {
 	return b.readDurable(m.Known), nil
 }
 
@@ -239,11 +227,7 @@
 }
 
 // hear takes in what another's round has chosen.
-func (b *Box) hear(_ context.Context, _ string, body []byte) (any, error) {
-	var m chosenCall
-	if err := bell.Decode(body, &m); err != nil {
-		return nil, err
-	}
+func (b *Box) hear(_ context.Context, m chosenCall) (any, error) {
 	if m.Value == nil {
 		r := b.readDurable(interlocking.Ballot{})
 		if r.Accepted != m.Ballot {
@@ -576,11 +560,7 @@
 	}
 }
 
-func (b *Box) change(ctx context.Context, _ string, body []byte) (any, error) {
-	var m Change
-	if err := bell.Decode(body, &m); err != nil {
-		return nil, err
-	}
+func (b *Box) change(ctx context.Context, m Change) (any, error) {
 	for i := range m.Orders {
 		if o := &m.Orders[i]; o.Kind == trainregister.Seat && len(o.First) == 0 {
 			o.First = b.first
@@ -591,7 +571,7 @@
 
 // fetch reads the register by a round: what it answers is chosen, and nothing newer was when
 // it was asked.
-func (b *Box) fetch(ctx context.Context, _ string, _ []byte) (any, error) {
+func (b *Box) fetch(ctx context.Context) (any, error) {
 	p := &pending{done: make(chan []trainregister.Outcome, 1), until: time.Now().Add(orderWithin), orders: []trainregister.Order{{Kind: trainregister.Enrol}}}
 	b.orders <- p
 	select {
@@ -607,11 +587,7 @@
 	return Watched{Register: b.reg}, nil
 }
 
-func (b *Box) watch(ctx context.Context, _ string, body []byte) (any, error) {
-	var m Watch
-	if err := bell.Decode(body, &m); err != nil {
-		return nil, err
-	}
+func (b *Box) watch(ctx context.Context, m Watch) (any, error) {
 	begun := time.Now()
 	late := time.NewTimer(time.Duration(m.HoldMs) * time.Millisecond)
 	defer late.Stop()
@@ -643,7 +619,7 @@
 }
 
 // status tells how this store stands.
-func (b *Box) status(context.Context, string, []byte) (any, error) {
+func (b *Box) status(context.Context) (any, error) {
 	b.accepting.Lock()
 	sick := b.disk.sick
 	b.accepting.Unlock()
--- a/internal/switchyard/doors.go
+++ b/internal/switchyard/doors.go
@@ -33,12 +33,12 @@
 	if err != nil {
 		return fmt.Errorf("switchyard: listen for those who ask how it stands: %w", err)
 	}
-	go bell.Serve(ctx, l, map[string]bell.Handler{bell.CallStatus: y.status})
+	go bell.Serve(ctx, l, map[string]bell.Handler{bell.CallStatus: bell.Asking(y.status)})
 	return nil
 }
 
 // status tells how this limiter stands.
-func (y *Yard) status(context.Context, string, []byte) (any, error) {
+func (y *Yard) status(context.Context) (any, error) {
 	ready := y.ready()
 	y.mu.Lock()
 	defer y.mu.Unlock()
--- a/internal/switchyard/front.go
+++ b/internal/switchyard/front.go
@@ -38,20 +38,6 @@
 	hangUpWithin = time.Second
 )
 
-func (y *Yard) accept(l net.Listener) {
-	for {
-		c, err := l.Accept()
-		if err != nil {
-			if errors.Is(err, net.ErrClosed) {
-				return
-			}
-			time.Sleep(10 * time.Millisecond) // out of descriptors
-			continue
-		}
-		go y.client(c)
-	}
-}
-
 // answer is a final answer.
 type answer struct {
 	status     int
--- a/internal/switchyard/switchyard.go
+++ b/internal/switchyard/switchyard.go
@@ -17,6 +17,7 @@
 
 	"example.org/madderdrum/internal/bell"
 	"example.org/madderdrum/internal/boot"
+	"example.org/madderdrum/internal/sockets"
 	"example.org/madderdrum/internal/wait"
 	"example.org/madderdrum/lineside"
 	"example.org/madderdrum/stock"
@@ -99,7 +100,7 @@
 	go y.hear()
 	go y.pulls(life)
 	go y.sweep(life)
-	go y.accept(front)
+	go sockets.Accept(life, front, y.client)
 	go y.tally(life)
 	go y.watchLine(life)
 	go set.Follow(life, func(next *boot.Settings) {
--- a/internal/switchyard/switchyard_test.go
+++ b/internal/switchyard/switchyard_test.go
@@ -398,7 +398,7 @@
 	asks := make(chan roundhouse.Pull, 4)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	go bell.Serve(ctx, l, map[string]bell.Handler{roundhouse.CallPull: func(ctx context.Context, _ string, body []byte) (any, error) {
+	go bell.Serve(ctx, l, map[string]bell.Handler{roundhouse.CallPull: func(ctx context.Context, body []byte) (any, error) {
 		var m roundhouse.Pull
 		if err := bell.Decode(body, &m); err != nil {
 			return nil, err
--- a/internal/wicket/wicket.go
+++ b/internal/wicket/wicket.go
@@ -11,6 +11,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"example.org/madderdrum/internal/sockets"
 )
 
 const (
@@ -37,18 +39,7 @@
 
 // Serve runs until the context ends.
 func (s *Server) Serve(ctx context.Context, l net.Listener) {
-	context.AfterFunc(ctx, func() { l.Close() })
-	for {
-		c, err := l.Accept()
-		if err != nil {
-			if ctx.Err() != nil {
-				return
-			}
-			time.Sleep(10 * time.Millisecond) // out of descriptors
-			continue
-		}
-		go s.conn(ctx, c)
-	}
+	sockets.Accept(ctx, l, func(c net.Conn) { s.conn(ctx, c) })
 }
 
 func (s *Server) conn(ctx context.Context, c net.Conn) {
