Choices of servers do not scatter with the number of limiters

Cause: with 87 limiters the best server was drawn with a spread of 0.87, which sent requests to slower and to farther servers with others idle, over more connections than are kept. Change: the spread is 0.05 whatever their number; the setting is gone.

--- a/internal/switchyard/engine.go
+++ b/internal/switchyard/engine.go
@@ -75,9 +75,6 @@
 	stretch = 3.0
 	// Messages a second that a limiter takes in about tenants' spending: a few.
 	peerInPerS = 3.0
-	// Choices scatter the more limiters there are that each know little of a server: all of it
-	// at so many.
-	scatterAll = 100.0
 	advice     = 150.0 // ms to stay away where the decisions give none
 	// A server that fails a class anew each time that it is used again is kept off so long at most.
 	illMostMs = 16_000.0
@@ -90,7 +87,7 @@
 
 // settings are those of the decisions for a table.
 func (e *engine) settings(t *timetable.Table, position int) (s limiter.Settings, classes, plans map[string]int) {
-	s = limiter.Settings{Position: position, Balancers: e.size, Zone: 0, PeerInPerS: peerInPerS, Scatter: min(1, float64(e.size)/scatterAll), IllMostMs: illMostMs,
+	s = limiter.Settings{Position: position, Balancers: e.size, Zone: 0, PeerInPerS: peerInPerS, IllMostMs: illMostMs,
 		Caps:  limiter.Caps{Attempts: 8, Peers: e.size > 1, Probes: true, RetryAfter: true, MaxWaitMs: 1000, ConnectMs: 300},
 		Rules: limiter.Rules{FallMs: 1000}}
 	classes, plans = map[string]int{}, map[string]int{}
--- a/limiter/api.go
+++ b/limiter/api.go
@@ -23,9 +23,6 @@
 	PeerInPerS float64 // messages a second that a gateway takes in
 	TrueUp     bool    // units are a guess, settled by the answer
 	CrossPrice float64 // price of one attempt that crosses zones
-	// Scatter has a choice differ by chance from the best by so much more: where many gateways
-	// send each server little, all know the same fast ones idle.
-	Scatter float64
 	// IllMostMs is how long at most a class is kept off a server that fails it anew each time that
 	// it is used again: twice as long each time. 0: the same time each time.
 	IllMostMs float64
--- a/limiter/choice.go
+++ b/limiter/choice.go
@@ -83,7 +83,7 @@
 			}
 			// A cold server's part is in coldRoom; what it has saved up goes first: it
 			// warms by requests, and the others carry the rest of its work meanwhile.
-			chance := 1 + (0.05+l.cfg.Scatter)*l.rng.Float64()
+			chance := 1 + 0.05*l.rng.Float64()
 			cost := s.slowness(now) * (1 + l.warmth(now, s)) * (s.load() + 1) * chance
 			if s.info.Zone != l.cfg.Zone {
 				cost *= 1 + crossWeight*l.cfg.CrossPrice
--- a/limiter/reload.go
+++ b/limiter/reload.go
@@ -26,7 +26,7 @@
 	s := &e.Settings
 	l.forgo(now)
 	l.cfg.Classes, l.cfg.Plans = slices.Clone(s.Classes), s.Plans
-	l.cfg.Rules, l.cfg.CrossPrice, l.cfg.Spills, l.cfg.Scatter = s.Rules, s.CrossPrice, s.Spills, s.Scatter
+	l.cfg.Rules, l.cfg.CrossPrice, l.cfg.Spills = s.Rules, s.CrossPrice, s.Spills
 	l.cfg.Caps.Attempts, l.cfg.Caps.RetryAfter = s.Caps.Attempts, s.Caps.RetryAfter
 	l.cfg.Caps.MaxWaitMs, l.cfg.Caps.ConnectMs = s.Caps.MaxWaitMs, s.Caps.ConnectMs
 	l.weighPlans()
--- a/limiter/scale_test.go
+++ b/limiter/scale_test.go
@@ -452,7 +452,7 @@
 	const n, perS, seconds = 85, 460, 40
 	cfg := testSettings()
 	cfg.PeerInPerS = 3
-	cfg.Scatter, cfg.IllMostMs = 0.85, 16_000
+	cfg.IllMostMs = 16_000
 	cfg.Classes = []Class{{Repeat: Unsafe, AimMs: 2400, DeadlineMs: 1, Worth: 2}}
 	cfg.Plans = []Plan{{Price: 1}}
 	for seed := range uint64(3) {
