Limiters of a zone tell each other what they have in hand at servers: blocks

Need: how busy services are is to be learnt from neighbours. What is told fades over the time that its request takes, and counts from where a server's slots are used up; servers of other zones count as their zone's mean, which goes along the line.

--- a/internal/switchyard/doors.go
+++ b/internal/switchyard/doors.go
@@ -52,6 +52,7 @@
 		fmt.Sprintf("register seq=%d version=r%d evacuated=%v limiters=%d", y.reg.Seq, y.reg.Version, y.reg.Evac, len(y.reg.Posts)),
 	}
 	lines = append(lines, fmt.Sprintf("line looked_at=%d out=%v", len(y.lineIPs), slices.Sorted(maps.Keys(y.out))))
+	lines = append(lines, y.blocks.Report(y.now())...)
 	lines = append(lines, y.book.Report(y.now())...)
 	if e := y.engine; e != nil {
 		of, rest, _ := e.holding.Desk.Parts(y.now())
--- a/internal/switchyard/engine.go
+++ b/internal/switchyard/engine.go
@@ -8,6 +8,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"example.org/madderdrum/blocks"
 	"example.org/madderdrum/internal/boot"
 	"example.org/madderdrum/limiter"
 	"example.org/madderdrum/stock"
@@ -32,6 +33,10 @@
 	pools   map[poolKey]*pool
 	ids     map[berth]uint64 // of servers
 	servers map[uint64]*entry
+	berths  map[uint32][]uint64       // numbers of a life's berths
+	inHand  map[uint64]int            // attempts out, by berth
+	slots   map[uint32]float64        // of a life
+	beside  map[uint64]limiter.InHand // what else is in hand there, as the decisions were told
 	names   int
 	places  []tariff.Place
 	holding *wagons.Holding // of tenants' ceilings
@@ -203,7 +208,8 @@
 		if e != nil {
 			left, before = e.leave(), e.size
 		}
-		e = &engine{y: y, size: size, place: position, holding: wagons.Hold(nil, position, size), calls: map[string]*call{}, pools: map[poolKey]*pool{}, ids: map[berth]uint64{}, servers: map[uint64]*entry{}}
+		e = &engine{y: y, size: size, place: position, holding: wagons.Hold(nil, position, size), calls: map[string]*call{}, pools: map[poolKey]*pool{}, ids: map[berth]uint64{}, servers: map[uint64]*entry{},
+			inHand: map[uint64]int{}}
 		e.name(t)
 		s, classes, plans := e.settings(t, position)
 		lim, err := limiter.New(s, uint64(time.Now().UnixNano()))
@@ -277,6 +283,9 @@
 	}
 	now := time.Now()
 	var list []limiter.ServerInfo
+	e.berths = map[uint32][]uint64{}
+	e.slots = map[uint32]float64{}
+	serving := map[uint32]blocks.Server{}
 	y.book.Each(y.now(), func(r stock.Record) {
 		of := pools[r.Service]
 		if len(of) == 0 {
@@ -286,6 +295,8 @@
 		st.usable = r.State == stock.Available && !y.evacuate[r.Zone] && !y.gone[r.ID]
 		phase := limiter.Draining
 		if st.usable {
+			x := blocks.Server{Service: r.Service, Slots: max(1, r.Slots), Zone: r.Zone, Near: r.Zone == y.set.Zone}
+			serving[st.number], e.slots[st.number] = x, float64(x.Slots)
 			y.chill(st, &r, now)
 			if !st.cold(now) || r.Zone == y.set.Zone && !now.Before(st.nextAt) {
 				phase = limiter.Up
@@ -303,9 +314,11 @@
 			}
 			info := limiter.ServerInfo{ID: n, Pool: p.id, Phase: phase, Far: y.far(r.Zone, p.download)}
 			e.servers[n] = &entry{life: r.ID, pool: p.id, info: info}
+			e.berths[st.number] = append(e.berths[st.number], n)
 			list = append(list, info)
 		}
 	})
+	y.blocks.Serve(serving)
 	e.handle(limiter.Endpoints{Scope: limiter.Complete, Servers: list})
 }
 
@@ -489,5 +502,6 @@
 		e.queue = append(e.queue, limiter.Endpoints{Scope: limiter.Partial, Servers: []limiter.ServerInfo{info}})
 		y.later(st.pause + time.Millisecond)
 	}
+	e.begins(st, a.Server)
 	c.next(step{station: st, server: a.Server, try: try})
 }
--- a/internal/switchyard/front.go
+++ b/internal/switchyard/front.go
@@ -564,8 +564,11 @@
 		}
 		// What a client's connection has given once can't be had again.
 		done = done || !time.Now().Before(c.stopAt) || c.rest != nil && c.rest.begun
-		c.e.dispatch(limiter.Outcome{ID: c.id, Try: s.try, Server: s.server, Result: rep.result, SpentMs: rep.spentMs, Done: done,
+		c.y.mu.Lock()
+		c.e.ends(s.station, s.server, rep.result, rep.spentMs)
+		c.e.handle(limiter.Outcome{ID: c.id, Try: s.try, Server: s.server, Result: rep.result, SpentMs: rep.spentMs, Done: done,
 			Load: limiter.Load{Busy: -1, Pending: -1, ServiceMs: -1}})
+		c.y.mu.Unlock()
 		if rep.result == limiter.Pass {
 			return rep.answer
 		}
--- /dev/null
+++ b/internal/switchyard/load.go
@@ -0,0 +1,135 @@
+package switchyard
+
+import (
+	"context"
+	"hash/fnv"
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"example.org/madderdrum/internal/bell"
+	"example.org/madderdrum/internal/boot"
+	"example.org/madderdrum/limiter"
+	"example.org/madderdrum/trainregister"
+)
+
+const (
+	loadEvery = 50 * time.Millisecond
+	// Limiters tell those of their zone; where these are fewer than neighboursLeast, others of the
+	// region too.
+	neighboursLeast = 6
+	neighboursMost  = 16
+)
+
+// tellLoad tells neighbours what this limiter has in hand, and the decisions what they have, until
+// the context ends.
+func (y *Yard) tellLoad(ctx context.Context) {
+	tick := time.NewTicker(loadEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		y.mu.Lock()
+		y.believe()
+		word, due := y.blocks.Next(y.now())
+		var to []string
+		if due {
+			for _, p := range y.neighbours {
+				if !y.out[p.Name] {
+					to = append(to, y.set.Internal(p.IP, boot.SwitchyardPort))
+				}
+			}
+		}
+		y.mu.Unlock()
+		if len(to) == 0 {
+			continue
+		}
+		data := bell.Encode(word)
+		for _, address := range to {
+			y.tell(address, datagramBlocks, data)
+		}
+	}
+}
+
+// believe has the decisions go by what is in hand at servers beside their own requests. The mutex
+// is held.
+func (y *Yard) believe() {
+	others := y.blocks.Others(y.now())
+	for _, s := range y.blocks.Steps() {
+		y.log.WithFields(logrus.Fields{"service": s.Service, "share": float64(int(s.Share*100)) / 100, "pressed": s.Pressed}).Info("load of a service changes")
+	}
+	e := y.engine
+	if e == nil {
+		return
+	}
+	beside := map[uint64]limiter.InHand{}
+	for server, n := range others {
+		for _, b := range e.berths[server] {
+			beside[b] = limiter.InHand{Server: b, Others: n + float64(y.blocks.Own(server)-e.inHand[b]), Slots: e.slots[server]}
+		}
+	}
+	var news []limiter.InHand
+	for b, x := range beside {
+		if e.beside[b] != x {
+			news = append(news, x)
+		}
+	}
+	for b := range e.beside {
+		if _, still := beside[b]; !still {
+			news = append(news, limiter.InHand{Server: b})
+		}
+	}
+	if e.beside = beside; len(news) > 0 {
+		e.handle(limiter.Occupied{Servers: news})
+	}
+}
+
+// begins notes that an attempt goes out, ends that it is over. The mutex is held.
+func (e *engine) begins(st *station, berth uint64) {
+	e.inHand[berth]++
+	e.y.blocks.Began(st.number)
+}
+
+func (e *engine) ends(st *station, berth uint64, result limiter.Result, spentMs float64) {
+	if e.inHand[berth]--; e.inHand[berth] <= 0 {
+		delete(e.inHand, berth)
+	}
+	e.y.blocks.Ended(st.number, result == limiter.Pass || result == limiter.TooSlow, spentMs)
+}
+
+// neighboursOf are the limiters that one tells what it has in hand: those of its zone, and as many
+// of the region as are lacking. Of more than may be it is those whose names go best with its own,
+// so that those whom it tells tell it too.
+func neighboursOf(posts []trainregister.Post, node, zone, region string, zones map[string]string) []trainregister.Post {
+	var near, far []trainregister.Post
+	for _, p := range posts {
+		switch {
+		case p.Name == node:
+		case p.Zone == zone:
+			near = append(near, p)
+		case zones[p.Zone] == region:
+			far = append(far, p)
+		}
+	}
+	for _, all := range [][]trainregister.Post{near, far} {
+		slices.SortFunc(all, func(a, b trainregister.Post) int {
+			return int(int64(pairing(node, a.Name)>>33) - int64(pairing(node, b.Name)>>33))
+		})
+	}
+	near = near[:min(len(near), neighboursMost)]
+	return append(near, far[:min(len(far), max(0, neighboursLeast-len(near)))]...)
+}
+
+// pairing is a number of two names, whichever comes first.
+func pairing(a, b string) uint64 { return fnv64(min(a, b) + "\x00" + max(a, b)) }
+
+// shortNumber is the number by which limiters tell each other of a server's life or a service.
+func shortNumber(name string) uint32 {
+	h := fnv.New32a()
+	h.Write([]byte(name))
+	return h.Sum32()
+}
--- a/internal/switchyard/loans.go
+++ b/internal/switchyard/loans.go
@@ -5,9 +5,11 @@
 	"slices"
 	"time"
 
+	"example.org/madderdrum/blocks"
 	"example.org/madderdrum/internal/bell"
 	"example.org/madderdrum/internal/boot"
 	"example.org/madderdrum/limiter"
+	"example.org/madderdrum/trainregister"
 	"example.org/madderdrum/wagons"
 )
 
@@ -18,6 +20,7 @@
 	datagramAsk      byte = 3 // a tokenAsk, in CBOR
 	datagramAnswer   byte = 4 // a tokenAnswer, in CBOR
 	datagramLine     byte = 5 // a lineMessage, in CBOR
+	datagramBlocks   byte = 6 // a blocks.Word, in CBOR
 )
 
 const loansEvery = 400 * time.Millisecond
@@ -115,6 +118,13 @@
 	if e == nil {
 		return
 	}
+	if kind == datagramBlocks {
+		var w blocks.Word
+		if slices.ContainsFunc(y.reg.Posts, func(p trainregister.Post) bool { return p.IP == ip }) && bell.Decode(data, &w) == nil {
+			y.blocks.Hear(y.now(), w)
+		}
+		return
+	}
 	for i, p := range y.reg.Posts {
 		if p.IP != ip || i >= e.size {
 			continue
--- a/internal/switchyard/pull.go
+++ b/internal/switchyard/pull.go
@@ -153,6 +153,7 @@
 		}
 	}
 	y.evacuate, y.reg = evacuate, reg
+	y.neighbours = neighboursOf(reg.Posts, y.set.Node, y.set.Zone, y.set.Region, y.set.Zones)
 	y.log.WithFields(logrus.Fields{"seq": reg.Seq, "version": reg.Version, "limiters": len(reg.Posts), "evacuated": len(evacuate)}).Info("register is in force")
 	y.steam(table)
 }
--- a/internal/switchyard/switchyard.go
+++ b/internal/switchyard/switchyard.go
@@ -15,6 +15,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"example.org/madderdrum/blocks"
 	"example.org/madderdrum/internal/bell"
 	"example.org/madderdrum/internal/boot"
 	"example.org/madderdrum/internal/sockets"
@@ -46,28 +47,30 @@
 
 	view atomic.Pointer[view]
 
-	mu        sync.Mutex // round what follows
-	book      *stock.Book
-	reg       *trainregister.Register
-	sequence  uint64 // of this limiter's own word
-	proved    time.Time
-	evacuate  map[string]bool
-	coldTo    map[string]time.Time // servers that are held for cold, by life, beyond what their beats tell
-	gone      map[string]bool      // lives whose address another server answered at
-	engine    *engine
-	stations  map[string]*station
-	budget    map[string]*tariff.Tries // of further arrivals, by service
-	logged    time.Time
-	line      *lineside.Line              // the other limiters of the region
-	telegraph *telegraph.Desk             // where requests fail, of the region
-	lineIPs   map[string]string           // of their lives
-	out       map[string]bool             // those out of reach, by name
-	asks      map[uint64]chan tokenAnswer // that wait for an answer
-	asking    map[uint64]*tariff.Asks     // of single tokens, by account
-	serial    uint64                      // of the latest
-	listing   *time.Timer                 // makes the list of servers anew
-	listAt    time.Time                   // when; zero: not due
-	ended     map[string]int              // answers since the last line about them, by status and reason
+	mu         sync.Mutex // round what follows
+	book       *stock.Book
+	reg        *trainregister.Register
+	sequence   uint64 // of this limiter's own word
+	proved     time.Time
+	evacuate   map[string]bool
+	coldTo     map[string]time.Time // servers that are held for cold, by life, beyond what their beats tell
+	gone       map[string]bool      // lives whose address another server answered at
+	engine     *engine
+	stations   map[string]*station
+	budget     map[string]*tariff.Tries // of further arrivals, by service
+	logged     time.Time
+	line       *lineside.Line  // the other limiters of the region
+	telegraph  *telegraph.Desk // where requests fail, of the region
+	blocks     *blocks.Desk    // what neighbours have in hand at servers
+	neighbours []trainregister.Post
+	lineIPs    map[string]string           // of their lives
+	out        map[string]bool             // those out of reach, by name
+	asks       map[uint64]chan tokenAnswer // that wait for an answer
+	asking     map[uint64]*tariff.Asks     // of single tokens, by account
+	serial     uint64                      // of the latest
+	listing    *time.Timer                 // makes the list of servers anew
+	listAt     time.Time                   // when; zero: not due
+	ended      map[string]int              // answers since the last line about them, by status and reason
 }
 
 // view is what a request needs of a version; it does not change.
@@ -103,6 +106,7 @@
 	go sockets.Accept(life, front, y.client)
 	go y.tally(life)
 	go y.watchLine(life)
+	go y.tellLoad(life)
 	go set.Follow(life, func(next *boot.Settings) {
 		log.WithField("seeds", len(next.Seeds)).Info("settings have changed")
 		y.mu.Lock()
@@ -131,6 +135,7 @@
 		WarmupOvershoot: b.WarmupOvershoot, WarmupSlack: b.WarmupSlack}
 	y.line = lineside.New(y.self, rand.Uint64())
 	y.telegraph = telegraph.New(rand.Uint32() | 1)
+	y.blocks = blocks.New(rand.Uint32() | 1)
 	return y
 }
 
--- a/internal/switchyard/switchyard_test.go
+++ b/internal/switchyard/switchyard_test.go
@@ -541,7 +541,7 @@
 	f.Add(datagramAsk, bell.Encode(tokenAsk{1, 2, "read", "s"}))
 	f.Add(datagramAnswer, bell.Encode(tokenAnswer{Serial: 1, OK: true}))
 	f.Add(datagramLoans, bell.Encode(wagons.Message{Serial: 1, Items: []wagons.Item{{ID: 1, Part: -1}, {ID: 2, Part: 1e300}}}))
-	f.Add(datagramLine, bell.Encode(lineMessage{lineside.Message{From: "e2#1", Claims: []lineside.Claim{{ID: "e1", State: 200}}}, []telegraph.Sighting{{Server: 1, Class: 9, Source: 2, Serial: 3}}}))
+	f.Add(datagramLine, bell.Encode(lineMessage{lineside.Message{From: "e2#1", Claims: []lineside.Claim{{ID: "e1", State: 200}}}, []telegraph.Sighting{{Server: 1, Class: 9, Source: 2, Serial: 3}}, []serviceWait{{1, 65000}}}))
 	f.Add(datagramSpending, []byte{1, 2, 3, 4, 5, 6, 7, 8, 9})
 	f.Fuzz(func(t *testing.T, kind byte, data []byte) {
 		y := newYard(t)
--- a/internal/switchyard/upstream.go
+++ b/internal/switchyard/upstream.go
@@ -36,6 +36,7 @@
 	life    string
 	address string
 	service string
+	number  uint32 // for other limiters
 
 	// The yard's mutex guards these.
 	usable bool
@@ -75,7 +76,7 @@
 		if st != nil {
 			st.drop()
 		}
-		st = &station{life: r.ID, address: r.Address, service: r.Service}
+		st = &station{life: r.ID, address: r.Address, service: r.Service, number: shortNumber(r.ID)}
 		y.stations[r.ID] = st
 	}
 	if r.State == stock.Gone || r.State == stock.Silent {
--- a/internal/switchyard/watch.go
+++ b/internal/switchyard/watch.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"math"
 	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"example.org/madderdrum/blocks"
 	"example.org/madderdrum/internal/bell"
 	"example.org/madderdrum/internal/boot"
 	"example.org/madderdrum/limiter"
@@ -47,13 +49,44 @@
 type lineMessage struct {
 	Line lineside.Message     `cbor:"1,keyasint"`
 	Seen []telegraph.Sighting `cbor:"2,keyasint,omitempty"`
+	Wait []serviceWait        `cbor:"3,keyasint,omitempty"`
+}
+
+// serviceWait tells how full a service's servers of the sender's zone are.
+type serviceWait struct {
+	Service uint32 `cbor:"1,keyasint"` // by a number that follows from its name
+	Percent uint16 `cbor:"2,keyasint,omitempty"`
+}
+
+// waits are those of this limiter's zone.
+func (y *Yard) waits() (all []serviceWait) {
+	for _, w := range y.blocks.Waits() {
+		all = append(all, serviceWait{shortNumber(w.Service), uint16(math.Round(100 * w.Of))})
+	}
+	return all
+}
+
+// hearWaits takes in those of another zone.
+func (y *Yard) hearWaits(from string, all []serviceWait) {
+	v := y.view.Load()
+	if r, known := y.book.Get(y.now(), from); known && v != nil && r.Zone != y.set.Zone {
+		var waits []blocks.Wait
+		for name := range v.table.Services {
+			for _, w := range all {
+				if w.Service == shortNumber(name) {
+					waits = append(waits, blocks.Wait{Service: name, Of: float64(w.Percent) / 100})
+				}
+			}
+		}
+		y.blocks.Zone(y.now(), r.Zone, waits)
+	}
 }
 
 // along sends what the line has to say, and with it where requests fail. The mutex is held.
 func (y *Yard) along(out []lineside.Letter) {
 	for _, l := range out {
 		if ip := y.lineIPs[l.To]; ip != "" {
-			m := lineMessage{l.Message, y.telegraph.Next(y.now())}
+			m := lineMessage{l.Message, y.telegraph.Next(y.now()), y.waits()}
 			y.tell(y.set.Internal(ip, boot.SwitchyardPort), datagramLine, bell.Encode(m))
 		}
 	}
@@ -72,6 +105,7 @@
 			}
 		}
 	}
+	y.hearWaits(m.Line.From, m.Wait)
 	y.along(y.line.Hear(y.now(), m.Line))
 	y.outs()
 }
--- a/limiter/api.go
+++ b/limiter/api.go
@@ -97,7 +97,7 @@
 
 // Event is something that happened. The event types are [Submit], [Ask],
 // [Settle], [Outcome], [Aborted], [Progress], [FirstByte], [Alarm], [Endpoints],
-// [Probed], [PeerMessage], [Sighting], [Recall], [Parts] and [Reconfigure].
+// [Probed], [PeerMessage], [Sighting], [Occupied], [Recall], [Parts] and [Reconfigure].
 type Event interface{ event() }
 
 // Submit is a client's request, which is now owed one final answer.
@@ -190,6 +190,18 @@
 	Data []byte
 }
 
+// Occupied tells how many requests servers have in hand beside those that this gateway has there by
+// their numbers: other gateways', and its own by way of other pools. What is told of a server holds
+// until it is told anew.
+type Occupied struct{ Servers []InHand }
+
+// InHand is what is told of one server.
+type InHand struct {
+	Server uint64
+	Others float64 // a fraction where it is not known for sure
+	Slots  float64 // requests that the server works on at once
+}
+
 // Reconfigure has other classes, plans, rules and caps hold from now on. What says who
 // this gateway is and whom it talks to (Position, Balancers, Zone, Peers, PeerInPerS)
 // holds from the start to the end. Classes and Plans say for each old index which one
@@ -204,6 +216,7 @@
 type Recall struct{ Memory *Memory }
 
 func (Submit) event()      {}
+func (Occupied) event()    {}
 func (Recall) event()      {}
 func (Reconfigure) event() {}
 func (Settle) event()      {}
--- a/limiter/choice.go
+++ b/limiter/choice.go
@@ -141,10 +141,17 @@
 	return lax || now >= s.ills[r.class].to && now >= s.fullTo && !l.stalled(now, s)
 }
 
-// load is the number of requests that this gateway has at a server. What the
-// others have there shows in the times of answers: reports of it come too late
-// and too noisy, and counting them made every deployment that has them worse.
-func (s *server) load() float64 { return float64(s.inflight) }
+// load is the number of requests that this gateway has at a server. What the others have
+// there shows in the times of answers: reports that come later than an answer takes are too
+// noisy, and made all that have them worse. What is told in time counts from where the
+// server's slots are used up: by how many times its work the next request waits there.
+func (s *server) load() float64 {
+	n := float64(s.inflight)
+	if s.others > 0 && s.slots > 0 {
+		n += max(0, n+s.others+1-s.slots) / s.slots
+	}
+	return n
+}
 
 // expected is the time an answer from a server is expected to take.
 func (l *Limiter) expected(now float64, s *server, class int) float64 {
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -80,6 +80,8 @@
 		l.heard(now, e)
 	case Sighting:
 		l.sighted(now, e)
+	case Occupied:
+		l.occupied(e)
 	case Recall:
 		l.recall(now, e.Memory)
 	case Parts:
--- a/limiter/servers.go
+++ b/limiter/servers.go
@@ -52,6 +52,15 @@
 	})
 }
 
+// occupied takes in what others have in hand.
+func (l *Limiter) occupied(e Occupied) {
+	for _, x := range e.Servers {
+		if s := l.servers[x.Server]; s != nil {
+			s.others, s.slots = max(0, x.Others), max(0, x.Slots)
+		}
+	}
+}
+
 // setTiers divides the servers of pools with tiers.
 func (l *Limiter) setTiers() {
 	l.tiered = slices.Sorted(maps.Keys(l.cfg.Spills))
--- a/limiter/state.go
+++ b/limiter/state.go
@@ -80,6 +80,8 @@
 	info         ServerInfo
 	pool         *pool
 	inflight     int
+	others       float64 // in hand there beside them, as told
+	slots        float64 // what it works on at once, as told with them
 	spent, had   float64 // decayed sums: times taken against the typical, and answers
 	statAt       float64
 	cold, coldAt float64 // saved up for one request while it is cold
