--- a/blocks/blocks.go
+++ b/blocks/blocks.go
@@ -48,7 +48,9 @@
 	timeStep    = 8.0 // ms: the unit of times in a word
 	timeWeight  = 0.1 // of one answer in the mean time of a service
 	timeFirst   = 200.0
-	goneAfter   = 3 // times of a word's longest request: it is forgotten
+	freshMs     = 400.0 // a neighbour that was heard of since is heard
+	forgetMs    = 10_000.0
+	knowsAt     = 0.7 // share of the neighbours that have to be heard
 )
 
 // Word is what one limiter has in hand. Its layout is versioned: words of another version are let
@@ -57,6 +59,7 @@
 	Version uint8  `cbor:"1,keyasint"`
 	Source  uint32 `cbor:"2,keyasint"` // a life of a limiter
 	Serial  uint32 `cbor:"3,keyasint"` // rises with each word of a source
+	Sent    uint64 `cbor:"5,keyasint"` // ms by the source's own clock
 	// Entries are six bytes each: a server's number in four, requests in one, and in one the time
 	// that they take, in steps of 8 ms.
 	Entries []byte `cbor:"4,keyasint,omitempty"`
@@ -72,8 +75,8 @@
 type source struct {
 	id      uint32
 	serial  uint32
-	at      float64
-	takes   float64 // the longest of its requests
+	at      float64 // when it was told
+	least   float64 // difference of the clocks, by the word that came soonest
 	entries []entry
 }
 
@@ -107,7 +110,10 @@
 	servers  map[uint32]Server
 	services map[string]*service
 	addedAt  float64
-	heard    []*source // by id: sums are the same whoever was heard first
+	knows    bool // enough neighbours are heard
+	// How many neighbours there are that can be heard of.
+	neighbours int
+	heard      []*source // by id: sums are the same whoever was heard first
 }
 
 // New returns the desk of a limiter. life is of this process, and not 0.
@@ -115,6 +121,9 @@
 	return &Desk{me: life, own: map[uint32]int{}, services: map[string]*service{}}
 }
 
+// Expect says how many neighbours there are, beside those that are known to be out of reach.
+func (d *Desk) Expect(neighbours int) { d.neighbours = neighbours }
+
 // Serve says which servers there are, by their numbers. Each has a slot at least.
 func (d *Desk) Serve(servers map[uint32]Server) {
 	d.servers = servers
@@ -172,7 +181,7 @@
 	}
 	slices.SortFunc(all, func(a, b held) int { return cmp.Or(b.count-a.count, cmp.Compare(a.server, b.server)) })
 	d.serial++
-	w = Word{Version: version, Source: d.me, Serial: d.serial}
+	w = Word{Version: version, Source: d.me, Serial: d.serial, Sent: uint64(max(0, now))}
 	for _, h := range all[:min(len(all), entriesMost)] {
 		takes := timeFirst
 		if s := d.services[d.servers[h.server].Service]; s != nil {
@@ -204,26 +213,34 @@
 		return false
 	}
 	if !known {
-		d.heard = slices.Insert(d.heard, i, &source{id: w.Source})
+		d.heard = slices.Insert(d.heard, i, &source{id: w.Source, least: math.Inf(1)})
 	}
 	s := d.heard[i]
-	s.serial, s.at, s.takes, s.entries = w.Serial, now, 0, s.entries[:0]
+	apart := now - float64(w.Sent)
+	s.least = min(s.least, apart) // a word that is later than others of its source was under way for longer
+	s.serial, s.at, s.entries = w.Serial, now-(apart-s.least), s.entries[:0]
 	for e := w.Entries; len(e) > 0; e = e[entryBytes:] {
-		x := entry{binary.BigEndian.Uint32(e), float64(min(e[4], countMost)), float64(e[5]) * timeStep}
-		s.entries, s.takes = append(s.entries, x), max(s.takes, x.takes)
+		s.entries = append(s.entries, entry{binary.BigEndian.Uint32(e), float64(min(e[4], countMost)), float64(e[5]) * timeStep})
 	}
 	return true
 }
 
 // Others tells what others have in hand now, by server, as far as it is known, at the servers of
-// pressed services: while there is room, where they are matters little. A server of another zone,
+// pressed services: while there is room, where they are matters little. It is nothing at all, and
+// each limiter goes by its own view, while too few neighbours are heard: a part of what is in hand
+// would make full servers look empty. A server of another zone,
 // of which no more is known, counts as those of its zone do in the mean, by what limiters there
-// tell, or else as those of this zone: what is known must not look fuller than what is not.
+// tell, or else as half as full as this zone: what is known must not look much fuller than what is not,
+// and who hears of no other zone must not take all of them for empty.
 func (d *Desk) Others(now float64) map[uint32]float64 {
 	others := map[uint32]float64{}
-	d.heard = slices.DeleteFunc(d.heard, func(s *source) bool { return now-s.at > goneAfter*max(s.takes, calmMs) })
+	d.heard = slices.DeleteFunc(d.heard, func(s *source) bool { return now-s.at > forgetMs })
+	fresh := 0
 	for _, s := range d.heard {
 		age := now - s.at
+		if age < freshMs {
+			fresh++
+		}
 		for _, e := range s.entries {
 			if left := e.count * (1 - age/max(1, e.takes)); left > 0 {
 				others[e.server] += left
@@ -231,13 +248,16 @@
 		}
 	}
 	d.addUp(now, others)
+	if d.knows = float64(fresh) >= knowsAt*float64(d.neighbours); !d.knows {
+		return nil
+	}
 	for server := range others {
 		if s := d.services[d.servers[server].Service]; s == nil || !s.pressed {
 			delete(others, server)
 		}
 	}
 	for server, x := range d.servers {
-		if s := d.services[x.Service]; !x.Near && (s.pressed || len(s.zones) > 0) {
+		if s := d.services[x.Service]; !x.Near {
 			if w := s.waits(now, x.Zone); w > 0 {
 				others[server] = max(others[server], float64(x.Slots)*(1+w)-1)
 			}
@@ -270,8 +290,7 @@
 func (s *service) waits(now float64, zone string) float64 {
 	x, told := s.zones[zone]
 	if !told || now-x.at > zoneMs {
-		x.wait = s.wait
-		if !s.pressed {
+		if x.wait = s.wait / 2; !s.pressed {
 			x.wait = 0
 		}
 	}
@@ -285,26 +304,31 @@
 	Of      float64
 }
 
-// Waits are those of this limiter's zone, of pressed services.
-func (d *Desk) Waits() (all []Wait) {
+// Waits are those of this limiter's zone, of pressed services. They are not known while too few
+// neighbours are heard.
+func (d *Desk) Waits() (all []Wait, known bool) {
 	for _, name := range slices.Sorted(maps.Keys(d.services)) {
 		if s := d.services[name]; s.pressed {
 			all = append(all, Wait{name, s.wait})
 		}
 	}
-	return all
+	return all, d.knows
 }
 
-// Zone takes in what a limiter of another zone tells of that zone: all that waits there.
+// Zone takes in what a limiter of another zone tells of that zone: all that waits there. Of a service
+// that is not named nothing does.
 func (d *Desk) Zone(now float64, zone string, all []Wait) {
 	for name, s := range d.services {
-		i := slices.IndexFunc(all, func(w Wait) bool { return w.Service == name })
-		switch {
-		case i >= 0 && (len(s.zones) < zonesMost || s.zones[zone].at > 0):
-			s.zones[zone] = told{max(0, min(waitMost, all[i].Of)), now}
-		case i < 0:
-			delete(s.zones, zone)
+		if _, known := s.zones[zone]; !known && len(s.zones) >= zonesMost {
+			continue
+		}
+		x := told{at: now}
+		for _, w := range all {
+			if w.Service == name {
+				x.wait = max(0, min(waitMost, w.Of))
+			}
 		}
+		s.zones[zone] = x
 	}
 }
 
@@ -338,12 +362,16 @@
 func (d *Desk) Report(now float64) (lines []string) {
 	fresh, oldest := 0, 0.0
 	for _, s := range d.heard {
-		if age := now - s.at; age < max(s.takes, calmMs) {
+		if age := now - s.at; age < freshMs {
 			fresh++
 			oldest = max(oldest, age)
 		}
 	}
-	lines = append(lines, fmt.Sprintf("blocks heard=%d fresh=%d oldest_ms=%.0f every_ms=%.0f", len(d.heard), fresh, oldest, d.pace()))
+	goesBy := "own_view"
+	if d.knows {
+		goesBy = "neighbours"
+	}
+	lines = append(lines, fmt.Sprintf("blocks goes_by=%s neighbours=%d heard=%d oldest_ms=%.0f every_ms=%.0f", goesBy, d.neighbours, fresh, oldest, d.pace()))
 	for _, name := range slices.Sorted(maps.Keys(d.services)) {
 		s := d.services[name]
 		lines = append(lines, fmt.Sprintf("load service=%s slots=%d share=%.2f wait=%.2f pressed=%v takes_ms=%.0f zones=%d",
--- a/internal/switchyard/load.go
+++ b/internal/switchyard/load.go
@@ -34,25 +34,35 @@
 		case <-tick.C:
 		}
 		y.mu.Lock()
-		y.believe()
-		word, due := y.blocks.Next(y.now())
 		var to []string
-		if due {
-			for _, p := range y.neighbours {
-				if !y.out[p.Name] {
-					to = append(to, y.set.Internal(p.IP, boot.SwitchyardPort))
-				}
+		for _, p := range y.neighbours {
+			if !y.out[p.Name] {
+				to = append(to, p.IP)
 			}
 		}
+		y.blocks.Expect(max(len(to), y.nearOnes()))
+		y.believe()
+		word, due := y.blocks.Next(y.now())
 		y.mu.Unlock()
-		if len(to) == 0 {
+		if !due {
 			continue
 		}
 		data := bell.Encode(word)
-		for _, address := range to {
-			y.tell(address, datagramBlocks, data)
+		for _, ip := range to {
+			y.tell(y.set.Internal(ip, boot.SwitchyardPort), datagramBlocks, data)
+		}
+	}
+}
+
+// nearOnes is how many other limiters of this zone are in reach, whether they are told or not. The
+// mutex is held.
+func (y *Yard) nearOnes() (n int) {
+	for _, p := range y.reg.Posts {
+		if p.Zone == y.set.Zone && p.Name != y.set.Node && !y.out[p.Name] {
+			n++
 		}
 	}
+	return n
 }
 
 // believe has the decisions go by what is in hand at servers beside their own requests. The mutex
--- a/internal/switchyard/switchyard_test.go
+++ b/internal/switchyard/switchyard_test.go
@@ -16,6 +16,7 @@
 	"github.com/google/go-cmp/cmp"
 	"github.com/sirupsen/logrus"
 
+	"example.org/madderdrum/blocks"
 	"example.org/madderdrum/internal/bell"
 	"example.org/madderdrum/internal/boot"
 	"example.org/madderdrum/internal/roundhouse"
@@ -536,12 +537,53 @@
 	}
 }
 
+// A limiter tells those of its zone what it has in hand, others of its region where these are few, and of
+// very many those who tell it too.
+func TestNeighbours(t *testing.T) {
+	zones := map[string]string{"a1": "a", "a2": "a", "b1": "b"}
+	var posts []trainregister.Post
+	add := func(zone string, n int) {
+		for i := range n {
+			posts = append(posts, trainregister.Post{Name: fmt.Sprintf("%s-%d", zone, i), Zone: zone})
+		}
+	}
+	of := func(i int) []trainregister.Post { return neighboursOf(posts, posts[i].Name, posts[i].Zone, "a", zones) }
+	add("a1", 3)
+	add("a2", 5)
+	add("b1", 4)
+	if all := of(0); len(all) != neighboursLeast || all[0].Zone != "a1" || all[1].Zone != "a1" || all[2].Zone != "a2" {
+		t.Errorf("of a small zone: %v", all)
+	}
+	posts = nil
+	add("a1", 10)
+	add("a2", 5)
+	if all := of(0); len(all) != 9 || slices.ContainsFunc(all, func(p trainregister.Post) bool { return p.Zone != "a1" || p.Name == "a1-0" }) {
+		t.Errorf("of a zone that is large enough: %v", all)
+	}
+	posts = nil
+	add("a1", 100)
+	mutual, told := 0, 0
+	for i := range posts {
+		for _, p := range of(i) {
+			told++
+			k := slices.IndexFunc(posts, func(o trainregister.Post) bool { return o.Name == p.Name })
+			if slices.ContainsFunc(of(k), func(o trainregister.Post) bool { return o.Name == posts[i].Name }) {
+				mutual++
+			}
+		}
+	}
+	if told != 100*neighboursMost || 2*mutual < told {
+		t.Errorf("of a very large zone: %d are told, %d of them tell too", told, mutual)
+	}
+}
+
 // No datagram makes a limiter end, or hand out more than its parts.
 func FuzzDatagrams(f *testing.F) {
 	f.Add(datagramAsk, bell.Encode(tokenAsk{1, 2, "read", "s"}))
 	f.Add(datagramAnswer, bell.Encode(tokenAnswer{Serial: 1, OK: true}))
 	f.Add(datagramLoans, bell.Encode(wagons.Message{Serial: 1, Items: []wagons.Item{{ID: 1, Part: -1}, {ID: 2, Part: 1e300}}}))
-	f.Add(datagramLine, bell.Encode(lineMessage{lineside.Message{From: "e2#1", Claims: []lineside.Claim{{ID: "e1", State: 200}}}, []telegraph.Sighting{{Server: 1, Class: 9, Source: 2, Serial: 3}}, []serviceWait{{1, 65000}}}))
+	f.Add(datagramLine, bell.Encode(lineMessage{lineside.Message{From: "e2#1", Claims: []lineside.Claim{{ID: "e1", State: 200}}}, []telegraph.Sighting{{Server: 1, Class: 9, Source: 2, Serial: 3}}, []serviceWait{{1, 65000}}, true}))
+	f.Add(datagramBlocks, bell.Encode(blocks.Word{Version: 1, Source: 3, Serial: 1, Entries: []byte{0, 0, 0, 5, 255, 255}}))
 	f.Add(datagramSpending, []byte{1, 2, 3, 4, 5, 6, 7, 8, 9})
 	f.Fuzz(func(t *testing.T, kind byte, data []byte) {
 		y := newYard(t)
--- a/internal/switchyard/watch.go
+++ b/internal/switchyard/watch.go
@@ -50,6 +50,7 @@
 	Line lineside.Message     `cbor:"1,keyasint"`
 	Seen []telegraph.Sighting `cbor:"2,keyasint,omitempty"`
 	Wait []serviceWait        `cbor:"3,keyasint,omitempty"`
+	Sure bool                 `cbor:"4,keyasint,omitempty"` // Wait is known
 }
 
 // serviceWait tells how full a service's servers of the sender's zone are.
@@ -59,11 +60,12 @@
 }
 
 // waits are those of this limiter's zone.
-func (y *Yard) waits() (all []serviceWait) {
-	for _, w := range y.blocks.Waits() {
+func (y *Yard) waits() (all []serviceWait, known bool) {
+	waits, known := y.blocks.Waits()
+	for _, w := range waits {
 		all = append(all, serviceWait{shortNumber(w.Service), uint16(math.Round(100 * w.Of))})
 	}
-	return all
+	return all, known
 }
 
 // hearWaits takes in those of another zone.
@@ -86,7 +88,8 @@
 func (y *Yard) along(out []lineside.Letter) {
 	for _, l := range out {
 		if ip := y.lineIPs[l.To]; ip != "" {
-			m := lineMessage{l.Message, y.telegraph.Next(y.now()), y.waits()}
+			m := lineMessage{Line: l.Message, Seen: y.telegraph.Next(y.now())}
+			m.Wait, m.Sure = y.waits()
 			y.tell(y.set.Internal(ip, boot.SwitchyardPort), datagramLine, bell.Encode(m))
 		}
 	}
@@ -105,7 +108,9 @@
 			}
 		}
 	}
-	y.hearWaits(m.Line.From, m.Wait)
+	if m.Sure {
+		y.hearWaits(m.Line.From, m.Wait)
+	}
 	y.along(y.line.Hear(y.now(), m.Line))
 	y.outs()
 }
--- a/limiter/choice.go
+++ b/limiter/choice.go
@@ -25,6 +25,7 @@
 	// the best of so many is nearly as good.
 	scanMost    = 64
 	seenWell    = 20.0 // answers of a class from which its typical work can be gone by
+	toldWeight  = 0.4
 	crossWeight = 10.0 // a crossing counts as slower by this factor times its price
 )
 
@@ -144,11 +145,12 @@
 // load is the number of requests that this gateway has at a server. What the others have
 // there shows in the times of answers: reports that come later than an answer takes are too
 // noisy, and made all that have them worse. What is told in time counts from where the
-// server's slots are used up: by how many times its work the next request waits there.
+// server's slots are used up: toldWeight of the times of its work that the next request waits
+// there, as the times of answers tell the rest.
 func (s *server) load() float64 {
 	n := float64(s.inflight)
 	if s.others > 0 && s.slots > 0 {
-		n += max(0, n+s.others+1-s.slots) / s.slots
+		n += toldWeight * max(0, n+s.others+1-s.slots) / s.slots
 	}
 	return n
 }
--- a/limiter/choice_test.go
+++ b/limiter/choice_test.go
@@ -195,3 +195,36 @@
 		}
 	}
 }
+
+// Word that a server's slots are taken keeps requests off it while another has some free; word that it
+// has some left changes nothing, and what is told anew replaces what was told before.
+func TestOccupiedServersWait(t *testing.T) {
+	sends := func(told ...InHand) map[uint64]int {
+		s := newScript(t, testSettings(), fleet(2)...)
+		s.do(Occupied{Servers: told})
+		got := map[uint64]int{}
+		for range 40 {
+			id, a := s.submit(Submit{Customer: 5})
+			p, ok := a.(PassOn)
+			if !ok {
+				t.Fatalf("%#v", a)
+			}
+			got[p.Server]++
+			s.do(Outcome{ID: id, Server: p.Server, Result: Pass, SpentMs: 100, Done: true})
+			s.now += 200
+		}
+		return got
+	}
+	if n := sends(InHand{1, 2, 2}, InHand{99, 1, 1}); n[1] > 0 {
+		t.Errorf("a full server gets %d of 40", n[1])
+	}
+	if with, without := sends(InHand{1, 1, 2}), sends(); with[1] != without[1] {
+		t.Errorf("a server with a slot left gets %d, %d by nobody's word", with[1], without[1])
+	}
+	if with, without := sends(InHand{1, 9, 2}, InHand{1, 0, 2}), sends(); with[1] != without[1] {
+		t.Errorf("a server that has become free gets %d, %d by nobody's word", with[1], without[1])
+	}
+	if with, without := sends(InHand{1, -9, 2}, InHand{2, 5, 0}), sends(); with[1] != without[1] {
+		t.Errorf("absurd word: %d, %d by nobody's word", with[1], without[1])
+	}
+}
