--- a/internal/switchyard/load.go
+++ b/internal/switchyard/load.go
@@ -112,8 +112,8 @@
 }
 
 // neighboursOf are the limiters that one tells what it has in hand: those of its zone, and as many
-// of the region as are lacking. Of more than may be it is those whose names go best with its own,
-// so that those whom it tells tell it too.
+// of the region as are lacking. Where they are more than may be each tells others, by the names of
+// both.
 func neighboursOf(posts []trainregister.Post, node, zone, region string, zones map[string]string) []trainregister.Post {
 	var near, far []trainregister.Post
 	for _, p := range posts {
@@ -135,7 +135,10 @@
 }
 
 // pairing is a number of two names, whichever comes first.
-func pairing(a, b string) uint64 { return fnv64(min(a, b) + "\x00" + max(a, b)) }
+func pairing(a, b string) uint64 {
+	h := fnv64(min(a, b) + "\x00" + max(a, b))
+	return (h ^ h>>29) * 0x9e3779b97f4a7c15 // names that differ at their ends alone scatter too
+}
 
 // shortNumber is the number by which limiters tell each other of a server's life or a service.
 func shortNumber(name string) uint32 {
