--- a/blocks/blocks.go
+++ b/blocks/blocks.go
@@ -228,10 +228,10 @@
 // Others tells what others have in hand now, by server, as far as it is known, at the servers of
 // pressed services: while there is room, where they are matters little. It is nothing at all, and
 // each limiter goes by its own view, while too few neighbours are heard: a part of what is in hand
-// would make full servers look empty. A server of another zone,
-// of which no more is known, counts as those of its zone do in the mean, by what limiters there
-// tell, or else as half as full as this zone: what is known must not look much fuller than what is not,
-// and who hears of no other zone must not take all of them for empty.
+// would make full servers look empty. A server of another zone, of which no more is known, counts
+// as those of its zone do in the mean, by what limiters there tell, or else as half as full as this
+// zone: what is known must not look much fuller than what is not, and who hears of no other zone
+// must not take all of them for empty.
 func (d *Desk) Others(now float64) map[uint32]float64 {
 	others := map[uint32]float64{}
 	d.heard = slices.DeleteFunc(d.heard, func(s *source) bool { return now-s.at > forgetMs })
