--- a/internal/switchyard/switchyard_test.go
+++ b/internal/switchyard/switchyard_test.go
@@ -472,15 +472,17 @@
 func TestLeaverSuspectsNobody(t *testing.T) {
 	for _, leaves := range []bool{false, true} {
 		y := newYard(t)
-		y.begun = time.Now().Add(-time.Hour)
 		y.leaving.Store(leaves)
 		y.mu.Lock()
+		y.begun = time.Now().Add(-time.Hour)
 		y.lineIPs["e2#1"] = "127.0.0.2" // which never answers
 		y.line.Set(map[string]string{"e2#1": "z"})
 		y.mu.Unlock()
 		for range 100 {
 			y.lookAlong()
+			y.mu.Lock()
 			y.begun = y.begun.Add(-50 * time.Millisecond) // the time goes on
+			y.mu.Unlock()
 		}
 		if y.out["e2"] == leaves {
 			t.Errorf("leaves: %v; it takes another for out of reach: %v", leaves, y.out["e2"])
