--- a/internal/switchyard/load.go
+++ b/internal/switchyard/load.go
@@ -1,7 +1,6 @@
 package switchyard
 
 import (
-	"context"
 	"hash/fnv"
 	"slices"
 	"time"
@@ -22,36 +21,26 @@
 	neighboursMost  = 16
 )
 
-// tellLoad tells neighbours what this limiter has in hand, and the decisions what they have, until
-// the context ends.
-func (y *Yard) tellLoad(ctx context.Context) {
-	tick := time.NewTicker(loadEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-		}
-		y.mu.Lock()
-		var to []string
-		for _, p := range y.neighbours {
-			if !y.out[p.Name] {
-				to = append(to, p.IP)
-			}
-		}
-		y.blocks.Expect(max(len(to), y.nearOnes()))
-		y.believe()
-		word, due := y.blocks.Next(y.now())
-		y.mu.Unlock()
-		if !due {
-			continue
-		}
-		data := bell.Encode(word)
-		for _, ip := range to {
-			y.tell(y.set.Internal(ip, boot.SwitchyardPort), datagramBlocks, data)
+// tellLoad tells neighbours what this limiter has in hand, and the decisions what they have.
+func (y *Yard) tellLoad() {
+	y.mu.Lock()
+	var to []string
+	for _, p := range y.neighbours {
+		if !y.out[p.Name] {
+			to = append(to, p.IP)
 		}
 	}
+	y.blocks.Expect(max(len(to), y.nearOnes()))
+	y.believe()
+	word, due := y.blocks.Next(y.now())
+	y.mu.Unlock()
+	if !due {
+		return
+	}
+	data := bell.Encode(word)
+	for _, ip := range to {
+		y.tell(y.set.Internal(ip, boot.SwitchyardPort), datagramBlocks, data)
+	}
 }
 
 // nearOnes is how many other limiters of this zone are in reach, whether they are told or not. The
--- a/internal/switchyard/switchyard.go
+++ b/internal/switchyard/switchyard.go
@@ -105,8 +105,8 @@
 	go y.sweep(life)
 	go sockets.Accept(life, front, y.client)
 	go y.tally(life)
-	go y.watchLine(life)
-	go y.tellLoad(life)
+	go again(life, lineEvery, y.lookAlong)
+	go again(life, loadEvery, y.tellLoad)
 	go set.Follow(life, func(next *boot.Settings) {
 		log.WithField("seeds", len(next.Seeds)).Info("settings have changed")
 		y.mu.Lock()
--- a/internal/switchyard/watch.go
+++ b/internal/switchyard/watch.go
@@ -19,17 +19,17 @@
 
 const lineEvery = 100 * time.Millisecond
 
-// watchLine looks at the other limiters of the region until the context ends.
-func (y *Yard) watchLine(ctx context.Context) {
-	tick := time.NewTicker(lineEvery)
+// again does something at intervals until the context ends.
+func again(ctx context.Context, every time.Duration, do func()) {
+	tick := time.NewTicker(every)
 	defer tick.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-tick.C:
+			do()
 		}
-		y.lookAlong()
 	}
 }
 
