--- a/internal/signalbox/disk.go
+++ b/internal/signalbox/disk.go
@@ -15,7 +15,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/tidwall/wal"
 
-	"example.org/madderdrum/interlocking"
+	"example.org/madderdrum/paxos"
 )
 
 // A log is begun anew once it holds so much: all that counts is its last record, and the
@@ -37,14 +37,14 @@
 
 // line is one entry: a whole record, or the promise alone where the value stays.
 type line struct {
-	Record  *interlocking.Record `cbor:"1,keyasint,omitempty"`
-	Promise *interlocking.Ballot `cbor:"2,keyasint,omitempty"`
+	Record  *paxos.Record `cbor:"1,keyasint,omitempty"`
+	Promise *paxos.Ballot `cbor:"2,keyasint,omitempty"`
 	Voters  []string             `cbor:"3,keyasint,omitempty"`
 }
 
 // kept is what was found on disk.
 type kept struct {
-	record interlocking.Record
+	record paxos.Record
 	voters []string
 	found  bool
 }
@@ -142,7 +142,7 @@
 }
 
 // begin starts a new log with a whole record and removes the older ones.
-func (d *disk) begin(record *interlocking.Record, voters []string) error {
+func (d *disk) begin(record *paxos.Record, voters []string) error {
 	if d.log != nil {
 		d.log.Close()
 		d.log = nil
@@ -188,7 +188,7 @@
 }
 
 // write has a record safe on disk when it returns nil. before is the one written last.
-func (d *disk) write(record, before *interlocking.Record, voters []string) error {
+func (d *disk) write(record, before *paxos.Record, voters []string) error {
 	if d.log == nil || d.sick || d.size > logMost {
 		return d.begin(record, voters)
 	}
--- a/internal/signalbox/disk_test.go
+++ b/internal/signalbox/disk_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"example.org/madderdrum/interlocking"
+	"example.org/madderdrum/paxos"
 )
 
 // logFile is the one file of the newest log.
@@ -29,7 +29,7 @@
 		t.Fatal(err)
 	}
 	voters := []string{"1", "2", "3"}
-	records := []interlocking.Record{{}}
+	records := []paxos.Record{{}}
 	if err := d.begin(&records[0], voters); err != nil {
 		t.Fatal(err)
 	}
@@ -43,7 +43,7 @@
 	}
 	size()
 	for i := range 6 {
-		b := interlocking.Ballot{Number: uint64(i + 1), Node: 1}
+		b := paxos.Ballot{Number: uint64(i + 1), Node: 1}
 		next := records[i]
 		next.Promised = b
 		if i%2 == 1 {
@@ -115,10 +115,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	var before interlocking.Record
+	var before paxos.Record
 	for i := range 40 {
-		b := interlocking.Ballot{Number: uint64(i + 1)}
-		next := interlocking.Record{Promised: b, Accepted: b, Value: make([]byte, logMost/10)}
+		b := paxos.Ballot{Number: uint64(i + 1)}
+		next := paxos.Record{Promised: b, Accepted: b, Value: make([]byte, logMost/10)}
 		if err := d.write(&next, &before, nil); err != nil {
 			t.Fatal(err)
 		}
--- a/internal/signalbox/signalbox.go
+++ b/internal/signalbox/signalbox.go
@@ -1,7 +1,7 @@
 // Package signalbox is the host of the store of configuration: it keeps an acceptor's record
 // on disk, holds rounds of ballots for the orders that come to it, learns what is chosen and
 // proves at intervals that nothing newer can have been. The decisions are in the packages
-// interlocking and trainregister.
+// paxos and trainregister.
 package signalbox
 
 import (
@@ -17,7 +17,7 @@
 
 	"github.com/sirupsen/logrus"
 
-	"example.org/madderdrum/interlocking"
+	"example.org/madderdrum/paxos"
 	"example.org/madderdrum/internal/bell"
 	"example.org/madderdrum/internal/boot"
 	"example.org/madderdrum/internal/wait"
@@ -50,12 +50,12 @@
 	orders chan *pending
 
 	accepting sync.Mutex // round the acceptor and the disk
-	acceptor  interlocking.Acceptor
+	acceptor  paxos.Acceptor
 	disk      *disk
 
 	mu      sync.Mutex // round what follows
-	durable interlocking.Record
-	chosen  interlocking.Ballot
+	durable paxos.Record
+	chosen  paxos.Ballot
 	value   []byte
 	reg     *trainregister.Register
 	changed chan struct{} // closed when reg changes
@@ -109,7 +109,7 @@
 }
 
 type chosenCall struct {
-	Ballot interlocking.Ballot `cbor:"1,keyasint"`
+	Ballot paxos.Ballot `cbor:"1,keyasint"`
 	Value  []byte              `cbor:"2,keyasint,omitempty"`
 }
 
@@ -174,7 +174,7 @@
 var errSick = errors.New("the disk takes no record")
 
 // vote has a changed record written down, or takes the change back.
-func (b *Box) vote(do func() (interlocking.Reply, bool)) (interlocking.Reply, error) {
+func (b *Box) vote(do func() (paxos.Reply, bool)) (paxos.Reply, error) {
 	b.accepting.Lock()
 	defer b.accepting.Unlock()
 	before := b.acceptor.Record
@@ -183,7 +183,7 @@
 		if err := b.disk.write(&b.acceptor.Record, &before, b.first); err != nil {
 			b.acceptor.Record = before
 			b.log.WithField("err", err).Warn("disk fails")
-			return interlocking.Reply{}, errSick
+			return paxos.Reply{}, errSick
 		}
 	}
 	b.mu.Lock()
@@ -193,25 +193,25 @@
 	return r, nil
 }
 
-func (b *Box) prepare(_ context.Context, m interlocking.Prepare) (any, error) {
+func (b *Box) prepare(_ context.Context, m paxos.Prepare) (any, error) {
 	return b.votePrepare(m)
 }
 
-func (b *Box) votePrepare(m interlocking.Prepare) (interlocking.Reply, error) {
-	return b.vote(func() (interlocking.Reply, bool) { return b.acceptor.Prepare(m) })
+func (b *Box) votePrepare(m paxos.Prepare) (paxos.Reply, error) {
+	return b.vote(func() (paxos.Reply, bool) { return b.acceptor.Prepare(m) })
 }
 
-func (b *Box) accept(_ context.Context, m interlocking.Accept) (any, error) {
+func (b *Box) accept(_ context.Context, m paxos.Accept) (any, error) {
 	return b.voteAccept(m)
 }
 
-func (b *Box) voteAccept(m interlocking.Accept) (interlocking.Reply, error) {
-	return b.vote(func() (interlocking.Reply, bool) { return b.acceptor.Accept(m) })
+func (b *Box) voteAccept(m paxos.Accept) (paxos.Reply, error) {
+	return b.vote(func() (paxos.Reply, bool) { return b.acceptor.Accept(m) })
 }
 
 // readCall asks what is accepted.
 type readCall struct {
-	Known interlocking.Ballot `cbor:"1,keyasint"`
+	Known paxos.Ballot `cbor:"1,keyasint"`
 }
 
 func (b *Box) read(_ context.Context, m readCall) (any, error) {
@@ -219,9 +219,9 @@
 }
 
 // readDurable tells what is safe on disk, without waiting for what is being written.
-func (b *Box) readDurable(known interlocking.Ballot) interlocking.Reply {
+func (b *Box) readDurable(known paxos.Ballot) paxos.Reply {
 	b.mu.Lock()
-	a := interlocking.Acceptor{Record: b.durable}
+	a := paxos.Acceptor{Record: b.durable}
 	b.mu.Unlock()
 	return a.Read(known)
 }
@@ -229,7 +229,7 @@
 // hear takes in what another's round has chosen.
 func (b *Box) hear(_ context.Context, m chosenCall) (any, error) {
 	if m.Value == nil {
-		r := b.readDurable(interlocking.Ballot{})
+		r := b.readDurable(paxos.Ballot{})
 		if r.Accepted != m.Ballot {
 			b.mu.Lock()
 			defer b.mu.Unlock()
@@ -242,7 +242,7 @@
 }
 
 // learn takes in a chosen value.
-func (b *Box) learn(ballot interlocking.Ballot, value []byte) {
+func (b *Box) learn(ballot paxos.Ballot, value []byte) {
 	var reg trainregister.Register
 	if err := bell.Decode(value, &reg); err != nil {
 		panic(fmt.Sprintf("signalbox: a chosen value can't be read: %v", err)) // a broken invariant
@@ -266,7 +266,7 @@
 // answered is a voter's answer to a message of a round.
 type answered struct {
 	from  string
-	reply interlocking.Reply
+	reply paxos.Reply
 	err   error
 }
 
@@ -289,11 +289,11 @@
 
 // ask sends a message to voters, which may be this store itself; answers come as they are
 // there.
-func (b *Box) ask(ctx context.Context, voters []string, call string, m any, self func() (interlocking.Reply, error)) <-chan answered {
+func (b *Box) ask(ctx context.Context, voters []string, call string, m any, self func() (paxos.Reply, error)) <-chan answered {
 	out := make(chan answered, len(voters))
 	for _, ip := range voters {
 		go func() {
-			var r interlocking.Reply
+			var r paxos.Reply
 			var err error
 			if ip == b.set.IP {
 				r, err = self()
@@ -351,14 +351,14 @@
 func (b *Box) round(ctx context.Context, all []*pending) bool {
 	b.mu.Lock()
 	b.number++
-	ballot := interlocking.Ballot{Number: b.number, Node: b.node, Life: b.life}
+	ballot := paxos.Ballot{Number: b.number, Node: b.node, Life: b.life}
 	known, own := b.chosen, b.value
 	sets := b.sets()
 	b.mu.Unlock()
-	r, begun := interlocking.NewRound(ballot, sets...), time.Now()
+	r, begun := paxos.NewRound(ballot, sets...), time.Now()
 	voters := union(sets)
-	prep := interlocking.Prepare{Ballot: ballot, Known: known}
-	answers := b.ask(ctx, voters, callPrepare, prep, func() (interlocking.Reply, error) { return b.votePrepare(prep) })
+	prep := paxos.Prepare{Ballot: ballot, Known: known}
+	answers := b.ask(ctx, voters, callPrepare, prep, func() (paxos.Reply, error) { return b.votePrepare(prep) })
 	if !gather(answers, len(voters), callWithin, r.Promise) {
 		b.met(r)
 		return false
@@ -384,8 +384,8 @@
 		b.mu.Unlock()
 		return false
 	}
-	if !turn.Changed && (r.Unanimous() || newest == interlocking.Ballot{}) {
-		if newest != (interlocking.Ballot{}) {
+	if !turn.Changed && (r.Unanimous() || newest == paxos.Ballot{}) {
+		if newest != (paxos.Ballot{}) {
 			b.learn(newest, value)
 		}
 	} else {
@@ -397,8 +397,8 @@
 			r.Widen(turn.Brings)
 			voters = union(append(slices.Clone(sets), turn.Brings))
 		}
-		acc := interlocking.Accept{Ballot: ballot, Value: next}
-		answers = b.ask(ctx, voters, callAccept, acc, func() (interlocking.Reply, error) { return b.voteAccept(acc) })
+		acc := paxos.Accept{Ballot: ballot, Value: next}
+		answers = b.ask(ctx, voters, callAccept, acc, func() (paxos.Reply, error) { return b.voteAccept(acc) })
 		if !gather(answers, len(voters), callWithin, r.Vote) {
 			b.met(r)
 			return false
@@ -413,7 +413,7 @@
 }
 
 // gather feeds so many answers until one completes the half of the round.
-func gather(answers <-chan answered, n int, within time.Duration, take func(string, interlocking.Reply) bool) bool {
+func gather(answers <-chan answered, n int, within time.Duration, take func(string, paxos.Reply) bool) bool {
 	late := time.NewTimer(within + 50*time.Millisecond)
 	defer late.Stop()
 	for range n {
@@ -430,7 +430,7 @@
 }
 
 // met takes note of the ballots that were ahead.
-func (b *Box) met(r *interlocking.Round) {
+func (b *Box) met(r *paxos.Round) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.number = max(b.number, r.After()-1)
@@ -438,7 +438,7 @@
 
 // tell tells the other voters what is chosen. Those that have accepted it need its ballot
 // alone.
-func (b *Box) tell(ctx context.Context, voters []string, ballot interlocking.Ballot, value []byte) {
+func (b *Box) tell(ctx context.Context, voters []string, ballot paxos.Ballot, value []byte) {
 	for _, ip := range voters {
 		if ip == b.set.IP {
 			continue
@@ -463,10 +463,10 @@
 		sets, counted := b.sets(), b.reg.Sets(b.first)
 		b.mu.Unlock()
 		voters := union(sets)
-		answers := b.ask(ctx, voters, callRead, readCall{known}, func() (interlocking.Reply, error) { return b.readDurable(known), nil })
+		answers := b.ask(ctx, voters, callRead, readCall{known}, func() (paxos.Reply, error) { return b.readDurable(known), nil })
 		agree, proven, ahead := map[string]bool{}, false, false
-		told := map[string]interlocking.Ballot{}
-		gather(answers, len(voters), callWithin, func(from string, r interlocking.Reply) bool {
+		told := map[string]paxos.Ballot{}
+		gather(answers, len(voters), callWithin, func(from string, r paxos.Reply) bool {
 			if !r.OK {
 				return false
 			}
@@ -478,7 +478,7 @@
 				told[from] = r.Accepted
 				b.hear1(r.Accepted, r.Value, told)
 			}
-			proven = interlocking.Agreed(counted, func(v string) bool { return agree[v] })
+			proven = paxos.Agreed(counted, func(v string) bool { return agree[v] })
 			return proven
 		})
 		b.mu.Lock()
@@ -513,13 +513,13 @@
 
 // hear1 learns a value that those who told of it have chosen, whoever asked for it: a majority
 // of each set that it counts by itself has accepted it.
-func (b *Box) hear1(ballot interlocking.Ballot, value []byte, told map[string]interlocking.Ballot) {
+func (b *Box) hear1(ballot paxos.Ballot, value []byte, told map[string]paxos.Ballot) {
 	var reg trainregister.Register
 	if len(value) == 0 || bell.Decode(value, &reg) != nil {
 		return
 	}
 	sets := reg.Sets(b.first)
-	if interlocking.Agreed(sets, func(v string) bool { return told[v] == ballot }) {
+	if paxos.Agreed(sets, func(v string) bool { return told[v] == ballot }) {
 		b.learn(ballot, value)
 		return
 	}
@@ -640,7 +640,7 @@
 func (b *Box) restore(ctx context.Context) {
 	wait.Sleep(ctx, restoreAfter)
 	for ctx.Err() == nil {
-		rest := interlocking.NewRestore(b.set.Tolerate)
+		rest := paxos.NewRestore(b.set.Tolerate)
 		asked := map[string]bool{b.set.IP: true}
 		sets := [][]string{b.first}
 		for more := true; more; {
@@ -650,7 +650,7 @@
 					continue
 				}
 				asked[ip], more = true, true
-				var r interlocking.Reply
+				var r paxos.Reply
 				if b.caller.Call(ctx, b.set.Internal(ip, boot.SignalboxPort), callRead, readCall{}, &r, callWithin) == nil {
 					rest.Read(ip, r)
 				}
@@ -661,9 +661,9 @@
 			}
 		}
 		if rec, ok := rest.Done(sets...); ok {
-			_, err := b.vote(func() (interlocking.Reply, bool) {
+			_, err := b.vote(func() (paxos.Reply, bool) {
 				b.acceptor.Record = rec
-				return interlocking.Reply{}, true
+				return paxos.Reply{}, true
 			})
 			if err == nil {
 				b.log.WithField("accepted", rec.Accepted.Number).Info("votes again after a lost disk")
--- a/interlocking/interlocking.go
+++ b/paxos/paxos.go
@@ -1,4 +1,4 @@
-// Package interlocking agrees on one register among core machines by ballots. It has no
+// Package paxos agrees on one register among core machines by ballots. It has no
 // standing leader: whoever has a change holds a round. In the first half a majority of
 // acceptors promises to take part in no older ballot and tells what it has accepted; in
 // the second it accepts the value that the change makes of the newest one told. A value
@@ -8,7 +8,7 @@
 // Nothing here does input or output, reads a clock or starts a goroutine: [Acceptor] and
 // [Round] are fed messages and return what is to be written down and sent. An acceptor's
 // record must be safe on disk before its reply leaves.
-package interlocking
+package paxos
 
 import (
 	"cmp"
--- a/interlocking/interlocking_test.go
+++ b/paxos/paxos_test.go
@@ -1,4 +1,4 @@
-package interlocking
+package paxos
 
 import (
 	"bytes"
--- a/trainregister/voters_test.go
+++ b/trainregister/voters_test.go
@@ -6,7 +6,7 @@
 	"slices"
 	"testing"
 
-	"example.org/madderdrum/interlocking"
+	"example.org/madderdrum/paxos"
 )
 
 // The model of a change of voters: proposers change the register by rounds, one of them lets
@@ -14,7 +14,7 @@
 // lost, rounds are given up and begun again, and a proposer may learn of what is chosen late.
 type voting struct {
 	rng    *rand.Rand
-	acc    map[string]*interlocking.Acceptor
+	acc    map[string]*paxos.Acceptor
 	values []*Register // by number; a value on the wire is its number
 	props  []*proposer
 	chosen []choice // in the order of their ballots, which may be seen out of order
@@ -22,18 +22,18 @@
 }
 
 type choice struct {
-	ballot interlocking.Ballot
+	ballot paxos.Ballot
 	*Register
 }
 
 type proposer struct {
 	node   uint64
 	orders []Order
-	known  interlocking.Ballot
+	known  paxos.Ballot
 	reg    *Register
 	hint   [][]string
 	number uint64
-	round  *interlocking.Round
+	round  *paxos.Round
 	sets   [][]string
 	next   *Register
 	value  []byte
@@ -48,7 +48,7 @@
 	if p.hint != nil {
 		p.sets = p.hint
 	}
-	p.round = interlocking.NewRound(interlocking.Ballot{Number: p.number, Node: p.node}, p.sets...)
+	p.round = paxos.NewRound(paxos.Ballot{Number: p.number, Node: p.node}, p.sets...)
 	p.flying = all(p.sets)
 }
 
@@ -63,7 +63,7 @@
 // step delivers one message of one proposer, or loses it.
 func (v *voting) step() {
 	p := v.props[v.rng.IntN(len(v.props))]
-	if p.round == nil || p.round.Phase() == interlocking.Beaten || len(p.flying) == 0 || v.rng.IntN(20) == 0 {
+	if p.round == nil || p.round.Phase() == paxos.Beaten || len(p.flying) == 0 || v.rng.IntN(20) == 0 {
 		v.begin(p)
 		return
 	}
@@ -74,15 +74,15 @@
 	if v.rng.IntN(5) == 0 {
 		return
 	}
-	if p.round.Phase() == interlocking.Preparing {
-		reply, _ := to.Prepare(interlocking.Prepare{Ballot: p.round.Ballot})
+	if p.round.Phase() == paxos.Preparing {
+		reply, _ := to.Prepare(paxos.Prepare{Ballot: p.round.Ballot})
 		p.number = max(p.number, reply.Promised.Number)
 		if p.round.Promise(name, reply) {
 			v.turn(p)
 		}
 		return
 	}
-	reply, _ := to.Accept(interlocking.Accept{Ballot: p.round.Ballot, Value: p.value})
+	reply, _ := to.Accept(paxos.Accept{Ballot: p.round.Ballot, Value: p.value})
 	if p.round.Vote(name, reply) {
 		v.chosen = append(v.chosen, choice{p.round.Ballot, p.next})
 		slices.SortFunc(v.chosen, func(a, b choice) int { return a.ballot.Compare(b.ballot) })
@@ -100,7 +100,7 @@
 	if v.stale {
 		counted = reg.Sets(first)
 	}
-	t := reg.Turn(first, counted, newest == p.known && newest != interlocking.Ballot{}, [][]Order{p.orders})
+	t := reg.Turn(first, counted, newest == p.known && newest != paxos.Ballot{}, [][]Order{p.orders})
 	if t.Need != nil {
 		p.hint, p.round = t.Need, nil
 		return
@@ -133,9 +133,9 @@
 
 // play has voters change: two more come to vote or, with replace, one takes the place of another.
 func play(seed uint64, stale, replace bool) (*voting, error) {
-	v := &voting{rng: rand.New(rand.NewPCG(seed, 11)), acc: map[string]*interlocking.Acceptor{}, stale: stale}
+	v := &voting{rng: rand.New(rand.NewPCG(seed, 11)), acc: map[string]*paxos.Acceptor{}, stale: stale}
 	for _, name := range []string{"1", "2", "3", "4", "5"} {
-		v.acc[name] = &interlocking.Acceptor{}
+		v.acc[name] = &paxos.Acceptor{}
 	}
 	for i := range 3 {
 		p := &proposer{node: uint64(i + 1), reg: &Register{}, orders: []Order{{Kind: Begin, Zone: fmt.Sprint("z", i)}}}
