--- a/trainregister/trainregister.go
+++ b/controlstate/controlstate.go
@@ -1,7 +1,7 @@
-// Package trainregister is the state that the core machines agree on: the configuration, the
+// Package controlstate is the state that the core machines agree on: the configuration, the
 // zones that are evacuated and the places of the limiters. Orders change it one after the
 // other; each change makes one new version. It does no input or output.
-package trainregister
+package controlstate
 
 import (
 	"crypto/sha256"
@@ -14,12 +14,12 @@
 
 // Register is one version of the agreed state. Its zero value is that before any order.
 type Register struct {
-	Seq     uint64   `cbor:"1,keyasint"`           // rises by one with each change
-	Version uint64   `cbor:"2,keyasint"`           // of the configuration
-	Config  []byte   `cbor:"3,keyasint,omitempty"` // its text
-	Evac    []string `cbor:"4,keyasint,omitempty"` // zones, sorted
-	Posts   []Post   `cbor:"5,keyasint,omitempty"` // by position
-	Taken   []Taken  `cbor:"6,keyasint,omitempty"` // the latest changes, oldest first
+	Seq     uint64           `cbor:"1,keyasint"`           // rises by one with each change
+	Version uint64           `cbor:"2,keyasint"`           // of the configuration
+	Config  []byte           `cbor:"3,keyasint,omitempty"` // its text
+	Evac    []string         `cbor:"4,keyasint,omitempty"` // zones, sorted
+	Posts   []Post           `cbor:"5,keyasint,omitempty"` // by position
+	Applied []AppliedCommand `cbor:"6,keyasint,omitempty"` // the latest changes, oldest first
 	// Revoked is the Seq of the latest change that took a key away.
 	Revoked uint64 `cbor:"7,keyasint,omitempty"`
 	// Voters are the machines that agree, sorted; none before the first change, when it is those
@@ -58,25 +58,25 @@
 	return h.Sum64()
 }
 
-// Taken is a change that was taken, so that the same call can be known when it comes again.
-type Taken struct {
+// AppliedCommand is a change that was taken, so that the same call can be known when it comes again.
+type AppliedCommand struct {
 	Version uint64   `cbor:"1,keyasint"`
 	Sum     [16]byte `cbor:"2,keyasint"`
 }
 
-const takenMost = 256
+const appliedMost = 256
 
 // OrderKind says what an order changes.
 type OrderKind uint8
 
 // The kinds of orders.
 const (
-	Replace OrderKind = iota // the whole configuration
-	Update                   // named items of it
-	Begin                    // evacuate a zone
-	Finish                   // and take it back
-	Enrol                    // give limiters their places
-	Seat                     // let core machines vote, or have them vote no more
+	Replace          OrderKind = iota // the whole configuration
+	Update                            // named items of it
+	Begin                             // evacuate a zone
+	Finish                            // and take it back
+	RegisterLimiters                  // give limiters their places
+	ChangeVoters                      // let core machines vote, or have them vote no more
 )
 
 // Order is one change that somebody asks for.
@@ -84,10 +84,10 @@
 	Kind  OrderKind `cbor:"1,keyasint"`
 	Body  []byte    `cbor:"2,keyasint,omitempty"` // of Replace and Update
 	Zone  string    `cbor:"3,keyasint,omitempty"` // of Begin and Finish
-	Posts []Post    `cbor:"4,keyasint,omitempty"` // of Enrol
-	Seats []string  `cbor:"5,keyasint,omitempty"` // of Seat: those to be voters, with those that are
-	First []string  `cbor:"6,keyasint,omitempty"` // of Seat: the voters that everyone began with
-	Leave []string  `cbor:"7,keyasint,omitempty"` // of Seat: those to vote no more
+	Posts []Post    `cbor:"4,keyasint,omitempty"` // of RegisterLimiters
+	Seats []string  `cbor:"5,keyasint,omitempty"` // of ChangeVoters: those to be voters, with those that are
+	First []string  `cbor:"6,keyasint,omitempty"` // of ChangeVoters: the voters that everyone began with
+	Leave []string  `cbor:"7,keyasint,omitempty"` // of ChangeVoters: those to vote no more
 }
 
 // Outcome is what became of an order.
@@ -101,7 +101,7 @@
 // Clone is a copy that can be changed by itself. Texts are shared: they do not change.
 func (r *Register) Clone() *Register {
 	c := *r
-	c.Evac, c.Posts, c.Taken = slices.Clone(r.Evac), slices.Clone(r.Posts), slices.Clone(r.Taken)
+	c.Evac, c.Posts, c.Applied = slices.Clone(r.Evac), slices.Clone(r.Posts), slices.Clone(r.Applied)
 	c.Voters, c.Prior = slices.Clone(r.Voters), slices.Clone(r.Prior)
 	return &c
 }
@@ -113,9 +113,9 @@
 	return s
 }
 
-// Give carries out an order. Where nothing changes the register stays as it is.
-func (r *Register) Give(o *Order) Outcome {
-	changed, out := r.give(o)
+// Apply carries out an order. Where nothing changes the register stays as it is.
+func (r *Register) Apply(o *Order) Outcome {
+	changed, out := r.apply(o)
 	if changed {
 		r.Seq++
 	}
@@ -125,7 +125,7 @@
 	return out
 }
 
-func (r *Register) give(o *Order) (bool, Outcome) {
+func (r *Register) apply(o *Order) (bool, Outcome) {
 	switch o.Kind {
 	case Replace, Update:
 		return r.change(o)
@@ -141,10 +141,10 @@
 			r.Evac = slices.Delete(r.Evac, i, i+1)
 		}
 		return have, Outcome{Status: 200}
-	case Enrol:
-		return r.enrol(o.Posts), Outcome{Status: 200}
-	case Seat:
-		return r.seat(o)
+	case RegisterLimiters:
+		return r.registerLimiters(o.Posts), Outcome{Status: 200}
+	case ChangeVoters:
+		return r.changeVoters(o)
 	}
 	return false, Outcome{Status: 400, Code: timetable.Unreadable, Text: fmt.Sprintf("order of kind %d is not known", o.Kind)}
 }
@@ -156,7 +156,7 @@
 		return false, fault(f)
 	}
 	s := sum(o)
-	for _, t := range r.Taken {
+	for _, t := range r.Applied {
 		if t.Version == c.Version && t.Sum == s {
 			return false, Outcome{Status: 200}
 		}
@@ -171,9 +171,9 @@
 		}
 	}
 	r.Config, r.Version = next, c.Version
-	r.Taken = append(r.Taken, Taken{c.Version, s})
-	if n := len(r.Taken) - takenMost; n > 0 {
-		r.Taken = slices.Delete(r.Taken, 0, n)
+	r.Applied = append(r.Applied, AppliedCommand{c.Version, s})
+	if n := len(r.Applied) - appliedMost; n > 0 {
+		r.Applied = slices.Delete(r.Applied, 0, n)
 	}
 	return true, Outcome{Status: 200}
 }
@@ -186,7 +186,7 @@
 	return Outcome{Status: status, Code: f.Code, Text: f.Error()}
 }
 
-func (r *Register) enrol(posts []Post) (changed bool) {
+func (r *Register) registerLimiters(posts []Post) (changed bool) {
 	for _, p := range posts {
 		i := slices.IndexFunc(r.Posts, func(o Post) bool { return o.Name == p.Name })
 		switch {
@@ -203,7 +203,7 @@
 const leastVoters = 3
 
 // seat changes who votes. One change of voters is chosen before the next one.
-func (r *Register) seat(o *Order) (changed bool, out Outcome) {
+func (r *Register) changeVoters(o *Order) (changed bool, out Outcome) {
 	old := r.Sets(o.First)[0]
 	voters := slices.Clone(old)
 	for _, s := range o.Seats {
@@ -228,8 +228,8 @@
 	return true, Outcome{Status: 200}
 }
 
-// Turn is what a round makes of the newest register that its majority told.
-type Turn struct {
+// Proposal is what a round makes of the newest register that its majority told.
+type Proposal struct {
 	// Need are the sets of voters that the register counts by, where the round has counted by
 	// others: it has to begin again with these.
 	Need     [][]string
@@ -238,12 +238,12 @@
 	Brings   []string    // voters that the votes have to count by too; nil: none
 }
 
-// Turn gives a round's orders to the newest register told. first are the voters that everyone
+// Propose gives a round's orders to the newest register told. first are the voters that everyone
 // began with, counted the sets that the round has counted promises by, and chosen tells that the
 // register is known to be chosen, and with it the change of voters that it may hold.
-func (r *Register) Turn(first []string, counted [][]string, chosen bool, batches [][]Order) (t Turn) {
+func (r *Register) Propose(first []string, counted [][]string, chosen bool, batches [][]Order) (t Proposal) {
 	if need := r.Sets(first); !slices.EqualFunc(need, counted, slices.Equal) {
-		return Turn{Need: need}
+		return Proposal{Need: need}
 	}
 	seq := r.Seq
 	if chosen && len(r.Prior) > 0 {
@@ -253,7 +253,7 @@
 	for _, orders := range batches {
 		var outcomes []Outcome
 		for k := range orders {
-			outcomes = append(outcomes, r.Give(&orders[k]))
+			outcomes = append(outcomes, r.Apply(&orders[k]))
 		}
 		t.Outcomes = append(t.Outcomes, outcomes)
 	}
--- a/trainregister/trainregister_test.go
+++ b/controlstate/controlstate_test.go
@@ -1,4 +1,4 @@
-package trainregister
+package controlstate
 
 import (
 	"fmt"
@@ -16,7 +16,7 @@
 	give := func(what string, o Order, status int) {
 		t.Helper()
 		before := r.Clone()
-		out := r.Give(&o)
+		out := r.Apply(&o)
 		if out.Status != status {
 			t.Fatalf("%s: %d %s, %d wanted", what, out.Status, out.Text, status)
 		}
@@ -53,8 +53,8 @@
 		t.Error("the same evacuation again has made a version")
 	}
 	give("its end", Order{Kind: Finish, Zone: "z"}, 200)
-	give("places", Order{Kind: Enrol, Posts: []Post{{"b", "2", "z"}, {"a", "1", "z"}}}, 200)
-	give("another place", Order{Kind: Enrol, Posts: []Post{{"a", "9", "z"}, {"c", "3", "z"}}}, 200)
+	give("places", Order{Kind: RegisterLimiters, Posts: []Post{{"b", "2", "z"}, {"a", "1", "z"}}}, 200)
+	give("another place", Order{Kind: RegisterLimiters, Posts: []Post{{"a", "9", "z"}, {"c", "3", "z"}}}, 200)
 	if diff := cmp.Diff([]Post{{"b", "2", "z"}, {"a", "9", "z"}, {"c", "3", "z"}}, r.Posts); diff != "" {
 		t.Errorf("places are kept for good: %s", diff)
 	}
--- a/trainregister/voters_test.go
+++ b/controlstate/voters_test.go
@@ -1,4 +1,4 @@
-package trainregister
+package controlstate
 
 import (
 	"fmt"
@@ -100,7 +100,7 @@
 	if v.stale {
 		counted = reg.Sets(first)
 	}
-	t := reg.Turn(first, counted, newest == p.known && newest != paxos.Ballot{}, [][]Order{p.orders})
+	t := reg.Propose(first, counted, newest == p.known && newest != paxos.Ballot{}, [][]Order{p.orders})
 	if t.Need != nil {
 		p.hint, p.round = t.Need, nil
 		return
@@ -140,7 +140,7 @@
 	for i := range 3 {
 		p := &proposer{node: uint64(i + 1), reg: &Register{}, orders: []Order{{Kind: Begin, Zone: fmt.Sprint("z", i)}}}
 		if i == 0 {
-			p.orders = []Order{{Kind: Seat, Seats: []string{"4", "5"}, First: first}, {Kind: Begin, Zone: "seat"}}
+			p.orders = []Order{{Kind: ChangeVoters, Seats: []string{"4", "5"}, First: first}, {Kind: Begin, Zone: "seat"}}
 			if replace {
 				p.orders[0].Seats, p.orders[0].Leave = []string{"4"}, []string{"1"}
 			}
@@ -196,13 +196,13 @@
 		t.Errorf("the other machine votes at the end of %d of 3000 schedules", done)
 	}
 	r := &Register{}
-	if out := r.Give(&Order{Kind: Seat, Leave: []string{"1"}, First: first}); out.Status != 400 || r.Seq != 0 {
+	if out := r.Apply(&Order{Kind: ChangeVoters, Leave: []string{"1"}, First: first}); out.Status != 400 || r.Seq != 0 {
 		t.Errorf("two are left: %+v", out)
 	}
-	if out := r.Give(&Order{Kind: Seat, Seats: []string{"4"}, Leave: []string{"1"}, First: first}); out.Status != 200 {
+	if out := r.Apply(&Order{Kind: ChangeVoters, Seats: []string{"4"}, Leave: []string{"1"}, First: first}); out.Status != 200 {
 		t.Errorf("one for another: %+v", out)
 	}
-	if out := r.Give(&Order{Kind: Seat, Seats: []string{"5"}, First: first}); out.Status != 409 {
+	if out := r.Apply(&Order{Kind: ChangeVoters, Seats: []string{"5"}, First: first}); out.Status != 409 {
 		t.Errorf("a second change before the first one is chosen: %+v", out)
 	}
 }
@@ -211,12 +211,12 @@
 // not count by those: two of them and two of the voters may share nobody.
 func TestVotersOutliveSeeds(t *testing.T) {
 	r := &Register{}
-	if turn := r.Turn(first, [][]string{first}, false, [][]Order{{{Kind: Begin, Zone: "north-a"}}}); !turn.Changed || turn.Brings != nil {
+	if turn := r.Propose(first, [][]string{first}, false, [][]Order{{{Kind: Begin, Zone: "north-a"}}}); !turn.Changed || turn.Brings != nil {
 		t.Fatalf("%+v", turn)
 	}
 	later := []string{"1", "4", "5"}
 	for _, counted := range [][][]string{{later}, {first}} {
-		turn := r.Clone().Turn(later, counted, true, [][]Order{{{Kind: Finish, Zone: "north-a"}}})
+		turn := r.Clone().Propose(later, counted, true, [][]Order{{{Kind: Finish, Zone: "north-a"}}})
 		if begins := turn.Need != nil; begins != !slices.Equal(counted[0], first) || begins && !slices.Equal(turn.Need[0], first) {
 			t.Errorf("counted by %v with the seeds %v: %+v", counted, later, turn)
 		}
--- a/internal/roundhouse/outside.go
+++ b/internal/roundhouse/outside.go
@@ -10,11 +10,11 @@
 	"github.com/sirupsen/logrus"
 	"github.com/valyala/fastjson"
 
+	"example.org/madderdrum/controlstate"
 	"example.org/madderdrum/internal/signalbox"
 	"example.org/madderdrum/internal/wicket"
 	"example.org/madderdrum/stock"
 	"example.org/madderdrum/timetable"
-	"example.org/madderdrum/trainregister"
 )
 
 // The paths of the outside calls. They are described in api/control.yaml.
@@ -57,9 +57,9 @@
 			return h.deregister(ctx, id)
 		}
 	case path == pathReplace && r.Method == http.MethodPost:
-		return h.change(ctx, trainregister.Order{Kind: trainregister.Replace, Body: body})
+		return h.change(ctx, controlstate.Order{Kind: controlstate.Replace, Body: body})
 	case path == pathUpdate && r.Method == http.MethodPost:
-		return h.change(ctx, trainregister.Order{Kind: trainregister.Update, Body: body})
+		return h.change(ctx, controlstate.Order{Kind: controlstate.Update, Body: body})
 	case path == pathFetch && r.Method == http.MethodGet:
 		return h.fetch(ctx)
 	case strings.HasPrefix(path, pathEvacuation) && r.Method == http.MethodPost:
@@ -69,9 +69,9 @@
 		}
 		switch what {
 		case "begin":
-			return h.change(ctx, trainregister.Order{Kind: trainregister.Begin, Zone: zone})
+			return h.change(ctx, controlstate.Order{Kind: controlstate.Begin, Zone: zone})
 		case "finish":
-			return h.change(ctx, trainregister.Order{Kind: trainregister.Finish, Zone: zone})
+			return h.change(ctx, controlstate.Order{Kind: controlstate.Finish, Zone: zone})
 		}
 	}
 	if path == pathReplace || path == pathUpdate || path == pathFetch || strings.HasPrefix(path, pathEvacuation) {
@@ -144,7 +144,7 @@
 }
 
 // change has an order agreed.
-func (h *House) change(ctx context.Context, o trainregister.Order) wicket.Answer {
+func (h *House) change(ctx context.Context, o controlstate.Order) wicket.Answer {
 	out, ok := h.order(ctx, o)
 	if !ok {
 		return problem(503, "no_majority", "no majority of the stores answers: send it again, here or elsewhere")
--- a/internal/roundhouse/roundhouse.go
+++ b/internal/roundhouse/roundhouse.go
@@ -16,13 +16,13 @@
 
 	"github.com/sirupsen/logrus"
 
+	"example.org/madderdrum/controlstate"
 	"example.org/madderdrum/internal/bell"
 	"example.org/madderdrum/internal/boot"
 	"example.org/madderdrum/internal/signalbox"
 	"example.org/madderdrum/internal/wait"
 	"example.org/madderdrum/internal/wicket"
 	"example.org/madderdrum/stock"
-	"example.org/madderdrum/trainregister"
 )
 
 const (
@@ -50,11 +50,11 @@
 	others  []string // IP numbers of the other core machines: those of the seeds, and those heard of
 	book    *stock.Book
 	news    chan struct{} // closed when the book or the register changes
-	reg     *trainregister.Register
+	reg     *controlstate.Register
 	proved  time.Time
 	met     map[string]time.Time // when another registry last answered a pull
 	lives   map[string]time.Time // when a source was last known to run
-	enrol   map[string]trainregister.Post
+	enrol   map[string]controlstate.Post
 	enrolAt time.Time
 }
 
@@ -81,10 +81,10 @@
 
 // Pulled is the answer.
 type Pulled struct {
-	Register *trainregister.Register `cbor:"1,keyasint,omitempty"`
-	Records  []stock.Record          `cbor:"2,keyasint,omitempty"`
-	Vector   stock.Vector            `cbor:"3,keyasint,omitempty"` // only where it has something new
-	Source   string                  `cbor:"4,keyasint,omitempty"`
+	Register *controlstate.Register `cbor:"1,keyasint,omitempty"`
+	Records  []stock.Record         `cbor:"2,keyasint,omitempty"`
+	Vector   stock.Vector           `cbor:"3,keyasint,omitempty"` // only where it has something new
+	Source   string                 `cbor:"4,keyasint,omitempty"`
 	// ProofMs is how long ago a majority had chosen nothing newer than this register.
 	ProofMs uint64 `cbor:"5,keyasint,omitempty"`
 	Proven  bool   `cbor:"6,keyasint,omitempty"`
@@ -99,7 +99,7 @@
 // Run serves until the context ends.
 func Run(ctx context.Context, set *boot.Settings, log logrus.FieldLogger) error {
 	h := &House{set: set, log: log, ctx: ctx, caller: bell.NewCaller(), begun: time.Now(), news: make(chan struct{}),
-		reg: &trainregister.Register{}, met: map[string]time.Time{}, lives: map[string]time.Time{}, enrol: map[string]trainregister.Post{},
+		reg: &controlstate.Register{}, met: map[string]time.Time{}, lives: map[string]time.Time{}, enrol: map[string]controlstate.Post{},
 		book: stock.New(fmt.Sprintf("%s#%08x", set.Node, rand.Uint32()))}
 	inner, err := net.Listen("tcp", set.Internal(set.IP, boot.RoundhousePort))
 	if err != nil {
@@ -274,11 +274,11 @@
 	if m.Source == "" {
 		if h.reg.Seq > m.Seq {
 			r := *h.reg
-			r.Taken, r.Voters, r.Prior = nil, nil, nil
+			r.Applied, r.Voters, r.Prior = nil, nil, nil
 			if r.Version == m.Version {
 				r.Config = nil
 			}
-			if n := m.Posts; n > 0 && n <= len(r.Posts) && trainregister.Sum(r.Posts[:n]) == m.PostsSum {
+			if n := m.Posts; n > 0 && n <= len(r.Posts) && controlstate.Sum(r.Posts[:n]) == m.PostsSum {
 				a.SamePosts, r.Posts = n, r.Posts[n:]
 			}
 			a.Register = &r
@@ -316,7 +316,7 @@
 			news = h.book.Leave(now, id) || news
 		}
 	}
-	p := trainregister.Post{Name: name, IP: boot.HostOf(r.Address), Zone: r.Zone}
+	p := controlstate.Post{Name: name, IP: boot.HostOf(r.Address), Zone: r.Zone}
 	if !slices.Contains(h.reg.Posts, p) {
 		h.enrol[name] = p
 	}
@@ -328,7 +328,7 @@
 // enrolDue has limiters without a place given one.
 func (h *House) enrolDue(ctx context.Context) {
 	h.mu.Lock()
-	var posts []trainregister.Post
+	var posts []controlstate.Post
 	for name, p := range h.enrol {
 		if slices.Contains(h.reg.Posts, p) {
 			delete(h.enrol, name)
@@ -342,8 +342,8 @@
 	}
 	h.mu.Unlock()
 	if due {
-		slices.SortFunc(posts, func(a, b trainregister.Post) int { return strings.Compare(a.Name, b.Name) })
-		go h.order(ctx, trainregister.Order{Kind: trainregister.Enrol, Posts: posts})
+		slices.SortFunc(posts, func(a, b controlstate.Post) int { return strings.Compare(a.Name, b.Name) })
+		go h.order(ctx, controlstate.Order{Kind: controlstate.RegisterLimiters, Posts: posts})
 	}
 }
 
@@ -466,10 +466,10 @@
 }
 
 // order gives an order to a store. ok is false when no clear answer came.
-func (h *House) order(ctx context.Context, o trainregister.Order) (out trainregister.Outcome, ok bool) {
+func (h *House) order(ctx context.Context, o controlstate.Order) (out controlstate.Outcome, ok bool) {
 	ok = h.anyStore(func(to string, left time.Duration) bool {
 		var c signalbox.Changed
-		err := h.caller.Call(ctx, to, signalbox.CallChange, signalbox.Change{Orders: []trainregister.Order{o}}, &c, left)
+		err := h.caller.Call(ctx, to, signalbox.CallChange, signalbox.Change{Orders: []controlstate.Order{o}}, &c, left)
 		if err != nil || len(c.Outcomes) != 1 {
 			return false
 		}
--- a/internal/signalbox/disk.go
+++ b/internal/signalbox/disk.go
@@ -39,7 +39,7 @@
 type line struct {
 	Record  *paxos.Record `cbor:"1,keyasint,omitempty"`
 	Promise *paxos.Ballot `cbor:"2,keyasint,omitempty"`
-	Voters  []string             `cbor:"3,keyasint,omitempty"`
+	Voters  []string      `cbor:"3,keyasint,omitempty"`
 }
 
 // kept is what was found on disk.
--- a/internal/signalbox/signalbox.go
+++ b/internal/signalbox/signalbox.go
@@ -1,7 +1,7 @@
 // Package signalbox is the host of the store of configuration: it keeps an acceptor's record
 // on disk, holds rounds of ballots for the orders that come to it, learns what is chosen and
 // proves at intervals that nothing newer can have been. The decisions are in the packages
-// paxos and trainregister.
+// paxos and controlstate.
 package signalbox
 
 import (
@@ -17,11 +17,11 @@
 
 	"github.com/sirupsen/logrus"
 
-	"example.org/madderdrum/paxos"
+	"example.org/madderdrum/controlstate"
 	"example.org/madderdrum/internal/bell"
 	"example.org/madderdrum/internal/boot"
 	"example.org/madderdrum/internal/wait"
-	"example.org/madderdrum/trainregister"
+	"example.org/madderdrum/paxos"
 )
 
 const (
@@ -57,7 +57,7 @@
 	durable paxos.Record
 	chosen  paxos.Ballot
 	value   []byte
-	reg     *trainregister.Register
+	reg     *controlstate.Register
 	changed chan struct{} // closed when reg changes
 	proved  time.Time     // nothing newer had been chosen then
 	number  uint64        // of the latest ballot seen
@@ -66,8 +66,8 @@
 }
 
 type pending struct {
-	orders []trainregister.Order
-	done   chan []trainregister.Outcome // nil: no majority answered
+	orders []controlstate.Order
+	done   chan []controlstate.Outcome // nil: no majority answered
 	until  time.Time
 }
 
@@ -84,12 +84,12 @@
 
 // Change gives orders.
 type Change struct {
-	Orders []trainregister.Order `cbor:"1,keyasint"`
+	Orders []controlstate.Order `cbor:"1,keyasint"`
 }
 
 // Changed is the answer. None is there where no majority answered in time.
 type Changed struct {
-	Outcomes []trainregister.Outcome `cbor:"1,keyasint,omitempty"`
+	Outcomes []controlstate.Outcome `cbor:"1,keyasint,omitempty"`
 }
 
 // Watch waits for a version after Seq, for HoldMs at most.
@@ -100,7 +100,7 @@
 
 // Watched is the answer.
 type Watched struct {
-	Register *trainregister.Register `cbor:"1,keyasint,omitempty"` // nil: none after Seq
+	Register *controlstate.Register `cbor:"1,keyasint,omitempty"` // nil: none after Seq
 	// ProofMs is how long ago a majority had chosen nothing newer; Proven is false where that
 	// is not known at all.
 	ProofMs uint64 `cbor:"2,keyasint,omitempty"`
@@ -110,7 +110,7 @@
 
 type chosenCall struct {
 	Ballot paxos.Ballot `cbor:"1,keyasint"`
-	Value  []byte              `cbor:"2,keyasint,omitempty"`
+	Value  []byte       `cbor:"2,keyasint,omitempty"`
 }
 
 type chosenAnswer struct {
@@ -124,7 +124,7 @@
 		return err
 	}
 	b := &Box{set: set, log: log, caller: bell.NewCaller(), disk: d, life: rand.Uint64(), node: nodeOf(set.IP),
-		orders: make(chan *pending, 64), reg: &trainregister.Register{}, changed: make(chan struct{})}
+		orders: make(chan *pending, 64), reg: &controlstate.Register{}, changed: make(chan struct{})}
 	b.first = k.voters
 	if b.first == nil {
 		b.first = slices.Clone(set.Cores())
@@ -243,7 +243,7 @@
 
 // learn takes in a chosen value.
 func (b *Box) learn(ballot paxos.Ballot, value []byte) {
-	var reg trainregister.Register
+	var reg controlstate.Register
 	if err := bell.Decode(value, &reg); err != nil {
 		panic(fmt.Sprintf("signalbox: a chosen value can't be read: %v", err)) // a broken invariant
 	}
@@ -367,17 +367,17 @@
 	if value == nil && newest == known {
 		value = own
 	}
-	reg := &trainregister.Register{}
+	reg := &controlstate.Register{}
 	if len(value) > 0 {
 		if err := bell.Decode(value, reg); err != nil {
 			panic(fmt.Sprintf("signalbox: an accepted value can't be read: %v", err)) // a broken invariant
 		}
 	}
-	var batches [][]trainregister.Order
+	var batches [][]controlstate.Order
 	for _, p := range all {
 		batches = append(batches, p.orders)
 	}
-	turn := reg.Turn(b.first, sets, newest == known, batches)
+	turn := reg.Propose(b.first, sets, newest == known, batches)
 	if turn.Need != nil {
 		b.mu.Lock()
 		b.hint = turn.Need
@@ -514,7 +514,7 @@
 // hear1 learns a value that those who told of it have chosen, whoever asked for it: a majority
 // of each set that it counts by itself has accepted it.
 func (b *Box) hear1(ballot paxos.Ballot, value []byte, told map[string]paxos.Ballot) {
-	var reg trainregister.Register
+	var reg controlstate.Register
 	if len(value) == 0 || bell.Decode(value, &reg) != nil {
 		return
 	}
@@ -540,13 +540,13 @@
 		if seated {
 			return
 		}
-		b.give(ctx, []trainregister.Order{{Kind: trainregister.Seat, Seats: []string{b.set.IP}, First: b.first}}, orderWithin)
+		b.give(ctx, []controlstate.Order{{Kind: controlstate.ChangeVoters, Seats: []string{b.set.IP}, First: b.first}}, orderWithin)
 	}
 }
 
 // give has orders carried out. It returns nil when no majority answered in time.
-func (b *Box) give(ctx context.Context, orders []trainregister.Order, within time.Duration) []trainregister.Outcome {
-	p := &pending{orders: orders, done: make(chan []trainregister.Outcome, 1), until: time.Now().Add(within)}
+func (b *Box) give(ctx context.Context, orders []controlstate.Order, within time.Duration) []controlstate.Outcome {
+	p := &pending{orders: orders, done: make(chan []controlstate.Outcome, 1), until: time.Now().Add(within)}
 	select {
 	case b.orders <- p:
 	default:
@@ -562,7 +562,7 @@
 
 func (b *Box) change(ctx context.Context, m Change) (any, error) {
 	for i := range m.Orders {
-		if o := &m.Orders[i]; o.Kind == trainregister.Seat && len(o.First) == 0 {
+		if o := &m.Orders[i]; o.Kind == controlstate.ChangeVoters && len(o.First) == 0 {
 			o.First = b.first
 		}
 	}
@@ -572,7 +572,7 @@
 // fetch reads the register by a round: what it answers is chosen, and nothing newer was when
 // it was asked.
 func (b *Box) fetch(ctx context.Context) (any, error) {
-	p := &pending{done: make(chan []trainregister.Outcome, 1), until: time.Now().Add(orderWithin), orders: []trainregister.Order{{Kind: trainregister.Enrol}}}
+	p := &pending{done: make(chan []controlstate.Outcome, 1), until: time.Now().Add(orderWithin), orders: []controlstate.Order{{Kind: controlstate.RegisterLimiters}}}
 	b.orders <- p
 	select {
 	case out := <-p.done:
@@ -655,7 +655,7 @@
 					rest.Read(ip, r)
 				}
 			}
-			var reg trainregister.Register
+			var reg controlstate.Register
 			if v := rest.Newest().Value; len(v) > 0 && bell.Decode(v, &reg) == nil {
 				sets = reg.Sets(b.first)
 			}
--- a/internal/signalbox/signalbox_test.go
+++ b/internal/signalbox/signalbox_test.go
@@ -11,9 +11,9 @@
 
 	"github.com/sirupsen/logrus"
 
+	"example.org/madderdrum/controlstate"
 	"example.org/madderdrum/internal/bell"
 	"example.org/madderdrum/internal/boot"
-	"example.org/madderdrum/trainregister"
 )
 
 // stores are five of them on loopback, of which the first three are named to all.
@@ -54,11 +54,11 @@
 // order has a zone evacuated by one store, in time.
 func (s *stores) order(ctx context.Context, i int, zone string) bool {
 	var c Changed
-	err := s.call.Call(ctx, s.ip(i)+":7460", CallChange, Change{[]trainregister.Order{{Kind: trainregister.Begin, Zone: zone}}}, &c, 3*time.Second)
+	err := s.call.Call(ctx, s.ip(i)+":7460", CallChange, Change{[]controlstate.Order{{Kind: controlstate.Begin, Zone: zone}}}, &c, 3*time.Second)
 	return err == nil && len(c.Outcomes) == 1 && c.Outcomes[0].Status == 200
 }
 
-func (s *stores) fetch(ctx context.Context, i int) *trainregister.Register {
+func (s *stores) fetch(ctx context.Context, i int) *controlstate.Register {
 	var w Watched
 	if s.call.Call(ctx, s.ip(i)+":7460", CallFetch, nil, &w, 3*time.Second) != nil {
 		return nil
--- a/internal/signalbox/voters.go
+++ b/internal/signalbox/voters.go
@@ -8,8 +8,8 @@
 
 	"github.com/spf13/cobra"
 
+	"example.org/madderdrum/controlstate"
 	"example.org/madderdrum/internal/bell"
-	"example.org/madderdrum/trainregister"
 )
 
 const votersWithin = 4 * time.Second
@@ -31,10 +31,10 @@
 				return fmt.Errorf("voters: %q is no IP number: write one as in 10.1.0.4", ip)
 			}
 		}
-		order := trainregister.Order{Kind: trainregister.Seat, Seats: seat, Leave: unseat}
+		order := controlstate.Order{Kind: controlstate.ChangeVoters, Seats: seat, Leave: unseat}
 		for range 2 { // the second has the change known to be chosen
 			var a Changed
-			if err := bell.NewCaller().Call(cmd.Context(), args[0], CallChange, Change{Orders: []trainregister.Order{order}}, &a, votersWithin); err != nil {
+			if err := bell.NewCaller().Call(cmd.Context(), args[0], CallChange, Change{Orders: []controlstate.Order{order}}, &a, votersWithin); err != nil {
 				return err
 			}
 			if len(a.Outcomes) != 1 {
--- a/internal/switchyard/load.go
+++ b/internal/switchyard/load.go
@@ -7,10 +7,10 @@
 
 	"github.com/sirupsen/logrus"
 
+	"example.org/madderdrum/controlstate"
 	"example.org/madderdrum/internal/bell"
 	"example.org/madderdrum/internal/boot"
 	"example.org/madderdrum/limiter"
-	"example.org/madderdrum/trainregister"
 )
 
 const (
@@ -103,8 +103,8 @@
 // neighboursOf are the limiters that one tells what it has in hand: those of its zone, and as many
 // of the region as are lacking. Where they are more than may be each tells others, by the names of
 // both.
-func neighboursOf(posts []trainregister.Post, node, zone, region string, zones map[string]string) []trainregister.Post {
-	var near, far []trainregister.Post
+func neighboursOf(posts []controlstate.Post, node, zone, region string, zones map[string]string) []controlstate.Post {
+	var near, far []controlstate.Post
 	for _, p := range posts {
 		switch {
 		case p.Name == node:
@@ -114,8 +114,8 @@
 			far = append(far, p)
 		}
 	}
-	for _, all := range [][]trainregister.Post{near, far} {
-		slices.SortFunc(all, func(a, b trainregister.Post) int {
+	for _, all := range [][]controlstate.Post{near, far} {
+		slices.SortFunc(all, func(a, b controlstate.Post) int {
 			return int(int64(pairing(node, a.Name)>>33) - int64(pairing(node, b.Name)>>33))
 		})
 	}
--- a/internal/switchyard/loans.go
+++ b/internal/switchyard/loans.go
@@ -6,10 +6,10 @@
 	"time"
 
 	"example.org/madderdrum/blocks"
+	"example.org/madderdrum/controlstate"
 	"example.org/madderdrum/internal/bell"
 	"example.org/madderdrum/internal/boot"
 	"example.org/madderdrum/limiter"
-	"example.org/madderdrum/trainregister"
 	"example.org/madderdrum/wagons"
 )
 
@@ -120,7 +120,7 @@
 	}
 	if kind == datagramBlocks {
 		var w blocks.Word
-		if slices.ContainsFunc(y.reg.Posts, func(p trainregister.Post) bool { return p.IP == ip }) && bell.Decode(data, &w) == nil {
+		if slices.ContainsFunc(y.reg.Posts, func(p controlstate.Post) bool { return p.IP == ip }) && bell.Decode(data, &w) == nil {
 			y.blocks.Hear(y.now(), w)
 		}
 		return
--- a/internal/switchyard/pull.go
+++ b/internal/switchyard/pull.go
@@ -10,13 +10,13 @@
 
 	"github.com/sirupsen/logrus"
 
+	"example.org/madderdrum/controlstate"
 	"example.org/madderdrum/departures"
 	"example.org/madderdrum/internal/boot"
 	"example.org/madderdrum/internal/roundhouse"
 	"example.org/madderdrum/internal/wait"
 	"example.org/madderdrum/stock"
 	"example.org/madderdrum/timetable"
-	"example.org/madderdrum/trainregister"
 )
 
 const (
@@ -70,7 +70,7 @@
 		me.State, hold = stock.Silent, pullHold/2
 	}
 	ask := roundhouse.Pull{Vector: maps.Clone(y.book.Vector()), Seq: y.reg.Seq, HoldMs: uint64(hold / time.Millisecond), Me: me,
-		Version: y.reg.Version, Posts: len(y.reg.Posts), PostsSum: trainregister.Sum(y.reg.Posts)}
+		Version: y.reg.Version, Posts: len(y.reg.Posts), PostsSum: controlstate.Sum(y.reg.Posts)}
 	y.mu.Unlock()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/internal/switchyard/switchyard.go
+++ b/internal/switchyard/switchyard.go
@@ -16,6 +16,7 @@
 	"github.com/sirupsen/logrus"
 
 	"example.org/madderdrum/blocks"
+	"example.org/madderdrum/controlstate"
 	"example.org/madderdrum/internal/bell"
 	"example.org/madderdrum/internal/boot"
 	"example.org/madderdrum/internal/sockets"
@@ -25,7 +26,6 @@
 	"example.org/madderdrum/tariff"
 	"example.org/madderdrum/telegraph"
 	"example.org/madderdrum/timetable"
-	"example.org/madderdrum/trainregister"
 )
 
 // Yard is one limiter of the system.
@@ -49,7 +49,7 @@
 
 	mu         sync.Mutex // round what follows
 	book       *stock.Book
-	reg        *trainregister.Register
+	reg        *controlstate.Register
 	sequence   uint64 // of this limiter's own word
 	proved     time.Time
 	evacuate   map[string]bool
@@ -62,7 +62,7 @@
 	line       *lineside.Line  // the other limiters of the region
 	telegraph  *telegraph.Desk // where requests fail, of the region
 	blocks     *blocks.Desk    // what neighbours have in hand at servers
-	neighbours []trainregister.Post
+	neighbours []controlstate.Post
 	lineIPs    map[string]string           // of their lives
 	out        map[string]bool             // those out of reach, by name
 	asks       map[uint64]chan tokenAnswer // that wait for an answer
@@ -126,7 +126,7 @@
 // newYardOf returns a limiter that knows nothing yet.
 func newYardOf(set *boot.Settings, log logrus.FieldLogger) *Yard {
 	y := &Yard{set: set, log: log, link: newLink(set.LinkMbps), caller: bell.NewCaller(), begun: time.Now(), self: fmt.Sprintf("%s#%08x", set.Node, rand.Uint32()),
-		cores: set.Cores(), nudge: make(chan struct{}, 1), book: stock.New(""), reg: &trainregister.Register{},
+		cores: set.Cores(), nudge: make(chan struct{}, 1), book: stock.New(""), reg: &controlstate.Register{},
 		evacuate: map[string]bool{}, coldTo: map[string]time.Time{}, gone: map[string]bool{},
 		stations: map[string]*station{}, budget: map[string]*tariff.Tries{}, ended: map[string]int{}, asks: map[uint64]chan tokenAnswer{}, asking: map[uint64]*tariff.Asks{},
 		lineIPs: map[string]string{}, out: map[string]bool{}}
--- a/internal/switchyard/switchyard_test.go
+++ b/internal/switchyard/switchyard_test.go
@@ -18,6 +18,7 @@
 	"github.com/sirupsen/logrus"
 
 	"example.org/madderdrum/blocks"
+	"example.org/madderdrum/controlstate"
 	"example.org/madderdrum/internal/bell"
 	"example.org/madderdrum/internal/boot"
 	"example.org/madderdrum/internal/roundhouse"
@@ -25,7 +26,6 @@
 	"example.org/madderdrum/stock"
 	"example.org/madderdrum/tariff"
 	"example.org/madderdrum/telegraph"
-	"example.org/madderdrum/trainregister"
 	"example.org/madderdrum/wagons"
 )
 
@@ -56,12 +56,12 @@
 		Bounds: boot.Bounds{RetryRatio: 0.2, QuotaWindow: 5 * time.Second, QuotaOvershoot: 0.1, QuotaSlack: 20, WarmupOvershoot: 1.5, WarmupSlack: 5}}
 	y := &yard{t: t, book: stock.New("core"), Yard: newYardOf(set, log)}
 	y.Yard.peers = peers
-	y.tell(&trainregister.Register{Seq: 1, Version: 1, Config: []byte(routes), Posts: []trainregister.Post{{Name: "e1", IP: "127.0.0.1", Zone: "z"}}})
+	y.tell(&controlstate.Register{Seq: 1, Version: 1, Config: []byte(routes), Posts: []controlstate.Post{{Name: "e1", IP: "127.0.0.1", Zone: "z"}}})
 	return y
 }
 
 // tell has the limiter hear what is new in the core's book, and a register.
-func (y *yard) tell(reg *trainregister.Register) {
+func (y *yard) tell(reg *controlstate.Register) {
 	y.take(time.Now(), &roundhouse.Pulled{Register: reg, Records: y.book.Since(0, y.Yard.book.Vector()), Vector: y.book.Vector(), Proven: true, ProofMs: 1})
 }
 
@@ -452,8 +452,8 @@
 // A register that comes without the configuration and places that this limiter has is whole here.
 func TestRegisterInParts(t *testing.T) {
 	y := newYard(t)
-	post := trainregister.Post{Name: "e2", IP: "127.0.0.2", Zone: "z"}
-	y.take(time.Now(), &roundhouse.Pulled{SamePosts: 1, Register: &trainregister.Register{Seq: 2, Version: 1, Posts: []trainregister.Post{post}, Evac: []string{"z"}}})
+	post := controlstate.Post{Name: "e2", IP: "127.0.0.2", Zone: "z"}
+	y.take(time.Now(), &roundhouse.Pulled{SamePosts: 1, Register: &controlstate.Register{Seq: 2, Version: 1, Posts: []controlstate.Post{post}, Evac: []string{"z"}}})
 	y.mu.Lock()
 	defer y.mu.Unlock()
 	if len(y.reg.Posts) != 2 || y.reg.Posts[1] != post || len(y.reg.Config) == 0 || !y.evacuate["z"] || y.view.Load().seq != 2 || y.engine.size != 2 {
@@ -461,7 +461,7 @@
 	}
 	// An older one, of another core machine, changes nothing.
 	y.mu.Unlock()
-	y.take(time.Now(), &roundhouse.Pulled{Register: &trainregister.Register{Seq: 1, Version: 1, Config: []byte(routes)}})
+	y.take(time.Now(), &roundhouse.Pulled{Register: &controlstate.Register{Seq: 1, Version: 1, Config: []byte(routes)}})
 	y.mu.Lock()
 	if y.reg.Seq != 2 || !y.evacuate["z"] {
 		t.Errorf("it went back to %+v", y.reg)
@@ -530,8 +530,8 @@
 	first := ask()
 	again := 0
 	for k := range 4 {
-		post := trainregister.Post{Name: fmt.Sprint("e", k+2), IP: fmt.Sprint("127.0.0.", k+2), Zone: "z"}
-		y.take(time.Now(), &roundhouse.Pulled{SamePosts: k + 1, Register: &trainregister.Register{Seq: uint64(k + 2), Version: 1, Posts: []trainregister.Post{post}}})
+		post := controlstate.Post{Name: fmt.Sprint("e", k+2), IP: fmt.Sprint("127.0.0.", k+2), Zone: "z"}
+		y.take(time.Now(), &roundhouse.Pulled{SamePosts: k + 1, Register: &controlstate.Register{Seq: uint64(k + 2), Version: 1, Posts: []controlstate.Post{post}}})
 		y.tell(nil)
 		again += ask()
 	}
@@ -544,13 +544,13 @@
 // very many each some others.
 func TestNeighbours(t *testing.T) {
 	zones := map[string]string{"a1": "a", "a2": "a", "b1": "b"}
-	var posts []trainregister.Post
+	var posts []controlstate.Post
 	add := func(zone string, n int) {
 		for i := range n {
-			posts = append(posts, trainregister.Post{Name: fmt.Sprintf("%s-%d", zone, i), Zone: zone})
+			posts = append(posts, controlstate.Post{Name: fmt.Sprintf("%s-%d", zone, i), Zone: zone})
 		}
 	}
-	of := func(i int) []trainregister.Post { return neighboursOf(posts, posts[i].Name, posts[i].Zone, "a", zones) }
+	of := func(i int) []controlstate.Post { return neighboursOf(posts, posts[i].Name, posts[i].Zone, "a", zones) }
 	add("a1", 3)
 	add("a2", 5)
 	add("b1", 4)
@@ -560,7 +560,7 @@
 	posts = nil
 	add("a1", 10)
 	add("a2", 5)
-	if all := of(0); len(all) != 9 || slices.ContainsFunc(all, func(p trainregister.Post) bool { return p.Zone != "a1" || p.Name == "a1-0" }) {
+	if all := of(0); len(all) != 9 || slices.ContainsFunc(all, func(p controlstate.Post) bool { return p.Zone != "a1" || p.Name == "a1-0" }) {
 		t.Errorf("of a zone that is large enough: %v", all)
 	}
 	posts = nil
@@ -592,8 +592,8 @@
 	f.Add(datagramSpending, []byte{1, 2, 3, 4, 5, 6, 7, 8, 9})
 	f.Fuzz(func(t *testing.T, kind byte, data []byte) {
 		y := newYard(t)
-		y.take(time.Now(), &roundhouse.Pulled{SamePosts: 1, Register: &trainregister.Register{Seq: 2, Version: 1,
-			Posts: []trainregister.Post{{Name: "e2", IP: "127.0.0.2", Zone: "z"}}}})
+		y.take(time.Now(), &roundhouse.Pulled{SamePosts: 1, Register: &controlstate.Register{Seq: 2, Version: 1,
+			Posts: []controlstate.Post{{Name: "e2", IP: "127.0.0.2", Zone: "z"}}}})
 		for range 3 {
 			y.heard("127.0.0.2", kind, data)
 		}
@@ -692,7 +692,7 @@
 					if from == 1 {
 						continue
 					}
-					y.take(time.Now(), &roundhouse.Pulled{Proven: true, Register: &trainregister.Register{Seq: uint64(from), Version: uint64(from), Config: storm(from), Posts: posts}})
+					y.take(time.Now(), &roundhouse.Pulled{Proven: true, Register: &controlstate.Register{Seq: uint64(from), Version: uint64(from), Config: storm(from), Posts: posts}})
 					newest[i] = max(newest[i], from)
 					table := y.view.Load().table
 					for x := max(1, v-6); x <= v; x++ {
