--- a/cmd/modelrailway/main.go
+++ b/cmd/modelrailway/main.go
@@ -49,7 +49,7 @@
 	}
 	if programs == "" {
 		programs = filepath.Join(dir, "programs")
-		build := exec.CommandContext(ctx, "go", "build", "-o", programs+"/", "./cmd/switchyard", "./cmd/roundhouse", "./cmd/signalbox")
+		build := exec.CommandContext(ctx, "go", "build", "-o", programs+"/", "./cmd/switchyard", "./cmd/registry", "./cmd/configstore")
 		build.Stderr = os.Stderr
 		if err := build.Run(); err != nil {
 			return fmt.Errorf("build the programs: %w: run this in the repository, or name a folder with --programs", err)
--- a/internal/boot/boot.go
+++ b/internal/boot/boot.go
@@ -272,9 +272,9 @@
 
 // Internal ports, from the first of the settings on.
 const (
-	SignalboxPort  = 0
-	RoundhousePort = 1
-	SwitchyardPort = 2
+	ConfigStorePort = 0
+	RegistryPort    = 1
+	ProxyPort       = 2
 )
 
 // Internal is the address at which a program of another machine is called.
--- a/internal/boot/boot_test.go
+++ b/internal/boot/boot_test.go
@@ -20,7 +20,7 @@
 		t.Fatal(err)
 	}
 	if s.Node != "e1" || s.Bounds.Revoke != 5*time.Second || !s.Bounds.RevocationStrict || s.Tolerate != 2 || s.Heartbeat != 1500*time.Millisecond ||
-		s.Cores()[1] != "10.0.0.8" || s.Internal(s.IP, SwitchyardPort) != "10.0.0.1:7462" {
+		s.Cores()[1] != "10.0.0.8" || s.Internal(s.IP, ProxyPort) != "10.0.0.1:7462" {
 		t.Errorf("%+v", s)
 	}
 	for wrong, field := range map[string]string{
--- a/internal/signalbox/disk.go
+++ b/internal/configstore/disk.go
@@ -1,4 +1,4 @@
-package signalbox
+package configstore
 
 import (
 	"bytes"
@@ -57,11 +57,11 @@
 func openDisk(dir string) (*disk, kept, error) {
 	d := &disk{dir: dir}
 	if err := os.MkdirAll(dir, 0o755); err != nil {
-		return nil, kept{}, fmt.Errorf("signalbox: make the folder %s: %w", dir, err)
+		return nil, kept{}, fmt.Errorf("configstore: make the folder %s: %w", dir, err)
 	}
 	entries, err := os.ReadDir(dir)
 	if err != nil {
-		return nil, kept{}, fmt.Errorf("signalbox: list the folder %s: %w", dir, err)
+		return nil, kept{}, fmt.Errorf("configstore: list the folder %s: %w", dir, err)
 	}
 	var numbers []int
 	for _, e := range entries {
@@ -89,7 +89,7 @@
 func (d *disk) read(folder string) (k kept, err error) {
 	files, err := os.ReadDir(folder)
 	if err != nil {
-		return k, fmt.Errorf("signalbox: list the log %s: %w", folder, err)
+		return k, fmt.Errorf("configstore: list the log %s: %w", folder, err)
 	}
 	for _, f := range files {
 		if len(f.Name()) < 20 {
@@ -97,7 +97,7 @@
 		}
 		data, err := os.ReadFile(filepath.Join(folder, f.Name()))
 		if err != nil {
-			return k, fmt.Errorf("signalbox: read the log: %w", err)
+			return k, fmt.Errorf("configstore: read the log: %w", err)
 		}
 		for len(data) > 0 {
 			n, used := binary.Uvarint(data)
--- a/internal/signalbox/disk_test.go
+++ b/internal/configstore/disk_test.go
@@ -1,4 +1,4 @@
-package signalbox
+package configstore
 
 import (
 	"os"
--- a/internal/signalbox/signalbox.go
+++ b/internal/configstore/store.go
@@ -1,8 +1,8 @@
-// Package signalbox is the host of the store of configuration: it keeps an acceptor's record
+// Package configstore is the host of the store of configuration: it keeps an acceptor's record
 // on disk, holds rounds of ballots for the orders that come to it, learns what is chosen and
 // proves at intervals that nothing newer can have been. The decisions are in the packages
 // paxos and controlstate.
-package signalbox
+package configstore
 
 import (
 	"context"
@@ -18,8 +18,8 @@
 	"github.com/sirupsen/logrus"
 
 	"example.org/madderdrum/controlstate"
-	"example.org/madderdrum/internal/bell"
 	"example.org/madderdrum/internal/boot"
+	"example.org/madderdrum/internal/rpc"
 	"example.org/madderdrum/internal/wait"
 	"example.org/madderdrum/paxos"
 )
@@ -39,11 +39,11 @@
 	resolveAfter = 250 * time.Millisecond
 )
 
-// Box is one store of configuration.
-type Box struct {
+// Store is one store of configuration.
+type Store struct {
 	set    *boot.Settings
 	log    logrus.FieldLogger
-	caller *bell.Caller
+	caller *rpc.Caller
 	first  []string // the voters that everyone began with: IP numbers, sorted
 	life   uint64
 	node   uint64 // of its ballots: no two stores share one
@@ -71,15 +71,15 @@
 	until  time.Time
 }
 
-// Calls of a signalbox, which other packages make.
+// Calls of a configstore, which other packages make.
 const (
-	CallChange  = "signalbox.change"
-	CallWatch   = "signalbox.watch"
-	CallFetch   = "signalbox.fetch"
-	callPrepare = "signalbox.prepare"
-	callAccept  = "signalbox.accept"
-	callRead    = "signalbox.read"
-	callChosen  = "signalbox.chosen"
+	CallChange  = "configstore.change"
+	CallWatch   = "configstore.watch"
+	CallFetch   = "configstore.fetch"
+	callPrepare = "configstore.prepare"
+	callAccept  = "configstore.accept"
+	callRead    = "configstore.read"
+	callChosen  = "configstore.chosen"
 )
 
 // Change gives orders.
@@ -123,7 +123,7 @@
 	if err != nil {
 		return err
 	}
-	b := &Box{set: set, log: log, caller: bell.NewCaller(), disk: d, life: rand.Uint64(), node: nodeOf(set.IP),
+	b := &Store{set: set, log: log, caller: rpc.NewCaller(), disk: d, life: rand.Uint64(), node: nodeOf(set.IP),
 		orders: make(chan *pending, 64), reg: &controlstate.Register{}, changed: make(chan struct{})}
 	b.first = k.voters
 	if b.first == nil {
@@ -136,22 +136,22 @@
 	case k.found:
 	case set.Bootstrap:
 		if err := d.begin(&b.acceptor.Record, b.first); err != nil {
-			return fmt.Errorf("signalbox: begin the log: %w", err)
+			return fmt.Errorf("configstore: begin the log: %w", err)
 		}
 	default:
 		b.acceptor.Record.Blank = true
 	}
 	b.durable = b.acceptor.Record
-	l, err := net.Listen("tcp", set.Internal(set.IP, boot.SignalboxPort))
+	l, err := net.Listen("tcp", set.Internal(set.IP, boot.ConfigStorePort))
 	if err != nil {
-		return fmt.Errorf("signalbox: listen for other processes: %w", err)
+		return fmt.Errorf("configstore: listen for other processes: %w", err)
 	}
 	log.WithFields(logrus.Fields{"voters": len(b.first), "votes": slices.Contains(b.first, set.IP), "blank": b.acceptor.Record.Blank,
 		"accepted": b.acceptor.Record.Accepted.Number}).Info("begins")
-	go bell.Serve(ctx, l, map[string]bell.Handler{
-		callPrepare: bell.Taking(b.prepare), callAccept: bell.Taking(b.accept), callRead: bell.Taking(b.read), callChosen: bell.Taking(b.hear),
-		CallChange: bell.Taking(b.change), CallWatch: bell.Taking(b.watch), CallFetch: bell.Asking(b.fetch),
-		bell.CallStatus: bell.Asking(b.status),
+	go rpc.Serve(ctx, l, map[string]rpc.Handler{
+		callPrepare: rpc.Taking(b.prepare), callAccept: rpc.Taking(b.accept), callRead: rpc.Taking(b.read), callChosen: rpc.Taking(b.hear),
+		CallChange: rpc.Taking(b.change), CallWatch: rpc.Taking(b.watch), CallFetch: rpc.Asking(b.fetch),
+		rpc.CallStatus: rpc.Asking(b.status),
 	})
 	if b.acceptor.Record.Blank {
 		go b.restore(ctx)
@@ -174,7 +174,7 @@
 var errSick = errors.New("the disk takes no record")
 
 // vote has a changed record written down, or takes the change back.
-func (b *Box) vote(do func() (paxos.Reply, bool)) (paxos.Reply, error) {
+func (b *Store) vote(do func() (paxos.Reply, bool)) (paxos.Reply, error) {
 	b.accepting.Lock()
 	defer b.accepting.Unlock()
 	before := b.acceptor.Record
@@ -193,19 +193,19 @@
 	return r, nil
 }
 
-func (b *Box) prepare(_ context.Context, m paxos.Prepare) (any, error) {
+func (b *Store) prepare(_ context.Context, m paxos.Prepare) (any, error) {
 	return b.votePrepare(m)
 }
 
-func (b *Box) votePrepare(m paxos.Prepare) (paxos.Reply, error) {
+func (b *Store) votePrepare(m paxos.Prepare) (paxos.Reply, error) {
 	return b.vote(func() (paxos.Reply, bool) { return b.acceptor.Prepare(m) })
 }
 
-func (b *Box) accept(_ context.Context, m paxos.Accept) (any, error) {
+func (b *Store) accept(_ context.Context, m paxos.Accept) (any, error) {
 	return b.voteAccept(m)
 }
 
-func (b *Box) voteAccept(m paxos.Accept) (paxos.Reply, error) {
+func (b *Store) voteAccept(m paxos.Accept) (paxos.Reply, error) {
 	return b.vote(func() (paxos.Reply, bool) { return b.acceptor.Accept(m) })
 }
 
@@ -214,12 +214,12 @@
 	Known paxos.Ballot `cbor:"1,keyasint"`
 }
 
-func (b *Box) read(_ context.Context, m readCall) (any, error) {
+func (b *Store) read(_ context.Context, m readCall) (any, error) {
 	return b.readDurable(m.Known), nil
 }
 
 // readDurable tells what is safe on disk, without waiting for what is being written.
-func (b *Box) readDurable(known paxos.Ballot) paxos.Reply {
+func (b *Store) readDurable(known paxos.Ballot) paxos.Reply {
 	b.mu.Lock()
 	a := paxos.Acceptor{Record: b.durable}
 	b.mu.Unlock()
@@ -227,7 +227,7 @@
 }
 
 // hear takes in what another's round has chosen.
-func (b *Box) hear(_ context.Context, m chosenCall) (any, error) {
+func (b *Store) hear(_ context.Context, m chosenCall) (any, error) {
 	if m.Value == nil {
 		r := b.readDurable(paxos.Ballot{})
 		if r.Accepted != m.Ballot {
@@ -242,10 +242,10 @@
 }
 
 // learn takes in a chosen value.
-func (b *Box) learn(ballot paxos.Ballot, value []byte) {
+func (b *Store) learn(ballot paxos.Ballot, value []byte) {
 	var reg controlstate.Register
-	if err := bell.Decode(value, &reg); err != nil {
-		panic(fmt.Sprintf("signalbox: a chosen value can't be read: %v", err)) // a broken invariant
+	if err := rpc.Decode(value, &reg); err != nil {
+		panic(fmt.Sprintf("configstore: a chosen value can't be read: %v", err)) // a broken invariant
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -271,7 +271,7 @@
 }
 
 // sets are the sets of voters to count by, as far as known here. The mutex is held.
-func (b *Box) sets() [][]string {
+func (b *Store) sets() [][]string {
 	if b.hint != nil {
 		return b.hint
 	}
@@ -289,7 +289,7 @@
 
 // ask sends a message to voters, which may be this store itself; answers come as they are
 // there.
-func (b *Box) ask(ctx context.Context, voters []string, call string, m any, self func() (paxos.Reply, error)) <-chan answered {
+func (b *Store) ask(ctx context.Context, voters []string, call string, m any, self func() (paxos.Reply, error)) <-chan answered {
 	out := make(chan answered, len(voters))
 	for _, ip := range voters {
 		go func() {
@@ -298,7 +298,7 @@
 			if ip == b.set.IP {
 				r, err = self()
 			} else {
-				err = b.caller.Call(ctx, b.set.Internal(ip, boot.SignalboxPort), call, m, &r, callWithin)
+				err = b.caller.Call(ctx, b.set.Internal(ip, boot.ConfigStorePort), call, m, &r, callWithin)
 			}
 			out <- answered{ip, r, err}
 		}()
@@ -307,7 +307,7 @@
 }
 
 // propose holds a round for the orders that wait, one round at a time.
-func (b *Box) propose(ctx context.Context) {
+func (b *Store) propose(ctx context.Context) {
 	for {
 		var all []*pending
 		select {
@@ -329,7 +329,7 @@
 }
 
 // rounds holds rounds until one succeeds or nobody waits any more.
-func (b *Box) rounds(ctx context.Context, all []*pending) {
+func (b *Store) rounds(ctx context.Context, all []*pending) {
 	var until time.Time
 	for _, p := range all {
 		if p.until.After(until) {
@@ -348,7 +348,7 @@
 }
 
 // round holds one round, and tells whether what is due was answered.
-func (b *Box) round(ctx context.Context, all []*pending) bool {
+func (b *Store) round(ctx context.Context, all []*pending) bool {
 	b.mu.Lock()
 	b.number++
 	ballot := paxos.Ballot{Number: b.number, Node: b.node, Life: b.life}
@@ -369,8 +369,8 @@
 	}
 	reg := &controlstate.Register{}
 	if len(value) > 0 {
-		if err := bell.Decode(value, reg); err != nil {
-			panic(fmt.Sprintf("signalbox: an accepted value can't be read: %v", err)) // a broken invariant
+		if err := rpc.Decode(value, reg); err != nil {
+			panic(fmt.Sprintf("configstore: an accepted value can't be read: %v", err)) // a broken invariant
 		}
 	}
 	var batches [][]controlstate.Order
@@ -389,7 +389,7 @@
 			b.learn(newest, value)
 		}
 	} else {
-		next := bell.Encode(reg)
+		next := rpc.Encode(reg)
 		if time.Since(begun) > roundMost {
 			return false
 		}
@@ -430,7 +430,7 @@
 }
 
 // met takes note of the ballots that were ahead.
-func (b *Box) met(r *paxos.Round) {
+func (b *Store) met(r *paxos.Round) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.number = max(b.number, r.After()-1)
@@ -438,13 +438,13 @@
 
 // tell tells the other voters what is chosen. Those that have accepted it need its ballot
 // alone.
-func (b *Box) tell(ctx context.Context, voters []string, ballot paxos.Ballot, value []byte) {
+func (b *Store) tell(ctx context.Context, voters []string, ballot paxos.Ballot, value []byte) {
 	for _, ip := range voters {
 		if ip == b.set.IP {
 			continue
 		}
 		go func() {
-			to := b.set.Internal(ip, boot.SignalboxPort)
+			to := b.set.Internal(ip, boot.ConfigStorePort)
 			var a chosenAnswer
 			if b.caller.Call(ctx, to, callChosen, chosenCall{Ballot: ballot}, &a, callWithin) == nil && a.Lacks {
 				b.caller.Call(ctx, to, callChosen, chosenCall{Ballot: ballot, Value: value}, &a, callWithin)
@@ -455,7 +455,7 @@
 
 // confirm proves at intervals that nothing newer is chosen, and completes what another has
 // left half done.
-func (b *Box) confirm(ctx context.Context) {
+func (b *Store) confirm(ctx context.Context) {
 	for ctx.Err() == nil {
 		begun := time.Now()
 		b.mu.Lock()
@@ -513,9 +513,9 @@
 
 // hear1 learns a value that those who told of it have chosen, whoever asked for it: a majority
 // of each set that it counts by itself has accepted it.
-func (b *Box) hear1(ballot paxos.Ballot, value []byte, told map[string]paxos.Ballot) {
+func (b *Store) hear1(ballot paxos.Ballot, value []byte, told map[string]paxos.Ballot) {
 	var reg controlstate.Register
-	if len(value) == 0 || bell.Decode(value, &reg) != nil {
+	if len(value) == 0 || rpc.Decode(value, &reg) != nil {
 		return
 	}
 	sets := reg.Sets(b.first)
@@ -531,7 +531,7 @@
 }
 
 // takeSeat asks to be let vote: only the first three machines are named to all at the start.
-func (b *Box) takeSeat(ctx context.Context) {
+func (b *Store) takeSeat(ctx context.Context) {
 	for ctx.Err() == nil {
 		wait.Sleep(ctx, 300*time.Millisecond+rand.N(200*time.Millisecond))
 		b.mu.Lock()
@@ -545,7 +545,7 @@
 }
 
 // give has orders carried out. It returns nil when no majority answered in time.
-func (b *Box) give(ctx context.Context, orders []controlstate.Order, within time.Duration) []controlstate.Outcome {
+func (b *Store) give(ctx context.Context, orders []controlstate.Order, within time.Duration) []controlstate.Outcome {
 	p := &pending{orders: orders, done: make(chan []controlstate.Outcome, 1), until: time.Now().Add(within)}
 	select {
 	case b.orders <- p:
@@ -560,7 +560,7 @@
 	}
 }
 
-func (b *Box) change(ctx context.Context, m Change) (any, error) {
+func (b *Store) change(ctx context.Context, m Change) (any, error) {
 	for i := range m.Orders {
 		if o := &m.Orders[i]; o.Kind == controlstate.ChangeVoters && len(o.First) == 0 {
 			o.First = b.first
@@ -571,7 +571,7 @@
 
 // fetch reads the register by a round: what it answers is chosen, and nothing newer was when
 // it was asked.
-func (b *Box) fetch(ctx context.Context) (any, error) {
+func (b *Store) fetch(ctx context.Context) (any, error) {
 	p := &pending{done: make(chan []controlstate.Outcome, 1), until: time.Now().Add(orderWithin), orders: []controlstate.Order{{Kind: controlstate.RegisterLimiters}}}
 	b.orders <- p
 	select {
@@ -587,7 +587,7 @@
 	return Watched{Register: b.reg}, nil
 }
 
-func (b *Box) watch(ctx context.Context, m Watch) (any, error) {
+func (b *Store) watch(ctx context.Context, m Watch) (any, error) {
 	begun := time.Now()
 	late := time.NewTimer(time.Duration(m.HoldMs) * time.Millisecond)
 	defer late.Stop()
@@ -619,7 +619,7 @@
 }
 
 // status tells how this store stands.
-func (b *Box) status(context.Context) (any, error) {
+func (b *Store) status(context.Context) (any, error) {
 	b.accepting.Lock()
 	sick := b.disk.sick
 	b.accepting.Unlock()
@@ -629,15 +629,15 @@
 	if !b.proved.IsZero() {
 		proof = time.Since(b.proved).Round(time.Millisecond).String()
 	}
-	return bell.Status{Lines: []string{
-		fmt.Sprintf("program=signalbox node=%s zone=%s voters=%v votes=%v blank=%v disk_fails=%v", b.set.Node, b.set.Zone, union(b.sets()), slices.Contains(union(b.sets()), b.set.IP), b.durable.Blank, sick),
+	return rpc.Status{Lines: []string{
+		fmt.Sprintf("program=configstore node=%s zone=%s voters=%v votes=%v blank=%v disk_fails=%v", b.set.Node, b.set.Zone, union(b.sets()), slices.Contains(union(b.sets()), b.set.IP), b.durable.Blank, sick),
 		fmt.Sprintf("register seq=%d version=r%d revoked=%d evacuated=%v limiters=%d", b.reg.Seq, b.reg.Version, b.reg.Revoked, b.reg.Evac, len(b.reg.Posts)),
 		fmt.Sprintf("ballots promised=%d accepted=%d chosen=%d proof_age=%s", b.durable.Promised.Number, b.durable.Accepted.Number, b.chosen.Number, proof),
 	}}, nil
 }
 
 // restore reads from the others what a lost disk held before this machine votes.
-func (b *Box) restore(ctx context.Context) {
+func (b *Store) restore(ctx context.Context) {
 	wait.Sleep(ctx, restoreAfter)
 	for ctx.Err() == nil {
 		rest := paxos.NewRestore(b.set.Tolerate)
@@ -651,12 +651,12 @@
 				}
 				asked[ip], more = true, true
 				var r paxos.Reply
-				if b.caller.Call(ctx, b.set.Internal(ip, boot.SignalboxPort), callRead, readCall{}, &r, callWithin) == nil {
+				if b.caller.Call(ctx, b.set.Internal(ip, boot.ConfigStorePort), callRead, readCall{}, &r, callWithin) == nil {
 					rest.Read(ip, r)
 				}
 			}
 			var reg controlstate.Register
-			if v := rest.Newest().Value; len(v) > 0 && bell.Decode(v, &reg) == nil {
+			if v := rest.Newest().Value; len(v) > 0 && rpc.Decode(v, &reg) == nil {
 				sets = reg.Sets(b.first)
 			}
 		}
--- a/internal/signalbox/signalbox_test.go
+++ b/internal/configstore/store_test.go
@@ -1,4 +1,4 @@
-package signalbox
+package configstore
 
 import (
 	"context"
@@ -12,8 +12,8 @@
 	"github.com/sirupsen/logrus"
 
 	"example.org/madderdrum/controlstate"
-	"example.org/madderdrum/internal/bell"
 	"example.org/madderdrum/internal/boot"
+	"example.org/madderdrum/internal/rpc"
 )
 
 // stores are five of them on loopback, of which the first three are named to all.
@@ -22,7 +22,7 @@
 	dir  string
 	stop [5]context.CancelFunc
 	done [5]chan error
-	call *bell.Caller
+	call *rpc.Caller
 }
 
 func (s *stores) ip(i int) string { return fmt.Sprintf("127.79.1.%d", i+1) }
@@ -84,7 +84,7 @@
 func TestFiveVoters(t *testing.T) {
 	ctx, cancel := context.WithTimeout(context.Background(), 60*time.Second)
 	defer cancel()
-	s := &stores{t: t, dir: t.TempDir(), call: bell.NewCaller()}
+	s := &stores{t: t, dir: t.TempDir(), call: rpc.NewCaller()}
 	for i := range 5 {
 		s.start(i, true)
 	}
@@ -117,8 +117,8 @@
 	s.until(ctx, "orders are taken again", func() bool { return s.order(ctx, 0, "c") })
 	for i := range 2 {
 		s.until(ctx, "a blank one votes again", func() bool {
-			var st bell.Status
-			return s.call.Call(ctx, s.ip(i)+":7460", bell.CallStatus, nil, &st, time.Second) == nil && strings.Contains(st.Lines[0], "blank=false")
+			var st rpc.Status
+			return s.call.Call(ctx, s.ip(i)+":7460", rpc.CallStatus, nil, &st, time.Second) == nil && strings.Contains(st.Lines[0], "blank=false")
 		})
 	}
 	s.end(2, false)
@@ -137,7 +137,7 @@
 func TestVotersCommand(t *testing.T) {
 	ctx, cancel := context.WithTimeout(context.Background(), 60*time.Second)
 	defer cancel()
-	s := &stores{t: t, dir: t.TempDir(), call: bell.NewCaller()}
+	s := &stores{t: t, dir: t.TempDir(), call: rpc.NewCaller()}
 	for i := range 3 {
 		s.start(i, true)
 	}
@@ -166,8 +166,8 @@
 		return err == nil && strings.Contains(out, s.ip(3)) && !strings.Contains(out, s.ip(2))
 	})
 	s.until(ctx, "it votes", func() bool {
-		var st bell.Status
-		return s.call.Call(ctx, s.ip(3)+":7460", bell.CallStatus, nil, &st, time.Second) == nil && strings.Contains(st.Lines[0], "blank=false")
+		var st rpc.Status
+		return s.call.Call(ctx, s.ip(3)+":7460", rpc.CallStatus, nil, &st, time.Second) == nil && strings.Contains(st.Lines[0], "blank=false")
 	})
 	s.end(1, false)
 	s.until(ctx, "an order by the first and the fourth", func() bool { return s.order(ctx, 3, "b") })
--- a/internal/signalbox/voters.go
+++ b/internal/configstore/voters.go
@@ -1,4 +1,4 @@
-package signalbox
+package configstore
 
 import (
 	"errors"
@@ -9,7 +9,7 @@
 	"github.com/spf13/cobra"
 
 	"example.org/madderdrum/controlstate"
-	"example.org/madderdrum/internal/bell"
+	"example.org/madderdrum/internal/rpc"
 )
 
 const votersWithin = 4 * time.Second
@@ -34,7 +34,7 @@
 		order := controlstate.Order{Kind: controlstate.ChangeVoters, Seats: seat, Leave: unseat}
 		for range 2 { // the second has the change known to be chosen
 			var a Changed
-			if err := bell.NewCaller().Call(cmd.Context(), args[0], CallChange, Change{Orders: []controlstate.Order{order}}, &a, votersWithin); err != nil {
+			if err := rpc.NewCaller().Call(cmd.Context(), args[0], CallChange, Change{Orders: []controlstate.Order{order}}, &a, votersWithin); err != nil {
 				return err
 			}
 			if len(a.Outcomes) != 1 {
@@ -44,8 +44,8 @@
 				return fmt.Errorf("voters: %s", o.Text)
 			}
 		}
-		var s bell.Status
-		if err := bell.NewCaller().Call(cmd.Context(), args[0], bell.CallStatus, nil, &s, votersWithin); err != nil {
+		var s rpc.Status
+		if err := rpc.NewCaller().Call(cmd.Context(), args[0], rpc.CallStatus, nil, &s, votersWithin); err != nil {
 			return err
 		}
 		for _, l := range s.Lines {
--- a/internal/depot/depot.go
+++ b/internal/depot/depot.go
@@ -16,8 +16,8 @@
 	"github.com/sirupsen/logrus"
 	"github.com/spf13/cobra"
 
-	"example.org/madderdrum/internal/bell"
 	"example.org/madderdrum/internal/boot"
+	"example.org/madderdrum/internal/rpc"
 	"example.org/madderdrum/timetable"
 )
 
@@ -79,8 +79,8 @@
 func status() *cobra.Command {
 	return &cobra.Command{Use: "status ADDRESS", Short: "Ask a process how it stands; ADDRESS is that of its internal port", Args: cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			var s bell.Status
-			if err := bell.NewCaller().Call(cmd.Context(), args[0], bell.CallStatus, nil, &s, statusWithin); err != nil {
+			var s rpc.Status
+			if err := rpc.NewCaller().Call(cmd.Context(), args[0], rpc.CallStatus, nil, &s, statusWithin); err != nil {
 				return err
 			}
 			for _, l := range s.Lines {
--- a/internal/modelrailway/modelrailway.go
+++ b/internal/modelrailway/modelrailway.go
@@ -67,9 +67,9 @@
 	s := &System{o: o, programs: map[string]*program{}, client: &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{}}}
 	for i := range cores {
 		name := fmt.Sprintf("core-%d", i+1)
-		for _, role := range []string{"signalbox", "roundhouse"} {
+		for _, role := range []string{"configstore", "registry"} {
 			listen := map[string]string{}
-			if role == "roundhouse" {
+			if role == "registry" {
 				listen["control_plane"] = fmt.Sprintf("%s:%d", s.core(i), controlPort)
 			}
 			if err := s.add(name, role, "core", s.core(i), filepath.Join(o.Dir, "disk", name, role), listen); err != nil {
--- a/internal/modelrailway/modelrailway_test.go
+++ b/internal/modelrailway/modelrailway_test.go
@@ -19,7 +19,7 @@
 		return dir
 	}
 	dir := t.TempDir()
-	cmd := exec.Command("go", "build", "-o", dir+"/", "./cmd/switchyard", "./cmd/roundhouse", "./cmd/signalbox")
+	cmd := exec.Command("go", "build", "-o", dir+"/", "./cmd/switchyard", "./cmd/registry", "./cmd/configstore")
 	cmd.Dir = "../.."
 	if out, err := cmd.CombinedOutput(); err != nil {
 		t.Fatalf("%v\n%s", err, out)
--- a/internal/roundhouse/outside.go
+++ b/internal/registry/outside.go
@@ -1,4 +1,4 @@
-package roundhouse
+package registry
 
 import (
 	"context"
@@ -11,7 +11,7 @@
 	"github.com/valyala/fastjson"
 
 	"example.org/madderdrum/controlstate"
-	"example.org/madderdrum/internal/signalbox"
+	"example.org/madderdrum/internal/configstore"
 	"example.org/madderdrum/internal/wicket"
 	"example.org/madderdrum/stock"
 	"example.org/madderdrum/timetable"
@@ -40,7 +40,7 @@
 }
 
 // outside answers servers and operators.
-func (h *House) outside(ctx context.Context, r *http.Request, body []byte) wicket.Answer {
+func (h *Registry) outside(ctx context.Context, r *http.Request, body []byte) wicket.Answer {
 	path := r.URL.Path
 	switch {
 	case strings.HasPrefix(path, pathInstances):
@@ -81,7 +81,7 @@
 }
 
 // heartbeat takes in a server's word of itself.
-func (h *House) heartbeat(ctx context.Context, id string, body []byte) wicket.Answer {
+func (h *Registry) heartbeat(ctx context.Context, id string, body []byte) wicket.Answer {
 	v, err := fastjson.ParseBytes(body)
 	if err != nil {
 		return problem(400, "unreadable", "the body is not JSON: send the fields of a heartbeat")
@@ -131,7 +131,7 @@
 	return wicket.Answer{Status: 200, Body: []byte(`{"heartbeat_target":"` + h.set.Listen["control_plane"] + `"}`)}
 }
 
-func (h *House) deregister(ctx context.Context, id string) wicket.Answer {
+func (h *Registry) deregister(ctx context.Context, id string) wicket.Answer {
 	h.mu.Lock()
 	if h.book.Leave(h.now(), id) {
 		h.stir()
@@ -144,7 +144,7 @@
 }
 
 // change has an order agreed.
-func (h *House) change(ctx context.Context, o controlstate.Order) wicket.Answer {
+func (h *Registry) change(ctx context.Context, o controlstate.Order) wicket.Answer {
 	out, ok := h.order(ctx, o)
 	if !ok {
 		return problem(503, "no_majority", "no majority of the stores answers: send it again, here or elsewhere")
@@ -156,10 +156,10 @@
 	return wicket.Answer{Status: 200}
 }
 
-func (h *House) fetch(ctx context.Context) wicket.Answer {
-	var w signalbox.Watched
+func (h *Registry) fetch(ctx context.Context) wicket.Answer {
+	var w configstore.Watched
 	if !h.anyStore(func(to string, left time.Duration) bool {
-		return h.caller.Call(ctx, to, signalbox.CallFetch, nil, &w, left) == nil && w.Register != nil
+		return h.caller.Call(ctx, to, configstore.CallFetch, nil, &w, left) == nil && w.Register != nil
 	}) {
 		return problem(503, "no_majority", "no majority of the stores answers: ask again, here or elsewhere")
 	}
--- a/internal/roundhouse/roundhouse.go
+++ b/internal/registry/registry.go
@@ -1,7 +1,7 @@
-// Package roundhouse is the host of the registry: it takes the outside calls of servers and
+// Package registry is the host of the registry: it takes the outside calls of servers and
 // operators, keeps the book of servers and limiters with the other registries, and answers
 // the pulls of limiters. The decisions are in package stock.
-package roundhouse
+package registry
 
 import (
 	"context"
@@ -17,9 +17,9 @@
 	"github.com/sirupsen/logrus"
 
 	"example.org/madderdrum/controlstate"
-	"example.org/madderdrum/internal/bell"
 	"example.org/madderdrum/internal/boot"
-	"example.org/madderdrum/internal/signalbox"
+	"example.org/madderdrum/internal/configstore"
+	"example.org/madderdrum/internal/rpc"
 	"example.org/madderdrum/internal/wait"
 	"example.org/madderdrum/internal/wicket"
 	"example.org/madderdrum/stock"
@@ -38,11 +38,11 @@
 	maxBody       = 64 << 20
 )
 
-// House is one registry.
-type House struct {
+// Registry is one registry.
+type Registry struct {
 	set    *boot.Settings
 	log    logrus.FieldLogger
-	caller *bell.Caller
+	caller *rpc.Caller
 	begun  time.Time
 	ctx    context.Context
 
@@ -58,11 +58,11 @@
 	enrolAt time.Time
 }
 
-// Calls of a roundhouse.
+// Calls of a registry.
 const (
-	CallPull   = "roundhouse.pull"
-	callPush   = "roundhouse.push"
-	callRepair = "roundhouse.repair"
+	CallPull   = "registry.pull"
+	callPush   = "registry.push"
+	callRepair = "registry.repair"
 )
 
 // Pull asks for what the caller lacks.
@@ -98,18 +98,18 @@
 
 // Run serves until the context ends.
 func Run(ctx context.Context, set *boot.Settings, log logrus.FieldLogger) error {
-	h := &House{set: set, log: log, ctx: ctx, caller: bell.NewCaller(), begun: time.Now(), news: make(chan struct{}),
+	h := &Registry{set: set, log: log, ctx: ctx, caller: rpc.NewCaller(), begun: time.Now(), news: make(chan struct{}),
 		reg: &controlstate.Register{}, met: map[string]time.Time{}, lives: map[string]time.Time{}, enrol: map[string]controlstate.Post{},
 		book: stock.New(fmt.Sprintf("%s#%08x", set.Node, rand.Uint32()))}
-	inner, err := net.Listen("tcp", set.Internal(set.IP, boot.RoundhousePort))
+	inner, err := net.Listen("tcp", set.Internal(set.IP, boot.RegistryPort))
 	if err != nil {
-		return fmt.Errorf("roundhouse: listen for other processes: %w", err)
+		return fmt.Errorf("registry: listen for other processes: %w", err)
 	}
 	outer, err := net.Listen("tcp", set.Listen["control_plane"])
 	if err != nil {
-		return fmt.Errorf("roundhouse: listen for outside calls: %w", err)
+		return fmt.Errorf("registry: listen for outside calls: %w", err)
 	}
-	go bell.Serve(ctx, inner, map[string]bell.Handler{CallPull: bell.Taking(h.pull), callPush: bell.Taking(h.pushed), callRepair: bell.Taking(h.repaired), bell.CallStatus: bell.Asking(h.status)})
+	go rpc.Serve(ctx, inner, map[string]rpc.Handler{CallPull: rpc.Taking(h.pull), callPush: rpc.Taking(h.pushed), callRepair: rpc.Taking(h.repaired), rpc.CallStatus: rpc.Asking(h.status)})
 	go (&wicket.Server{Handler: h.outside, MaxBody: maxBody}).Serve(ctx, outer)
 	h.mu.Lock()
 	for _, ip := range set.Cores() {
@@ -130,17 +130,17 @@
 	return nil
 }
 
-func (h *House) now() float64 { return float64(time.Since(h.begun)) / float64(time.Millisecond) }
+func (h *Registry) now() float64 { return float64(time.Since(h.begun)) / float64(time.Millisecond) }
 
 // stir wakes those who wait for news. The mutex is held.
-func (h *House) stir() {
+func (h *Registry) stir() {
 	close(h.news)
 	h.news = make(chan struct{})
 }
 
 // meet has another registry followed, from the first time that it is heard of. The mutex is
 // held.
-func (h *House) meet(ip string) {
+func (h *Registry) meet(ip string) {
 	if ip != h.set.IP && ip != "" && !slices.Contains(h.others, ip) {
 		h.others = append(h.others, ip)
 		go h.follow(h.ctx, ip)
@@ -148,7 +148,7 @@
 }
 
 // meetAll meets the registries that the book names. The mutex is held.
-func (h *House) meetAll() {
+func (h *Registry) meetAll() {
 	var found []string
 	h.book.Each(h.now(), func(r stock.Record) {
 		if r.Service == stock.Cores && r.State == stock.Available {
@@ -161,19 +161,19 @@
 }
 
 // cores are the IP numbers of the core machines, this one first.
-func (h *House) cores() []string {
+func (h *Registry) cores() []string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return append([]string{h.set.IP}, h.others...)
 }
 
 // self is this registry's word of itself, with a number that rises.
-func (h *House) self() stock.Record {
+func (h *Registry) self() stock.Record {
 	return stock.Record{ID: h.source(), Service: stock.Cores, Address: h.set.IP, Zone: h.set.Zone, Sequence: uint64(h.now())}
 }
 
 // keep does what is due at intervals.
-func (h *House) keep(ctx context.Context) {
+func (h *Registry) keep(ctx context.Context) {
 	repairAt := time.Now().Add(repairEvery)
 	for ctx.Err() == nil {
 		wait.Sleep(ctx, expireEvery)
@@ -196,12 +196,12 @@
 }
 
 // alive tells whether another source runs, as far as is known. The mutex is held.
-func (h *House) alive(source string) bool {
+func (h *Registry) alive(source string) bool {
 	return time.Since(h.lives[source]) < 2*(syncHold+callSlack)
 }
 
 // apart tells that no majority of the registries is heard. The mutex is held.
-func (h *House) apart() bool {
+func (h *Registry) apart() bool {
 	met := 1
 	for _, at := range h.met {
 		if time.Since(at) < syncHold+callSlack+200*time.Millisecond {
@@ -212,8 +212,8 @@
 }
 
 // follow pulls from another registry without end.
-func (h *House) follow(ctx context.Context, ip string) {
-	to := h.set.Internal(ip, boot.RoundhousePort)
+func (h *Registry) follow(ctx context.Context, ip string) {
+	to := h.set.Internal(ip, boot.RegistryPort)
 	for ctx.Err() == nil {
 		h.mu.Lock()
 		ask := Pull{Vector: maps.Clone(h.book.Vector()), HoldMs: uint64(syncHold / time.Millisecond), Source: h.source()}
@@ -235,10 +235,10 @@
 	}
 }
 
-func (h *House) source() string { return h.book.Source() }
+func (h *Registry) source() string { return h.book.Source() }
 
 // pull answers another registry or a limiter, at once where it has news for it.
-func (h *House) pull(ctx context.Context, m Pull) (any, error) {
+func (h *Registry) pull(ctx context.Context, m Pull) (any, error) {
 	begun := time.Now()
 	late := time.NewTimer(time.Duration(m.HoldMs) * time.Millisecond)
 	defer late.Stop()
@@ -292,7 +292,7 @@
 
 // registry takes in another registry's word of itself, if nobody has told of it yet. The mutex
 // is held.
-func (h *House) registry(r stock.Record) {
+func (h *Registry) registry(r stock.Record) {
 	if _, known := h.book.Get(h.now(), r.ID); !known && h.book.Beat(h.now(), r) {
 		h.stir()
 	}
@@ -300,7 +300,7 @@
 }
 
 // limiter takes in a limiter's word of itself. Its earlier lives are over. The mutex is held.
-func (h *House) limiter(r stock.Record) {
+func (h *Registry) limiter(r stock.Record) {
 	now := h.now()
 	_, known := h.book.Get(now, r.ID)
 	news := h.book.Beat(now, r)
@@ -326,7 +326,7 @@
 }
 
 // enrolDue has limiters without a place given one.
-func (h *House) enrolDue(ctx context.Context) {
+func (h *Registry) enrolDue(ctx context.Context) {
 	h.mu.Lock()
 	var posts []controlstate.Post
 	for name, p := range h.enrol {
@@ -349,7 +349,7 @@
 
 // push tells other registries what is not to be lost with this machine, and tells whether a
 // majority has it.
-func (h *House) push(ctx context.Context, id string) bool {
+func (h *Registry) push(ctx context.Context, id string) bool {
 	h.mu.Lock()
 	r, _ := h.book.Get(h.now(), id)
 	h.mu.Unlock()
@@ -361,7 +361,7 @@
 	done := make(chan bool, len(others))
 	for _, ip := range others {
 		go func() {
-			err := h.caller.Call(ctx, h.set.Internal(ip, boot.RoundhousePort), callPush, []stock.Record{r}, nil, pushWithin)
+			err := h.caller.Call(ctx, h.set.Internal(ip, boot.RegistryPort), callPush, []stock.Record{r}, nil, pushWithin)
 			done <- err == nil
 		}()
 	}
@@ -375,7 +375,7 @@
 	return false
 }
 
-func (h *House) pushed(_ context.Context, records []stock.Record) (any, error) {
+func (h *Registry) pushed(_ context.Context, records []stock.Record) (any, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if len(h.book.Merge(h.now(), records)) > 0 {
@@ -385,7 +385,7 @@
 }
 
 // repair compares digests with one other registry, and mends what differs.
-func (h *House) repair(ctx context.Context) {
+func (h *Registry) repair(ctx context.Context) {
 	others := h.cores()[1:]
 	if len(others) == 0 {
 		return
@@ -395,7 +395,7 @@
 	d := h.book.Digests()
 	h.mu.Unlock()
 	var records []stock.Record
-	if h.caller.Call(ctx, h.set.Internal(ip, boot.RoundhousePort), callRepair, d, &records, time.Second) != nil {
+	if h.caller.Call(ctx, h.set.Internal(ip, boot.RegistryPort), callRepair, d, &records, time.Second) != nil {
 		return
 	}
 	h.mu.Lock()
@@ -405,23 +405,23 @@
 	}
 }
 
-func (h *House) repaired(_ context.Context, d [stock.Ranges]uint64) (any, error) {
+func (h *Registry) repaired(_ context.Context, d [stock.Ranges]uint64) (any, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return h.book.Differing(h.now(), d), nil
 }
 
 // watch follows the store of configuration on this machine or, while that is down, another.
-func (h *House) watch(ctx context.Context) {
+func (h *Registry) watch(ctx context.Context) {
 	for k := 0; ctx.Err() == nil; {
 		stores := h.cores()
 		k %= len(stores)
 		h.mu.Lock()
-		ask := signalbox.Watch{Seq: h.reg.Seq, HoldMs: uint64(watchHold / time.Millisecond)}
+		ask := configstore.Watch{Seq: h.reg.Seq, HoldMs: uint64(watchHold / time.Millisecond)}
 		h.mu.Unlock()
-		var w signalbox.Watched
+		var w configstore.Watched
 		begun := time.Now()
-		err := h.caller.Call(ctx, h.set.Internal(stores[k], boot.SignalboxPort), signalbox.CallWatch, ask, &w, watchHold+callSlack)
+		err := h.caller.Call(ctx, h.set.Internal(stores[k], boot.ConfigStorePort), configstore.CallWatch, ask, &w, watchHold+callSlack)
 		if err != nil {
 			k = (k + 1) % len(stores)
 			wait.Sleep(ctx, 50*time.Millisecond)
@@ -451,7 +451,7 @@
 }
 
 // status tells how this registry stands.
-func (h *House) status(context.Context) (any, error) {
+func (h *Registry) status(context.Context) (any, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	proof := "none"
@@ -459,17 +459,17 @@
 		proof = time.Since(h.proved).Round(time.Millisecond).String()
 	}
 	lines := []string{
-		fmt.Sprintf("program=roundhouse node=%s zone=%s source=%s apart=%v proof_age=%s", h.set.Node, h.set.Zone, h.source(), h.apart(), proof),
+		fmt.Sprintf("program=registry node=%s zone=%s source=%s apart=%v proof_age=%s", h.set.Node, h.set.Zone, h.source(), h.apart(), proof),
 		fmt.Sprintf("register seq=%d version=r%d evacuated=%v limiters=%d", h.reg.Seq, h.reg.Version, h.reg.Evac, len(h.reg.Posts)),
 	}
-	return bell.Status{Lines: append(lines, h.book.Report(h.now())...)}, nil
+	return rpc.Status{Lines: append(lines, h.book.Report(h.now())...)}, nil
 }
 
 // order gives an order to a store. ok is false when no clear answer came.
-func (h *House) order(ctx context.Context, o controlstate.Order) (out controlstate.Outcome, ok bool) {
+func (h *Registry) order(ctx context.Context, o controlstate.Order) (out controlstate.Outcome, ok bool) {
 	ok = h.anyStore(func(to string, left time.Duration) bool {
-		var c signalbox.Changed
-		err := h.caller.Call(ctx, to, signalbox.CallChange, signalbox.Change{Orders: []controlstate.Order{o}}, &c, left)
+		var c configstore.Changed
+		err := h.caller.Call(ctx, to, configstore.CallChange, configstore.Change{Orders: []controlstate.Order{o}}, &c, left)
 		if err != nil || len(c.Outcomes) != 1 {
 			return false
 		}
@@ -480,14 +480,14 @@
 }
 
 // anyStore calls one store after the other until one has answered, and tells whether one has.
-func (h *House) anyStore(call func(to string, left time.Duration) bool) bool {
+func (h *Registry) anyStore(call func(to string, left time.Duration) bool) bool {
 	until := time.Now().Add(storeWithin)
 	for _, ip := range h.cores() {
 		left := time.Until(until)
 		if left < 50*time.Millisecond {
 			break
 		}
-		if call(h.set.Internal(ip, boot.SignalboxPort), left) {
+		if call(h.set.Internal(ip, boot.ConfigStorePort), left) {
 			return true
 		}
 	}
--- a/internal/roundhouse/roundhouse_test.go
+++ b/internal/registry/registry_test.go
@@ -1,4 +1,4 @@
-package roundhouse
+package registry
 
 import (
 	"context"
@@ -11,8 +11,8 @@
 
 	"github.com/sirupsen/logrus"
 
-	"example.org/madderdrum/internal/bell"
 	"example.org/madderdrum/internal/boot"
+	"example.org/madderdrum/internal/rpc"
 	"example.org/madderdrum/stock"
 )
 
@@ -20,7 +20,7 @@
 type houses struct {
 	t    *testing.T
 	stop [3]context.CancelFunc
-	call *bell.Caller
+	call *rpc.Caller
 }
 
 func (h *houses) ip(i int) string { return fmt.Sprintf("127.80.1.%d", i+1) }
@@ -79,7 +79,7 @@
 func TestDrainsAreAcknowledgedByAMajority(t *testing.T) {
 	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
 	defer cancel()
-	h := &houses{t: t, call: bell.NewCaller()}
+	h := &houses{t: t, call: rpc.NewCaller()}
 	h.start(0)
 	h.until(ctx, "the first registry answers", func() bool {
 		status, _ := h.post(0, "/instances/i-1/heartbeat", beat("available", 1))
@@ -114,7 +114,7 @@
 }
 
 func TestBadCalls(t *testing.T) {
-	h := &House{set: &boot.Settings{Zones: map[string]string{"z": "r"}, Listen: map[string]string{}}, book: stock.New("s"), news: make(chan struct{})}
+	h := &Registry{set: &boot.Settings{Zones: map[string]string{"z": "r"}, Listen: map[string]string{}}, book: stock.New("s"), news: make(chan struct{})}
 	for _, x := range []struct {
 		method, path, body string
 		status             int
--- a/internal/bell/bell.go
+++ b/internal/rpc/rpc.go
@@ -1,6 +1,6 @@
-// Package bell carries calls between the system's own processes: frames of a length and a
+// Package rpc carries calls between the system's own processes: frames of a length and a
 // CBOR value over kept TCP connections, one call at a time on each.
-package bell
+package rpc
 
 import (
 	"bufio"
@@ -251,7 +251,7 @@
 func Encode(v any) []byte {
 	b, err := cbor.Marshal(v)
 	if err != nil {
-		panic(fmt.Sprintf("bell: a value of our own can't be written: %v", err)) // a broken invariant
+		panic(fmt.Sprintf("rpc: a value of our own can't be written: %v", err)) // a broken invariant
 	}
 	return b
 }
--- a/internal/switchyard/asks.go
+++ b/internal/switchyard/asks.go
@@ -6,8 +6,8 @@
 	"strconv"
 	"time"
 
-	"example.org/madderdrum/internal/bell"
 	"example.org/madderdrum/internal/boot"
+	"example.org/madderdrum/internal/rpc"
 	"example.org/madderdrum/limiter"
 	"example.org/madderdrum/tariff"
 	"example.org/madderdrum/timetable"
@@ -71,9 +71,9 @@
 	y.serial++
 	serial = y.serial
 	y.asks[serial] = answers
-	to := y.set.Internal(y.reg.Posts[place].IP, boot.SwitchyardPort)
+	to := y.set.Internal(y.reg.Posts[place].IP, boot.ProxyPort)
 	y.mu.Unlock()
-	y.tell(to, datagramAsk, bell.Encode(tokenAsk{serial, account(c.tenant.Name), c.route.Name, c.service}))
+	y.tell(to, datagramAsk, rpc.Encode(tokenAsk{serial, account(c.tenant.Name), c.route.Name, c.service}))
 	return serial
 }
 
--- a/internal/switchyard/doors.go
+++ b/internal/switchyard/doors.go
@@ -11,8 +11,8 @@
 	"strings"
 	"time"
 
-	"example.org/madderdrum/internal/bell"
 	"example.org/madderdrum/internal/boot"
+	"example.org/madderdrum/internal/rpc"
 	"example.org/madderdrum/internal/wicket"
 )
 
@@ -29,11 +29,11 @@
 		}
 		go (&wicket.Server{Handler: h, MaxBody: 1 << 10}).Serve(ctx, l)
 	}
-	l, err := net.Listen("tcp", y.set.Internal(y.set.IP, boot.SwitchyardPort))
+	l, err := net.Listen("tcp", y.set.Internal(y.set.IP, boot.ProxyPort))
 	if err != nil {
 		return fmt.Errorf("switchyard: listen for those who ask how it stands: %w", err)
 	}
-	go bell.Serve(ctx, l, map[string]bell.Handler{bell.CallStatus: bell.Asking(y.status)})
+	go rpc.Serve(ctx, l, map[string]rpc.Handler{rpc.CallStatus: rpc.Asking(y.status)})
 	return nil
 }
 
@@ -65,7 +65,7 @@
 			lines = append(lines, fmt.Sprintf("tenant=%s place=%d rate_per_s=%g part=%.3f demand_per_s=%.2f", t.Name, i, t.Rate, part, e.holding.Desk.Rate(account(t.Name))))
 		}
 	}
-	return bell.Status{Lines: lines}, nil
+	return rpc.Status{Lines: lines}, nil
 }
 
 func (y *Yard) readiness(_ context.Context, r *http.Request, _ []byte) wicket.Answer {
--- a/internal/switchyard/load.go
+++ b/internal/switchyard/load.go
@@ -8,8 +8,8 @@
 	"github.com/sirupsen/logrus"
 
 	"example.org/madderdrum/controlstate"
-	"example.org/madderdrum/internal/bell"
 	"example.org/madderdrum/internal/boot"
+	"example.org/madderdrum/internal/rpc"
 	"example.org/madderdrum/limiter"
 )
 
@@ -37,9 +37,9 @@
 	if !due {
 		return
 	}
-	data := bell.Encode(word)
+	data := rpc.Encode(word)
 	for _, ip := range to {
-		y.tell(y.set.Internal(ip, boot.SwitchyardPort), datagramBlocks, data)
+		y.tell(y.set.Internal(ip, boot.ProxyPort), datagramBlocks, data)
 	}
 }
 
--- a/internal/switchyard/loans.go
+++ b/internal/switchyard/loans.go
@@ -7,8 +7,8 @@
 
 	"example.org/madderdrum/blocks"
 	"example.org/madderdrum/controlstate"
-	"example.org/madderdrum/internal/bell"
 	"example.org/madderdrum/internal/boot"
+	"example.org/madderdrum/internal/rpc"
 	"example.org/madderdrum/limiter"
 	"example.org/madderdrum/wagons"
 )
@@ -66,7 +66,7 @@
 
 func (e *engine) write(l wagons.Letter) {
 	if l.To < len(e.y.reg.Posts) {
-		e.y.tell(e.y.set.Internal(e.y.reg.Posts[l.To].IP, boot.SwitchyardPort), datagramLoans, bell.Encode(l.Message))
+		e.y.tell(e.y.set.Internal(e.y.reg.Posts[l.To].IP, boot.ProxyPort), datagramLoans, rpc.Encode(l.Message))
 	}
 }
 
@@ -120,7 +120,7 @@
 	}
 	if kind == datagramBlocks {
 		var w blocks.Word
-		if slices.ContainsFunc(y.reg.Posts, func(p controlstate.Post) bool { return p.IP == ip }) && bell.Decode(data, &w) == nil {
+		if slices.ContainsFunc(y.reg.Posts, func(p controlstate.Post) bool { return p.IP == ip }) && rpc.Decode(data, &w) == nil {
 			y.blocks.Hear(y.now(), w)
 		}
 		return
@@ -134,17 +134,17 @@
 			e.handle(limiter.PeerMessage{From: i, Data: data})
 		case datagramAsk:
 			var m tokenAsk
-			if bell.Decode(data, &m) == nil {
-				y.tell(y.set.Internal(ip, boot.SwitchyardPort), datagramAnswer, bell.Encode(e.asked(m)))
+			if rpc.Decode(data, &m) == nil {
+				y.tell(y.set.Internal(ip, boot.ProxyPort), datagramAnswer, rpc.Encode(e.asked(m)))
 			}
 		case datagramAnswer:
 			var a tokenAnswer
-			if bell.Decode(data, &a) == nil {
+			if rpc.Decode(data, &a) == nil {
 				y.answered(a)
 			}
 		case datagramLoans:
 			var m wagons.Message
-			if bell.Decode(data, &m) != nil {
+			if rpc.Decode(data, &m) != nil {
 				return
 			}
 			if l, ok := e.holding.Desk.Hear(y.now(), i, m); ok {
--- a/internal/switchyard/pull.go
+++ b/internal/switchyard/pull.go
@@ -13,7 +13,7 @@
 	"example.org/madderdrum/controlstate"
 	"example.org/madderdrum/departures"
 	"example.org/madderdrum/internal/boot"
-	"example.org/madderdrum/internal/roundhouse"
+	"example.org/madderdrum/internal/registry"
 	"example.org/madderdrum/internal/wait"
 	"example.org/madderdrum/stock"
 	"example.org/madderdrum/timetable"
@@ -37,7 +37,7 @@
 		cores := slices.Clone(y.cores)
 		y.mu.Unlock()
 		k %= len(cores)
-		to := y.set.Internal(cores[k], boot.RoundhousePort)
+		to := y.set.Internal(cores[k], boot.RegistryPort)
 		if y.pull(ctx, to) {
 			failed = 0
 			continue
@@ -69,7 +69,7 @@
 	} else if y.engine == nil {
 		me.State, hold = stock.Silent, pullHold/2
 	}
-	ask := roundhouse.Pull{Vector: maps.Clone(y.book.Vector()), Seq: y.reg.Seq, HoldMs: uint64(hold / time.Millisecond), Me: me,
+	ask := registry.Pull{Vector: maps.Clone(y.book.Vector()), Seq: y.reg.Seq, HoldMs: uint64(hold / time.Millisecond), Me: me,
 		Version: y.reg.Version, Posts: len(y.reg.Posts), PostsSum: controlstate.Sum(y.reg.Posts)}
 	y.mu.Unlock()
 	ctx, cancel := context.WithCancel(ctx)
@@ -83,9 +83,9 @@
 		case <-ctx.Done():
 		}
 	}()
-	var a roundhouse.Pulled
+	var a registry.Pulled
 	begun := time.Now()
-	err := y.caller.Call(ctx, to, roundhouse.CallPull, ask, &a, hold+pullSlack)
+	err := y.caller.Call(ctx, to, registry.CallPull, ask, &a, hold+pullSlack)
 	asked := ctx.Err() == nil
 	cancel()
 	<-poked
@@ -97,7 +97,7 @@
 }
 
 // take takes in what a core machine told. begun is when it was asked.
-func (y *Yard) take(begun time.Time, a *roundhouse.Pulled) {
+func (y *Yard) take(begun time.Time, a *registry.Pulled) {
 	y.mu.Lock()
 	defer y.mu.Unlock()
 	news := len(y.book.Merge(y.now(), a.Records)) > 0
@@ -126,7 +126,7 @@
 }
 
 // adopt has a newer register hold. The mutex is held.
-func (y *Yard) adopt(a *roundhouse.Pulled) {
+func (y *Yard) adopt(a *registry.Pulled) {
 	reg := a.Register
 	evacuate := map[string]bool{}
 	for _, z := range reg.Evac {
--- a/internal/switchyard/switchyard.go
+++ b/internal/switchyard/switchyard.go
@@ -17,8 +17,8 @@
 
 	"example.org/madderdrum/blocks"
 	"example.org/madderdrum/controlstate"
-	"example.org/madderdrum/internal/bell"
 	"example.org/madderdrum/internal/boot"
+	"example.org/madderdrum/internal/rpc"
 	"example.org/madderdrum/internal/sockets"
 	"example.org/madderdrum/internal/wait"
 	"example.org/madderdrum/lineside"
@@ -33,7 +33,7 @@
 	set    *boot.Settings
 	rules  tariff.Rules
 	log    logrus.FieldLogger
-	caller *bell.Caller
+	caller *rpc.Caller
 	begun  time.Time
 	self   string // id of this life
 	cores  []string
@@ -92,7 +92,7 @@
 	if err != nil {
 		return fmt.Errorf("switchyard: listen for clients: %w", err)
 	}
-	if y.peers, err = net.ListenPacket("udp", set.Internal(set.IP, boot.SwitchyardPort)); err != nil {
+	if y.peers, err = net.ListenPacket("udp", set.Internal(set.IP, boot.ProxyPort)); err != nil {
 		return fmt.Errorf("switchyard: listen for other limiters: %w", err)
 	}
 	life, end := context.WithCancel(context.Background()) // outlives SIGTERM
@@ -125,7 +125,7 @@
 
 // newYardOf returns a limiter that knows nothing yet.
 func newYardOf(set *boot.Settings, log logrus.FieldLogger) *Yard {
-	y := &Yard{set: set, log: log, link: newLink(set.LinkMbps), caller: bell.NewCaller(), begun: time.Now(), self: fmt.Sprintf("%s#%08x", set.Node, rand.Uint32()),
+	y := &Yard{set: set, log: log, link: newLink(set.LinkMbps), caller: rpc.NewCaller(), begun: time.Now(), self: fmt.Sprintf("%s#%08x", set.Node, rand.Uint32()),
 		cores: set.Cores(), nudge: make(chan struct{}, 1), book: stock.New(""), reg: &controlstate.Register{},
 		evacuate: map[string]bool{}, coldTo: map[string]time.Time{}, gone: map[string]bool{},
 		stations: map[string]*station{}, budget: map[string]*tariff.Tries{}, ended: map[string]int{}, asks: map[uint64]chan tokenAnswer{}, asking: map[uint64]*tariff.Asks{},
--- a/internal/switchyard/switchyard_test.go
+++ b/internal/switchyard/switchyard_test.go
@@ -19,9 +19,9 @@
 
 	"example.org/madderdrum/blocks"
 	"example.org/madderdrum/controlstate"
-	"example.org/madderdrum/internal/bell"
 	"example.org/madderdrum/internal/boot"
-	"example.org/madderdrum/internal/roundhouse"
+	"example.org/madderdrum/internal/registry"
+	"example.org/madderdrum/internal/rpc"
 	"example.org/madderdrum/lineside"
 	"example.org/madderdrum/stock"
 	"example.org/madderdrum/tariff"
@@ -62,7 +62,7 @@
 
 // tell has the limiter hear what is new in the core's book, and a register.
 func (y *yard) tell(reg *controlstate.Register) {
-	y.take(time.Now(), &roundhouse.Pulled{Register: reg, Records: y.book.Since(0, y.Yard.book.Vector()), Vector: y.book.Vector(), Proven: true, ProofMs: 1})
+	y.take(time.Now(), &registry.Pulled{Register: reg, Records: y.book.Since(0, y.Yard.book.Vector()), Vector: y.book.Vector(), Proven: true, ProofMs: 1})
 }
 
 // server is a stand-in that answers each request with the next of its ways, the last for good.
@@ -397,19 +397,19 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	asks := make(chan roundhouse.Pull, 4)
+	asks := make(chan registry.Pull, 4)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	go bell.Serve(ctx, l, map[string]bell.Handler{roundhouse.CallPull: func(ctx context.Context, body []byte) (any, error) {
-		var m roundhouse.Pull
-		if err := bell.Decode(body, &m); err != nil {
+	go rpc.Serve(ctx, l, map[string]rpc.Handler{registry.CallPull: func(ctx context.Context, body []byte) (any, error) {
+		var m registry.Pull
+		if err := rpc.Decode(body, &m); err != nil {
 			return nil, err
 		}
 		asks <- m
 		if m.Me.State != stock.Draining {
 			<-ctx.Done() // held
 		}
-		return roundhouse.Pulled{Proven: true}, nil
+		return registry.Pulled{Proven: true}, nil
 	}})
 	done := make(chan bool, 1)
 	go func() { done <- y.pull(ctx, l.Addr().String()) }()
@@ -453,7 +453,7 @@
 func TestRegisterInParts(t *testing.T) {
 	y := newYard(t)
 	post := controlstate.Post{Name: "e2", IP: "127.0.0.2", Zone: "z"}
-	y.take(time.Now(), &roundhouse.Pulled{SamePosts: 1, Register: &controlstate.Register{Seq: 2, Version: 1, Posts: []controlstate.Post{post}, Evac: []string{"z"}}})
+	y.take(time.Now(), &registry.Pulled{SamePosts: 1, Register: &controlstate.Register{Seq: 2, Version: 1, Posts: []controlstate.Post{post}, Evac: []string{"z"}}})
 	y.mu.Lock()
 	defer y.mu.Unlock()
 	if len(y.reg.Posts) != 2 || y.reg.Posts[1] != post || len(y.reg.Config) == 0 || !y.evacuate["z"] || y.view.Load().seq != 2 || y.engine.size != 2 {
@@ -461,7 +461,7 @@
 	}
 	// An older one, of another core machine, changes nothing.
 	y.mu.Unlock()
-	y.take(time.Now(), &roundhouse.Pulled{Register: &controlstate.Register{Seq: 1, Version: 1, Config: []byte(routes)}})
+	y.take(time.Now(), &registry.Pulled{Register: &controlstate.Register{Seq: 1, Version: 1, Config: []byte(routes)}})
 	y.mu.Lock()
 	if y.reg.Seq != 2 || !y.evacuate["z"] {
 		t.Errorf("it went back to %+v", y.reg)
@@ -531,7 +531,7 @@
 	again := 0
 	for k := range 4 {
 		post := controlstate.Post{Name: fmt.Sprint("e", k+2), IP: fmt.Sprint("127.0.0.", k+2), Zone: "z"}
-		y.take(time.Now(), &roundhouse.Pulled{SamePosts: k + 1, Register: &controlstate.Register{Seq: uint64(k + 2), Version: 1, Posts: []controlstate.Post{post}}})
+		y.take(time.Now(), &registry.Pulled{SamePosts: k + 1, Register: &controlstate.Register{Seq: uint64(k + 2), Version: 1, Posts: []controlstate.Post{post}}})
 		y.tell(nil)
 		again += ask()
 	}
@@ -584,15 +584,15 @@
 
 // No datagram makes a limiter end, or hand out more than its parts.
 func FuzzDatagrams(f *testing.F) {
-	f.Add(datagramAsk, bell.Encode(tokenAsk{1, 2, "read", "s"}))
-	f.Add(datagramAnswer, bell.Encode(tokenAnswer{Serial: 1, OK: true}))
-	f.Add(datagramLoans, bell.Encode(wagons.Message{Serial: 1, Items: []wagons.Item{{ID: 1, Part: -1}, {ID: 2, Part: 1e300}}}))
-	f.Add(datagramLine, bell.Encode(lineMessage{lineside.Message{From: "e2#1", Claims: []lineside.Claim{{ID: "e1", State: 200}}}, []telegraph.Sighting{{Server: 1, Class: 9, Source: 2, Serial: 3}}, []serviceWait{{1, 65000}}, true}))
-	f.Add(datagramBlocks, bell.Encode(blocks.Word{Version: 1, Source: 3, Serial: 1, Entries: []byte{0, 0, 0, 5, 255, 255}}))
+	f.Add(datagramAsk, rpc.Encode(tokenAsk{1, 2, "read", "s"}))
+	f.Add(datagramAnswer, rpc.Encode(tokenAnswer{Serial: 1, OK: true}))
+	f.Add(datagramLoans, rpc.Encode(wagons.Message{Serial: 1, Items: []wagons.Item{{ID: 1, Part: -1}, {ID: 2, Part: 1e300}}}))
+	f.Add(datagramLine, rpc.Encode(lineMessage{lineside.Message{From: "e2#1", Claims: []lineside.Claim{{ID: "e1", State: 200}}}, []telegraph.Sighting{{Server: 1, Class: 9, Source: 2, Serial: 3}}, []serviceWait{{1, 65000}}, true}))
+	f.Add(datagramBlocks, rpc.Encode(blocks.Word{Version: 1, Source: 3, Serial: 1, Entries: []byte{0, 0, 0, 5, 255, 255}}))
 	f.Add(datagramSpending, []byte{1, 2, 3, 4, 5, 6, 7, 8, 9})
 	f.Fuzz(func(t *testing.T, kind byte, data []byte) {
 		y := newYard(t)
-		y.take(time.Now(), &roundhouse.Pulled{SamePosts: 1, Register: &controlstate.Register{Seq: 2, Version: 1,
+		y.take(time.Now(), &registry.Pulled{SamePosts: 1, Register: &controlstate.Register{Seq: 2, Version: 1,
 			Posts: []controlstate.Post{{Name: "e2", IP: "127.0.0.2", Zone: "z"}}}})
 		for range 3 {
 			y.heard("127.0.0.2", kind, data)
@@ -692,7 +692,7 @@
 					if from == 1 {
 						continue
 					}
-					y.take(time.Now(), &roundhouse.Pulled{Proven: true, Register: &controlstate.Register{Seq: uint64(from), Version: uint64(from), Config: storm(from), Posts: posts}})
+					y.take(time.Now(), &registry.Pulled{Proven: true, Register: &controlstate.Register{Seq: uint64(from), Version: uint64(from), Config: storm(from), Posts: posts}})
 					newest[i] = max(newest[i], from)
 					table := y.view.Load().table
 					for x := max(1, v-6); x <= v; x++ {
--- a/internal/switchyard/upstream.go
+++ b/internal/switchyard/upstream.go
@@ -13,7 +13,7 @@
 	"sync"
 	"time"
 
-	"example.org/madderdrum/internal/bell"
+	"example.org/madderdrum/internal/rpc"
 	"example.org/madderdrum/internal/sockets"
 	"example.org/madderdrum/internal/wait"
 	"example.org/madderdrum/limiter"
@@ -161,7 +161,7 @@
 	if stopAt.Before(until) {
 		until = stopAt
 	}
-	d := net.Dialer{Deadline: until, KeepAlive: -1, Control: bell.Patience}
+	d := net.Dialer{Deadline: until, KeepAlive: -1, Control: rpc.Patience}
 	c, err := d.Dial("tcp", s.address)
 	if err != nil {
 		return nil, err
--- a/internal/switchyard/watch.go
+++ b/internal/switchyard/watch.go
@@ -9,8 +9,8 @@
 	"github.com/sirupsen/logrus"
 
 	"example.org/madderdrum/blocks"
-	"example.org/madderdrum/internal/bell"
 	"example.org/madderdrum/internal/boot"
+	"example.org/madderdrum/internal/rpc"
 	"example.org/madderdrum/limiter"
 	"example.org/madderdrum/lineside"
 	"example.org/madderdrum/stock"
@@ -90,7 +90,7 @@
 		if ip := y.lineIPs[l.To]; ip != "" {
 			m := lineMessage{Line: l.Message, Seen: y.telegraph.Next(y.now())}
 			m.Wait, m.Sure = y.waits()
-			y.tell(y.set.Internal(ip, boot.SwitchyardPort), datagramLine, bell.Encode(m))
+			y.tell(y.set.Internal(ip, boot.ProxyPort), datagramLine, rpc.Encode(m))
 		}
 	}
 }
@@ -98,7 +98,7 @@
 // hearLine takes in a message of the line. The mutex is held.
 func (y *Yard) hearLine(ip string, data []byte) {
 	var m lineMessage
-	if bell.Decode(data, &m) != nil || y.lineIPs[m.Line.From] != ip {
+	if rpc.Decode(data, &m) != nil || y.lineIPs[m.Line.From] != ip {
 		return
 	}
 	for _, s := range y.telegraph.Hear(y.now(), m.Seen) {
--- a/internal/testring/cores.go
+++ b/internal/testring/cores.go
@@ -5,8 +5,8 @@
 	"maps"
 	"strings"
 
-	"example.org/madderdrum/internal/bell"
-	"example.org/madderdrum/internal/roundhouse"
+	"example.org/madderdrum/internal/registry"
+	"example.org/madderdrum/internal/rpc"
 	"example.org/madderdrum/stock"
 )
 
@@ -51,8 +51,8 @@
 
 // call carries a call to a registry, which answers at once where the caller lacks something and
 // otherwise when it has news. It fails where no answer comes in time.
-func (w *World) call(kind string, from spot, to *core, ask roundhouse.Pull, held float64, take func(*roundhouse.Pulled), fail func()) {
-	w.count(kind, len(bell.Encode(ask)))
+func (w *World) call(kind string, from spot, to *core, ask registry.Pull, held float64, take func(*registry.Pulled), fail func()) {
+	w.count(kind, len(rpc.Encode(ask)))
 	over := false
 	w.after(held+slackMs, func() {
 		if !over {
@@ -84,12 +84,12 @@
 				to.waiting = append(to.waiting, answer)
 				return
 			}
-			a := &roundhouse.Pulled{Source: to.book.Source()}
+			a := &registry.Pulled{Source: to.book.Source()}
 			if lacks {
 				a.Records, a.Vector = to.book.Since(w.now, ask.Vector), maps.Clone(to.book.Vector())
 			}
 			over = true
-			w.count(kind, len(bell.Encode(a)))
+			w.count(kind, len(rpc.Encode(a)))
 			if w.cut(to.spot, from) {
 				over = false // it gets no answer, and gives up in time
 				return
@@ -112,8 +112,8 @@
 			return
 		}
 		me := stock.Record{ID: c.book.Source(), Service: stock.Cores, Address: c.name, Sequence: uint64(w.now)}
-		w.call("registries", c.spot, from, roundhouse.Pull{Vector: maps.Clone(c.book.Vector()), HoldMs: followMs, Source: c.book.Source(), Me: &me}, followMs,
-			func(a *roundhouse.Pulled) {
+		w.call("registries", c.spot, from, registry.Pull{Vector: maps.Clone(c.book.Vector()), HoldMs: followMs, Source: c.book.Source(), Me: &me}, followMs,
+			func(a *registry.Pulled) {
 				if !c.up || c.life != life {
 					return
 				}
@@ -137,8 +137,8 @@
 	if n.book != nil {
 		n.vector = n.book.Vector()
 	}
-	w.call("pulls", n.spot, w.cores[n.core], roundhouse.Pull{Vector: maps.Clone(n.vector), HoldMs: holdMs, Me: me}, holdMs,
-		func(a *roundhouse.Pulled) {
+	w.call("pulls", n.spot, w.cores[n.core], registry.Pull{Vector: maps.Clone(n.vector), HoldMs: holdMs, Me: me}, holdMs,
+		func(a *registry.Pulled) {
 			if !n.up || n.life != life {
 				return
 			}
--- a/internal/testring/rush.go
+++ b/internal/testring/rush.go
@@ -8,7 +8,7 @@
 	"slices"
 
 	"example.org/madderdrum/blocks"
-	"example.org/madderdrum/internal/bell"
+	"example.org/madderdrum/internal/rpc"
 	"example.org/madderdrum/limiter"
 )
 
@@ -174,7 +174,7 @@
 				}
 			}
 		}
-		size := float64(len(bell.Encode(word)) + 1)
+		size := float64(len(rpc.Encode(word)) + 1)
 		for k, o := range w.limiters {
 			if k == i || o.zone != n.zone {
 				continue
--- a/internal/testring/testring.go
+++ b/internal/testring/testring.go
@@ -15,7 +15,7 @@
 	"strings"
 	"time"
 
-	"example.org/madderdrum/internal/bell"
+	"example.org/madderdrum/internal/rpc"
 	"example.org/madderdrum/limiter"
 	"example.org/madderdrum/lineside"
 	"example.org/madderdrum/stock"
@@ -349,7 +349,7 @@
 	for _, l := range out {
 		name, _, _ := strings.Cut(l.To, "#")
 		if to := w.byName[name]; to != nil && to.up && to.id() == l.To {
-			w.datagram("line", n, to, len(bell.Encode(l.Message))+1, func() { w.say(to, to.line.Hear(w.now, l.Message)) })
+			w.datagram("line", n, to, len(rpc.Encode(l.Message))+1, func() { w.say(to, to.line.Hear(w.now, l.Message)) })
 		}
 	}
 }
@@ -367,7 +367,7 @@
 
 func (w *World) letter(n *node, l wagons.Letter) {
 	to := w.nodes[l.To]
-	w.datagram("loans", n, to, len(bell.Encode(l.Message))+1, func() {
+	w.datagram("loans", n, to, len(rpc.Encode(l.Message))+1, func() {
 		if a, ok := to.holding.Desk.Hear(w.now, n.place, l.Message); ok {
 			w.parts(to)
 			w.letter(to, a)
