Core machines vote by their disks; learners take seats by an agreed change

Cause: a machine that replaced another never got a seat, and the seat of the one that was gone stayed in the majority's count, among stores and among registries. Whatever was lost after a replacement left no majority.

Change: a voter is a machine with a disk. One that comes back without its disk, or replaces another, is a learner under an identity of its own, so that nothing it has forgotten is ever counted (the wait of two seconds and the bound on rounds, which stood on clocks, are gone). Stores report to each other; a majority that finds a voter gone, with a successor first heard after it, proposes the change under the term of the voters (coremembers). What is chosen is kept on every disk. Decisions of the hosts moved to pure packages: rounds, learning and proofs to replica, majorities of registries and the use of a registry by limiters to freshness.

Also: a drain is acknowledged only by what a majority of registries holds, wherever it was heard first; an evacuation that was overtaken on its way is not carried out; a repeated change that is older than the 256 remembered ones gets no clear answer in place of 412; an order is not proposed once its caller has given up.

--- a/controlstate/controlstate.go
+++ b/controlstate/controlstate.go
@@ -8,6 +8,9 @@
 	"fmt"
 	"hash/fnv"
 	"slices"
+	"strings"
+
+	"github.com/fxamacker/cbor/v2"
 
 	"example.org/madderdrum/timetable"
 )
@@ -27,19 +30,16 @@
 	// are those before them, while it is not known that the change of voters is chosen.
 	Voters []string `cbor:"8,keyasint,omitempty"`
 	Prior  []string `cbor:"9,keyasint,omitempty"`
+	// VoterChanges counts the changes of voters: the term of a set of voters.
+	VoterChanges uint64 `cbor:"10,keyasint,omitempty"`
+	// ZoneChanges holds the Seq of the latest change of each zone's evacuation, sorted by zone.
+	ZoneChanges []ZoneChange `cbor:"11,keyasint,omitempty"`
 }
 
-// Sets are the sets of voters by which a register counts; first are those that everyone began
-// with.
-func (r *Register) Sets(first []string) [][]string {
-	voters := r.Voters
-	if len(voters) == 0 {
-		voters = first
-	}
-	if len(r.Prior) > 0 {
-		return [][]string{r.Prior, voters}
-	}
-	return [][]string{voters}
+// ZoneChange is when the evacuation of a zone was last begun or finished.
+type ZoneChange struct {
+	Zone string `cbor:"1,keyasint"`
+	Seq  uint64 `cbor:"2,keyasint"`
 }
 
 // Post is a limiter's place. It keeps it for good: its part of quotas stands by it.
@@ -88,21 +88,43 @@
 	Seats []string  `cbor:"5,keyasint,omitempty"` // of ChangeVoters: those to be voters, with those that are
 	First []string  `cbor:"6,keyasint,omitempty"` // of ChangeVoters: the voters that everyone began with
 	Leave []string  `cbor:"7,keyasint,omitempty"` // of ChangeVoters: those to vote no more
+	// Term of ChangeVoters is that of the voters that the change was decided by: it is refused under
+	// any other. Zero is for operators' commands, which hold under every term.
+	Term uint64 `cbor:"8,keyasint,omitempty"`
+	// Seen of Begin and Finish is the Seq of the register that was in force where the order came in.
+	// An order that was overtaken by another one for the same zone is not carried out.
+	Seen uint64 `cbor:"9,keyasint,omitempty"`
 }
 
 // Outcome is what became of an order.
 type Outcome struct {
-	Status int    `cbor:"1,keyasint"` // as in HTTP: 200, 400, 412
+	Status int    `cbor:"1,keyasint"` // as in HTTP: 200, 400, 409, 412; 503 is no clear answer
 	Code   string `cbor:"2,keyasint,omitempty"`
 	Text   string `cbor:"3,keyasint,omitempty"`
 	Seq    uint64 `cbor:"4,keyasint"` // of the version that holds it
 }
 
+// Encode is a register as it is agreed on and kept on disk.
+func (r *Register) Encode() ([]byte, error) { return cbor.Marshal(r) }
+
+// Decode reads an encoded register. No bytes are the register before any order.
+func Decode(value []byte) (*Register, error) {
+	r := &Register{}
+	if len(value) == 0 {
+		return r, nil
+	}
+	if err := cbor.Unmarshal(value, r); err != nil {
+		return nil, fmt.Errorf("controlstate: read a register: %w", err)
+	}
+	return r, nil
+}
+
 // Clone is a copy that can be changed by itself. Texts are shared: they do not change.
 func (r *Register) Clone() *Register {
 	c := *r
 	c.Evac, c.Posts, c.Applied = slices.Clone(r.Evac), slices.Clone(r.Posts), slices.Clone(r.Applied)
 	c.Voters, c.Prior = slices.Clone(r.Voters), slices.Clone(r.Prior)
+	c.ZoneChanges = slices.Clone(r.ZoneChanges)
 	return &c
 }
 
@@ -129,18 +151,8 @@
 	switch o.Kind {
 	case Replace, Update:
 		return r.change(o)
-	case Begin:
-		i, have := slices.BinarySearch(r.Evac, o.Zone)
-		if !have {
-			r.Evac = slices.Insert(r.Evac, i, o.Zone)
-		}
-		return !have, Outcome{Status: 200}
-	case Finish:
-		i, have := slices.BinarySearch(r.Evac, o.Zone)
-		if have {
-			r.Evac = slices.Delete(r.Evac, i, i+1)
-		}
-		return have, Outcome{Status: 200}
+	case Begin, Finish:
+		return r.evacuate(o)
 	case RegisterLimiters:
 		return r.registerLimiters(o.Posts), Outcome{Status: 200}
 	case ChangeVoters:
@@ -149,7 +161,34 @@
 	return false, Outcome{Status: 400, Code: timetable.Unreadable, Text: fmt.Sprintf("order of kind %d is not known", o.Kind)}
 }
 
-// change takes a configuration. The same call again is answered as it was at first.
+// evacuate begins or finishes the evacuation of a zone. What is so already is acknowledged. An order
+// that would change something is carried out only if the zone has not been changed since the order
+// came in: one that was held up on its way must not undo a later one.
+func (r *Register) evacuate(o *Order) (bool, Outcome) {
+	at, evacuated := slices.BinarySearch(r.Evac, o.Zone)
+	if evacuated == (o.Kind == Begin) {
+		return false, Outcome{Status: 200}
+	}
+	k, changed := slices.BinarySearchFunc(r.ZoneChanges, o.Zone, func(c ZoneChange, zone string) int { return strings.Compare(c.Zone, zone) })
+	if changed && r.ZoneChanges[k].Seq > o.Seen {
+		return false, Outcome{Status: 503, Code: "overtaken", Text: "another order for the zone was carried out since this one came in: send it again if it is still wanted"}
+	}
+	if evacuated {
+		r.Evac = slices.Delete(r.Evac, at, at+1)
+	} else {
+		r.Evac = slices.Insert(r.Evac, at, o.Zone)
+	}
+	change := ZoneChange{Zone: o.Zone, Seq: r.Seq + 1}
+	if changed {
+		r.ZoneChanges[k] = change
+	} else {
+		r.ZoneChanges = slices.Insert(r.ZoneChanges, k, change)
+	}
+	return true, Outcome{Status: 200}
+}
+
+// change takes a configuration. The same call again is answered as it was at first. One that is
+// older than all calls that are remembered may have been taken: it gets no clear answer.
 func (r *Register) change(o *Order) (bool, Outcome) {
 	c, f := timetable.ReadCall(o.Body, o.Kind == Update)
 	if f != nil {
@@ -161,6 +200,9 @@
 			return false, Outcome{Status: 200}
 		}
 	}
+	if len(r.Applied) == appliedMost && c.Version < r.Applied[0].Version {
+		return false, Outcome{Status: 503, Code: "forgotten", Text: fmt.Sprintf("r%d is older than the last %d changes: whether it was taken is not known any more", c.Version, appliedMost)}
+	}
 	next, f := timetable.Apply(r.Config, r.Version, c)
 	if f != nil {
 		return false, fault(f)
@@ -198,73 +240,3 @@
 	}
 	return changed
 }
-
-// leastVoters are left at least: two can't lose one.
-const leastVoters = 3
-
-// seat changes who votes. One change of voters is chosen before the next one.
-func (r *Register) changeVoters(o *Order) (changed bool, out Outcome) {
-	old := r.Sets(o.First)[0]
-	voters := slices.Clone(old)
-	for _, s := range o.Seats {
-		if i, have := slices.BinarySearch(voters, s); !have {
-			voters, changed = slices.Insert(voters, i, s), true
-		}
-	}
-	for _, s := range o.Leave {
-		if i, have := slices.BinarySearch(voters, s); have {
-			voters, changed = slices.Delete(voters, i, i+1), true
-		}
-	}
-	switch {
-	case !changed:
-		return false, Outcome{Status: 200}
-	case len(r.Prior) > 0:
-		return false, Outcome{Status: 409, Code: "busy", Text: "another change of voters is under way: ask again"}
-	case len(voters) < leastVoters && len(voters) < len(old):
-		return false, Outcome{Status: 400, Code: "too_few", Text: fmt.Sprintf("%d voters would be left: seat another machine with the same order, %d are the least", len(voters), leastVoters)}
-	}
-	r.Prior, r.Voters = slices.Clone(old), voters
-	return true, Outcome{Status: 200}
-}
-
-// Proposal is what a round makes of the newest register that its majority told.
-type Proposal struct {
-	// Need are the sets of voters that the register counts by, where the round has counted by
-	// others: it has to begin again with these.
-	Need     [][]string
-	Outcomes [][]Outcome // of each batch of orders
-	Changed  bool        // the register is another one now
-	Brings   []string    // voters that the votes have to count by too; nil: none
-}
-
-// Propose gives a round's orders to the newest register told. first are the voters that everyone
-// began with, counted the sets that the round has counted promises by, and chosen tells that the
-// register is known to be chosen, and with it the change of voters that it may hold.
-func (r *Register) Propose(first []string, counted [][]string, chosen bool, batches [][]Order) (t Proposal) {
-	if need := r.Sets(first); !slices.EqualFunc(need, counted, slices.Equal) {
-		return Proposal{Need: need}
-	}
-	seq := r.Seq
-	if chosen && len(r.Prior) > 0 {
-		r.Prior = nil
-		r.Seq++
-	}
-	for _, orders := range batches {
-		var outcomes []Outcome
-		for k := range orders {
-			outcomes = append(outcomes, r.Apply(&orders[k]))
-		}
-		t.Outcomes = append(t.Outcomes, outcomes)
-	}
-	if t.Changed = r.Seq != seq; t.Changed && len(r.Voters) == 0 {
-		// From its first change on the register names its voters itself: a machine that begins
-		// again with other seeds would take those for the voters.
-		r.Voters = slices.Clone(first)
-	}
-	sets := r.Sets(first)
-	if voters := sets[len(sets)-1]; !slices.Equal(voters, counted[len(counted)-1]) {
-		t.Brings = voters
-	}
-	return t
-}
--- /dev/null
+++ b/internal/configstore/acceptor.go
@@ -0,0 +1,126 @@
+package configstore
+
+import (
+	"context"
+	"time"
+
+	"example.org/madderdrum/coremembers"
+	"example.org/madderdrum/internal/wait"
+	"example.org/madderdrum/paxos"
+)
+
+// keepAgain is the pause before a disk that took no record is tried again.
+const keepAgain = 300 * time.Millisecond
+
+var closed = func() chan struct{} {
+	c := make(chan struct{})
+	close(c)
+	return c
+}()
+
+// vote has a changed record written down, or takes the change back.
+func (s *Store) vote(do func() (paxos.Reply, bool)) (paxos.Reply, error) {
+	s.accepting.Lock()
+	defer s.accepting.Unlock()
+	before := s.acceptor.Record
+	reply, write := do()
+	if write {
+		if err := s.disk.write(&s.acceptor.Record, &before, s.firstVoters()); err != nil {
+			s.acceptor.Record = before
+			s.log.WithField("err", err).Warn("disk fails")
+			return paxos.Reply{}, errDisk
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.durable = s.acceptor.Record
+	s.replica.Saw(s.durable.Promised.Number)
+	if write && !s.identified {
+		s.identified = true
+		s.members.Rename(s.voter())
+	}
+	return reply, nil
+}
+
+func (s *Store) firstVoters() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.replica.First()
+}
+
+// identify writes the identity of a new disk down. Nobody is told of it before.
+func (s *Store) identify() {
+	s.vote(func() (paxos.Reply, bool) { return paxos.Reply{}, true }) // a failure is logged; it is tried again
+}
+
+// keepChosen has each chosen value on this disk too, where this store's vote was not needed.
+func (s *Store) keepChosen(ctx context.Context) {
+	for {
+		s.mu.Lock()
+		ballot, value, changed := s.replica.Chosen(), s.replica.Value(), s.changed
+		s.mu.Unlock()
+		_, err := s.vote(func() (paxos.Reply, bool) { return paxos.Reply{}, s.acceptor.Learn(ballot, value) })
+		if err != nil {
+			wait.Sleep(ctx, keepAgain)
+			changed = closed
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (s *Store) prepare(_ context.Context, m paxos.Prepare) (any, error) {
+	return s.votePrepare(m)
+}
+
+func (s *Store) votePrepare(m paxos.Prepare) (paxos.Reply, error) {
+	return s.vote(func() (paxos.Reply, bool) { return s.acceptor.Prepare(m) })
+}
+
+func (s *Store) accept(_ context.Context, m paxos.Accept) (any, error) {
+	return s.voteAccept(m)
+}
+
+func (s *Store) voteAccept(m paxos.Accept) (paxos.Reply, error) {
+	return s.vote(func() (paxos.Reply, bool) { return s.acceptor.Accept(m) })
+}
+
+// readCall asks what is accepted, and reports about the store that asks.
+type readCall struct {
+	Known  paxos.Ballot       `cbor:"1,keyasint"`
+	Report coremembers.Report `cbor:"2,keyasint"`
+}
+
+// readAnswer tells it, with the answering store's own report.
+type readAnswer struct {
+	Reply  paxos.Reply        `cbor:"1,keyasint"`
+	Report coremembers.Report `cbor:"2,keyasint"`
+	First  []string           `cbor:"3,keyasint,omitempty"`
+}
+
+func (s *Store) read(_ context.Context, m readCall) (any, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.members.Heard(s.now(), m.Report)
+	return readAnswer{Reply: s.readDurable(m.Known), Report: s.report(), First: s.replica.First()}, nil
+}
+
+// readDurable tells what is safe on disk, without waiting for what is being written. The mutex is
+// held.
+func (s *Store) readDurable(known paxos.Ballot) paxos.Reply {
+	a := paxos.Acceptor{Record: s.durable}
+	return a.Read(known)
+}
+
+// report is what this store tells of itself. The mutex is held.
+func (s *Store) report() coremembers.Report {
+	if s.durable.Accepted.Compare(s.replica.Chosen()) >= 0 {
+		s.durableSeq = s.replica.Register().Seq
+	}
+	r := s.members.Report(s.now(), s.state())
+	r.Seq = s.durableSeq
+	return r
+}
--- a/internal/configstore/disk.go
+++ b/internal/configstore/disk.go
@@ -193,7 +193,7 @@
 		return d.begin(record, voters)
 	}
 	l := line{Record: record}
-	if record.Accepted == before.Accepted && record.Blank == before.Blank && bytes.Equal(record.Value, before.Value) {
+	if record.Accepted == before.Accepted && record.Disk == before.Disk && bytes.Equal(record.Value, before.Value) {
 		l = line{Promise: &record.Promised}
 	}
 	entry, err := cbor.Marshal(&l)
--- a/internal/registry/outside.go
+++ b/internal/registry/outside.go
@@ -69,9 +69,9 @@
 		}
 		switch what {
 		case "begin":
-			return h.change(ctx, controlstate.Order{Kind: controlstate.Begin, Zone: zone})
+			return h.change(ctx, controlstate.Order{Kind: controlstate.Begin, Zone: zone, Seen: h.seen()})
 		case "finish":
-			return h.change(ctx, controlstate.Order{Kind: controlstate.Finish, Zone: zone})
+			return h.change(ctx, controlstate.Order{Kind: controlstate.Finish, Zone: zone, Seen: h.seen()})
 		}
 	}
 	if path == pathReplace || path == pathUpdate || path == pathFetch || strings.HasPrefix(path, pathEvacuation) {
@@ -107,20 +107,18 @@
 	}
 	h.mu.Lock()
 	news := h.book.Beat(h.now(), r)
-	cur, _ := h.book.Get(h.now(), id)
 	if news {
 		h.stir()
 	}
 	apart := h.apart()
+	unsafe := r.State == stock.Draining && !h.drained[id]
 	h.mu.Unlock()
 	if news {
 		h.log.WithFields(logrus.Fields{"instance": id, "service": r.Service, "state": r.State.String(), "sequence": r.Sequence, "warm_ms": r.WarmMs}).Debug("server is news")
 	}
-	if r.State == stock.Draining && cur.Source == h.source() {
-		// What is acknowledged must not end with this machine.
-		if !h.push(ctx, id) {
-			return problem(503, "apart", "no majority of the registries has it: call another")
-		}
+	// What is acknowledged must not end with this machine, wherever it heard of it first.
+	if unsafe && !h.acknowledge(ctx, id) {
+		return problem(503, "apart", "no majority of the registries has it: call another")
 	}
 	if apart && news {
 		return problem(503, "apart", "no majority of the registries is heard: call another")
@@ -131,6 +129,18 @@
 	return wicket.Answer{Status: 200, Body: []byte(`{"heartbeat_target":"` + h.set.Listen["control_plane"] + `"}`)}
 }
 
+// acknowledge has a majority of the registries hold the drain of a server, and tells whether one
+// does. It is remembered, so that the beats of a server that drains for long need no further calls.
+func (h *Registry) acknowledge(ctx context.Context, id string) bool {
+	if !h.push(ctx, id) {
+		return false
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.drained[id] = true
+	return true
+}
+
 func (h *Registry) deregister(ctx context.Context, id string) wicket.Answer {
 	h.mu.Lock()
 	if h.book.Leave(h.now(), id) {
@@ -140,9 +150,19 @@
 	if !h.push(ctx, id) {
 		return problem(503, "apart", "no majority of the registries has it: call another")
 	}
+	h.mu.Lock()
+	delete(h.drained, id)
+	h.mu.Unlock()
 	return wicket.Answer{Status: 200}
 }
 
+// seen is the version of the register that is in force here.
+func (h *Registry) seen() uint64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.reg.Seq
+}
+
 // change has an order agreed.
 func (h *Registry) change(ctx context.Context, o controlstate.Order) wicket.Answer {
 	out, ok := h.order(ctx, o)
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -17,6 +17,7 @@
 	"github.com/sirupsen/logrus"
 
 	"example.org/madderdrum/controlstate"
+	"example.org/madderdrum/freshness"
 	"example.org/madderdrum/internal/boot"
 	"example.org/madderdrum/internal/configstore"
 	"example.org/madderdrum/internal/rpc"
@@ -36,6 +37,14 @@
 	limiterSilent = 3200.0 // ms: a limiter pulls once a second
 	serverBeats   = 4.0    // beats that may be missed
 	maxBody       = 64 << 20
+	// contactWithin is how recently a registry must have answered to count towards a majority.
+	contactWithin = syncHold + callSlack + 200*time.Millisecond
+	// goneAfter is the silence after which a registry that neither votes nor is named by the
+	// settings is not asked any more.
+	goneAfter   = 30 * time.Second
+	drainedMost = 8192
+	// storeStale is the age of the proof at which another store is asked too.
+	storeStale = 2 * time.Second
 )
 
 // Registry is one registry.
@@ -46,16 +55,19 @@
 	begun  time.Time
 	ctx    context.Context
 
-	mu      sync.Mutex
-	others  []string // IP numbers of the other core machines: those of the seeds, and those heard of
-	book    *stock.Book
-	news    chan struct{} // closed when the book or the register changes
-	reg     *controlstate.Register
-	proved  time.Time
-	met     map[string]time.Time // when another registry last answered a pull
-	lives   map[string]time.Time // when a source was last known to run
-	enrol   map[string]controlstate.Post
-	enrolAt time.Time
+	mu       sync.Mutex
+	others   []string   // IP numbers of the other core machines: those of the seeds, and those heard of
+	voters   [][]string // IP numbers of the machines of which a majority has to agree
+	seeds    []string   // IP numbers that the settings name
+	contacts *freshness.Contacts
+	proof    freshness.Proof
+	book     *stock.Book
+	news     chan struct{} // closed when the book or the register changes
+	reg      *controlstate.Register
+	drained  map[string]bool      // servers whose drain a majority of the registries holds
+	lives    map[string]time.Time // when a source was last known to run
+	enrol    map[string]controlstate.Post
+	enrolAt  time.Time
 }
 
 // Calls of a registry.
@@ -99,7 +111,7 @@
 // Run serves until the context ends.
 func Run(ctx context.Context, set *boot.Settings, log logrus.FieldLogger) error {
 	h := &Registry{set: set, log: log, ctx: ctx, caller: rpc.NewCaller(), begun: time.Now(), news: make(chan struct{}),
-		reg: &controlstate.Register{}, met: map[string]time.Time{}, lives: map[string]time.Time{}, enrol: map[string]controlstate.Post{},
+		reg: &controlstate.Register{}, contacts: freshness.NewContacts(set.IP), drained: map[string]bool{}, seeds: set.Cores(), lives: map[string]time.Time{}, enrol: map[string]controlstate.Post{},
 		book: stock.New(fmt.Sprintf("%s#%08x", set.Node, rand.Uint32()))}
 	inner, err := net.Listen("tcp", set.Internal(set.IP, boot.RegistryPort))
 	if err != nil {
@@ -111,6 +123,9 @@
 	}
 	go rpc.Serve(ctx, inner, map[string]rpc.Handler{CallPull: rpc.Taking(h.pull), callPush: rpc.Taking(h.pushed), callRepair: rpc.Taking(h.repaired), rpc.CallStatus: rpc.Asking(h.status)})
 	go (&wicket.Server{Handler: h.outside, MaxBody: maxBody}).Serve(ctx, outer)
+	if set.Bootstrap {
+		h.voters = [][]string{set.Cores()}
+	}
 	h.mu.Lock()
 	for _, ip := range set.Cores() {
 		h.meet(ip)
@@ -121,7 +136,8 @@
 		log.WithField("seeds", len(next.Seeds)).Info("settings have changed")
 		h.mu.Lock()
 		defer h.mu.Unlock()
-		for _, ip := range next.Cores() {
+		h.seeds = next.Cores()
+		for _, ip := range h.seeds {
 			h.meet(ip)
 		}
 	}, func(err error) { log.WithField("err", err).Warn("settings can't be used") })
@@ -132,6 +148,9 @@
 
 func (h *Registry) now() float64 { return float64(time.Since(h.begun)) / float64(time.Millisecond) }
 
+// clock is the span on the steady clock since the process began.
+func (h *Registry) clock() time.Duration { return time.Since(h.begun) }
+
 // stir wakes those who wait for news. The mutex is held.
 func (h *Registry) stir() {
 	close(h.news)
@@ -183,6 +202,9 @@
 			h.stir()
 		}
 		h.meetAll()
+		if len(h.drained) > drainedMost {
+			clear(h.drained) // what is forgotten costs further calls
+		}
 		if !h.apart() && time.Since(h.begun) > 2*syncHold && h.book.Expire(h.now(), serverBeats*beat, limiterSilent, h.alive) {
 			h.stir()
 		}
@@ -202,20 +224,30 @@
 
 // apart tells that no majority of the registries is heard. The mutex is held.
 func (h *Registry) apart() bool {
-	met := 1
-	for _, at := range h.met {
-		if time.Since(at) < syncHold+callSlack+200*time.Millisecond {
-			met++
-		}
+	return !h.contacts.Majority(h.voters, h.clock(), contactWithin)
+}
+
+// isMember tells that a machine votes or is named by the settings: it is followed while it is dark
+// too. The mutex is held.
+func (h *Registry) isMember(ip string) bool {
+	if slices.Contains(h.seeds, ip) {
+		return true
 	}
-	return met < (len(h.others)+1)/2+1
+	return slices.ContainsFunc(h.voters, func(set []string) bool { return slices.Contains(set, ip) })
 }
 
-// follow pulls from another registry without end.
+// follow pulls from another registry, until that is gone for good.
 func (h *Registry) follow(ctx context.Context, ip string) {
 	to := h.set.Internal(ip, boot.RegistryPort)
+	begun := h.clock()
 	for ctx.Err() == nil {
 		h.mu.Lock()
+		if h.isGone(ip, begun) {
+			h.others = slices.DeleteFunc(h.others, func(o string) bool { return o == ip })
+			h.contacts.Forget(ip)
+			h.mu.Unlock()
+			return
+		}
 		ask := Pull{Vector: maps.Clone(h.book.Vector()), HoldMs: uint64(syncHold / time.Millisecond), Source: h.source()}
 		me := h.self()
 		ask.Me = &me
@@ -226,7 +258,8 @@
 			continue
 		}
 		h.mu.Lock()
-		h.met[ip], h.lives[a.Source] = time.Now(), time.Now()
+		h.contacts.Heard(ip, h.clock())
+		h.lives[a.Source] = time.Now()
 		if len(h.book.Merge(h.now(), a.Records)) > 0 {
 			h.stir()
 		}
@@ -235,6 +268,19 @@
 	}
 }
 
+// isGone tells that a machine which neither votes nor is named was not heard for long. begun is when
+// it was first asked. The mutex is held.
+func (h *Registry) isGone(ip string, begun time.Duration) bool {
+	if h.isMember(ip) {
+		return false
+	}
+	silence, heard := h.contacts.Silence(ip, h.clock())
+	if !heard {
+		silence = h.clock() - begun
+	}
+	return silence > goneAfter
+}
+
 func (h *Registry) source() string { return h.book.Source() }
 
 // pull answers another registry or a limiter, at once where it has news for it.
@@ -283,8 +329,8 @@
 			}
 			a.Register = &r
 		}
-		if !h.proved.IsZero() {
-			a.Proven, a.ProofMs = true, uint64(time.Since(h.proved).Milliseconds())+1
+		if age, ok := h.proof.Age(h.clock()); ok {
+			a.Proven, a.ProofMs = true, uint64(age.Milliseconds())+1
 		}
 	}
 	return a, nil
@@ -351,25 +397,26 @@
 // majority has it.
 func (h *Registry) push(ctx context.Context, id string) bool {
 	h.mu.Lock()
-	r, _ := h.book.Get(h.now(), id)
+	record, _ := h.book.Get(h.now(), id)
+	copies := freshness.NewCopies(h.set.IP, h.voters)
+	others := slices.Clone(h.others)
 	h.mu.Unlock()
-	others := h.cores()[1:]
-	need := (len(others)+1)/2 + 1 - 1 // this one has it
-	if need == 0 {
+	if copies.Enough() {
 		return true
 	}
-	done := make(chan bool, len(others))
+	done := make(chan string, len(others))
 	for _, ip := range others {
 		go func() {
-			err := h.caller.Call(ctx, h.set.Internal(ip, boot.RegistryPort), callPush, []stock.Record{r}, nil, pushWithin)
-			done <- err == nil
+			if h.caller.Call(ctx, h.set.Internal(ip, boot.RegistryPort), callPush, []stock.Record{record}, nil, pushWithin) != nil {
+				ip = ""
+			}
+			done <- ip
 		}()
 	}
 	for range others {
-		if <-done {
-			if need--; need == 0 {
-				return true
-			}
+		copies.Stored(<-done)
+		if copies.Enough() {
+			return true
 		}
 	}
 	return false
@@ -420,7 +467,7 @@
 		ask := configstore.Watch{Seq: h.reg.Seq, HoldMs: uint64(watchHold / time.Millisecond)}
 		h.mu.Unlock()
 		var w configstore.Watched
-		begun := time.Now()
+		begun := h.clock()
 		err := h.caller.Call(ctx, h.set.Internal(stores[k], boot.ConfigStorePort), configstore.CallWatch, ask, &w, watchHold+callSlack)
 		if err != nil {
 			k = (k + 1) % len(stores)
@@ -428,18 +475,17 @@
 			continue
 		}
 		h.mu.Lock()
-		if w.Proven && (w.Register != nil || w.ProofMs < 1<<31) {
-			// What is held counts from the end of it.
-			at := begun.Add(time.Duration(w.HeldMs)*time.Millisecond - time.Duration(w.ProofMs)*time.Millisecond)
-			if at.After(h.proved) {
-				h.proved = at
-			}
+		if w.Proven {
+			h.proof.Advance(begun, time.Duration(w.HeldMs)*time.Millisecond, time.Duration(w.ProofMs)*time.Millisecond)
+		}
+		if len(w.Voters) > 0 {
+			h.follows(w.Voters)
 		}
 		if w.Register != nil && w.Register.Seq > h.reg.Seq {
 			h.reg = w.Register
 			h.stir()
 		}
-		stale := time.Since(h.proved) > 2*time.Second
+		stale := !h.proof.Fresh(h.clock(), storeStale)
 		h.mu.Unlock()
 		if stale && len(stores) > 1 { // another store may hear a majority
 			k = (k + 1) % len(stores)
@@ -450,13 +496,23 @@
 	}
 }
 
+// follows takes over which machines vote. The mutex is held.
+func (h *Registry) follows(voters [][]string) {
+	h.voters = voters
+	for _, set := range voters {
+		for _, ip := range set {
+			h.meet(ip)
+		}
+	}
+}
+
 // status tells how this registry stands.
 func (h *Registry) status(context.Context) (any, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	proof := "none"
-	if !h.proved.IsZero() {
-		proof = time.Since(h.proved).Round(time.Millisecond).String()
+	if age, ok := h.proof.Age(h.clock()); ok {
+		proof = age.Round(time.Millisecond).String()
 	}
 	lines := []string{
 		fmt.Sprintf("program=registry node=%s zone=%s source=%s apart=%v proof_age=%s", h.set.Node, h.set.Zone, h.source(), h.apart(), proof),
@@ -469,7 +525,7 @@
 func (h *Registry) order(ctx context.Context, o controlstate.Order) (out controlstate.Outcome, ok bool) {
 	ok = h.anyStore(func(to string, left time.Duration) bool {
 		var c configstore.Changed
-		err := h.caller.Call(ctx, to, configstore.CallChange, configstore.Change{Orders: []controlstate.Order{o}}, &c, left)
+		err := h.caller.Call(ctx, to, configstore.CallChange, configstore.Change{Orders: []controlstate.Order{o}, WithinMs: uint64(left.Milliseconds())}, &c, left)
 		if err != nil || len(c.Outcomes) != 1 {
 			return false
 		}
--- a/internal/switchyard/pull.go
+++ b/internal/switchyard/pull.go
@@ -12,6 +12,7 @@
 
 	"example.org/madderdrum/controlstate"
 	"example.org/madderdrum/departures"
+	"example.org/madderdrum/freshness"
 	"example.org/madderdrum/internal/boot"
 	"example.org/madderdrum/internal/registry"
 	"example.org/madderdrum/internal/wait"
@@ -23,9 +24,6 @@
 	pullHold  = 1000 * time.Millisecond
 	pullSlack = 450 * time.Millisecond // beyond what is held
 	mostNamed = 64                     // limiters in an answer of the directory
-	// A core machine that has had no proof for so long, or hears no majority, is left for
-	// another.
-	proofStale = 1600 * time.Millisecond
 )
 
 // pulls keeps asking a core machine for what this limiter lacks. One that does not answer, or
@@ -33,9 +31,7 @@
 func (y *Yard) pulls(ctx context.Context) {
 	k := rand.IntN(1 << 10)
 	for failed := 0; ctx.Err() == nil; {
-		y.mu.Lock()
-		cores := slices.Clone(y.cores)
-		y.mu.Unlock()
+		cores := y.coresToAsk(failed)
 		k %= len(cores)
 		to := y.set.Internal(cores[k], boot.RegistryPort)
 		if y.pull(ctx, to) {
@@ -49,13 +45,41 @@
 	}
 }
 
-// meet has the core machines that the book names asked too: seeds may be gone. The mutex is held.
+// coresToAsk are the core machines to ask after so many failures in a row.
+func (y *Yard) coresToAsk(failed int) []string {
+	y.mu.Lock()
+	defer y.mu.Unlock()
+	if failed < len(y.cores) {
+		return slices.Clone(y.cores)
+	}
+	return append(slices.Clone(y.cores), y.darkCores...)
+}
+
+// meet works out which core machines to ask: those that the settings name and those that the book
+// knows to run. Machines that the book takes for dark are asked only when no other one answers. The
+// mutex is held.
 func (y *Yard) meet() {
+	named, running, dark := map[string]bool{}, map[string]bool{}, map[string]bool{}
+	for _, ip := range y.seeds {
+		named[ip] = true
+	}
 	y.book.Each(y.now(), func(r stock.Record) {
-		if r.Service == stock.Cores && r.State == stock.Available && !slices.Contains(y.cores, r.Address) {
-			y.cores = append(y.cores, r.Address)
+		switch {
+		case r.Service != stock.Cores:
+		case r.State == stock.Available:
+			named[r.Address], running[r.Address] = true, true
+		default: // a life that is over
+			dark[r.Address] = true
 		}
 	})
+	y.cores, y.darkCores = nil, nil
+	for _, ip := range slices.Sorted(maps.Keys(named)) {
+		if dark[ip] && !running[ip] {
+			y.darkCores = append(y.darkCores, ip)
+		} else {
+			y.cores = append(y.cores, ip)
+		}
+	}
 }
 
 // pull asks once and takes in the answer. It tells whether the other may be asked again.
@@ -93,7 +117,7 @@
 		return !asked // it was this limiter that gave up
 	}
 	y.take(begun, &a)
-	return !a.Apart && a.Proven && a.ProofMs < uint64(proofStale/time.Millisecond)
+	return freshness.Source{Apart: a.Apart, Proven: a.Proven, Age: time.Duration(a.ProofMs) * time.Millisecond}.Usable()
 }
 
 // take takes in what a core machine told. begun is when it was asked.
--- a/internal/switchyard/switchyard.go
+++ b/internal/switchyard/switchyard.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -30,15 +29,17 @@
 
 // Yard is one limiter of the system.
 type Yard struct {
-	set    *boot.Settings
-	rules  tariff.Rules
-	log    logrus.FieldLogger
-	caller *rpc.Caller
-	begun  time.Time
-	self   string // id of this life
-	cores  []string
-	peers  net.PacketConn
-	link   *link
+	set       *boot.Settings
+	rules     tariff.Rules
+	log       logrus.FieldLogger
+	caller    *rpc.Caller
+	begun     time.Time
+	self      string   // id of this life
+	seeds     []string // core machines that the settings name
+	cores     []string // those to ask
+	darkCores []string // those to ask when no other one answers
+	peers     net.PacketConn
+	link      *link
 
 	leaving atomic.Bool   // SIGTERM has come
 	closing atomic.Bool   // no further request is read
@@ -111,11 +112,8 @@
 		log.WithField("seeds", len(next.Seeds)).Info("settings have changed")
 		y.mu.Lock()
 		defer y.mu.Unlock()
-		for _, ip := range next.Cores() {
-			if !slices.Contains(y.cores, ip) {
-				y.cores = append(y.cores, ip)
-			}
-		}
+		y.seeds = next.Cores()
+		y.meet()
 	}, func(err error) { log.WithField("err", err).Warn("settings can't be used") })
 	log.WithFields(logrus.Fields{"cores": len(y.cores), "life": y.self}).Info("begins")
 	<-ctx.Done()
@@ -126,7 +124,7 @@
 // newYardOf returns a limiter that knows nothing yet.
 func newYardOf(set *boot.Settings, log logrus.FieldLogger) *Yard {
 	y := &Yard{set: set, log: log, link: newLink(set.LinkMbps), caller: rpc.NewCaller(), begun: time.Now(), self: fmt.Sprintf("%s#%08x", set.Node, rand.Uint32()),
-		cores: set.Cores(), nudge: make(chan struct{}, 1), book: stock.New(""), reg: &controlstate.Register{},
+		seeds: set.Cores(), cores: set.Cores(), nudge: make(chan struct{}, 1), book: stock.New(""), reg: &controlstate.Register{},
 		evacuate: map[string]bool{}, coldTo: map[string]time.Time{}, gone: map[string]bool{},
 		stations: map[string]*station{}, budget: map[string]*tariff.Tries{}, ended: map[string]int{}, asks: map[uint64]chan tokenAnswer{}, asking: map[uint64]*tariff.Asks{},
 		lineIPs: map[string]string{}, out: map[string]bool{}}
--- a/paxos/paxos.go
+++ b/paxos/paxos.go
@@ -32,9 +32,13 @@
 	Promised Ballot `cbor:"1,keyasint"`
 	Accepted Ballot `cbor:"2,keyasint"`
 	Value    []byte `cbor:"3,keyasint,omitempty"`
-	// Blank is a machine that came back with an empty disk: it may not vote before it has read
-	// from others.
+	// Blank marks a record of earlier versions: that of a machine which lost its disk and had not
+	// read from others yet. It is read, and never written any more.
 	Blank bool `cbor:"4,keyasint,omitempty"`
+	// Disk identifies the disk that the record lies on: drawn at random for a disk that was found
+	// empty, zero for the machines that began the system. A machine that lost its disk is another
+	// voter: what the lost one had promised is never counted for it.
+	Disk uint64 `cbor:"5,keyasint,omitempty"`
 }
 
 // Prepare asks for a promise.
@@ -53,10 +57,10 @@
 // Reply is an acceptor's answer to either.
 type Reply struct {
 	OK       bool   `cbor:"1,keyasint"`
-	Blank    bool   `cbor:"2,keyasint,omitempty"` // it may not vote yet
 	Promised Ballot `cbor:"3,keyasint"`
 	Accepted Ballot `cbor:"4,keyasint"`
 	Value    []byte `cbor:"5,keyasint,omitempty"` // left out where the proposer has it
+	Disk     uint64 `cbor:"6,keyasint,omitempty"` // of the acceptor's record
 }
 
 // Acceptor votes. The zero value has voted in nothing.
@@ -64,11 +68,11 @@
 
 // Prepare answers a request for a promise. With write the record has to be synced first.
 func (a *Acceptor) Prepare(m Prepare) (r Reply, write bool) {
-	if !a.Record.Blank && m.Ballot.Compare(a.Record.Promised) > 0 {
+	if m.Ballot.Compare(a.Record.Promised) > 0 {
 		a.Record.Promised = m.Ballot
 		r.OK, write = true, true
 	}
-	r.Blank, r.Promised, r.Accepted = a.Record.Blank, a.Record.Promised, a.Record.Accepted
+	a.describe(&r)
 	if r.OK && r.Accepted != m.Known {
 		r.Value = a.Record.Value
 	}
@@ -77,78 +81,71 @@
 
 // Accept answers a request for a vote. With write the record has to be synced first.
 func (a *Acceptor) Accept(m Accept) (r Reply, write bool) {
-	if !a.Record.Blank && m.Ballot.Compare(a.Record.Promised) >= 0 {
+	if m.Ballot.Compare(a.Record.Promised) >= 0 {
 		a.Record.Promised, a.Record.Accepted, a.Record.Value = m.Ballot, m.Ballot, m.Value
 		r.OK, write = true, true
 	}
-	r.Blank, r.Promised, r.Accepted = a.Record.Blank, a.Record.Promised, a.Record.Accepted
+	a.describe(&r)
 	return r, write
 }
 
+// Learn stores a value that is known to be chosen, so that this disk holds a copy of it also where
+// its vote was not needed. No promise is taken back: the value counts as accepted by its own
+// ballot, on which every later one builds. With write the record has to be synced.
+func (a *Acceptor) Learn(ballot Ballot, value []byte) (write bool) {
+	if ballot.Compare(a.Record.Accepted) <= 0 {
+		return false
+	}
+	a.Record.Accepted, a.Record.Value = ballot, value
+	if ballot.Compare(a.Record.Promised) > 0 {
+		a.Record.Promised = ballot
+	}
+	return true
+}
+
 // Read tells what is accepted here without a promise.
 func (a *Acceptor) Read(known Ballot) Reply {
-	r := Reply{OK: !a.Record.Blank, Blank: a.Record.Blank, Promised: a.Record.Promised, Accepted: a.Record.Accepted}
+	r := Reply{OK: true}
+	a.describe(&r)
 	if r.Accepted != known {
 		r.Value = a.Record.Value
 	}
 	return r
 }
 
+func (a *Acceptor) describe(r *Reply) {
+	r.Promised, r.Accepted, r.Disk = a.Record.Promised, a.Record.Accepted, a.Record.Disk
+}
+
 // Majority is how many of n acceptors make one.
 func Majority(n int) int { return n/2 + 1 }
 
-// Restore is what a machine whose disk was lost does before it votes. It must read from so
-// many others that whatever a majority accepted, or promised, is among what it has read even
-// if lost disks were in that majority: all but lost of the n machines, which it is one of.
-type Restore struct {
-	lost int
-	read map[string]Reply
+// Confirmation proves that nothing newer than a known ballot was chosen when it began: a majority
+// of each set of voters had accepted nothing newer.
+type Confirmation struct {
+	known   Ballot
+	counted [][]string // the sets that the known value counts by
+	agree   map[string]bool
 }
 
-// NewRestore begins to read. lost is how many disks may be lost at once.
-func NewRestore(lost int) *Restore {
-	return &Restore{lost: max(1, lost), read: map[string]Reply{}}
+// NewConfirmation begins a confirmation of a value that is known to be chosen.
+func NewConfirmation(known Ballot, counted [][]string) *Confirmation {
+	return &Confirmation{known: known, counted: counted, agree: map[string]bool{}}
 }
 
-// Read takes in what another machine tells. One that is blank itself says nothing.
-func (r *Restore) Read(from string, m Reply) {
-	if m.OK {
-		r.read[from] = m
+// Hear takes in a voter's answer to a read that was sent after the confirmation began. It tells
+// whether the voter has accepted something newer.
+func (c *Confirmation) Hear(from string, m Reply) (newer bool) {
+	if m.Accepted.Compare(c.known) > 0 {
+		return true
 	}
+	c.agree[from] = true
+	return false
 }
 
-// Newest is the newest value read.
-func (r *Restore) Newest() (newest Reply) {
-	for _, m := range r.read {
-		if m.Accepted.Compare(newest.Accepted) > 0 {
-			newest = m
-		}
-	}
-	return newest
-}
-
-// Done gives the record to begin with, once enough was read of each of the sets of voters that
-// the newest value read counts by.
-func (r *Restore) Done(sets ...[]string) (Record, bool) {
-	for _, set := range sets {
-		have := 0
-		for _, v := range set {
-			if _, ok := r.read[v]; ok {
-				have++
-			}
-		}
-		if have < len(set)-min(r.lost, (len(set)-1)/2) {
-			return Record{}, false
-		}
-	}
-	newest := r.Newest()
-	rec := Record{Accepted: newest.Accepted, Value: newest.Value}
-	for _, m := range r.read {
-		if m.Promised.Compare(rec.Promised) > 0 {
-			rec.Promised = m.Promised
-		}
-	}
-	return rec, true
+// Proven tells that the known value was the newest chosen one when the confirmation began.
+func (c *Confirmation) Proven() bool {
+	return Agreed(c.counted, func(voter string) bool { return c.agree[voter] })
 }
 
 // Round is one ballot as its proposer sees it. Usually it counts by one set of voters. While
@@ -253,9 +250,6 @@
 }
 
 func (r *Round) refused(m Reply) {
-	if m.Blank {
-		return
-	}
 	if m.Promised.Compare(r.highest) > 0 {
 		r.highest = m.Promised
 	}
