--- a/coremembers/coremembers.go
+++ b/coremembers/coremembers.go
@@ -148,8 +148,8 @@
 	return ids
 }
 
-// silence is for how long a voter has not been heard.
-func (p *Planner) silence(now time.Duration, voter string) time.Duration {
+// Silence is for how long a voter has not been heard.
+func (p *Planner) Silence(now time.Duration, voter string) time.Duration {
 	if voter == p.self.Voter {
 		return 0
 	}
@@ -208,7 +208,7 @@
 	if slices.ContainsFunc(s.Voters, func(v string) bool { return controlstate.VoterIP(v) == ip }) {
 		return false // it has the seat of its own machine to take
 	}
-	silence := p.silence(now, voter)
+	silence := p.Silence(now, voter)
 	if silence < DarkAfter {
 		return false
 	}
