configdelta: limiters are told what a change changes, not the whole configuration

Change: a registry keeps the latest 4 MB of configurations and answers a pull with what makes the newest of the one that the caller has (pieces found in place, else DEFLATE with the older text as dictionary, with a checksum). A limiter for which it does not fit asks for the whole.

--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -16,6 +16,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"example.org/madderdrum/configdelta"
 	"example.org/madderdrum/controlstate"
 	"example.org/madderdrum/freshness"
 	"example.org/madderdrum/internal/boot"
@@ -43,6 +44,8 @@
 	// settings is not asked any more.
 	goneAfter   = 30 * time.Second
 	drainedMost = 8192
+	// historyMost is how many bytes of older configurations are kept to tell differences by.
+	historyMost = 4 << 20
 	// storeStale is the age of the proof at which another store is asked too.
 	storeStale = 2 * time.Second
 )
@@ -64,6 +67,7 @@
 	book     *stock.Book
 	news     chan struct{} // closed when the book or the register changes
 	reg      *controlstate.Register
+	history  *configdelta.History // of configurations
 	drained  map[string]bool      // servers whose drain a majority of the registries holds
 	lives    map[string]time.Time // when a source was last known to run
 	enrol    map[string]controlstate.Post
@@ -106,12 +110,15 @@
 	// The register comes without what the caller has: its configuration, where that has the same
 	// version, and its first places, so many.
 	SamePosts int `cbor:"9,keyasint,omitempty"`
+	// ConfigDelta makes the configuration of the one that the caller has, where that is kept here: see
+	// package configdelta. The register then comes without its configuration.
+	ConfigDelta []byte `cbor:"10,keyasint,omitempty"`
 }
 
 // Run serves until the context ends.
 func Run(ctx context.Context, set *boot.Settings, log logrus.FieldLogger) error {
 	h := &Registry{set: set, log: log, ctx: ctx, caller: rpc.NewCaller(), begun: time.Now(), news: make(chan struct{}),
-		reg: &controlstate.Register{}, contacts: freshness.NewContacts(set.IP), drained: map[string]bool{}, seeds: set.Cores(), lives: map[string]time.Time{}, enrol: map[string]controlstate.Post{},
+		reg: &controlstate.Register{}, contacts: freshness.NewContacts(set.IP), drained: map[string]bool{}, history: configdelta.NewHistory(historyMost), seeds: set.Cores(), lives: map[string]time.Time{}, enrol: map[string]controlstate.Post{},
 		book: stock.New(fmt.Sprintf("%s#%08x", set.Node, rand.Uint32()))}
 	inner, err := net.Listen("tcp", set.Internal(set.IP, boot.RegistryPort))
 	if err != nil {
@@ -320,9 +327,11 @@
 	if m.Source == "" {
 		if h.reg.Seq > m.Seq {
 			r := *h.reg
-			r.Applied, r.Voters, r.Prior = nil, nil, nil
+			r.Applied, r.Voters, r.Prior, r.ZoneChanges = nil, nil, nil, nil
 			if r.Version == m.Version {
 				r.Config = nil
+			} else if delta, ok := h.history.Delta(m.Version); ok {
+				r.Config, a.ConfigDelta = nil, delta
 			}
 			if n := m.Posts; n > 0 && n <= len(r.Posts) && controlstate.Sum(r.Posts[:n]) == m.PostsSum {
 				a.SamePosts, r.Posts = n, r.Posts[n:]
@@ -483,6 +492,7 @@
 		}
 		if w.Register != nil && w.Register.Seq > h.reg.Seq {
 			h.reg = w.Register
+			h.history.Add(h.reg.Version, h.reg.Config)
 			h.stir()
 		}
 		stale := !h.proof.Fresh(h.clock(), storeStale)
--- a/internal/switchyard/pull.go
+++ b/internal/switchyard/pull.go
@@ -10,6 +10,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"example.org/madderdrum/configdelta"
 	"example.org/madderdrum/controlstate"
 	"example.org/madderdrum/departures"
 	"example.org/madderdrum/freshness"
@@ -95,6 +96,9 @@
 	}
 	ask := registry.Pull{Vector: maps.Clone(y.book.Vector()), Seq: y.reg.Seq, HoldMs: uint64(hold / time.Millisecond), Me: me,
 		Version: y.reg.Version, Posts: len(y.reg.Posts), PostsSum: controlstate.Sum(y.reg.Posts)}
+	if y.wantsWhole {
+		ask.Version = 0
+	}
 	y.mu.Unlock()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -128,10 +132,9 @@
 	y.book.Know(a.Vector)
 	if a.Register != nil && a.Register.Seq > y.reg.Seq {
 		// What this limiter has is left out, as it was when it asked: nothing else changes it.
-		if a.Register.Version == y.reg.Version {
-			a.Register.Config = y.reg.Config
+		if !y.complete(a) {
+			return // the proof is of a register that this limiter does not have
 		}
-		a.Register.Posts = append(slices.Clone(y.reg.Posts[:a.SamePosts]), a.Register.Posts...)
 		y.adopt(a)
 		news = true
 	}
@@ -149,6 +152,27 @@
 	}
 }
 
+// complete puts into a register that was told what was left out of it: what this limiter had when it
+// asked, which nothing else changes. It tells whether the register is whole now. The mutex is held.
+func (y *Yard) complete(a *registry.Pulled) bool {
+	r := a.Register
+	switch {
+	case r.Version == y.reg.Version:
+		r.Config = y.reg.Config
+	case len(a.ConfigDelta) > 0:
+		text, err := configdelta.Apply(y.reg.Config, a.ConfigDelta)
+		if err != nil {
+			y.log.WithField("err", err).Warn("difference of configurations does not fit: the whole is asked for")
+			y.wantsWhole = true
+			return false
+		}
+		r.Config = text
+	}
+	y.wantsWhole = false
+	r.Posts = append(slices.Clone(y.reg.Posts[:a.SamePosts]), r.Posts...)
+	return true
+}
+
 // adopt has a newer register hold. The mutex is held.
 func (y *Yard) adopt(a *registry.Pulled) {
 	reg := a.Register
--- a/internal/switchyard/switchyard.go
+++ b/internal/switchyard/switchyard.go
@@ -53,6 +53,7 @@
 	reg        *controlstate.Register
 	sequence   uint64 // of this limiter's own word
 	proved     time.Time
+	wantsWhole bool // a difference did not fit: the next pull asks for the whole configuration
 	evacuate   map[string]bool
 	coldTo     map[string]time.Time // servers that are held for cold, by life, beyond what their beats tell
 	gone       map[string]bool      // lives whose address another server answered at
