rpc: answers carry their call's number; wicket: evacuations of callers that have gone are dropped

Cause: an answer was matched to its call by its place on the connection alone. An order to evacuate has no identity; one that a cut held up could be carried out after everything else.

Change: calls of a connection are numbered, and an answer with another number ends the connection. A registry does not carry out an evacuation whose caller has closed the connection already.

--- a/internal/registry/outside.go
+++ b/internal/registry/outside.go
@@ -39,6 +39,10 @@
 	return a
 }
 
+// isEvacuation tells that a call begins or finishes an evacuation: it carries no identity, so that one
+// that was held up on its way can't be told from a new one but by its caller having gone.
+func isEvacuation(r *http.Request) bool { return strings.HasPrefix(r.URL.Path, pathEvacuation) }
+
 // outside answers servers and operators.
 func (h *Registry) outside(ctx context.Context, r *http.Request, body []byte) wicket.Answer {
 	path := r.URL.Path
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -129,7 +129,7 @@
 		return fmt.Errorf("registry: listen for outside calls: %w", err)
 	}
 	go rpc.Serve(ctx, inner, map[string]rpc.Handler{CallPull: rpc.Taking(h.pull), callPush: rpc.Taking(h.pushed), callRepair: rpc.Taking(h.repaired), rpc.CallStatus: rpc.Asking(h.status)})
-	go (&wicket.Server{Handler: h.outside, MaxBody: maxBody}).Serve(ctx, outer)
+	go (&wicket.Server{Handler: h.outside, MaxBody: maxBody, DropAbandoned: isEvacuation}).Serve(ctx, outer)
 	if set.Bootstrap {
 		h.voters = [][]string{set.Cores()}
 	}
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -45,13 +45,18 @@
 type request struct {
 	Call string          `cbor:"1,keyasint"`
 	Body cbor.RawMessage `cbor:"2,keyasint"`
+	// ID numbers the calls of a connection: an answer belongs to the call whose number it carries.
+	ID uint64 `cbor:"3,keyasint,omitempty"`
 }
 
 type response struct {
 	Err  string          `cbor:"1,keyasint,omitempty"`
 	Body cbor.RawMessage `cbor:"2,keyasint,omitempty"`
+	ID   uint64          `cbor:"3,keyasint,omitempty"`
 }
 
+var errOtherCall = errors.New("the answer is that of another call")
+
 func write(w io.Writer, v any) error {
 	body, err := cbor.Marshal(v)
 	if err != nil {
@@ -91,6 +96,7 @@
 	net.Conn
 	in     *bufio.Reader
 	idleAt time.Time
+	calls  uint64 // made so far
 }
 
 // NewCaller returns a Caller.
@@ -154,11 +160,15 @@
 		}
 		l.SetDeadline(until)
 		stop := context.AfterFunc(ctx, func() { l.SetDeadline(time.Unix(1, 0)) })
-		err := write(l, &request{call, body})
+		l.calls++
+		err := write(l, &request{Call: call, Body: body, ID: l.calls})
 		var r response
 		if err == nil {
 			err = read(l.in, &r)
 		}
+		if err == nil && r.ID != l.calls {
+			err = errOtherCall
+		}
 		stop()
 		if err != nil {
 			l.Close()
@@ -229,7 +239,7 @@
 		if read(in, &q) != nil {
 			return
 		}
-		var r response
+		r := response{ID: q.ID}
 		if h := calls[q.Call]; h == nil {
 			r.Err = "unknown call"
 		} else if answer, err := h(ctx, q.Body); err != nil {
--- a/internal/wicket/wicket.go
+++ b/internal/wicket/wicket.go
@@ -6,6 +6,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -19,6 +20,9 @@
 	headWithin = 5 * time.Second
 	idleFor    = 60 * time.Second
 	bodyWithin = 20 * time.Second
+	// abandonedWithin is how long the end of a connection is waited for: what follows a call that was
+	// held up comes with it.
+	abandonedWithin = 2 * time.Millisecond
 )
 
 // Answer is what a call gets.
@@ -35,6 +39,9 @@
 type Server struct {
 	Handler Handler
 	MaxBody int64
+	// DropAbandoned tells of a call that it is not to be carried out once its caller has closed the
+	// connection: what a cut held up comes when it is not wanted any more. Nil is no call.
+	DropAbandoned func(r *http.Request) bool
 }
 
 // Serve runs until the context ends.
@@ -74,6 +81,9 @@
 			write(c, Answer{Status: 413, Body: []byte(`{"error":"the body is too long"}`)}, true)
 			return
 		}
+		if s.DropAbandoned != nil && s.DropAbandoned(r) && abandoned(c, in) {
+			return
+		}
 		a := s.Handler(ctx, r, body)
 		end := r.Close || ctx.Err() != nil
 		if write(c, a, end) != nil || end {
@@ -82,6 +92,14 @@
 	}
 }
 
+// abandoned tells that the caller has closed the connection already.
+func abandoned(c net.Conn, in *bufio.Reader) bool {
+	c.SetReadDeadline(time.Now().Add(abandonedWithin))
+	_, err := in.Peek(1)
+	var late net.Error
+	return err != nil && !(errors.As(err, &late) && late.Timeout())
+}
+
 func write(c net.Conn, a Answer, end bool) error {
 	out := make([]byte, 0, 256+len(a.Body))
 	out = append(out, "HTTP/1.1 "...)
--- /dev/null
+++ b/internal/wicket/wicket_test.go
@@ -0,0 +1,62 @@
+package wicket
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// A call that came late, its caller gone, is not carried out where it would do harm; any other is.
+func TestAbandonedCalls(t *testing.T) {
+	var harmful, harmless atomic.Int32
+	done := make(chan struct{}, 8)
+	s := &Server{MaxBody: 1 << 10, DropAbandoned: func(r *http.Request) bool { return r.URL.Path == "/harmful" },
+		Handler: func(_ context.Context, r *http.Request, _ []byte) Answer {
+			if r.URL.Path == "/harmful" {
+				harmful.Add(1)
+			} else {
+				harmless.Add(1)
+			}
+			done <- struct{}{}
+			return Answer{Status: 200}
+		}}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	send := func(path string, leave bool) {
+		c, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n", path)
+		if leave {
+			return
+		}
+		c.SetReadDeadline(time.Now().Add(5 * time.Second))
+		answer := make([]byte, 12)
+		if _, err := io.ReadFull(c, answer); err != nil || !strings.HasSuffix(string(answer), "200") {
+			t.Errorf("%s: %q %v", path, answer, err)
+		}
+	}
+	for range 20 {
+		send("/harmful", true)
+	}
+	send("/harmless", true)
+	go s.Serve(ctx, l) // all of them have gone before it reads anything
+	<-done
+	send("/harmful", false)
+	<-done
+	if harmful.Load() != 1 || harmless.Load() != 1 {
+		t.Errorf("carried out: %d harmful ones, 1 wanted; %d harmless ones, 1 wanted", harmful.Load(), harmless.Load())
+	}
+}
