One seat a machine: an operator's command names machines that have reported

Cause: TestVotersCommand failed once in some 45 runs, on a busy machine. The command that seats a machine came before that machine had reported, and seated its IP number as if it had begun the system: a voter that does not exist. With a second loss no majority was left.

Change: a machine that no store has heard of is refused with 404; a change of voters that would give one machine two seats with 409.

--- a/controlstate/voters.go
+++ b/controlstate/voters.go
@@ -63,6 +63,8 @@
 		return false, Outcome{Status: 409, Code: "busy", Text: "another change of voters is under way: ask again"}
 	case !changed:
 		return false, Outcome{Status: 200}
+	case twice(voters) != "":
+		return false, Outcome{Status: 409, Code: "twice", Text: fmt.Sprintf("machine %s would have two seats: unseat its earlier one with the same order", twice(voters))}
 	case len(voters) < leastVoters && len(voters) < len(old):
 		return false, Outcome{Status: 400, Code: "too_few", Text: fmt.Sprintf("%d voters would be left: seat another machine with the same order, %d are the least", len(voters), leastVoters)}
 	}
@@ -71,6 +73,19 @@
 	return true, Outcome{Status: 200}
 }
 
+// twice is a machine that has two seats, or nothing.
+func twice(voters []string) string {
+	seen := map[string]bool{}
+	for _, v := range voters {
+		ip := VoterIP(v)
+		if seen[ip] {
+			return ip
+		}
+		seen[ip] = true
+	}
+	return ""
+}
+
 // Proposal is what a round makes of the newest register that its majority told.
 type Proposal struct {
 	// Need are the sets of voters that the register counts by, where the round has counted by
--- a/controlstate/voters_test.go
+++ b/controlstate/voters_test.go
@@ -207,6 +207,18 @@
 	}
 }
 
+// No machine has two seats, by two disks.
+func TestOneSeatAMachine(t *testing.T) {
+	r := &Register{}
+	again := VoterID("2", 7)
+	if out := r.Apply(&Order{Kind: ChangeVoters, Seats: []string{again}, First: first}); out.Status != 409 || r.Seq != 0 {
+		t.Errorf("a second seat: %+v", out)
+	}
+	if out := r.Apply(&Order{Kind: ChangeVoters, Seats: []string{again}, Leave: []string{"2"}, First: first}); out.Status != 200 {
+		t.Errorf("another disk in place of the first: %+v", out)
+	}
+}
+
 // A machine that begins again without its disk is told other seeds than it was at first. It must
 // not count by those: two of them and two of the voters may share nobody.
 func TestVotersOutliveSeeds(t *testing.T) {
--- a/internal/configstore/calls.go
+++ b/internal/configstore/calls.go
@@ -98,7 +98,10 @@
 func (s *Store) change(ctx context.Context, m Change) (any, error) {
 	for i := range m.Orders {
 		if o := &m.Orders[i]; o.Kind == controlstate.ChangeVoters {
-			s.nameVoters(o)
+			if unknown := s.nameVoters(o); unknown != "" {
+				text := fmt.Sprintf("no store at %s has reported here: start it, and call again once status lists it among the learners", unknown)
+				return Changed{[]controlstate.Outcome{{Status: 404, Code: "no_learner", Text: text}}}, nil
+			}
 		}
 	}
 	within := orderWithin
@@ -110,31 +113,30 @@
 
 // nameVoters completes an operator's command, which names machines by their IP numbers: a machine
 // that is to have a seat by the identity under which it was last heard, one that is to leave by all
-// that vote for it.
-func (s *Store) nameVoters(o *controlstate.Order) {
+// that vote for it. It returns a machine that is not known, or nothing.
+func (s *Store) nameVoters(o *controlstate.Order) (unknown string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(o.First) == 0 {
 		o.First = s.replica.First()
 	}
 	voters := replica.Union(s.replica.Register().Sets(o.First)...)
-	learners := s.members.Learners(s.now(), voters)
+	known := append(s.members.Learners(s.now(), voters), voters...)
 	seats, leave := o.Seats, o.Leave
 	o.Seats, o.Leave = nil, nil
 	for _, ip := range seats {
-		id := ip
-		for _, known := range append(slices.Clone(learners), voters...) {
-			if controlstate.VoterIP(known) == ip {
-				id = known
-			}
+		i := slices.IndexFunc(known, func(id string) bool { return controlstate.VoterIP(id) == ip })
+		if i < 0 {
+			return ip
 		}
-		o.Seats = append(o.Seats, id)
+		o.Seats = append(o.Seats, known[i])
 	}
 	for _, id := range voters {
 		if slices.Contains(leave, controlstate.VoterIP(id)) && !slices.Contains(o.Seats, id) {
 			o.Leave = append(o.Leave, id)
 		}
 	}
+	return ""
 }
 
 var errNoQuorum = errors.New("no majority answers")
--- a/internal/configstore/store_test.go
+++ b/internal/configstore/store_test.go
@@ -156,7 +156,7 @@
 	if _, err := run("--unseat", s.ip(2)); err == nil || !strings.Contains(err.Error(), "2 voters would be left") {
 		t.Errorf("two are to be left: %v", err)
 	}
-	for _, bad := range [][]string{nil, {"--seat", "core-4"}} {
+	for _, bad := range [][]string{nil, {"--seat", "core-4"}, {"--seat", "127.79.1.9"}} {
 		if _, err := run(bad...); err == nil {
 			t.Errorf("%v is taken", bad)
 		}
