configstore: votes and log entries carry what a change changes

Cause: each change sent the whole register to each store and wrote it to each disk.

Change: accept carries what makes the new value of the one that most have accepted, and the whole to a store that has another one; a log entry builds on the one before, 256 times at most, so that a restart replays a bounded number.

--- a/internal/configstore/acceptor.go
+++ b/internal/configstore/acceptor.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"example.org/madderdrum/configdelta"
 	"example.org/madderdrum/coremembers"
 	"example.org/madderdrum/internal/wait"
 	"example.org/madderdrum/paxos"
@@ -20,12 +21,17 @@
 
 // vote has a changed record written down, or takes the change back.
 func (s *Store) vote(do func() (paxos.Reply, bool)) (paxos.Reply, error) {
+	return s.voteBy(nil, do)
+}
+
+// voteBy does the same, where a difference is known that makes the new value of the one before.
+func (s *Store) voteBy(delta []byte, do func() (paxos.Reply, bool)) (paxos.Reply, error) {
 	s.accepting.Lock()
 	defer s.accepting.Unlock()
 	before := s.acceptor.Record
 	reply, write := do()
 	if write {
-		if err := s.disk.write(&s.acceptor.Record, &before, s.firstVoters()); err != nil {
+		if err := s.disk.write(&s.acceptor.Record, &before, delta, s.firstVoters()); err != nil {
 			s.acceptor.Record = before
 			s.log.WithField("err", err).Warn("disk fails")
 			return paxos.Reply{}, errDisk
@@ -80,12 +86,49 @@
 	return s.vote(func() (paxos.Reply, bool) { return s.acceptor.Prepare(m) })
 }
 
-func (s *Store) accept(_ context.Context, m paxos.Accept) (any, error) {
+// acceptCall asks for a vote. The value comes whole or as what makes it of the value that the
+// acceptor has accepted by the ballot Base.
+type acceptCall struct {
+	Ballot paxos.Ballot `cbor:"1,keyasint"`
+	Value  []byte       `cbor:"2,keyasint,omitempty"`
+	Base   paxos.Ballot `cbor:"3,keyasint"`
+	Delta  []byte       `cbor:"4,keyasint,omitempty"`
+}
+
+// acceptAnswer is the vote. Lacks tells that the acceptor has another value than the difference is
+// for: the whole is to be sent.
+type acceptAnswer struct {
+	Reply paxos.Reply `cbor:"1,keyasint"`
+	Lacks bool        `cbor:"2,keyasint,omitempty"`
+}
+
+func (s *Store) accept(_ context.Context, m acceptCall) (any, error) {
 	return s.voteAccept(m)
 }
 
-func (s *Store) voteAccept(m paxos.Accept) (paxos.Reply, error) {
-	return s.vote(func() (paxos.Reply, bool) { return s.acceptor.Accept(m) })
+func (s *Store) voteAccept(m acceptCall) (answer acceptAnswer, err error) {
+	answer.Reply, err = s.voteBy(m.Delta, func() (paxos.Reply, bool) {
+		value := m.Value
+		if m.Delta != nil {
+			built, fits := s.build(m)
+			if !fits {
+				answer.Lacks = true
+				return paxos.Reply{}, false
+			}
+			value = built
+		}
+		return s.acceptor.Accept(paxos.Accept{Ballot: m.Ballot, Value: value})
+	})
+	return answer, err
+}
+
+// build makes a value of the one that is accepted. The lock round the acceptor is held.
+func (s *Store) build(m acceptCall) (value []byte, fits bool) {
+	if s.acceptor.Record.Accepted != m.Base {
+		return nil, false
+	}
+	value, err := configdelta.Apply(s.acceptor.Record.Value, m.Delta)
+	return value, err == nil
 }
 
 // readCall asks what is accepted, and reports about the store that asks.
--- a/internal/configstore/disk.go
+++ b/internal/configstore/disk.go
@@ -15,6 +15,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/tidwall/wal"
 
+	"example.org/madderdrum/configdelta"
 	"example.org/madderdrum/paxos"
 )
 
@@ -22,6 +23,9 @@
 // library keeps the whole of it in memory.
 const logMost = 512 << 10
 
+// deltasMost bounds how many entries of a log build on the one before: a restart replays them all.
+const deltasMost = 256
+
 const logPrefix = "register-"
 
 // disk keeps an acceptor's record in a write-ahead log. The log lies in a folder of its own
@@ -32,6 +36,7 @@
 	log    *wal.Log
 	next   uint64
 	size   int
+	deltas int  // entries that build on the one before
 	sick   bool // a write failed: the log has to be begun anew before the next
 }
 
@@ -40,6 +45,8 @@
 	Record  *paxos.Record `cbor:"1,keyasint,omitempty"`
 	Promise *paxos.Ballot `cbor:"2,keyasint,omitempty"`
 	Voters  []string      `cbor:"3,keyasint,omitempty"`
+	// Delta makes the value of the one before it, where Record comes without a value.
+	Delta []byte `cbor:"4,keyasint,omitempty"`
 }
 
 // kept is what was found on disk.
@@ -110,15 +117,20 @@
 			if !ok || cbor.Unmarshal(entry, &l) != nil {
 				break
 			}
-			k.take(&l)
+			if !k.take(&l) {
+				break
+			}
 		}
 	}
 	return k, nil
 }
 
-func (k *kept) take(l *line) {
+// take replays one entry. It tells whether the entry fits what was read before it.
+func (k *kept) take(l *line) bool {
 	if l.Record != nil {
-		k.record, k.found = *l.Record, true
+		if !k.takeRecord(l) {
+			return false
+		}
 	}
 	if l.Promise != nil {
 		k.record.Promised = *l.Promise
@@ -126,6 +138,20 @@
 	if l.Voters != nil {
 		k.voters = l.Voters
 	}
+	return true
+}
+
+func (k *kept) takeRecord(l *line) bool {
+	record := *l.Record
+	if l.Delta != nil {
+		value, err := configdelta.Apply(k.record.Value, l.Delta)
+		if err != nil {
+			return false
+		}
+		record.Value = value
+	}
+	k.record, k.found = record, true
+	return true
 }
 
 // seal puts a checksum behind an entry.
@@ -165,7 +191,7 @@
 		log.Close()
 		return err
 	}
-	d.log, d.next, d.size, d.sick = log, 2, len(entry), false
+	d.log, d.next, d.size, d.deltas, d.sick = log, 2, len(entry), 0, false
 	entries, err := os.ReadDir(d.dir)
 	if err != nil {
 		return nil // the older ones take room and do no harm
@@ -187,14 +213,20 @@
 	return f.Sync()
 }
 
-// write has a record safe on disk when it returns nil. before is the one written last.
-func (d *disk) write(record, before *paxos.Record, voters []string) error {
-	if d.log == nil || d.sick || d.size > logMost {
+// write has a record safe on disk when it returns nil. before is the one written last; delta makes
+// the new value of the one before, where that is known.
+func (d *disk) write(record, before *paxos.Record, delta []byte, voters []string) error {
+	if d.log == nil || d.sick || d.size > logMost || d.deltas >= deltasMost {
 		return d.begin(record, voters)
 	}
 	l := line{Record: record}
 	if record.Accepted == before.Accepted && record.Disk == before.Disk && bytes.Equal(record.Value, before.Value) {
 		l = line{Promise: &record.Promised}
+	} else if delta != nil {
+		short := *record
+		short.Value = nil
+		l = line{Record: &short, Delta: delta}
+		d.deltas++
 	}
 	entry, err := cbor.Marshal(&l)
 	if err != nil {
--- a/internal/configstore/disk_test.go
+++ b/internal/configstore/disk_test.go
@@ -1,12 +1,14 @@
 package configstore
 
 import (
+	"fmt"
 	"os"
 	"path/filepath"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
 
+	"example.org/madderdrum/configdelta"
 	"example.org/madderdrum/paxos"
 )
 
@@ -46,10 +48,16 @@
 		b := paxos.Ballot{Number: uint64(i + 1), Node: 1}
 		next := records[i]
 		next.Promised = b
+		var delta []byte
 		if i%2 == 1 {
 			next.Accepted, next.Value = b, []byte{byte(i), 7, 7}
+			if i > 1 {
+				if delta, err = configdelta.Between(records[i].Value, next.Value); err != nil {
+					t.Fatal(err)
+				}
+			}
 		}
-		if err := d.write(&next, &records[i], voters); err != nil {
+		if err := d.write(&next, &records[i], delta, voters); err != nil {
 			t.Fatal(err)
 		}
 		records = append(records, next)
@@ -98,7 +106,7 @@
 			// It goes on from there in a new log, and the old one is gone.
 			next := records[at]
 			next.Promised.Number = 99
-			if err := d2.write(&next, &records[at], voters); err != nil {
+			if err := d2.write(&next, &records[at], nil, voters); err != nil {
 				t.Fatal(err)
 			}
 			if _, k, err := openDisk(other); err != nil || k.record.Promised.Number != 99 {
@@ -119,7 +127,7 @@
 	for i := range 40 {
 		b := paxos.Ballot{Number: uint64(i + 1)}
 		next := paxos.Record{Promised: b, Accepted: b, Value: make([]byte, logMost/10)}
-		if err := d.write(&next, &before, nil); err != nil {
+		if err := d.write(&next, &before, nil, nil); err != nil {
 			t.Fatal(err)
 		}
 		before = next
@@ -135,3 +143,36 @@
 		t.Errorf("%d logs are left, 1 wanted, %v", len(entries), err)
 	}
 }
+
+// After hundreds of changes, each written as a difference, a restart finds the newest one and replays
+// a bounded number of entries.
+func TestLogOfDifferences(t *testing.T) {
+	dir := t.TempDir()
+	d, _, err := openDisk(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var before paxos.Record
+	for i := range 3*deltasMost + 10 {
+		b := paxos.Ballot{Number: uint64(i + 1)}
+		next := paxos.Record{Promised: b, Accepted: b, Value: fmt.Appendf(nil, "value %d of many", i)}
+		delta, err := configdelta.Between(before.Value, next.Value)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := d.write(&next, &before, delta, nil); err != nil {
+			t.Fatal(err)
+		}
+		before = next
+		if d.deltas > deltasMost {
+			t.Fatalf("%d entries build on the one before", d.deltas)
+		}
+	}
+	_, k, err := openDisk(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(before, k.record); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/internal/configstore/proposer.go
+++ b/internal/configstore/proposer.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"example.org/madderdrum/configdelta"
 	"example.org/madderdrum/controlstate"
 	"example.org/madderdrum/internal/boot"
 	"example.org/madderdrum/internal/wait"
@@ -110,26 +111,60 @@
 	return replica.Union(ips)
 }
 
-// ask sends a message to the machines of voters, which may be this one; answers come as they are
-// there. A machine answers for the disk that it has.
-func (s *Store) ask(ctx context.Context, voters []string, call string, message any, self func() (paxos.Reply, error)) <-chan answered {
+// ask has a message sent to the machines of voters, each by its own goroutine; answers come as they
+// are there. A machine answers for the disk that it has.
+func (s *Store) ask(voters []string, send func(ip string) (paxos.Reply, error)) <-chan answered {
 	ips := machines(voters)
 	out := make(chan answered, len(ips))
 	for _, ip := range ips {
 		go func() {
-			var reply paxos.Reply
-			var err error
-			if ip == s.settings.IP {
-				reply, err = self()
-			} else {
-				err = s.caller.Call(ctx, s.settings.Internal(ip, boot.ConfigStorePort), call, message, &reply, callWithin)
-			}
+			reply, err := send(ip)
 			out <- answered{controlstate.VoterID(ip, reply.Disk), reply, err}
 		}()
 	}
 	return out
 }
 
+// sendPrepare asks one machine for a promise.
+func (s *Store) sendPrepare(ctx context.Context, ip string, m paxos.Prepare) (reply paxos.Reply, err error) {
+	if ip == s.settings.IP {
+		return s.votePrepare(m)
+	}
+	err = s.caller.Call(ctx, s.settings.Internal(ip, boot.ConfigStorePort), callPrepare, m, &reply, callWithin)
+	return reply, err
+}
+
+// sendAccept asks one machine for a vote: first with the difference from what most have accepted,
+// and with the whole value where the machine has accepted something else.
+func (s *Store) sendAccept(ctx context.Context, ip string, difference, whole acceptCall) (paxos.Reply, error) {
+	answer, err := s.sendAcceptCall(ctx, ip, difference)
+	if err == nil && answer.Lacks {
+		answer, err = s.sendAcceptCall(ctx, ip, whole)
+	}
+	return answer.Reply, err
+}
+
+func (s *Store) sendAcceptCall(ctx context.Context, ip string, m acceptCall) (answer acceptAnswer, err error) {
+	if ip == s.settings.IP {
+		return s.voteAccept(m)
+	}
+	err = s.caller.Call(ctx, s.settings.Internal(ip, boot.ConfigStorePort), callAccept, m, &answer, callWithin)
+	return answer, err
+}
+
+// acceptCalls are the messages of a round's second half.
+func acceptCalls(attempt *replica.Attempt) (difference, whole acceptCall) {
+	whole = acceptCall{Ballot: attempt.Accept.Ballot, Value: attempt.Accept.Value}
+	if len(attempt.Base) == 0 {
+		return whole, whole
+	}
+	delta, err := configdelta.Between(attempt.Base, attempt.Accept.Value)
+	if err != nil || len(delta) > len(whole.Value)/2 {
+		return whole, whole
+	}
+	return acceptCall{Ballot: attempt.Accept.Ballot, Base: attempt.BaseBallot, Delta: delta}, whole
+}
+
 // round holds one round, and tells whether what is due was answered.
 func (s *Store) round(ctx context.Context, all []*pending) bool {
 	var batches [][]controlstate.Order
@@ -140,11 +175,12 @@
 	attempt := s.replica.Begin(batches)
 	s.mu.Unlock()
 	prepare := attempt.Prepare
-	answers := s.ask(ctx, attempt.Voters, callPrepare, prepare, func() (paxos.Reply, error) { return s.votePrepare(prepare) })
+	answers := s.ask(attempt.Voters, func(ip string) (paxos.Reply, error) { return s.sendPrepare(ctx, ip, prepare) })
 	step := s.gather(answers, attempt.Promise)
 	if step == replica.Vote {
 		accept := attempt.Accept
-		answers = s.ask(ctx, attempt.Voters, callAccept, accept, func() (paxos.Reply, error) { return s.voteAccept(accept) })
+		difference, whole := acceptCalls(attempt)
+		answers = s.ask(attempt.Voters, func(ip string) (paxos.Reply, error) { return s.sendAccept(ctx, ip, difference, whole) })
 		if step = s.gather(answers, attempt.Voted); step == replica.Settled {
 			s.tell(ctx, attempt.Voters, accept.Ballot, accept.Value)
 		}
--- a/replica/attempt.go
+++ b/replica/attempt.go
@@ -24,6 +24,9 @@
 	Prepare paxos.Prepare
 	Accept  paxos.Accept
 	Voters  []string // who is to be sent the present message
+	// Base is the newest value that was told, on which Accept's builds, and BaseBallot its ballot.
+	Base       []byte
+	BaseBallot paxos.Ballot
 
 	replica  *Replica
 	round    *paxos.Round
@@ -81,6 +84,7 @@
 		a.Voters = Union(append(slices.Clone(a.sets), p.Brings)...)
 	}
 	a.Accept = paxos.Accept{Ballot: a.Prepare.Ballot, Value: next}
+	a.Base, a.BaseBallot = value, newest
 	return Vote, nil
 }
 
