A registry that is cut off acknowledges no beat: its servers are not taken for silent

Cause: it answered beats that told nothing new with 200, so that a third of the servers stayed with it; the other registries took them for silent after four beats, and limiters sent them nothing.

Change: a registry that hears no majority answers 503 to every beat, and keeps what it tells.

--- a/internal/registry/outside.go
+++ b/internal/registry/outside.go
@@ -124,7 +124,9 @@
 	if unsafe && !h.acknowledge(ctx, id) {
 		return problem(503, "apart", "no majority of the registries has it: call another")
 	}
-	if apart && news {
+	if apart {
+		// It is kept all the same. The server goes on to a registry that others hear: they would take
+		// it for silent.
 		return problem(503, "apart", "no majority of the registries is heard: call another")
 	}
 	if !news {
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -92,6 +92,11 @@
 			t.Errorf("%s alone: %d %s", what, status, text)
 		}
 	}
+	for range 2 { // news or not: others would take the server for silent
+		if status, text := h.post(0, "/instances/i-3/heartbeat", beat("available", 1)); status != 503 || !strings.Contains(text, "apart") {
+			t.Errorf("a beat alone: %d %s", status, text)
+		}
+	}
 	if a, err := h.pulled(ctx, 0); err != nil || !a.Apart {
 		t.Errorf("a registry alone says that it is not apart: %v", err)
 	}
