--- a/cmd/configstore/main.go
+++ b/cmd/configstore/main.go
@@ -2,10 +2,10 @@
 package main
 
 import (
+	"example.org/madderdrum/internal/cli"
 	"example.org/madderdrum/internal/configstore"
-	"example.org/madderdrum/internal/depot"
 )
 
 func main() {
-	depot.Main("configstore", "Keeps the configuration", configstore.Run, configstore.Voters())
+	cli.Main("configstore", "Keeps the configuration", configstore.Run, configstore.Voters())
 }
--- a/cmd/registry/main.go
+++ b/cmd/registry/main.go
@@ -2,8 +2,8 @@
 package main
 
 import (
-	"example.org/madderdrum/internal/depot"
+	"example.org/madderdrum/internal/cli"
 	"example.org/madderdrum/internal/registry"
 )
 
-func main() { depot.Main("registry", "Knows which servers and limiters there are", registry.Run) }
+func main() { cli.Main("registry", "Knows which servers and limiters there are", registry.Run) }
--- a/cmd/switchyard/main.go
+++ b/cmd/switchyard/main.go
@@ -2,8 +2,8 @@
 package main
 
 import (
-	"example.org/madderdrum/internal/depot"
+	"example.org/madderdrum/internal/cli"
 	"example.org/madderdrum/internal/switchyard"
 )
 
-func main() { depot.Main("switchyard", "Passes clients' requests on to servers", switchyard.Run) }
+func main() { cli.Main("switchyard", "Passes clients' requests on to servers", switchyard.Run) }
--- a/internal/depot/depot.go
+++ b/internal/cli/cli.go
@@ -1,6 +1,6 @@
-// Package depot is what the three programs share: their command line, logs, signals and how
+// Package cli is what the three programs share: their command line, logs, signals and how
 // they use memory.
-package depot
+package cli
 
 import (
 	"context"
@@ -16,7 +16,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/spf13/cobra"
 
-	"example.org/madderdrum/internal/boot"
+	"example.org/madderdrum/internal/nodesettings"
 	"example.org/madderdrum/internal/rpc"
 	"example.org/madderdrum/timetable"
 )
@@ -30,13 +30,13 @@
 )
 
 // Run is a program's work until its context ends.
-type Run func(ctx context.Context, set *boot.Settings, log logrus.FieldLogger) error
+type Run func(ctx context.Context, set *nodesettings.Settings, log logrus.FieldLogger) error
 
 // Main parses the command line, and exits non-zero when the command fails.
 func Main(name, short string, run Run, more ...*cobra.Command) {
 	root := &cobra.Command{Use: name, Short: short, SilenceUsage: true}
 	root.CompletionOptions.DisableDefaultCmd = true
-	root.AddCommand(&cobra.Command{Use: "serve", Short: "Serve until SIGTERM; " + boot.Variable + " names the settings file",
+	root.AddCommand(&cobra.Command{Use: "serve", Short: "Serve until SIGTERM; " + nodesettings.Variable + " names the settings file",
 		Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error { return serve(name, run) }})
 	root.AddCommand(check(), status())
 	root.AddCommand(more...)
@@ -52,7 +52,7 @@
 	cmd.Flags().BoolVar(&configuration, "configuration", false, "the file is a whole configuration")
 	cmd.RunE = func(cmd *cobra.Command, args []string) error {
 		if !configuration {
-			s, err := boot.LoadFile(args[0])
+			s, err := nodesettings.LoadFile(args[0])
 			if err == nil {
 				fmt.Fprintf(cmd.OutOrStdout(), "settings of %v in zone %s are good\n", s, s.Zone)
 			}
@@ -96,7 +96,7 @@
 	signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	set, err := boot.Load()
+	set, err := nodesettings.Load()
 	if err != nil {
 		return err
 	}
--- a/internal/configstore/confirm.go
+++ b/internal/configstore/confirm.go
@@ -9,7 +9,7 @@
 
 	"example.org/madderdrum/controlstate"
 	"example.org/madderdrum/coremembers"
-	"example.org/madderdrum/internal/boot"
+	"example.org/madderdrum/internal/nodesettings"
 	"example.org/madderdrum/internal/wait"
 	"example.org/madderdrum/replica"
 )
@@ -98,7 +98,7 @@
 				s.mu.Lock()
 				answer.Reply = s.readDurable(ask.Known)
 				s.mu.Unlock()
-			} else if s.caller.Call(ctx, s.settings.Internal(ip, boot.ConfigStorePort), callRead, ask, &answer, callWithin) != nil {
+			} else if s.caller.Call(ctx, s.settings.Internal(ip, nodesettings.ConfigStorePort), callRead, ask, &answer, callWithin) != nil {
 				done <- false
 				return
 			}
--- a/internal/configstore/proposer.go
+++ b/internal/configstore/proposer.go
@@ -8,7 +8,7 @@
 
 	"example.org/madderdrum/configdelta"
 	"example.org/madderdrum/controlstate"
-	"example.org/madderdrum/internal/boot"
+	"example.org/madderdrum/internal/nodesettings"
 	"example.org/madderdrum/internal/wait"
 	"example.org/madderdrum/paxos"
 	"example.org/madderdrum/replica"
@@ -130,7 +130,7 @@
 	if ip == s.settings.IP {
 		return s.votePrepare(m)
 	}
-	err = s.caller.Call(ctx, s.settings.Internal(ip, boot.ConfigStorePort), callPrepare, m, &reply, callWithin)
+	err = s.caller.Call(ctx, s.settings.Internal(ip, nodesettings.ConfigStorePort), callPrepare, m, &reply, callWithin)
 	return reply, err
 }
 
@@ -148,7 +148,7 @@
 	if ip == s.settings.IP {
 		return s.voteAccept(m)
 	}
-	err = s.caller.Call(ctx, s.settings.Internal(ip, boot.ConfigStorePort), callAccept, m, &answer, callWithin)
+	err = s.caller.Call(ctx, s.settings.Internal(ip, nodesettings.ConfigStorePort), callAccept, m, &answer, callWithin)
 	return answer, err
 }
 
@@ -244,7 +244,7 @@
 }
 
 func (s *Store) tellOne(ctx context.Context, ip string, ballot paxos.Ballot, value []byte) {
-	to := s.settings.Internal(ip, boot.ConfigStorePort)
+	to := s.settings.Internal(ip, nodesettings.ConfigStorePort)
 	var answer chosenAnswer
 	err := s.caller.Call(ctx, to, callChosen, chosenCall{Ballot: ballot}, &answer, callWithin)
 	if err != nil || !answer.Lacks {
--- a/internal/configstore/store.go
+++ b/internal/configstore/store.go
@@ -18,7 +18,7 @@
 
 	"example.org/madderdrum/controlstate"
 	"example.org/madderdrum/coremembers"
-	"example.org/madderdrum/internal/boot"
+	"example.org/madderdrum/internal/nodesettings"
 	"example.org/madderdrum/internal/rpc"
 	"example.org/madderdrum/paxos"
 	"example.org/madderdrum/replica"
@@ -32,7 +32,7 @@
 
 // Store is one store of configuration.
 type Store struct {
-	settings *boot.Settings
+	settings *nodesettings.Settings
 	log      logrus.FieldLogger
 	caller   *rpc.Caller
 	begun    time.Time
@@ -56,12 +56,12 @@
 
 // Run serves until the context ends, and then until a learner has taken the store's seat, where
 // there is one.
-func Run(ctx context.Context, settings *boot.Settings, log logrus.FieldLogger) error {
+func Run(ctx context.Context, settings *nodesettings.Settings, log logrus.FieldLogger) error {
 	s, err := open(settings, log)
 	if err != nil {
 		return err
 	}
-	listener, err := net.Listen("tcp", settings.Internal(settings.IP, boot.ConfigStorePort))
+	listener, err := net.Listen("tcp", settings.Internal(settings.IP, nodesettings.ConfigStorePort))
 	if err != nil {
 		return fmt.Errorf("configstore: listen for other processes: %w", err)
 	}
@@ -79,7 +79,7 @@
 }
 
 // open reads what the disk holds and works out which voter this store is.
-func open(settings *boot.Settings, log logrus.FieldLogger) (*Store, error) {
+func open(settings *nodesettings.Settings, log logrus.FieldLogger) (*Store, error) {
 	disk, found, err := openDisk(settings.DataDir)
 	if err != nil {
 		return nil, err
@@ -124,7 +124,7 @@
 
 // followSettings takes over which core machines the settings name.
 func (s *Store) followSettings(ctx context.Context) {
-	s.settings.Follow(ctx, func(next *boot.Settings) {
+	s.settings.Follow(ctx, func(next *nodesettings.Settings) {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.contacts = next.Cores()
--- a/internal/configstore/store_test.go
+++ b/internal/configstore/store_test.go
@@ -12,7 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"example.org/madderdrum/controlstate"
-	"example.org/madderdrum/internal/boot"
+	"example.org/madderdrum/internal/nodesettings"
 	"example.org/madderdrum/internal/rpc"
 )
 
@@ -30,7 +30,7 @@
 func (s *stores) start(i int, bootstrap bool) {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	set := &boot.Settings{Node: fmt.Sprintf("core-%d", i+1), IP: s.ip(i), Bootstrap: bootstrap, Tolerate: 2, Ports: [2]int{7460, 7475},
+	set := &nodesettings.Settings{Node: fmt.Sprintf("core-%d", i+1), IP: s.ip(i), Bootstrap: bootstrap, Tolerate: 2, Ports: [2]int{7460, 7475},
 		DataDir: fmt.Sprintf("%s/%d", s.dir, i), Seeds: []string{s.ip(0) + ":1", s.ip(1) + ":1", s.ip(2) + ":1"}}
 	ctx, stop := context.WithCancel(context.Background())
 	s.stop[i], s.done[i] = stop, make(chan error, 1)
--- a/internal/wicket/wicket.go
+++ b/internal/httpapi/httpapi.go
@@ -1,7 +1,7 @@
-// Package wicket answers outside calls over HTTP/1.1: of servers, operators and clients that
+// Package httpapi answers outside calls over HTTP/1.1: of servers, operators and clients that
 // ask where to go. It reads requests with net/http and writes answers itself: a whole
 // http.Server would take more memory than a core machine's process does.
-package wicket
+package httpapi
 
 import (
 	"bufio"
--- a/internal/wicket/wicket_test.go
+++ b/internal/httpapi/httpapi_test.go
@@ -1,4 +1,4 @@
-package wicket
+package httpapi
 
 import (
 	"context"
--- a/internal/boot/boot.go
+++ b/internal/nodesettings/nodesettings.go
@@ -1,5 +1,5 @@
-// Package boot reads the settings file that a process of the system is started with.
-package boot
+// Package nodesettings reads the settings file that a process of the system is started with.
+package nodesettings
 
 import (
 	"bytes"
--- a/internal/boot/boot_test.go
+++ b/internal/nodesettings/nodesettings_test.go
@@ -1,4 +1,4 @@
-package boot
+package nodesettings
 
 import (
 	"context"
--- a/internal/registry/outside.go
+++ b/internal/registry/outside.go
@@ -12,7 +12,7 @@
 
 	"example.org/madderdrum/controlstate"
 	"example.org/madderdrum/internal/configstore"
-	"example.org/madderdrum/internal/wicket"
+	"example.org/madderdrum/internal/httpapi"
 	"example.org/madderdrum/stock"
 	"example.org/madderdrum/timetable"
 )
@@ -27,12 +27,12 @@
 )
 
 // problem is an answer that tells what was wrong and what to do.
-func problem(status int, code, text string) wicket.Answer {
+func problem(status int, code, text string) httpapi.Answer {
 	body, err := json.Marshal(map[string]string{"code": code, "error": text})
 	if err != nil {
 		body = nil
 	}
-	a := wicket.Answer{Status: status, Body: body}
+	a := httpapi.Answer{Status: status, Body: body}
 	if status == 503 {
 		a.Header = map[string]string{"Retry-After": "0.2"}
 	}
@@ -44,7 +44,7 @@
 func isEvacuation(r *http.Request) bool { return strings.HasPrefix(r.URL.Path, pathEvacuation) }
 
 // outside answers servers and operators.
-func (h *Registry) outside(ctx context.Context, r *http.Request, body []byte) wicket.Answer {
+func (h *Registry) outside(ctx context.Context, r *http.Request, body []byte) httpapi.Answer {
 	path := r.URL.Path
 	switch {
 	case strings.HasPrefix(path, pathInstances):
@@ -85,7 +85,7 @@
 }
 
 // heartbeat takes in a server's word of itself.
-func (h *Registry) heartbeat(ctx context.Context, id string, body []byte) wicket.Answer {
+func (h *Registry) heartbeat(ctx context.Context, id string, body []byte) httpapi.Answer {
 	v, err := fastjson.ParseBytes(body)
 	if err != nil {
 		return problem(400, "unreadable", "the body is not JSON: send the fields of a heartbeat")
@@ -130,9 +130,9 @@
 		return problem(503, "apart", "no majority of the registries is heard: call another")
 	}
 	if !news {
-		return wicket.Answer{Status: 200} // it comes here already
+		return httpapi.Answer{Status: 200} // it comes here already
 	}
-	return wicket.Answer{Status: 200, Body: []byte(`{"heartbeat_target":"` + h.set.Listen["control_plane"] + `"}`)}
+	return httpapi.Answer{Status: 200, Body: []byte(`{"heartbeat_target":"` + h.set.Listen["control_plane"] + `"}`)}
 }
 
 // acknowledge has a majority of the registries hold the drain of a server, and tells whether one
@@ -147,7 +147,7 @@
 	return true
 }
 
-func (h *Registry) deregister(ctx context.Context, id string) wicket.Answer {
+func (h *Registry) deregister(ctx context.Context, id string) httpapi.Answer {
 	h.mu.Lock()
 	if h.book.Leave(h.now(), id) {
 		h.stir()
@@ -159,7 +159,7 @@
 	h.mu.Lock()
 	delete(h.drained, id)
 	h.mu.Unlock()
-	return wicket.Answer{Status: 200}
+	return httpapi.Answer{Status: 200}
 }
 
 // seen is the version of the register that is in force here.
@@ -170,7 +170,7 @@
 }
 
 // change has an order agreed.
-func (h *Registry) change(ctx context.Context, o controlstate.Order) wicket.Answer {
+func (h *Registry) change(ctx context.Context, o controlstate.Order) httpapi.Answer {
 	out, ok := h.order(ctx, o)
 	if !ok {
 		return problem(503, "no_majority", "no majority of the stores answers: send it again, here or elsewhere")
@@ -179,10 +179,10 @@
 	if out.Status != 200 {
 		return problem(out.Status, out.Code, out.Text)
 	}
-	return wicket.Answer{Status: 200}
+	return httpapi.Answer{Status: 200}
 }
 
-func (h *Registry) fetch(ctx context.Context) wicket.Answer {
+func (h *Registry) fetch(ctx context.Context) httpapi.Answer {
 	var w configstore.Watched
 	if !h.anyStore(func(to string, left time.Duration) bool {
 		return h.caller.Call(ctx, to, configstore.CallFetch, nil, &w, left) == nil && w.Register != nil
@@ -192,5 +192,5 @@
 	if len(w.Register.Config) == 0 {
 		return problem(404, "none", "there is no configuration yet")
 	}
-	return wicket.Answer{Status: 200, Body: w.Register.Config}
+	return httpapi.Answer{Status: 200, Body: w.Register.Config}
 }
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -19,11 +19,11 @@
 	"example.org/madderdrum/configdelta"
 	"example.org/madderdrum/controlstate"
 	"example.org/madderdrum/freshness"
-	"example.org/madderdrum/internal/boot"
 	"example.org/madderdrum/internal/configstore"
+	"example.org/madderdrum/internal/httpapi"
+	"example.org/madderdrum/internal/nodesettings"
 	"example.org/madderdrum/internal/rpc"
 	"example.org/madderdrum/internal/wait"
-	"example.org/madderdrum/internal/wicket"
 	"example.org/madderdrum/stock"
 )
 
@@ -52,7 +52,7 @@
 
 // Registry is one registry.
 type Registry struct {
-	set    *boot.Settings
+	set    *nodesettings.Settings
 	log    logrus.FieldLogger
 	caller *rpc.Caller
 	begun  time.Time
@@ -116,11 +116,11 @@
 }
 
 // Run serves until the context ends.
-func Run(ctx context.Context, set *boot.Settings, log logrus.FieldLogger) error {
+func Run(ctx context.Context, set *nodesettings.Settings, log logrus.FieldLogger) error {
 	h := &Registry{set: set, log: log, ctx: ctx, caller: rpc.NewCaller(), begun: time.Now(), news: make(chan struct{}),
 		reg: &controlstate.Register{}, contacts: freshness.NewContacts(set.IP), drained: map[string]bool{}, history: configdelta.NewHistory(historyMost), seeds: set.Cores(), lives: map[string]time.Time{}, enrol: map[string]controlstate.Post{},
 		book: stock.New(fmt.Sprintf("%s#%08x", set.Node, rand.Uint32()))}
-	inner, err := net.Listen("tcp", set.Internal(set.IP, boot.RegistryPort))
+	inner, err := net.Listen("tcp", set.Internal(set.IP, nodesettings.RegistryPort))
 	if err != nil {
 		return fmt.Errorf("registry: listen for other processes: %w", err)
 	}
@@ -129,7 +129,7 @@
 		return fmt.Errorf("registry: listen for outside calls: %w", err)
 	}
 	go rpc.Serve(ctx, inner, map[string]rpc.Handler{CallPull: rpc.Taking(h.pull), callPush: rpc.Taking(h.pushed), callRepair: rpc.Taking(h.repaired), rpc.CallStatus: rpc.Asking(h.status)})
-	go (&wicket.Server{Handler: h.outside, MaxBody: maxBody, DropAbandoned: isEvacuation}).Serve(ctx, outer)
+	go (&httpapi.Server{Handler: h.outside, MaxBody: maxBody, DropAbandoned: isEvacuation}).Serve(ctx, outer)
 	if set.Bootstrap {
 		h.voters = [][]string{set.Cores()}
 	}
@@ -139,7 +139,7 @@
 	}
 	h.mu.Unlock()
 	go h.watch(ctx)
-	go set.Follow(ctx, func(next *boot.Settings) {
+	go set.Follow(ctx, func(next *nodesettings.Settings) {
 		log.WithField("seeds", len(next.Seeds)).Info("settings have changed")
 		h.mu.Lock()
 		defer h.mu.Unlock()
@@ -245,7 +245,7 @@
 
 // follow pulls from another registry, until that is gone for good.
 func (h *Registry) follow(ctx context.Context, ip string) {
-	to := h.set.Internal(ip, boot.RegistryPort)
+	to := h.set.Internal(ip, nodesettings.RegistryPort)
 	begun := h.clock()
 	for ctx.Err() == nil {
 		h.mu.Lock()
@@ -371,7 +371,7 @@
 			news = h.book.Leave(now, id) || news
 		}
 	}
-	p := controlstate.Post{Name: name, IP: boot.HostOf(r.Address), Zone: r.Zone}
+	p := controlstate.Post{Name: name, IP: nodesettings.HostOf(r.Address), Zone: r.Zone}
 	if !slices.Contains(h.reg.Posts, p) {
 		h.enrol[name] = p
 	}
@@ -416,7 +416,7 @@
 	done := make(chan string, len(others))
 	for _, ip := range others {
 		go func() {
-			if h.caller.Call(ctx, h.set.Internal(ip, boot.RegistryPort), callPush, []stock.Record{record}, nil, pushWithin) != nil {
+			if h.caller.Call(ctx, h.set.Internal(ip, nodesettings.RegistryPort), callPush, []stock.Record{record}, nil, pushWithin) != nil {
 				ip = ""
 			}
 			done <- ip
@@ -451,7 +451,7 @@
 	d := h.book.Digests()
 	h.mu.Unlock()
 	var records []stock.Record
-	if h.caller.Call(ctx, h.set.Internal(ip, boot.RegistryPort), callRepair, d, &records, time.Second) != nil {
+	if h.caller.Call(ctx, h.set.Internal(ip, nodesettings.RegistryPort), callRepair, d, &records, time.Second) != nil {
 		return
 	}
 	h.mu.Lock()
@@ -477,7 +477,7 @@
 		h.mu.Unlock()
 		var w configstore.Watched
 		begun := h.clock()
-		err := h.caller.Call(ctx, h.set.Internal(stores[k], boot.ConfigStorePort), configstore.CallWatch, ask, &w, watchHold+callSlack)
+		err := h.caller.Call(ctx, h.set.Internal(stores[k], nodesettings.ConfigStorePort), configstore.CallWatch, ask, &w, watchHold+callSlack)
 		if err != nil {
 			k = (k + 1) % len(stores)
 			wait.Sleep(ctx, 50*time.Millisecond)
@@ -553,7 +553,7 @@
 		if left < 50*time.Millisecond {
 			break
 		}
-		if call(h.set.Internal(ip, boot.ConfigStorePort), left) {
+		if call(h.set.Internal(ip, nodesettings.ConfigStorePort), left) {
 			return true
 		}
 	}
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -13,7 +13,7 @@
 
 	"example.org/madderdrum/controlstate"
 	"example.org/madderdrum/freshness"
-	"example.org/madderdrum/internal/boot"
+	"example.org/madderdrum/internal/nodesettings"
 	"example.org/madderdrum/internal/rpc"
 	"example.org/madderdrum/stock"
 )
@@ -30,7 +30,7 @@
 func (h *houses) start(i int) {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	set := &boot.Settings{Node: fmt.Sprintf("core-%d", i+1), IP: h.ip(i), Bootstrap: true, Zone: "z", Zones: map[string]string{"z": "r"}, Ports: [2]int{7460, 7475}, Heartbeat: 300 * time.Millisecond,
+	set := &nodesettings.Settings{Node: fmt.Sprintf("core-%d", i+1), IP: h.ip(i), Bootstrap: true, Zone: "z", Zones: map[string]string{"z": "r"}, Ports: [2]int{7460, 7475}, Heartbeat: 300 * time.Millisecond,
 		Listen: map[string]string{"control_plane": h.ip(i) + ":8383"}, Seeds: []string{h.ip(0) + ":8383", h.ip(1) + ":8383", h.ip(2) + ":8383"}}
 	ctx, stop := context.WithCancel(context.Background())
 	h.stop[i] = stop
@@ -121,7 +121,7 @@
 }
 
 func TestBadCalls(t *testing.T) {
-	h := &Registry{set: &boot.Settings{Zones: map[string]string{"z": "r"}, Listen: map[string]string{}}, drained: map[string]bool{}, contacts: freshness.NewContacts(""), reg: &controlstate.Register{}, book: stock.New("s"), news: make(chan struct{})}
+	h := &Registry{set: &nodesettings.Settings{Zones: map[string]string{"z": "r"}, Listen: map[string]string{}}, drained: map[string]bool{}, contacts: freshness.NewContacts(""), reg: &controlstate.Register{}, book: stock.New("s"), news: make(chan struct{})}
 	for _, x := range []struct {
 		method, path, body string
 		status             int
--- a/internal/switchyard/asks.go
+++ b/internal/switchyard/asks.go
@@ -6,7 +6,7 @@
 	"strconv"
 	"time"
 
-	"example.org/madderdrum/internal/boot"
+	"example.org/madderdrum/internal/nodesettings"
 	"example.org/madderdrum/internal/rpc"
 	"example.org/madderdrum/limiter"
 	"example.org/madderdrum/tariff"
@@ -71,7 +71,7 @@
 	y.serial++
 	serial = y.serial
 	y.asks[serial] = answers
-	to := y.set.Internal(y.reg.Posts[place].IP, boot.ProxyPort)
+	to := y.set.Internal(y.reg.Posts[place].IP, nodesettings.ProxyPort)
 	y.mu.Unlock()
 	y.tell(to, datagramAsk, rpc.Encode(tokenAsk{serial, account(c.tenant.Name), c.route.Name, c.service}))
 	return serial
--- a/internal/switchyard/doors.go
+++ b/internal/switchyard/doors.go
@@ -11,14 +11,14 @@
 	"strings"
 	"time"
 
-	"example.org/madderdrum/internal/boot"
+	"example.org/madderdrum/internal/httpapi"
+	"example.org/madderdrum/internal/nodesettings"
 	"example.org/madderdrum/internal/rpc"
-	"example.org/madderdrum/internal/wicket"
 )
 
 // doors opens the listeners for the platform's checks and for clients that ask where to go.
 func (y *Yard) doors(ctx context.Context) error {
-	for name, h := range map[string]wicket.Handler{"readiness": y.readiness, "directory": y.resolve} {
+	for name, h := range map[string]httpapi.Handler{"readiness": y.readiness, "directory": y.resolve} {
 		address := y.set.Listen[name]
 		if address == "" {
 			continue
@@ -27,9 +27,9 @@
 		if err != nil {
 			return fmt.Errorf("switchyard: listen for %s: %w", name, err)
 		}
-		go (&wicket.Server{Handler: h, MaxBody: 1 << 10}).Serve(ctx, l)
+		go (&httpapi.Server{Handler: h, MaxBody: 1 << 10}).Serve(ctx, l)
 	}
-	l, err := net.Listen("tcp", y.set.Internal(y.set.IP, boot.ProxyPort))
+	l, err := net.Listen("tcp", y.set.Internal(y.set.IP, nodesettings.ProxyPort))
 	if err != nil {
 		return fmt.Errorf("switchyard: listen for those who ask how it stands: %w", err)
 	}
@@ -68,11 +68,11 @@
 	return rpc.Status{Lines: lines}, nil
 }
 
-func (y *Yard) readiness(_ context.Context, r *http.Request, _ []byte) wicket.Answer {
+func (y *Yard) readiness(_ context.Context, r *http.Request, _ []byte) httpapi.Answer {
 	if !y.ready() {
-		return wicket.Answer{Status: 503}
+		return httpapi.Answer{Status: 503}
 	}
-	return wicket.Answer{Status: 200}
+	return httpapi.Answer{Status: 200}
 }
 
 type resolved struct {
@@ -80,9 +80,9 @@
 	TTL       string   `json:"ttl"`
 }
 
-func (y *Yard) resolve(_ context.Context, r *http.Request, _ []byte) wicket.Answer {
+func (y *Yard) resolve(_ context.Context, r *http.Request, _ []byte) httpapi.Answer {
 	if r.URL.Path != "/resolve" {
-		return wicket.Answer{Status: 404, Body: []byte(`{"error":"ask for /resolve"}`)}
+		return httpapi.Answer{Status: 404, Body: []byte(`{"error":"ask for /resolve"}`)}
 	}
 	q := r.URL.Query()
 	zone, region := q.Get("zone"), q.Get("region")
@@ -91,11 +91,11 @@
 	}
 	all := y.nearby(zone, region)
 	if len(all) == 0 {
-		return wicket.Answer{Status: 503, Body: []byte(`{"error":"no limiter is known to be ready"}`)}
+		return httpapi.Answer{Status: 503, Body: []byte(`{"error":"no limiter is known to be ready"}`)}
 	}
 	body, err := json.Marshal(resolved{all, strings.TrimSuffix(ttl.String(), "0ms")})
 	if err != nil {
-		return wicket.Answer{Status: 500}
+		return httpapi.Answer{Status: 500}
 	}
-	return wicket.Answer{Status: 200, Body: body}
+	return httpapi.Answer{Status: 200, Body: body}
 }
--- a/internal/switchyard/engine.go
+++ b/internal/switchyard/engine.go
@@ -9,7 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"example.org/madderdrum/blocks"
-	"example.org/madderdrum/internal/boot"
+	"example.org/madderdrum/internal/nodesettings"
 	"example.org/madderdrum/limiter"
 	"example.org/madderdrum/stock"
 	"example.org/madderdrum/tariff"
@@ -465,7 +465,7 @@
 		e.probe(a.Server)
 	case limiter.Tell:
 		if a.To >= 0 && a.To < len(y.reg.Posts) {
-			y.tell(y.set.Internal(y.reg.Posts[a.To].IP, boot.ProxyPort), datagramSpending, a.Data)
+			y.tell(y.set.Internal(y.reg.Posts[a.To].IP, nodesettings.ProxyPort), datagramSpending, a.Data)
 		}
 	case limiter.Log:
 		log := y.log
--- a/internal/switchyard/load.go
+++ b/internal/switchyard/load.go
@@ -8,7 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"example.org/madderdrum/controlstate"
-	"example.org/madderdrum/internal/boot"
+	"example.org/madderdrum/internal/nodesettings"
 	"example.org/madderdrum/internal/rpc"
 	"example.org/madderdrum/limiter"
 )
@@ -39,7 +39,7 @@
 	}
 	data := rpc.Encode(word)
 	for _, ip := range to {
-		y.tell(y.set.Internal(ip, boot.ProxyPort), datagramBlocks, data)
+		y.tell(y.set.Internal(ip, nodesettings.ProxyPort), datagramBlocks, data)
 	}
 }
 
--- a/internal/switchyard/loans.go
+++ b/internal/switchyard/loans.go
@@ -7,7 +7,7 @@
 
 	"example.org/madderdrum/blocks"
 	"example.org/madderdrum/controlstate"
-	"example.org/madderdrum/internal/boot"
+	"example.org/madderdrum/internal/nodesettings"
 	"example.org/madderdrum/internal/rpc"
 	"example.org/madderdrum/limiter"
 	"example.org/madderdrum/wagons"
@@ -66,7 +66,7 @@
 
 func (e *engine) write(l wagons.Letter) {
 	if l.To < len(e.y.reg.Posts) {
-		e.y.tell(e.y.set.Internal(e.y.reg.Posts[l.To].IP, boot.ProxyPort), datagramLoans, rpc.Encode(l.Message))
+		e.y.tell(e.y.set.Internal(e.y.reg.Posts[l.To].IP, nodesettings.ProxyPort), datagramLoans, rpc.Encode(l.Message))
 	}
 }
 
@@ -102,7 +102,7 @@
 			return
 		}
 		if n > 1 {
-			y.heard(boot.HostOf(from.String()), buf[0], slices.Clone(buf[1:n]))
+			y.heard(nodesettings.HostOf(from.String()), buf[0], slices.Clone(buf[1:n]))
 		}
 	}
 }
@@ -135,7 +135,7 @@
 		case datagramAsk:
 			var m tokenAsk
 			if rpc.Decode(data, &m) == nil {
-				y.tell(y.set.Internal(ip, boot.ProxyPort), datagramAnswer, rpc.Encode(e.asked(m)))
+				y.tell(y.set.Internal(ip, nodesettings.ProxyPort), datagramAnswer, rpc.Encode(e.asked(m)))
 			}
 		case datagramAnswer:
 			var a tokenAnswer
--- a/internal/switchyard/pull.go
+++ b/internal/switchyard/pull.go
@@ -14,7 +14,7 @@
 	"example.org/madderdrum/controlstate"
 	"example.org/madderdrum/departures"
 	"example.org/madderdrum/freshness"
-	"example.org/madderdrum/internal/boot"
+	"example.org/madderdrum/internal/nodesettings"
 	"example.org/madderdrum/internal/registry"
 	"example.org/madderdrum/internal/wait"
 	"example.org/madderdrum/stock"
@@ -34,7 +34,7 @@
 	for failed := 0; ctx.Err() == nil; {
 		cores := y.coresToAsk(failed)
 		k %= len(cores)
-		to := y.set.Internal(cores[k], boot.RegistryPort)
+		to := y.set.Internal(cores[k], nodesettings.RegistryPort)
 		if y.pull(ctx, to) {
 			failed = 0
 			continue
--- a/internal/switchyard/switchyard.go
+++ b/internal/switchyard/switchyard.go
@@ -16,7 +16,7 @@
 
 	"example.org/madderdrum/blocks"
 	"example.org/madderdrum/controlstate"
-	"example.org/madderdrum/internal/boot"
+	"example.org/madderdrum/internal/nodesettings"
 	"example.org/madderdrum/internal/rpc"
 	"example.org/madderdrum/internal/sockets"
 	"example.org/madderdrum/internal/wait"
@@ -29,7 +29,7 @@
 
 // Yard is one limiter of the system.
 type Yard struct {
-	set       *boot.Settings
+	set       *nodesettings.Settings
 	rules     tariff.Rules
 	log       logrus.FieldLogger
 	caller    *rpc.Caller
@@ -88,13 +88,13 @@
 )
 
 // Run serves until the context ends, which is a SIGTERM, and a while beyond.
-func Run(ctx context.Context, set *boot.Settings, log logrus.FieldLogger) error {
+func Run(ctx context.Context, set *nodesettings.Settings, log logrus.FieldLogger) error {
 	y := newYardOf(set, log)
 	front, err := net.Listen("tcp", set.Listen["frontend"])
 	if err != nil {
 		return fmt.Errorf("switchyard: listen for clients: %w", err)
 	}
-	if y.peers, err = net.ListenPacket("udp", set.Internal(set.IP, boot.ProxyPort)); err != nil {
+	if y.peers, err = net.ListenPacket("udp", set.Internal(set.IP, nodesettings.ProxyPort)); err != nil {
 		return fmt.Errorf("switchyard: listen for other limiters: %w", err)
 	}
 	life, end := context.WithCancel(context.Background()) // outlives SIGTERM
@@ -109,7 +109,7 @@
 	go y.tally(life)
 	go again(life, lineEvery, y.lookAlong)
 	go again(life, loadEvery, y.tellLoad)
-	go set.Follow(life, func(next *boot.Settings) {
+	go set.Follow(life, func(next *nodesettings.Settings) {
 		log.WithField("seeds", len(next.Seeds)).Info("settings have changed")
 		y.mu.Lock()
 		defer y.mu.Unlock()
@@ -123,7 +123,7 @@
 }
 
 // newYardOf returns a limiter that knows nothing yet.
-func newYardOf(set *boot.Settings, log logrus.FieldLogger) *Yard {
+func newYardOf(set *nodesettings.Settings, log logrus.FieldLogger) *Yard {
 	y := &Yard{set: set, log: log, link: newLink(set.LinkMbps), caller: rpc.NewCaller(), begun: time.Now(), self: fmt.Sprintf("%s#%08x", set.Node, rand.Uint32()),
 		seeds: set.Cores(), cores: set.Cores(), nudge: make(chan struct{}, 1), book: stock.New(""), reg: &controlstate.Register{},
 		evacuate: map[string]bool{}, coldTo: map[string]time.Time{}, gone: map[string]bool{},
--- a/internal/switchyard/switchyard_test.go
+++ b/internal/switchyard/switchyard_test.go
@@ -19,7 +19,7 @@
 
 	"example.org/madderdrum/blocks"
 	"example.org/madderdrum/controlstate"
-	"example.org/madderdrum/internal/boot"
+	"example.org/madderdrum/internal/nodesettings"
 	"example.org/madderdrum/internal/registry"
 	"example.org/madderdrum/internal/rpc"
 	"example.org/madderdrum/lineside"
@@ -51,8 +51,8 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { peers.Close() })
-	set := &boot.Settings{Node: "e1", IP: "127.0.0.1", Zone: "z", Region: "r", Zones: map[string]string{"z": "r"}, Ports: [2]int{7460, 7475},
-		Bounds: boot.Bounds{RetryRatio: 0.2, QuotaWindow: 5 * time.Second, QuotaOvershoot: 0.1, QuotaSlack: 20, WarmupOvershoot: 1.5, WarmupSlack: 5}}
+	set := &nodesettings.Settings{Node: "e1", IP: "127.0.0.1", Zone: "z", Region: "r", Zones: map[string]string{"z": "r"}, Ports: [2]int{7460, 7475},
+		Bounds: nodesettings.Bounds{RetryRatio: 0.2, QuotaWindow: 5 * time.Second, QuotaOvershoot: 0.1, QuotaSlack: 20, WarmupOvershoot: 1.5, WarmupSlack: 5}}
 	y := &yard{t: t, book: stock.New("core"), Yard: newYardOf(set, log)}
 	y.Yard.peers = peers
 	y.tell(&controlstate.Register{Seq: 1, Version: 1, Config: []byte(routes), Posts: []controlstate.Post{{Name: "e1", IP: "127.0.0.1", Zone: "z"}}})
--- a/internal/switchyard/watch.go
+++ b/internal/switchyard/watch.go
@@ -9,7 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"example.org/madderdrum/blocks"
-	"example.org/madderdrum/internal/boot"
+	"example.org/madderdrum/internal/nodesettings"
 	"example.org/madderdrum/internal/rpc"
 	"example.org/madderdrum/limiter"
 	"example.org/madderdrum/lineside"
@@ -90,7 +90,7 @@
 		if ip := y.lineIPs[l.To]; ip != "" {
 			m := lineMessage{Line: l.Message, Seen: y.telegraph.Next(y.now())}
 			m.Wait, m.Sure = y.waits()
-			y.tell(y.set.Internal(ip, boot.ProxyPort), datagramLine, rpc.Encode(m))
+			y.tell(y.set.Internal(ip, nodesettings.ProxyPort), datagramLine, rpc.Encode(m))
 		}
 	}
 }
@@ -129,7 +129,7 @@
 	y.book.Each(y.now(), func(r stock.Record) {
 		if r.Service == stock.Limiters && r.State == stock.Available && y.set.Zones[r.Zone] == y.set.Region {
 			zones[r.ID] = r.Zone
-			y.lineIPs[r.ID] = boot.HostOf(r.Address)
+			y.lineIPs[r.ID] = nodesettings.HostOf(r.Address)
 		}
 	})
 	y.line.Set(zones)
