--- a/controlstate/controlstate_test.go
+++ b/controlstate/controlstate_test.go
@@ -96,6 +96,12 @@
 	if restored.Seq != r.Seq {
 		t.Error("a repeated call has made a version")
 	}
+	// The test of this test: a snapshot that forgets what was taken refuses the newest call.
+	forgetful := restored.Clone()
+	forgetful.Applied = nil
+	if out := forgetful.Apply(&calls[len(calls)-1]); out.Status != 400 && out.Status != 412 {
+		t.Errorf("a snapshot without the identity of orders is not found: %+v", out)
+	}
 	race := Order{Kind: Replace, Body: config(len(calls), len(calls)-1, `"other"`)}
 	if out := restored.Apply(&race); out.Status != 412 {
 		t.Errorf("another change under the newest number: %+v", out)
--- a/internal/switchyard/switchyard_test.go
+++ b/internal/switchyard/switchyard_test.go
@@ -241,6 +241,31 @@
 	}
 }
 
+// The test of the one above: a request that is taken for repeatable does run twice where its first
+// server runs it and then cuts the connection.
+func TestResentAfterACut(t *testing.T) {
+	y := newYard(t)
+	servers := []*server{y.server("i-0", 0, "cut", "ok"), y.server("i-1", 0, "cut", "ok")}
+	y.tell(nil)
+	y.mu.Lock()
+	b := &tariff.Tries{}
+	for range 10 {
+		b.Earn(y.rules, 1)
+	}
+	y.budget["s"] = b
+	y.mu.Unlock()
+	y.client(request("GET", "/read/1", "id-1", "", ""), 1)
+	runs := 0
+	for _, s := range servers {
+		s.mu.Lock()
+		runs += len(s.ran)
+		s.mu.Unlock()
+	}
+	if runs < 2 {
+		t.Errorf("it ran %d times: a second run would not be seen", runs)
+	}
+}
+
 // Requests that come at once on one connection are answered in their order, also where a later
 // one is ready first; what comes behind a late second answer belongs to nobody.
 func TestPipeline(t *testing.T) {
