controlsim: registries' proofs and limiters' pulls; a limiter that stays with a stale registry is found

TestLimitersLeaveWhoIsCutOff: with one store of three cut off for 20 s no limiter of six is without a proof younger than 3 s; built in on purpose, staying is found.

--- a/internal/controlsim/controlsim.go
+++ b/internal/controlsim/controlsim.go
@@ -1,5 +1,6 @@
 // Package controlsim runs stores of configuration together in virtual time: their acceptors, rounds,
-// confirmations, reports and changes of voters, as the hosts in internal/configstore do, over links
+// confirmations, reports and changes of voters, as the hosts in internal/configstore do, with the
+// registries beside them and limiters that pull from these, over links
 // that are cut in one direction or both, with processes that freeze, end and come back, disks that
 // are lost and machines that are replaced. An operator gives orders all the while, and a judge holds
 // what is acknowledged and what is served as current against each other.
@@ -57,15 +58,16 @@
 
 // World is stores with an operator.
 type World struct {
-	Now    time.Duration
-	rng    *rand.Rand
-	queue  events
-	serial int
-	stores []*Store
-	first  []string
-	cut    map[[2]int]bool
-	disks  uint64
-	wanted int
+	Now      time.Duration
+	rng      *rand.Rand
+	queue    events
+	serial   int
+	stores   []*Store
+	limiters []*Limiter
+	first    []string
+	cut      map[[2]int]bool
+	disks    uint64
+	wanted   int
 
 	Acked  map[string]time.Duration // orders that were acknowledged
 	Sent   map[string]time.Duration // orders that wait for an acknowledgement, since when
@@ -73,8 +75,9 @@
 	Broken error                    // the first rule that was broken
 	orders int
 
-	// ProvesAlone, UnseatsCutOff and NoFence build a fault in on purpose, to see that it is found.
-	ProvesAlone, UnseatsCutOff, NoFence bool
+	// ProvesAlone, UnseatsCutOff, NoFence and StaysWithStale build a fault in on purpose, to see that it
+	// is found.
+	ProvesAlone, UnseatsCutOff, NoFence, StaysWithStale bool
 }
 
 // Store is one machine with its disk.
@@ -94,6 +97,7 @@
 	replica  *replica.Replica
 	members  *coremembers.Planner
 	leaving  bool
+	registry *registry
 	proposal *proposal
 	waiting  []*order
 	changing bool
@@ -197,6 +201,9 @@
 	s.members = coremembers.New(coremembers.Report{Voter: s.ID(), Zone: s.zone}, w.wanted, 0)
 	s.proposal, s.waiting, s.changing = nil, nil, false
 	s.later(time.Duration(w.rng.IntN(50))*time.Millisecond, s.confirm)
+	if len(w.limiters) > 0 {
+		s.startRegistry()
+	}
 }
 
 // Stop ends the process without a word.
--- a/internal/controlsim/controlsim_test.go
+++ b/internal/controlsim/controlsim_test.go
@@ -227,6 +227,7 @@
 	if spoil != nil {
 		spoil(w)
 	}
+	w.AddLimiter()
 	w.Operate(time.Duration(100+rng.IntN(800))*time.Millisecond, 60*second)
 	w.Run(3 * second)
 	for range 2 + rng.IntN(3) {
@@ -352,3 +353,37 @@
 		}
 	}
 }
+
+// mostProofAge is for how long a limiter may be without a fresh proof while one store is cut off: its
+// registry finds out in 1.6 s, and another one has a proof of half a second.
+const mostProofAge = 3 * second
+
+// Limiters that reach a registry which is cut off from the others leave it in time, and what they have
+// proof of is current.
+func TestLimitersLeaveWhoIsCutOff(t *testing.T) {
+	for _, stays := range []bool{false, true} {
+		w := New(11, 3, 1, "a", "b")
+		w.StaysWithStale = stays
+		for range 6 {
+			w.AddLimiter()
+		}
+		w.Operate(500*time.Millisecond, 30*second)
+		w.Run(5 * second)
+		w.Isolate(1, true, true, true)
+		old := false
+		for range 40 {
+			w.Run(second / 2)
+			for _, l := range w.limiters {
+				if age, ok := l.ProofAge(); !ok || age > mostProofAge {
+					old = true
+				}
+			}
+		}
+		if w.Broken != nil {
+			t.Error(w.Broken)
+		}
+		if old != stays {
+			t.Errorf("limiters stay with a registry that is cut off: %v; some had no fresh proof: %v", stays, old)
+		}
+	}
+}
