The directory helps a region out with limiters of regions that may serve its clients

Change: the limiters that are named beside those of the region are of regions that may serve all routes of the host that was asked for; any others only where the region has none.

--- a/departures/departures.go
+++ b/departures/departures.go
@@ -13,35 +13,45 @@
 }
 
 // least are the limiters in an answer, if so many are ready: where a region has fewer, others
-// are named too.
+// are named too. Those of regions that may not serve what the clients ask for are named only where
+// the clients' own region has none.
 const least = 2
 
 // Board lists the addresses for clients of a zone, near ones first, and most of them at most.
 // The whole region is named: where a zone goes dark its clients still have somebody to go to, and
 // clients that move to another zone find the same limiters. Of more than fit a part is drawn by
-// shuffle, as in math/rand, so that over many answers all get as many clients.
-func Board(all []Limiter, zone, region string, most int, shuffle func(int, func(int, int))) (out []string) {
+// shuffle, as in math/rand, so that over many answers all get as many clients. serves tells whether a
+// region may serve what the clients ask for.
+func Board(all []Limiter, zone, region string, serves func(region string) bool, most int, shuffle func(int, func(int, int))) (out []string) {
 	far := func(l Limiter) int {
 		switch {
 		case l.Zone == zone:
 			return 0
 		case l.Region == region:
 			return 1
+		case serves(l.Region):
+			return 2
 		}
-		return 2
+		return 3
 	}
 	all = slices.Clone(all)
 	shuffle(len(all), func(i, k int) { all[i], all[k] = all[k], all[i] })
-	near := 0
+	near, fit := 0, 0
 	for _, l := range all {
 		if far(l) < 2 {
 			near++
 		}
+		if far(l) < 3 {
+			fit++
+		}
+	}
+	if fit == 0 {
+		fit = len(all)
 	}
 	// Those of the region first, in the order of chance: which of them are left out must not go
 	// by their zone.
-	slices.SortStableFunc(all, func(a, b Limiter) int { return cmp.Compare(far(a)/2, far(b)/2) })
-	all = all[:min(most, max(near, min(least, len(all))))]
+	slices.SortStableFunc(all, func(a, b Limiter) int { return cmp.Compare(max(1, far(a)), max(1, far(b))) })
+	all = all[:min(most, max(near, min(least, fit)))]
 	slices.SortFunc(all, func(a, b Limiter) int { return cmp.Or(cmp.Compare(far(a), far(b)), cmp.Compare(a.Address, b.Address)) })
 	for _, l := range all {
 		out = append(out, l.Address)
--- a/internal/switchyard/doors.go
+++ b/internal/switchyard/doors.go
@@ -89,7 +89,7 @@
 	if region == "" {
 		region = y.set.Zones[zone]
 	}
-	all := y.nearby(zone, region)
+	all := y.nearby(q.Get("name"), zone, region)
 	if len(all) == 0 {
 		return httpapi.Answer{Status: 503, Body: []byte(`{"error":"no limiter is known to be ready"}`)}
 	}
--- a/internal/switchyard/pull.go
+++ b/internal/switchyard/pull.go
@@ -217,8 +217,14 @@
 	})
 }
 
-// nearby lists the limiters that clients of a zone are sent to, near ones first.
-func (y *Yard) nearby(zone, region string) []string {
+// nearby lists the limiters that clients of a zone are sent to for a host, near ones first.
+func (y *Yard) nearby(host, zone, region string) []string {
+	var homes []string
+	bound := false
+	if v := y.view.Load(); v != nil && v.table != nil {
+		homes, bound = v.table.HostHomes(host)
+	}
+	serves := func(region string) bool { return !bound || slices.Contains(homes, region) }
 	y.mu.Lock()
 	defer y.mu.Unlock()
 	var all []departures.Limiter
@@ -227,5 +233,5 @@
 			all = append(all, departures.Limiter{Address: r.Address, Zone: r.Zone, Region: y.set.Zones[r.Zone]})
 		}
 	})
-	return departures.Board(all, zone, region, mostNamed, rand.Shuffle)
+	return departures.Board(all, zone, region, serves, mostNamed, rand.Shuffle)
 }
--- a/timetable/timetable.go
+++ b/timetable/timetable.go
@@ -6,6 +6,7 @@
 import (
 	"bytes"
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -385,6 +386,24 @@
 	return nil
 }
 
+// HostHomes are the regions that may serve all routes of a host; bound is false where none of them is
+// bound to regions. host may carry a port.
+func (t *Table) HostHomes(host string) (regions []string, bound bool) {
+	if i := strings.IndexByte(host, ':'); i >= 0 {
+		host = host[:i]
+	}
+	for _, r := range t.hosts[strings.ToLower(host)] {
+		switch {
+		case len(r.Homes) == 0:
+		case !bound:
+			regions, bound = slices.Clone(r.Homes), true
+		default:
+			regions = slices.DeleteFunc(regions, func(region string) bool { return !slices.Contains(r.Homes, region) })
+		}
+	}
+	return regions, bound
+}
+
 // TenantOf returns the tenant that holds a key, or nil.
 func (t *Table) TenantOf(key string) *Tenant { return t.keys[key] }
 
--- a/timetable/timetable_test.go
+++ b/timetable/timetable_test.go
@@ -126,3 +126,27 @@
 		table.Find("h.example", "/a/")
 	})
 }
+
+// The homes of a host are those that all its bound routes have in common.
+func TestHostHomes(t *testing.T) {
+	route := func(name, homes string) string {
+		return `{"name":"` + name + `","route_type":"idempotent","target_latency":"600ms","match_criteria":{"path_prefix":"/` + name + `/"},"forward_action":{"service":"s","timeout":"1s","max_attempts":2,"allowed_regions":[` + homes + `]}}`
+	}
+	text := `{"config_version":"r1","base_revision":0,"tenants":[],"listeners":[
+{"hostname":"free","policy":[` + route("a", "") + `]},
+{"hostname":"Bound","policy":[` + route("b", `"north","isles"`) + `,` + route("c", "") + `,` + route("d", `"isles","south"`) + `]}],
+"clusters":[{"name":"s","health_path":"/health"}]}`
+	table, fault := Read([]byte(text))
+	if fault != nil {
+		t.Fatal(fault)
+	}
+	if regions, bound := table.HostHomes("free:80"); bound || regions != nil {
+		t.Errorf("%v %v", regions, bound)
+	}
+	if regions, bound := table.HostHomes("bound"); !bound || len(regions) != 1 || regions[0] != "isles" {
+		t.Errorf("%v %v", regions, bound)
+	}
+	if _, bound := table.HostHomes("nobody"); bound {
+		t.Error("a host without routes is bound")
+	}
+}
