--- a/internal/configstore/calls.go
+++ b/internal/configstore/calls.go
@@ -188,7 +188,7 @@
 func (s *Store) machineSets() (sets [][]string) {
 	for _, set := range s.replica.Register().Sets(s.replica.First()) {
 		if len(set) > 0 {
-			sets = append(sets, machines(set))
+			sets = append(sets, replica.Machines(set))
 		}
 	}
 	return sets
--- a/internal/configstore/confirm.go
+++ b/internal/configstore/confirm.go
@@ -89,7 +89,7 @@
 // readAll asks stores what they have accepted, until that proves what is known or all have answered.
 // What comes later is taken in too.
 func (s *Store) readAll(ctx context.Context, confirmation *replica.Confirmation, ask readCall, voters []string) {
-	ips := machines(voters)
+	ips := replica.Machines(voters)
 	done := make(chan bool, len(ips))
 	for _, ip := range ips {
 		go func() {
--- a/internal/configstore/proposer.go
+++ b/internal/configstore/proposer.go
@@ -103,18 +103,10 @@
 	err   error
 }
 
-// machines are the IP numbers of voters, each once.
-func machines(voters []string) (ips []string) {
-	for _, v := range voters {
-		ips = append(ips, controlstate.VoterIP(v))
-	}
-	return replica.Union(ips)
-}
-
 // ask has a message sent to the machines of voters, each by its own goroutine; answers come as they
 // are there. A machine answers for the disk that it has.
 func (s *Store) ask(voters []string, send func(ip string) (paxos.Reply, error)) <-chan answered {
-	ips := machines(voters)
+	ips := replica.Machines(voters)
 	out := make(chan answered, len(ips))
 	for _, ip := range ips {
 		go func() {
@@ -235,7 +227,7 @@
 	s.mu.Lock()
 	others := append(slices.Clone(voters), s.members.Learners(s.now(), voters)...)
 	s.mu.Unlock()
-	for _, ip := range machines(others) {
+	for _, ip := range replica.Machines(others) {
 		if ip == s.settings.IP {
 			continue
 		}
--- a/internal/controlsim/limiters.go
+++ b/internal/controlsim/limiters.go
@@ -6,6 +6,7 @@
 
 	"example.org/madderdrum/controlstate"
 	"example.org/madderdrum/freshness"
+	"example.org/madderdrum/replica"
 )
 
 // Spans that the hosts of registries and limiters keep too.
@@ -60,19 +61,12 @@
 		r.proof.Advance(s.clock(), 0, s.clock()-at)
 		r.voters = nil
 		for _, set := range s.replica.Register().Sets(s.replica.First()) {
-			r.voters = append(r.voters, machineIPs(set))
+			r.voters = append(r.voters, replica.Machines(set))
 		}
 	}
 	s.later(watchEvery, s.watch)
 }
 
-func machineIPs(voters []string) (ips []string) {
-	for _, v := range voters {
-		ips = append(ips, controlstate.VoterIP(v))
-	}
-	return ips
-}
-
 // source is what a registry tells of itself with an answer.
 func (s *Store) source() freshness.Source {
 	age, ok := s.registry.proof.Age(s.clock())
--- a/replica/model_test.go
+++ b/replica/model_test.go
@@ -90,7 +90,7 @@
 // send has messages on their way to the machines of voters.
 func (m *model) send(from int, voters []string, call string) {
 	s := m.stores[from]
-	for _, ip := range machineIPs(voters) {
+	for _, ip := range Machines(voters) {
 		to := m.find(ip)
 		if to < 0 {
 			continue
@@ -108,13 +108,6 @@
 	}
 }
 
-func machineIPs(voters []string) (ips []string) {
-	for _, v := range voters {
-		ips = append(ips, controlstate.VoterIP(v))
-	}
-	return Union(ips)
-}
-
 // begin has a store hold a round for an order.
 func (m *model) begin(i int) {
 	s := m.stores[i]
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -102,6 +102,14 @@
 	return slices.Compact(all)
 }
 
+// Machines are the IP numbers of the machines of voters, each once, sorted.
+func Machines(voters []string) (ips []string) {
+	for _, v := range voters {
+		ips = append(ips, controlstate.VoterIP(v))
+	}
+	return Union(ips)
+}
+
 // Confirmation is one question to the voters whether anything newer was chosen, as its store sees
 // it. What the answers tell of newer values is learnt from them.
 type Confirmation struct {
