--- a/internal/agreement/link.go
+++ b/internal/agreement/link.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -95,7 +96,7 @@
 			return
 		}
 		for len(l.queue) > 0 { // stale by now
-			<-l.queue
+			l.drop(ctx, h, <-l.queue)
 		}
 		if h.eager() {
 			l.open()
@@ -103,8 +104,22 @@
 	}
 }
 
-// talk is one connection; it returns whether this process was welcome there.
+// drop gives up a message that was not sent. The leader sends nothing more to a member until it hears
+// what became of a snapshot to it.
+func (l *link) drop(ctx context.Context, h *Host, m *raftpb.Message) {
+	if m != nil && m.GetType() == raftpb.MessageType_MsgSnap {
+		h.give(ctx, event{snapshotTo: m.GetTo(), ok: false})
+	}
+}
+
+// talk is one connection; it returns whether this process was welcome there. A first message that can't
+// be sent is dropped.
 func (l *link) talk(ctx context.Context, h *Host, first *raftpb.Message) (welcome bool, err error) {
+	defer func() {
+		if !welcome {
+			l.drop(ctx, h, first)
+		}
+	}()
 	c, err := (&net.Dialer{Timeout: dialFor}).DialContext(ctx, "tcp", l.addr)
 	if err != nil {
 		return false, err
@@ -283,10 +298,21 @@
 		open(hello.Name, NewStream(c))
 		return nil
 	}
+	// What comes here is for the member that was greeted. Once this process is another one the sender has
+	// to greet it anew: else all that it sends is dropped, and it does not notice.
+	renamed, over := h.renamed(r.Hello.Member), make(chan struct{})
+	defer close(over)
+	go func() {
+		select {
+		case <-renamed:
+			c.Close()
+		case <-over:
+		}
+	}()
 	in := bufio.NewReaderSize(c, 64<<10)
 	for {
 		data, err := readFrame(in, mostFrame)
-		if err == io.EOF || isReset(err) {
+		if err == io.EOF || isReset(err) || errors.Is(err, net.ErrClosed) {
 			return nil
 		}
 		if err != nil {
