directory: clients are never led to regions that may not serve what they ask for

Cause: where a region had no limiter left, the directory named those of any region.

Change: limiters of regions that may not serve a host's routes are not named.

--- a/departures/departures.go
+++ b/departures/departures.go
@@ -13,8 +13,8 @@
 }
 
 // least are the limiters in an answer, if so many are ready: where a region has fewer, others
-// are named too. Those of regions that may not serve what the clients ask for are named only where
-// the clients' own region has none.
+// are named too, but never those of regions that may not serve what the clients ask for: requests are
+// not led out of their homes, not even where nobody is left there.
 const least = 2
 
 // Board lists the addresses for clients of a zone, near ones first, and most of them at most.
@@ -45,9 +45,6 @@
 			fit++
 		}
 	}
-	if fit == 0 {
-		fit = len(all)
-	}
 	// Those of the region first, in the order of chance: which of them are left out must not go
 	// by their zone.
 	slices.SortStableFunc(all, func(a, b Limiter) int { return cmp.Compare(max(1, far(a)), max(1, far(b))) })
