--- a/controlstate/controlstate.go
+++ b/controlstate/controlstate.go
@@ -6,12 +6,12 @@
 import (
 	"crypto/sha256"
 	"fmt"
-	"hash/fnv"
 	"slices"
 	"strings"
 
 	"github.com/fxamacker/cbor/v2"
 
+	"example.org/madderdrum/places"
 	"example.org/madderdrum/timetable"
 )
 
@@ -21,7 +21,7 @@
 	Version uint64           `cbor:"2,keyasint"`           // of the configuration
 	Config  []byte           `cbor:"3,keyasint,omitempty"` // its text
 	Evac    []string         `cbor:"4,keyasint,omitempty"` // zones, sorted
-	Posts   []Post           `cbor:"5,keyasint,omitempty"` // by position
+	Places  []places.Place   `cbor:"5,keyasint,omitempty"` // of limiters, by slot
 	Applied []AppliedCommand `cbor:"6,keyasint,omitempty"` // the latest changes, oldest first
 	// Revoked is the Seq of the latest change that took a key away.
 	Revoked uint64 `cbor:"7,keyasint,omitempty"`
@@ -34,6 +34,8 @@
 	VoterChanges uint64 `cbor:"10,keyasint,omitempty"`
 	// ZoneChanges holds the Seq of the latest change of each zone's evacuation, sorted by zone.
 	ZoneChanges []ZoneChange `cbor:"11,keyasint,omitempty"`
+	// PlacesSettled is the Seq of the oldest register whose places a limiter may still go by.
+	PlacesSettled uint64 `cbor:"12,keyasint,omitempty"`
 }
 
 // ZoneChange is when the evacuation of a zone was last begun or finished.
@@ -42,20 +44,18 @@
 	Seq  uint64 `cbor:"2,keyasint"`
 }
 
-// Post is a limiter's place. It keeps it for good: its part of quotas stands by it.
-type Post struct {
-	Name string `cbor:"1,keyasint"`
-	IP   string `cbor:"2,keyasint"`
-	Zone string `cbor:"3,keyasint"`
+// PlaceTable is the table of places, whose version is the register's Seq. It shares its memory with the
+// register.
+func (r *Register) PlaceTable() places.Table {
+	return places.Table{Places: r.Places, Settled: r.PlacesSettled}
 }
 
-// Sum is a digest of places, by which two can tell that they have the same.
-func Sum(posts []Post) uint64 {
-	h := fnv.New64a()
-	for _, p := range posts {
-		fmt.Fprintf(h, "%s\x00%s\x00%s\x00", p.Name, p.IP, p.Zone)
-	}
-	return h.Sum64()
+// changePlaces has a change made to the table of places.
+func (r *Register) changePlaces(change func(t *places.Table, version uint64) bool) (changed bool) {
+	t := r.PlaceTable()
+	changed = change(&t, r.Seq+1)
+	r.Places, r.PlacesSettled = t.Places, t.Settled
+	return changed
 }
 
 // AppliedCommand is a change that was taken, so that the same call can be known when it comes again.
@@ -77,23 +77,29 @@
 	Finish                            // and take it back
 	RegisterLimiters                  // give limiters their places
 	ChangeVoters                      // let core machines vote, or have them vote no more
+	ReleasePlaces                     // end the places of limiters
+	SettlePlaces                      // note that nobody goes by older places any more
 )
 
 // Order is one change that somebody asks for.
 type Order struct {
-	Kind  OrderKind `cbor:"1,keyasint"`
-	Body  []byte    `cbor:"2,keyasint,omitempty"` // of Replace and Update
-	Zone  string    `cbor:"3,keyasint,omitempty"` // of Begin and Finish
-	Posts []Post    `cbor:"4,keyasint,omitempty"` // of RegisterLimiters
-	Seats []string  `cbor:"5,keyasint,omitempty"` // of ChangeVoters: those to be voters, with those that are
-	First []string  `cbor:"6,keyasint,omitempty"` // of ChangeVoters: the voters that everyone began with
-	Leave []string  `cbor:"7,keyasint,omitempty"` // of ChangeVoters: those to vote no more
+	Kind   OrderKind      `cbor:"1,keyasint"`
+	Body   []byte         `cbor:"2,keyasint,omitempty"` // of Replace and Update
+	Zone   string         `cbor:"3,keyasint,omitempty"` // of Begin and Finish
+	Places []places.Place `cbor:"4,keyasint,omitempty"` // of RegisterLimiters: to be made
+	Seats  []string       `cbor:"5,keyasint,omitempty"` // of ChangeVoters: those to be voters, with those that are
+	First  []string       `cbor:"6,keyasint,omitempty"` // of ChangeVoters: the voters that everyone began with
+	Leave  []string       `cbor:"7,keyasint,omitempty"` // of ChangeVoters: those to vote no more
 	// Term of ChangeVoters is that of the voters that the change was decided by: it is refused under
 	// any other. Zero is for operators' commands, which hold under every term.
 	Term uint64 `cbor:"8,keyasint,omitempty"`
 	// Seen of Begin and Finish is the Seq of the register that was in force where the order came in.
 	// An order that was overtaken by another one for the same zone is not carried out.
 	Seen uint64 `cbor:"9,keyasint,omitempty"`
+	// Holders of ReleasePlaces are those whose places end.
+	Holders []string `cbor:"10,keyasint,omitempty"`
+	// Settled of SettlePlaces is the Seq of the oldest register whose places anybody still goes by.
+	Settled uint64 `cbor:"11,keyasint,omitempty"`
 }
 
 // Outcome is what became of an order.
@@ -122,7 +128,7 @@
 // Clone is a copy that can be changed by itself. Texts are shared: they do not change.
 func (r *Register) Clone() *Register {
 	c := *r
-	c.Evac, c.Posts, c.Applied = slices.Clone(r.Evac), slices.Clone(r.Posts), slices.Clone(r.Applied)
+	c.Evac, c.Places, c.Applied = slices.Clone(r.Evac), slices.Clone(r.Places), slices.Clone(r.Applied)
 	c.Voters, c.Prior = slices.Clone(r.Voters), slices.Clone(r.Prior)
 	c.ZoneChanges = slices.Clone(r.ZoneChanges)
 	return &c
@@ -154,7 +160,14 @@
 	case Begin, Finish:
 		return r.evacuate(o)
 	case RegisterLimiters:
-		return r.registerLimiters(o.Posts), Outcome{Status: 200}
+		return r.changePlaces(func(t *places.Table, version uint64) bool { return t.Join(version, o.Places) }), Outcome{Status: 200}
+	case ReleasePlaces:
+		return r.changePlaces(func(t *places.Table, version uint64) bool { return t.Release(version, o.Holders) }), Outcome{Status: 200}
+	case SettlePlaces:
+		if o.Settled > r.Seq {
+			return false, Outcome{Status: 409, Code: "not_yet", Text: fmt.Sprintf("places of register %d can't be settled: the newest is %d", o.Settled, r.Seq)}
+		}
+		return r.changePlaces(func(t *places.Table, _ uint64) bool { return t.Settle(o.Settled) }), Outcome{Status: 200}
 	case ChangeVoters:
 		return r.changeVoters(o)
 	}
@@ -227,16 +240,3 @@
 	}
 	return Outcome{Status: status, Code: f.Code, Text: f.Error()}
 }
-
-func (r *Register) registerLimiters(posts []Post) (changed bool) {
-	for _, p := range posts {
-		i := slices.IndexFunc(r.Posts, func(o Post) bool { return o.Name == p.Name })
-		switch {
-		case i < 0:
-			r.Posts, changed = append(r.Posts, p), true
-		case r.Posts[i] != p:
-			r.Posts[i], changed = p, true
-		}
-	}
-	return changed
-}
--- a/internal/configstore/calls.go
+++ b/internal/configstore/calls.go
@@ -213,10 +213,11 @@
 		proof = (s.now() - at).Round(time.Millisecond).String()
 	}
 	register, voters := s.replica.Register(), replica.Union(s.replica.Sets()...)
+	limiters := register.PlaceTable()
 	return rpc.Status{Lines: []string{
 		fmt.Sprintf("program=configstore node=%s zone=%s voter=%s voters=%v learners=%v votes=%v disk_fails=%v", s.settings.Node, s.settings.Zone, s.voter(), voters,
 			s.members.Learners(s.now(), voters), s.votes(), failed),
-		fmt.Sprintf("register seq=%d version=r%d term=%d revoked=%d evacuated=%v limiters=%d", register.Seq, register.Version, register.Term(), register.Revoked, register.Evac, len(register.Posts)),
+		fmt.Sprintf("register seq=%d version=r%d term=%d revoked=%d evacuated=%v limiters=%d", register.Seq, register.Version, register.Term(), register.Revoked, register.Evac, limiters.Count()),
 		fmt.Sprintf("ballots promised=%d accepted=%d chosen=%d proof_age=%s", s.durable.Promised.Number, s.durable.Accepted.Number, s.replica.Chosen().Number, proof),
 	}}, nil
 }
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -24,6 +24,7 @@
 	"example.org/madderdrum/internal/nodesettings"
 	"example.org/madderdrum/internal/rpc"
 	"example.org/madderdrum/internal/wait"
+	"example.org/madderdrum/places"
 	"example.org/madderdrum/stock"
 )
 
@@ -70,8 +71,7 @@
 	history  *configdelta.History // of configurations
 	drained  map[string]bool      // servers whose drain a majority of the registries holds
 	lives    map[string]time.Time // when a source was last known to run
-	enrol    map[string]controlstate.Post
-	enrolAt  time.Time
+	limiters *limiterPlaces
 }
 
 // Calls of a registry.
@@ -88,11 +88,15 @@
 	HoldMs uint64        `cbor:"3,keyasint,omitempty"` // wait so long for news
 	Me     *stock.Record `cbor:"4,keyasint,omitempty"` // a limiter's word of itself
 	Source string        `cbor:"5,keyasint,omitempty"` // a registry's own
-	// What a limiter has of the register: the version of the configuration, so many places, and
-	// their sum.
-	Version  uint64 `cbor:"6,keyasint,omitempty"`
-	Posts    int    `cbor:"7,keyasint,omitempty"`
-	PostsSum uint64 `cbor:"8,keyasint,omitempty"`
+	// Version is of the configuration that a limiter has. Of the register with Seq it has the rest, unless
+	// it wants the Whole.
+	Version uint64 `cbor:"6,keyasint,omitempty"`
+	Whole   bool   `cbor:"7,keyasint,omitempty"`
+	// LoansMs is in how many ms nobody uses more of this limiter's part than the register with Seq gives
+	// it. From then on it and those who borrow from it go by that register or a later one.
+	LoansMs uint64 `cbor:"9,keyasint,omitempty"`
+	// Done tells that a limiter that leaves sends nothing any more: its place can be released.
+	Done bool `cbor:"10,keyasint,omitempty"`
 }
 
 // Pulled is the answer.
@@ -108,8 +112,8 @@
 	Apart  bool   `cbor:"7,keyasint,omitempty"`
 	HeldMs uint64 `cbor:"8,keyasint,omitempty"`
 	// The register comes without what the caller has: its configuration, where that has the same
-	// version, and its first places, so many.
-	SamePosts int `cbor:"9,keyasint,omitempty"`
+	// version. Places make its places of those that the caller has.
+	Places *places.Delta `cbor:"9,keyasint,omitempty"`
 	// ConfigDelta makes the configuration of the one that the caller has, where that is kept here: see
 	// package configdelta. The register then comes without its configuration.
 	ConfigDelta []byte `cbor:"10,keyasint,omitempty"`
@@ -118,7 +122,7 @@
 // Run serves until the context ends.
 func Run(ctx context.Context, set *nodesettings.Settings, log logrus.FieldLogger) error {
 	h := &Registry{set: set, log: log, ctx: ctx, caller: rpc.NewCaller(), begun: time.Now(), news: make(chan struct{}),
-		reg: &controlstate.Register{}, contacts: freshness.NewContacts(set.IP), drained: map[string]bool{}, history: configdelta.NewHistory(historyMost), seeds: set.Cores(), lives: map[string]time.Time{}, enrol: map[string]controlstate.Post{},
+		reg: &controlstate.Register{}, contacts: freshness.NewContacts(set.IP), drained: map[string]bool{}, history: configdelta.NewHistory(historyMost), seeds: set.Cores(), lives: map[string]time.Time{}, limiters: newLimiterPlaces(),
 		book: stock.New(fmt.Sprintf("%s#%08x", set.Node, rand.Uint32()))}
 	inner, err := net.Listen("tcp", set.Internal(set.IP, nodesettings.RegistryPort))
 	if err != nil {
@@ -128,7 +132,7 @@
 	if err != nil {
 		return fmt.Errorf("registry: listen for outside calls: %w", err)
 	}
-	go rpc.Serve(ctx, inner, map[string]rpc.Handler{CallPull: rpc.Taking(h.pull), callPush: rpc.Taking(h.pushed), callRepair: rpc.Taking(h.repaired), rpc.CallStatus: rpc.Asking(h.status)})
+	go rpc.Serve(ctx, inner, map[string]rpc.Handler{CallPull: rpc.Taking(h.pull), callPush: rpc.Taking(h.pushed), callRepair: rpc.Taking(h.repaired), callAcknowledgements: rpc.Asking(h.acknowledgements), rpc.CallStatus: rpc.Asking(h.status)})
 	go (&httpapi.Server{Handler: h.outside, MaxBody: maxBody, DropAbandoned: isEvacuation}).Serve(ctx, outer)
 	if set.Bootstrap {
 		h.voters = [][]string{set.Cores()}
@@ -139,6 +143,7 @@
 	}
 	h.mu.Unlock()
 	go h.watch(ctx)
+	go h.keepPlaces(ctx)
 	go set.Follow(ctx, func(next *nodesettings.Settings) {
 		log.WithField("seeds", len(next.Seeds)).Info("settings have changed")
 		h.mu.Lock()
@@ -216,7 +221,6 @@
 			h.stir()
 		}
 		h.mu.Unlock()
-		h.enrolDue(ctx)
 		if time.Now().After(repairAt) {
 			repairAt = time.Now().Add(repairEvery + rand.N(time.Second))
 			go h.repair(ctx)
@@ -304,7 +308,7 @@
 	case m.Me != nil && m.Me.Service == stock.Cores:
 		h.registry(*m.Me)
 	case m.Me != nil:
-		h.limiter(*m.Me)
+		h.limiter(*m.Me, &m)
 	}
 	for waiting := true; waiting && !h.book.Lacks(m.Vector) && (m.Source != "" || h.reg.Seq <= m.Seq); {
 		news := h.news
@@ -328,14 +332,14 @@
 		if h.reg.Seq > m.Seq {
 			r := *h.reg
 			r.Applied, r.Voters, r.Prior, r.ZoneChanges = nil, nil, nil, nil
+			if delta, ok := h.limiters.difference(m.Seq, r.Places); ok && !m.Whole {
+				r.Places, a.Places = nil, &delta
+			}
 			if r.Version == m.Version {
 				r.Config = nil
 			} else if delta, ok := h.history.Delta(m.Version); ok {
 				r.Config, a.ConfigDelta = nil, delta
 			}
-			if n := m.Posts; n > 0 && n <= len(r.Posts) && controlstate.Sum(r.Posts[:n]) == m.PostsSum {
-				a.SamePosts, r.Posts = n, r.Posts[n:]
-			}
 			a.Register = &r
 		}
 		if age, ok := h.proof.Age(h.clock()); ok {
@@ -355,7 +359,7 @@
 }
 
 // limiter takes in a limiter's word of itself. Its earlier lives are over. The mutex is held.
-func (h *Registry) limiter(r stock.Record) {
+func (h *Registry) limiter(r stock.Record, m *Pull) {
 	now := h.now()
 	_, known := h.book.Get(now, r.ID)
 	news := h.book.Beat(now, r)
@@ -371,37 +375,12 @@
 			news = h.book.Leave(now, id) || news
 		}
 	}
-	p := controlstate.Post{Name: name, IP: nodesettings.HostOf(r.Address), Zone: r.Zone}
-	if !slices.Contains(h.reg.Posts, p) {
-		h.enrol[name] = p
-	}
+	h.limiters.hear(h.clock(), h.reg, places.Place{Name: name, IP: nodesettings.HostOf(r.Address), Zone: r.Zone, Life: r.ID}, m)
 	if news {
 		h.stir()
 	}
 }
 
-// enrolDue has limiters without a place given one.
-func (h *Registry) enrolDue(ctx context.Context) {
-	h.mu.Lock()
-	var posts []controlstate.Post
-	for name, p := range h.enrol {
-		if slices.Contains(h.reg.Posts, p) {
-			delete(h.enrol, name)
-		} else {
-			posts = append(posts, p)
-		}
-	}
-	due := len(posts) > 0 && time.Since(h.enrolAt) > time.Second
-	if due {
-		h.enrolAt = time.Now()
-	}
-	h.mu.Unlock()
-	if due {
-		slices.SortFunc(posts, func(a, b controlstate.Post) int { return strings.Compare(a.Name, b.Name) })
-		go h.order(ctx, controlstate.Order{Kind: controlstate.RegisterLimiters, Posts: posts})
-	}
-}
-
 // push tells other registries what is not to be lost with this machine, and tells whether a
 // majority has it.
 func (h *Registry) push(ctx context.Context, id string) bool {
@@ -493,6 +472,7 @@
 		if w.Register != nil && w.Register.Seq > h.reg.Seq {
 			h.reg = w.Register
 			h.history.Add(h.reg.Version, h.reg.Config)
+			h.limiters.see(h.clock(), h.reg)
 			h.stir()
 		}
 		stale := !h.proof.Fresh(h.clock(), storeStale)
@@ -526,23 +506,33 @@
 	}
 	lines := []string{
 		fmt.Sprintf("program=registry node=%s zone=%s source=%s apart=%v proof_age=%s", h.set.Node, h.set.Zone, h.source(), h.apart(), proof),
-		fmt.Sprintf("register seq=%d version=r%d evacuated=%v limiters=%d", h.reg.Seq, h.reg.Version, h.reg.Evac, len(h.reg.Posts)),
+		fmt.Sprintf("register seq=%d version=r%d evacuated=%v limiters=%d places_settled=%d", h.reg.Seq, h.reg.Version, h.reg.Evac, h.limiters.count(h.reg), h.reg.PlacesSettled),
 	}
+	lines = append(lines, h.limiters.report(h.clock(), h.reg)...)
 	return rpc.Status{Lines: append(lines, h.book.Report(h.now())...)}, nil
 }
 
 // order gives an order to a store. ok is false when no clear answer came.
 func (h *Registry) order(ctx context.Context, o controlstate.Order) (out controlstate.Outcome, ok bool) {
+	outcomes, ok := h.orders(ctx, []controlstate.Order{o})
+	if !ok {
+		return out, false
+	}
+	return outcomes[0], true
+}
+
+// orders gives orders to a store, to be carried out by one change. ok is false when no clear answer came.
+func (h *Registry) orders(ctx context.Context, all []controlstate.Order) (outcomes []controlstate.Outcome, ok bool) {
 	ok = h.anyStore(func(to string, left time.Duration) bool {
 		var c configstore.Changed
-		err := h.caller.Call(ctx, to, configstore.CallChange, configstore.Change{Orders: []controlstate.Order{o}, WithinMs: uint64(left.Milliseconds())}, &c, left)
-		if err != nil || len(c.Outcomes) != 1 {
+		err := h.caller.Call(ctx, to, configstore.CallChange, configstore.Change{Orders: all, WithinMs: uint64(left.Milliseconds())}, &c, left)
+		if err != nil || len(c.Outcomes) != len(all) {
 			return false
 		}
-		out = c.Outcomes[0]
+		outcomes = c.Outcomes
 		return true
 	})
-	return out, ok
+	return outcomes, ok
 }
 
 // anyStore calls one store after the other until one has answered, and tells whether one has.
--- a/internal/switchyard/asks.go
+++ b/internal/switchyard/asks.go
@@ -71,9 +71,9 @@
 	y.serial++
 	serial = y.serial
 	y.asks[serial] = answers
-	to := y.set.Internal(y.reg.Posts[place].IP, nodesettings.ProxyPort)
+	ip := y.reg.Places[place].IP
 	y.mu.Unlock()
-	y.tell(to, datagramAsk, rpc.Encode(tokenAsk{serial, account(c.tenant.Name), c.route.Name, c.service}))
+	y.tell(y.set.Internal(ip, nodesettings.ProxyPort), datagramAsk, rpc.Encode(tokenAsk{serial, account(c.tenant.Name), c.route.Name, c.service}))
 	return serial
 }
 
--- a/internal/switchyard/doors.go
+++ b/internal/switchyard/doors.go
@@ -49,7 +49,7 @@
 	lines := []string{
 		fmt.Sprintf("program=switchyard node=%s zone=%s life=%s ready=%v leaving=%v in_hand=%d proof_age=%s keys_honoured=%v",
 			y.set.Node, y.set.Zone, y.self, ready, y.leaving.Load(), y.inHand.Load(), proof, y.vouched()),
-		fmt.Sprintf("register seq=%d version=r%d evacuated=%v limiters=%d", y.reg.Seq, y.reg.Version, y.reg.Evac, len(y.reg.Posts)),
+		fmt.Sprintf("register seq=%d version=r%d evacuated=%v limiters=%d", y.reg.Seq, y.reg.Version, y.reg.Evac, len(y.reg.Places)),
 	}
 	lines = append(lines, fmt.Sprintf("line looked_at=%d out=%v", len(y.lineIPs), slices.Sorted(maps.Keys(y.out))))
 	lines = append(lines, y.blocks.Report(y.now())...)
--- a/internal/switchyard/engine.go
+++ b/internal/switchyard/engine.go
@@ -38,7 +38,7 @@
 	slots   map[uint32]float64        // of a life
 	beside  map[uint64]limiter.InHand // what else is in hand there, as the decisions were told
 	names   int
-	places  []tariff.Place
+	places  []tariff.Place  // by slot, in the newest table
 	holding *wagons.Holding // of tenants' ceilings
 	planOf  map[uint64]int  // plans by account
 	classOf map[uint64]int  // classes by the number that limiters tell each other for a route
@@ -118,8 +118,10 @@
 	}
 	s.Plans = []limiter.Plan{{Price: 1}} // of requests without a tenant
 	h := e.holding
-	h.Ceilings, h.Keepers, e.planOf = map[uint64]tariff.Ceiling{}, map[uint64][]int{}, map[uint64]int{}
-	e.places = e.y.places()
+	h.Clear()
+	e.planOf = map[uint64]int{}
+	sets := e.y.sets()
+	e.places = sets[len(sets)-1]
 	for i := range t.Tenants {
 		tn := &t.Tenants[i]
 		plans[tn.Name] = len(s.Plans)
@@ -130,9 +132,7 @@
 		e.planOf[account(tn.Name)] = len(s.Plans)
 		s.Plans = append(s.Plans, p)
 		h.Ceilings[account(tn.Name)] = c
-		if k := tariff.Keepers(tn.Name, c, e.places); k != nil {
-			h.Keepers[account(tn.Name)] = k
-		}
+		h.Gather(account(tn.Name), tariff.KeeperShares(tn.Name, c, sets))
 	}
 	return s, classes, plans
 }
@@ -152,11 +152,10 @@
 	return left
 }
 
-// endow gives accounts what this limiter begins with of their ceilings. Where the number of
-// limiters has changed while it runs that is what another engine of so many before has left: what was
-// spent stays spent, and what those that join begin with is given up by the others. The mutex is
-// held.
-func (e *engine) endow(s limiter.Settings, position int, left map[uint64]limiter.AccountMemory, before int) {
+// endow gives accounts what this limiter begins with of their ceilings: what another engine has left
+// where the number of slots has changed while it runs, as what was spent stays spent, and nothing where
+// its place is new: the others have that. The mutex is held.
+func (e *engine) endow(s limiter.Settings, position int, left map[uint64]limiter.AccountMemory) {
 	from := &limiter.Handover{Position: position, Balancers: e.size, Plans: s.Plans, HeadMs: 1e-6}
 	for tenant, i := range e.plans {
 		c := e.holding.Ceilings[account(tenant)]
@@ -165,7 +164,9 @@
 		}
 		a := limiter.AccountMemory{ID: account(tenant), Plan: i, Spread: e.size, Balance: c.Burst, Share: e.holding.Begins(e.y.rules, account(tenant))}
 		if old, ok := left[a.ID]; ok {
-			a.Balance, a.Share, a.Flow = min(c.Burst, old.Balance), old.Share*min(1, float64(before)/float64(e.size)), old.Flow
+			a.Balance, a.Share, a.Flow = min(c.Burst, old.Balance), old.Share, old.Flow
+		} else if e.y.reg.Places[position].Life == e.y.self {
+			a.Share = 0
 		}
 		from.Accounts = append(from.Accounts, a)
 	}
@@ -191,24 +192,18 @@
 	if t == nil {
 		return
 	}
-	position := -1
-	for i, p := range y.reg.Posts {
-		if p.Name == y.set.Node {
-			position = i
-		}
-	}
-	if position < 0 {
+	position, size := y.slot(), len(y.reg.Places)
+	e := y.engine
+	if e == nil && position < 0 {
 		return
 	}
-	size := len(y.reg.Posts)
-	e := y.engine
-	if e == nil || e.size != size {
+	if e == nil || position >= 0 && (e.size != size || e.place != position) {
 		var left map[uint64]limiter.AccountMemory
-		before := 0
 		if e != nil {
-			left, before = e.leave(), e.size
+			left = e.leave()
 		}
-		e = &engine{y: y, size: size, place: position, holding: wagons.Hold(nil, position, size), calls: map[string]*call{}, pools: map[poolKey]*pool{}, ids: map[berth]uint64{}, servers: map[uint64]*entry{},
+		y.openDesk(position, size)
+		e = &engine{y: y, size: size, place: position, holding: wagons.Hold(y.desk, position, size), calls: map[string]*call{}, pools: map[poolKey]*pool{}, ids: map[berth]uint64{}, servers: map[uint64]*entry{},
 			inHand: map[uint64]int{}}
 		e.name(t)
 		s, classes, plans := e.settings(t, position)
@@ -219,13 +214,16 @@
 		}
 		e.lim, e.classes, e.plans = lim, classes, plans
 		y.engine = e
-		e.endow(s, position, left, before)
-		e.lend(position)
+		y.holdShare()
+		e.parts()
+		e.endow(s, position, left)
+		e.lookAtLoans()
 		y.log.WithFields(logrus.Fields{"place": position, "limiters": size}).Info("decisions begin")
 		return
 	}
+	y.holdShare()
 	e.name(t)
-	s, classes, plans := e.settings(t, position)
+	s, classes, plans := e.settings(t, e.place)
 	from := func(old, now map[string]int, n int) []int {
 		at := slices.Repeat([]int{-1}, n)
 		for name, i := range old {
@@ -392,21 +390,7 @@
 	if s == nil {
 		return time.Hour
 	}
-	near := 0
-	for _, p := range y.reg.Posts {
-		if p.Zone == y.set.Zone {
-			near++
-		}
-	}
-	return y.rules.ColdPause(s.ColdPerS, near)
-}
-
-// places are those of all limiters.
-func (y *Yard) places() (all []tariff.Place) {
-	for _, p := range y.reg.Posts {
-		all = append(all, tariff.Place{Name: p.Name, Region: y.set.Zones[p.Zone]})
-	}
-	return all
+	return y.rules.ColdPause(s.ColdPerS, y.near)
 }
 
 // handle gives the decisions an event and carries out what they return. The mutex is held.
@@ -464,8 +448,8 @@
 	case limiter.Probe:
 		e.probe(a.Server)
 	case limiter.Tell:
-		if a.To >= 0 && a.To < len(y.reg.Posts) {
-			y.tell(y.set.Internal(y.reg.Posts[a.To].IP, nodesettings.ProxyPort), datagramSpending, a.Data)
+		if a.To >= 0 && a.To < len(y.reg.Places) && y.reg.Places[a.To].Held() {
+			y.tell(y.set.Internal(y.reg.Places[a.To].IP, nodesettings.ProxyPort), datagramSpending, a.Data)
 		}
 	case limiter.Log:
 		log := y.log
@@ -491,11 +475,16 @@
 		return
 	}
 	st := y.stations[s.life]
-	if st == nil || !st.usable || c.arrived > 0 && (c.arrived >= c.most || !y.budget[c.service].Take()) {
+	if st == nil || !st.usable || c.arrived > 0 && (c.arrived >= c.most || !y.holds() || !y.budget[c.service].Take()) {
+		e.queue = append(e.queue, limiter.Outcome{ID: a.ID, Try: try, Server: a.Server, Result: limiter.StaleSend})
+		return
+	}
+	now := time.Now()
+	if st.cold(now) && !y.holds() {
 		e.queue = append(e.queue, limiter.Outcome{ID: a.ID, Try: try, Server: a.Server, Result: limiter.StaleSend})
 		return
 	}
-	if now := time.Now(); st.cold(now) {
+	if st.cold(now) {
 		st.nextAt = now.Add(st.pause)
 		info := s.info
 		info.Phase = limiter.Draining
--- /dev/null
+++ b/internal/switchyard/lease.go
@@ -0,0 +1,121 @@
+package switchyard
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"example.org/madderdrum/places"
+	"example.org/madderdrum/tariff"
+)
+
+// A limiter's place in the register is a lease (see package places): it stands as long as there is young
+// proof that the register is current, and what it may use follows from all places that somebody may
+// still go by.
+
+// renew has the lease last longer, after proof that the register was current at a time. The mutex is
+// held.
+func (y *Yard) renew(at time.Time) {
+	ended := !y.lease.Valid(time.Since(y.begun))
+	if !y.lease.Renew(at.Sub(y.begun), 0) {
+		return
+	}
+	y.holdShare()
+	if e := y.engine; ended && e != nil && y.lease.Valid(time.Since(y.begun)) {
+		e.parts()
+	}
+}
+
+// endLease has nothing that stands by the place used any more. The mutex is held.
+func (y *Yard) endLease() {
+	y.lease = places.Lease{}
+	y.holdShare()
+}
+
+// holds tells that this limiter has a part, and may use it now. It needs no mutex.
+func (y *Yard) holds() bool { return int64(time.Since(y.begun)) < y.holdsUntil.Load() }
+
+// slot is this limiter's in the register, or -1. The mutex is held.
+func (y *Yard) slot() int {
+	t := y.reg.PlaceTable()
+	return t.SlotOf(y.set.Node, y.set.IP)
+}
+
+// takePlaces works out what the places of the register in force give to this limiter. The mutex is held.
+func (y *Yard) takePlaces() {
+	t := y.reg.PlaceTable()
+	sets := t.Sets()
+	y.limiters = 1
+	for _, set := range sets {
+		y.limiters = max(y.limiters, len(set))
+	}
+	y.near = t.InZone(y.set.Zone)
+	share := places.Share(sets, y.slot())
+	if share != y.share {
+		y.log.WithFields(logrus.Fields{"share": share, "limiters": t.Count(), "settled": t.Settled}).Info("part of all ceilings changes")
+	}
+	y.share = share
+}
+
+// holdShare has what is sent and lent here go by this limiter's part and lease. The mutex is held.
+func (y *Yard) holdShare() {
+	e := y.engine
+	if e == nil {
+		return
+	}
+	share, until := y.share*float64(e.size), y.lease.End()
+	if y.done || y.slot() != e.place {
+		share = 0
+	}
+	if share == 0 {
+		until = 0
+	}
+	y.holdsUntil.Store(int64(until))
+	y.desk.Hold(share, ms(until))
+	if y.holds() {
+		y.serving = true
+	}
+}
+
+// sets are the places of limiters by slot, in each set that somebody may still go by, the newest last.
+// The mutex is held.
+func (y *Yard) sets() (all [][]tariff.Place) {
+	t := y.reg.PlaceTable()
+	for _, set := range t.Sets() {
+		members := make([]tariff.Place, len(t.Places))
+		for _, slot := range set {
+			p := t.Places[slot]
+			members[slot] = tariff.Place{Name: p.Name, Region: y.set.Zones[p.Zone]}
+		}
+		all = append(all, members)
+	}
+	return all
+}
+
+// stopLending has nothing lent any more: what is lent would outlive this process.
+func (y *Yard) stopLending() {
+	y.mu.Lock()
+	defer y.mu.Unlock()
+	if y.desk != nil {
+		y.desk.StopLending()
+	}
+}
+
+// giveBack has this limiter's place given back, after the last request, and tells whether the core
+// machines know that this limiter goes by registers without it.
+func (y *Yard) giveBack() bool {
+	y.mu.Lock()
+	defer y.mu.Unlock()
+	if y.slot() < 0 && !y.done {
+		return true // it had none
+	}
+	if !y.done {
+		y.done = true
+		y.holdShare()
+		if e := y.engine; e != nil {
+			e.parts()
+		}
+		y.poke()
+	}
+	return y.givenBack
+}
--- a/internal/switchyard/load.go
+++ b/internal/switchyard/load.go
@@ -7,10 +7,10 @@
 
 	"github.com/sirupsen/logrus"
 
-	"example.org/madderdrum/controlstate"
 	"example.org/madderdrum/internal/nodesettings"
 	"example.org/madderdrum/internal/rpc"
 	"example.org/madderdrum/limiter"
+	"example.org/madderdrum/places"
 )
 
 const (
@@ -46,8 +46,8 @@
 // nearOnes is how many other limiters of this zone are in reach, whether they are told or not. The
 // mutex is held.
 func (y *Yard) nearOnes() (n int) {
-	for _, p := range y.reg.Posts {
-		if p.Zone == y.set.Zone && p.Name != y.set.Node && !y.out[p.Name] {
+	for _, p := range y.reg.Places {
+		if p.Held() && p.Zone == y.set.Zone && p.Name != y.set.Node && !y.out[p.Name] {
 			n++
 		}
 	}
@@ -103,19 +103,19 @@
 // neighboursOf are the limiters that one tells what it has in hand: those of its zone, and as many
 // of the region as are lacking. Where they are more than may be each tells others, by the names of
 // both.
-func neighboursOf(posts []controlstate.Post, node, zone, region string, zones map[string]string) []controlstate.Post {
-	var near, far []controlstate.Post
+func neighboursOf(posts []places.Place, node, zone, region string, zones map[string]string) []places.Place {
+	var near, far []places.Place
 	for _, p := range posts {
 		switch {
-		case p.Name == node:
+		case p.Name == node || !p.Held():
 		case p.Zone == zone:
 			near = append(near, p)
 		case zones[p.Zone] == region:
 			far = append(far, p)
 		}
 	}
-	for _, all := range [][]controlstate.Post{near, far} {
-		slices.SortFunc(all, func(a, b controlstate.Post) int {
+	for _, all := range [][]places.Place{near, far} {
+		slices.SortFunc(all, func(a, b places.Place) int {
 			return int(int64(pairing(node, a.Name)>>33) - int64(pairing(node, b.Name)>>33))
 		})
 	}
--- a/internal/switchyard/loans.go
+++ b/internal/switchyard/loans.go
@@ -6,10 +6,10 @@
 	"time"
 
 	"example.org/madderdrum/blocks"
-	"example.org/madderdrum/controlstate"
 	"example.org/madderdrum/internal/nodesettings"
 	"example.org/madderdrum/internal/rpc"
 	"example.org/madderdrum/limiter"
+	"example.org/madderdrum/places"
 	"example.org/madderdrum/wagons"
 )
 
@@ -25,28 +25,34 @@
 
 const loansEvery = 400 * time.Millisecond
 
-// lend begins an engine's dealing in parts. The mutex is held.
-func (e *engine) lend(position int) {
-	y := e.y
+// openDesk has loans of parts dealt in from a slot among so many. What is lent and borrowed goes on where
+// that has changed while this process runs. The mutex is held.
+func (y *Yard) openDesk(position, size int) {
 	var near, region []int
-	for i, p := range y.reg.Posts {
+	for i, p := range y.reg.Places {
 		switch {
-		case i == position:
+		case i == position || !p.Held():
 		case p.Zone == y.set.Zone:
 			near = append(near, i)
 		case y.set.Zones[p.Zone] == y.set.Region:
 			region = append(region, i)
 		}
 	}
-	e.holding.Desk = wagons.New(y.now(), position, e.size, append(near, region...), rand.Uint64())
-	e.parts()
-	e.lookAtLoans()
+	near = append(near, region...)
+	if y.desk != nil {
+		y.desk.Resize(position, size, near)
+		return
+	}
+	y.desk = wagons.New(y.now(), position, size, near, rand.Uint64())
+	if y.reg.Places[position].Life == y.self {
+		y.desk.First()
+	}
 }
 
 // lookAtLoans asks for what is short here, again and again. The mutex is held.
 func (e *engine) lookAtLoans() {
 	y := e.y
-	if y.engine != nil && y.engine != e && len(e.calls) == 0 {
+	if y.engine != e {
 		return // another has taken its place
 	}
 	var demands []wagons.Demand
@@ -65,13 +71,16 @@
 }
 
 func (e *engine) write(l wagons.Letter) {
-	if l.To < len(e.y.reg.Posts) {
-		e.y.tell(e.y.set.Internal(e.y.reg.Posts[l.To].IP, nodesettings.ProxyPort), datagramLoans, rpc.Encode(l.Message))
+	if l.To < len(e.y.reg.Places) && e.y.reg.Places[l.To].IP != "" {
+		e.y.tell(e.y.set.Internal(e.y.reg.Places[l.To].IP, nodesettings.ProxyPort), datagramLoans, rpc.Encode(l.Message))
 	}
 }
 
 // parts has the parts that are held now be in force. The mutex is held.
 func (e *engine) parts() {
+	if e.y.engine != e { // another one has them
+		return
+	}
 	if of, rest, changed := e.holding.Parts(e.y.now()); changed {
 		e.handle(limiter.Parts{Of: of, Rest: rest})
 	}
@@ -79,7 +88,7 @@
 
 // partsDue is parts, where some have ended. The mutex is held.
 func (e *engine) partsDue() {
-	if e.holding.Due(e.y.now()) {
+	if e.y.engine == e && e.holding.Due(e.y.now()) {
 		e.parts()
 	}
 }
@@ -120,13 +129,13 @@
 	}
 	if kind == datagramBlocks {
 		var w blocks.Word
-		if slices.ContainsFunc(y.reg.Posts, func(p controlstate.Post) bool { return p.IP == ip }) && rpc.Decode(data, &w) == nil {
+		if slices.ContainsFunc(y.reg.Places, func(p places.Place) bool { return p.Held() && p.IP == ip }) && rpc.Decode(data, &w) == nil {
 			y.blocks.Hear(y.now(), w)
 		}
 		return
 	}
-	for i, p := range y.reg.Posts {
-		if p.IP != ip || i >= e.size {
+	for i, p := range y.reg.Places {
+		if p.IP != ip || i >= e.size || !p.Held() {
 			continue
 		}
 		switch kind {
--- a/internal/switchyard/pull.go
+++ b/internal/switchyard/pull.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -11,7 +12,6 @@
 	"github.com/sirupsen/logrus"
 
 	"example.org/madderdrum/configdelta"
-	"example.org/madderdrum/controlstate"
 	"example.org/madderdrum/departures"
 	"example.org/madderdrum/freshness"
 	"example.org/madderdrum/internal/nodesettings"
@@ -91,14 +91,21 @@
 	me := &stock.Record{ID: y.self, Service: stock.Limiters, Address: y.set.Listen["frontend"], Zone: y.set.Zone, Sequence: y.sequence}
 	if y.leaving.Load() {
 		me.State = stock.Draining
-	} else if y.engine == nil {
+	} else if y.engine == nil || !y.serving {
 		me.State, hold = stock.Silent, pullHold/2
 	}
-	ask := registry.Pull{Vector: maps.Clone(y.book.Vector()), Seq: y.reg.Seq, HoldMs: uint64(hold / time.Millisecond), Me: me,
-		Version: y.reg.Version, Posts: len(y.reg.Posts), PostsSum: controlstate.Sum(y.reg.Posts)}
+	ask := registry.Pull{Vector: maps.Clone(y.book.Vector()), Seq: y.reg.Seq, Me: me, Version: y.reg.Version, Done: y.done}
+	if y.desk != nil {
+		ask.LoansMs = uint64(math.Ceil(y.desk.LoansEndIn(y.now())))
+	}
 	if y.wantsWhole {
-		ask.Version = 0
+		ask.Version, ask.Whole = 0, true
+	}
+	givesBack := y.done && y.slot() < 0 // this call tells that the place is given back
+	if givesBack {
+		hold = 0
 	}
+	ask.HoldMs = uint64(hold / time.Millisecond)
 	y.mu.Unlock()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -121,6 +128,11 @@
 		return !asked // it was this limiter that gave up
 	}
 	y.take(begun, &a)
+	if givesBack {
+		y.mu.Lock()
+		y.givenBack = true
+		y.mu.Unlock()
+	}
 	return freshness.Source{Apart: a.Apart, Proven: a.Proven, Age: time.Duration(a.ProofMs) * time.Millisecond}.Usable()
 }
 
@@ -135,15 +147,11 @@
 		if !y.complete(a) {
 			return // the proof is of a register that this limiter does not have
 		}
+		y.prove(begun, a)
 		y.adopt(a)
 		news = true
-	}
-	// The proof is of the register that this limiter has now: it has all that was told.
-	if a.Proven {
-		at := begun.Add(time.Duration(a.HeldMs)*time.Millisecond - time.Duration(a.ProofMs)*time.Millisecond)
-		if at.After(y.proved) {
-			y.proved = at
-		}
+	} else {
+		y.prove(begun, a)
 	}
 	if news {
 		y.meet()
@@ -152,6 +160,19 @@
 	}
 }
 
+// prove takes in how old a core machine's proof is that the register which it told, or an older one than
+// this limiter has, is current. The mutex is held.
+func (y *Yard) prove(begun time.Time, a *registry.Pulled) {
+	if !a.Proven {
+		return
+	}
+	at := begun.Add(time.Duration(a.HeldMs)*time.Millisecond - time.Duration(a.ProofMs)*time.Millisecond)
+	if at.After(y.proved) {
+		y.proved = at
+	}
+	y.renew(at)
+}
+
 // complete puts into a register that was told what was left out of it: what this limiter had when it
 // asked, which nothing else changes. It tells whether the register is whole now. The mutex is held.
 func (y *Yard) complete(a *registry.Pulled) bool {
@@ -168,8 +189,16 @@
 		}
 		r.Config = text
 	}
+	if a.Places != nil {
+		all, ok := a.Places.Apply(y.reg.Places)
+		if !ok {
+			y.log.Warn("difference of places does not fit: the whole is asked for")
+			y.wantsWhole = true
+			return false
+		}
+		r.Places = all
+	}
 	y.wantsWhole = false
-	r.Posts = append(slices.Clone(y.reg.Posts[:a.SamePosts]), r.Posts...)
 	return true
 }
 
@@ -188,6 +217,7 @@
 		t, fault := timetable.Read(reg.Config)
 		if fault != nil { // the core checks before it takes one
 			y.log.WithField("err", fault).Error("configuration can't be read")
+			y.endLease() // the proof is of a register that does not hold here
 			return
 		}
 		table = t
@@ -201,8 +231,9 @@
 		}
 	}
 	y.evacuate, y.reg = evacuate, reg
-	y.neighbours = neighboursOf(reg.Posts, y.set.Node, y.set.Zone, y.set.Region, y.set.Zones)
-	y.log.WithFields(logrus.Fields{"seq": reg.Seq, "version": reg.Version, "limiters": len(reg.Posts), "evacuated": len(evacuate)}).Info("register is in force")
+	y.neighbours = neighboursOf(reg.Places, y.set.Node, y.set.Zone, y.set.Region, y.set.Zones)
+	y.takePlaces()
+	y.log.WithFields(logrus.Fields{"seq": reg.Seq, "version": reg.Version, "limiters": y.limiters, "evacuated": len(evacuate)}).Info("register is in force")
 	y.steam(table)
 }
 
--- a/internal/switchyard/serve.go
+++ b/internal/switchyard/serve.go
@@ -33,6 +33,9 @@
 	arrived int // at servers
 	over    bool
 
+	bound  bool // paid out of this limiter's part of a ceiling: sent only while it holds one
+	lapsed bool // the lease had ended when it was to be sent
+
 	ran  bool    // some attempt may have run
 	last *answer // a server's own answer that is of no use, for want of a better one
 }
@@ -110,13 +113,14 @@
 	if b == nil {
 		b = &tariff.Tries{}
 		if y.set.Bootstrap {
-			b = y.rules.First(c.e.size)
+			b = y.rules.First(y.limiters)
 		}
 		y.budget[c.service] = b
 	}
-	b.Earn(y.rules, c.e.size)
+	b.Earn(y.rules, y.limiters)
 	gathered, keeps := false, false
 	if tenant != nil {
+		c.bound = c.e.holding.Ceilings[account(tenant.Name)].Rate > 0
 		gathered, keeps = c.e.holding.Keeps(account(tenant.Name))
 	}
 	if gathered && !keeps {
@@ -142,7 +146,7 @@
 		ev.Plan, ev.Customer = c.e.plans[tenant.Name], account(tenant.Name)
 	}
 	if paid {
-		ev.Leased = 1
+		ev.Leased, c.bound = 1, false
 	}
 	c.e.partsDue()
 	c.e.handle(ev)
@@ -150,7 +154,7 @@
 	a := c.run()
 	if a.status == 429 && (keeps || tenant != nil && !paid && a.short) {
 		if ok, wait := y.shortOf(c); ok {
-			ev.Leased = 1
+			ev.Leased, c.bound = 1, false
 			c.e.dispatch(ev)
 			a = c.run()
 		} else if wait > 0 {
@@ -215,7 +219,7 @@
 			c.saw(s.server)
 		}
 		// What a client's connection has given once can't be had again.
-		done = done || !time.Now().Before(c.stopAt) || c.rest != nil && c.rest.begun
+		done = done || c.lapsed || !time.Now().Before(c.stopAt) || c.rest != nil && c.rest.begun
 		c.y.mu.Lock()
 		c.e.ends(s.station, s.server, rep.result, rep.spentMs)
 		c.e.handle(limiter.Outcome{ID: c.id, Try: s.try, Server: s.server, Result: rep.result, SpentMs: rep.spentMs, Done: done,
--- a/internal/switchyard/switchyard.go
+++ b/internal/switchyard/switchyard.go
@@ -21,10 +21,12 @@
 	"example.org/madderdrum/internal/sockets"
 	"example.org/madderdrum/internal/wait"
 	"example.org/madderdrum/lineside"
+	"example.org/madderdrum/places"
 	"example.org/madderdrum/stock"
 	"example.org/madderdrum/tariff"
 	"example.org/madderdrum/telegraph"
 	"example.org/madderdrum/timetable"
+	"example.org/madderdrum/wagons"
 )
 
 // Yard is one limiter of the system.
@@ -46,7 +48,8 @@
 	inHand  atomic.Int64  // requests
 	nudge   chan struct{} // ends a pull that is held
 
-	view atomic.Pointer[view]
+	view       atomic.Pointer[view]
+	holdsUntil atomic.Int64 // in ns since the beginning: what is held here may be used until then
 
 	mu         sync.Mutex // round what follows
 	book       *stock.Book
@@ -64,7 +67,15 @@
 	line       *lineside.Line  // the other limiters of the region
 	telegraph  *telegraph.Desk // where requests fail, of the region
 	blocks     *blocks.Desk    // what neighbours have in hand at servers
-	neighbours []controlstate.Post
+	neighbours []places.Place
+	lease      places.Lease
+	desk       *wagons.Desk                // loans of parts
+	share      float64                     // of what binds all limiters together, by the places that are known
+	limiters   int                         // that share it, at most
+	near       int                         // of them in this zone
+	serving    bool                        // it has held a part in this life
+	done       bool                        // nothing is sent any more: the place can be given back
+	givenBack  bool                        // the core machines know that it was
 	lineIPs    map[string]string           // of their lives
 	out        map[string]bool             // those out of reach, by name
 	asks       map[uint64]chan tokenAnswer // that wait for an answer
@@ -147,6 +158,7 @@
 		grace = 6 * time.Second
 	}
 	y.leaving.Store(true)
+	y.stopLending()
 	y.log.Info("leaves")
 	y.poke()
 	quiet := begun
@@ -165,7 +177,7 @@
 	front.Close()
 	for time.Since(begun) < grace-300*time.Millisecond {
 		time.Sleep(20 * time.Millisecond)
-		if y.inHand.Load() == 0 && time.Since(begun) > grace-1200*time.Millisecond {
+		if y.inHand.Load() == 0 && y.giveBack() && time.Since(begun) > grace-1200*time.Millisecond {
 			break
 		}
 	}
@@ -209,7 +221,7 @@
 	}
 	y.mu.Lock()
 	defer y.mu.Unlock()
-	return y.engine != nil && y.vouched()
+	return y.engine != nil && y.serving && y.vouched()
 }
 
 // vouched tells that keys may be honoured: nothing newer can have been acknowledged for as
--- a/internal/switchyard/switchyard_test.go
+++ b/internal/switchyard/switchyard_test.go
@@ -23,6 +23,7 @@
 	"example.org/madderdrum/internal/registry"
 	"example.org/madderdrum/internal/rpc"
 	"example.org/madderdrum/lineside"
+	"example.org/madderdrum/places"
 	"example.org/madderdrum/stock"
 	"example.org/madderdrum/tariff"
 	"example.org/madderdrum/telegraph"
@@ -55,7 +56,7 @@
 		Bounds: nodesettings.Bounds{RetryRatio: 0.2, QuotaWindow: 5 * time.Second, QuotaOvershoot: 0.1, QuotaSlack: 20, WarmupOvershoot: 1.5, WarmupSlack: 5}}
 	y := &yard{t: t, book: stock.New("core"), Yard: newYardOf(set, log)}
 	y.Yard.peers = peers
-	y.tell(&controlstate.Register{Seq: 1, Version: 1, Config: []byte(routes), Posts: []controlstate.Post{{Name: "e1", IP: "127.0.0.1", Zone: "z"}}})
+	y.tell(&controlstate.Register{Seq: 1, Version: 1, Config: []byte(routes), Places: []places.Place{{Name: "e1", IP: "127.0.0.1", Zone: "z"}}})
 	return y
 }
 
@@ -473,14 +474,19 @@
 	}
 }
 
+// added is one more place in a slot behind those that there are.
+func added(slot int, p places.Place) *places.Delta {
+	return &places.Delta{Size: slot + 1, Changed: map[int]places.Place{slot: p}}
+}
+
 // A register that comes without the configuration and places that this limiter has is whole here.
 func TestRegisterInParts(t *testing.T) {
 	y := newYard(t)
-	post := controlstate.Post{Name: "e2", IP: "127.0.0.2", Zone: "z"}
-	y.take(time.Now(), &registry.Pulled{SamePosts: 1, Register: &controlstate.Register{Seq: 2, Version: 1, Posts: []controlstate.Post{post}, Evac: []string{"z"}}})
+	post := places.Place{Name: "e2", IP: "127.0.0.2", Zone: "z"}
+	y.take(time.Now(), &registry.Pulled{Places: added(1, post), Register: &controlstate.Register{Seq: 2, Version: 1, Evac: []string{"z"}}})
 	y.mu.Lock()
 	defer y.mu.Unlock()
-	if len(y.reg.Posts) != 2 || y.reg.Posts[1] != post || len(y.reg.Config) == 0 || !y.evacuate["z"] || y.view.Load().seq != 2 || y.engine.size != 2 {
+	if len(y.reg.Places) != 2 || y.reg.Places[1] != post || len(y.reg.Config) == 0 || !y.evacuate["z"] || y.view.Load().seq != 2 || y.engine.size != 2 {
 		t.Errorf("%+v", y.reg)
 	}
 	// An older one, of another core machine, changes nothing.
@@ -554,8 +560,8 @@
 	first := ask()
 	again := 0
 	for k := range 4 {
-		post := controlstate.Post{Name: fmt.Sprint("e", k+2), IP: fmt.Sprint("127.0.0.", k+2), Zone: "z"}
-		y.take(time.Now(), &registry.Pulled{SamePosts: k + 1, Register: &controlstate.Register{Seq: uint64(k + 2), Version: 1, Posts: []controlstate.Post{post}}})
+		post := places.Place{Name: fmt.Sprint("e", k+2), IP: fmt.Sprint("127.0.0.", k+2), Zone: "z"}
+		y.take(time.Now(), &registry.Pulled{Places: added(k+1, post), Register: &controlstate.Register{Seq: uint64(k + 2), Version: 1}})
 		y.tell(nil)
 		again += ask()
 	}
@@ -568,13 +574,13 @@
 // very many each some others.
 func TestNeighbours(t *testing.T) {
 	zones := map[string]string{"a1": "a", "a2": "a", "b1": "b"}
-	var posts []controlstate.Post
+	var posts []places.Place
 	add := func(zone string, n int) {
 		for i := range n {
-			posts = append(posts, controlstate.Post{Name: fmt.Sprintf("%s-%d", zone, i), Zone: zone})
+			posts = append(posts, places.Place{Name: fmt.Sprintf("%s-%d", zone, i), Zone: zone})
 		}
 	}
-	of := func(i int) []controlstate.Post { return neighboursOf(posts, posts[i].Name, posts[i].Zone, "a", zones) }
+	of := func(i int) []places.Place { return neighboursOf(posts, posts[i].Name, posts[i].Zone, "a", zones) }
 	add("a1", 3)
 	add("a2", 5)
 	add("b1", 4)
@@ -584,7 +590,7 @@
 	posts = nil
 	add("a1", 10)
 	add("a2", 5)
-	if all := of(0); len(all) != 9 || slices.ContainsFunc(all, func(p controlstate.Post) bool { return p.Zone != "a1" || p.Name == "a1-0" }) {
+	if all := of(0); len(all) != 9 || slices.ContainsFunc(all, func(p places.Place) bool { return p.Zone != "a1" || p.Name == "a1-0" }) {
 		t.Errorf("of a zone that is large enough: %v", all)
 	}
 	posts = nil
@@ -616,8 +622,7 @@
 	f.Add(datagramSpending, []byte{1, 2, 3, 4, 5, 6, 7, 8, 9})
 	f.Fuzz(func(t *testing.T, kind byte, data []byte) {
 		y := newYard(t)
-		y.take(time.Now(), &registry.Pulled{SamePosts: 1, Register: &controlstate.Register{Seq: 2, Version: 1,
-			Posts: []controlstate.Post{{Name: "e2", IP: "127.0.0.2", Zone: "z"}}}})
+		y.take(time.Now(), &registry.Pulled{Places: added(1, places.Place{Name: "e2", IP: "127.0.0.2", Zone: "z"}), Register: &controlstate.Register{Seq: 2, Version: 1}})
 		for range 3 {
 			y.heard("127.0.0.2", kind, data)
 		}
@@ -702,7 +707,7 @@
 		rng := rand.New(rand.NewPCG(seed, 5))
 		yards := []*yard{newYard(t)}
 		newest := make([]int, 2)
-		posts := yards[0].reg.Posts
+		posts := yards[0].reg.Places
 		for v := 2; v <= versions; v++ {
 			if v == versions/2 {
 				yards = append(yards, newYard(t))
@@ -716,7 +721,7 @@
 					if from == 1 {
 						continue
 					}
-					y.take(time.Now(), &registry.Pulled{Proven: true, Register: &controlstate.Register{Seq: uint64(from), Version: uint64(from), Config: storm(from), Posts: posts}})
+					y.take(time.Now(), &registry.Pulled{Proven: true, Register: &controlstate.Register{Seq: uint64(from), Version: uint64(from), Config: storm(from), Places: posts}})
 					newest[i] = max(newest[i], from)
 					table := y.view.Load().table
 					for x := max(1, v-6); x <= v; x++ {
--- a/internal/switchyard/upstream.go
+++ b/internal/switchyard/upstream.go
@@ -277,6 +277,12 @@
 		r.Close()
 		return rep, true
 	}
+	// The last moment at which the lease of what pays for the request can be looked at: this process may
+	// have stood still since it was admitted. Past stopAt nothing is written either.
+	if c.lapsed = c.bound && !c.y.holds(); c.lapsed {
+		st.put(r)
+		return reply{result: limiter.StaleSend}, false
+	}
 	r.SetDeadline(c.stopAt)
 	r.used, r.lim.left = true, answerHead
 	if _, err := r.Write(c.request(st, time.Until(c.stopAt))); err != nil {
--- a/tariff/tariff.go
+++ b/tariff/tariff.go
@@ -64,19 +64,76 @@
 	leastKeepers = 2
 )
 
-// Place is that of one limiter.
+// Place is that of one limiter. One without a name is free.
 type Place struct{ Name, Region string }
 
+// KeeperShares are the shares of a tenant's ceiling that limiters may use by slot, while somebody may
+// still go by one of some sets of places: the least that a slot has in any of them. nil where equal
+// parts are of use in all of them.
+func KeeperShares(tenant string, c Ceiling, sets [][]Place) []float64 {
+	var shares []float64
+	gathered := false
+	for _, set := range sets {
+		keepers := Keepers(tenant, c, set)
+		gathered = gathered || keepers != nil
+		shares = least(shares, sharesOf(keepers, set))
+	}
+	if !gathered {
+		return nil
+	}
+	return shares
+}
+
+// sharesOf are the shares of a ceiling by slot in one set: those of its keepers or, where there are none,
+// equal ones.
+func sharesOf(keepers []int, set []Place) []float64 {
+	shares := make([]float64, len(set))
+	if keepers == nil {
+		n := count(set)
+		for slot, p := range set {
+			if p.Name != "" {
+				shares[slot] = 1 / float64(n)
+			}
+		}
+	}
+	for _, slot := range keepers {
+		shares[slot] = 1 / float64(len(keepers))
+	}
+	return shares
+}
+
+// least is the lesser of two shares for each slot; those of nil are not counted.
+func least(a, b []float64) []float64 {
+	if a == nil {
+		return b
+	}
+	for slot := range b {
+		b[slot] = min(a[slot], b[slot])
+	}
+	return b
+}
+
+func count(set []Place) (n int) {
+	for _, p := range set {
+		if p.Name != "" {
+			n++
+		}
+	}
+	return n
+}
+
 // Keepers are the places at which a tenant's ceiling is gathered, the same wherever they are
 // worked out; nil where equal parts are of use. Each region has as many.
 func Keepers(tenant string, c Ceiling, places []Place) (all []int) {
-	n := float64(len(places))
+	n := float64(max(1, count(places)))
 	if c.Rate <= 0 || c.Burst/n >= leastPart {
 		return nil
 	}
 	byRegion := map[string][]int{}
 	for i, p := range places {
-		byRegion[p.Region] = append(byRegion[p.Region], i)
+		if p.Name != "" {
+			byRegion[p.Region] = append(byRegion[p.Region], i)
+		}
 	}
 	each := max(leastKeepers, int(c.Burst/(keeperPart*float64(len(byRegion)))))
 	for _, of := range byRegion {
--- a/wagons/holding.go
+++ b/wagons/holding.go
@@ -19,7 +19,8 @@
 	Desk        *Desk
 	place, size int
 	Ceilings    map[uint64]tariff.Ceiling // by account
-	Keepers     map[uint64][]int          // of accounts whose parts are gathered
+	Keepers     map[uint64][]int          // of accounts whose parts are gathered, or were a moment ago
+	KeeperPart  map[uint64]float64        // this limiter's parts of these, where it has any
 	of          map[uint64]float64        // parts that are in force
 	rest        float64
 	until       float64 // they hold no longer than this; 0: for good
@@ -27,13 +28,38 @@
 
 // Hold returns what a limiter holds that begins at a place among so many.
 func Hold(d *Desk, place, size int) *Holding {
-	return &Holding{Desk: d, place: place, size: size, rest: 1}
+	h := &Holding{Desk: d, place: place, size: size, rest: 1}
+	h.Clear()
+	return h
 }
 
 // Keeps tells that an account's parts are gathered, and that this limiter is one of its keepers.
 func (h *Holding) Keeps(id uint64) (gathered, keeper bool) {
-	k := h.Keepers[id]
-	return k != nil, slices.Contains(k, h.place)
+	k, gathered := h.Keepers[id]
+	return gathered, slices.Contains(k, h.place)
+}
+
+// Gather sets how an account's ceiling is gathered, by the shares of it that keepers may use, by slot. No
+// shares at all have equal parts be of use.
+func (h *Holding) Gather(id uint64, shares []float64) {
+	delete(h.Keepers, id)
+	delete(h.KeeperPart, id)
+	if shares == nil {
+		return
+	}
+	keepers := []int{}
+	for slot, share := range shares {
+		if share > 0 {
+			keepers = append(keepers, slot)
+		}
+	}
+	h.Keepers[id] = keepers
+	h.KeeperPart[id] = shares[h.place] * float64(h.size)
+}
+
+// Clear forgets all ceilings.
+func (h *Holding) Clear() {
+	h.Ceilings, h.Keepers, h.KeeperPart = map[uint64]tariff.Ceiling{}, map[uint64][]int{}, map[uint64]float64{}
 }
 
 // Look returns what to ask others for.
@@ -41,7 +67,7 @@
 	var all []Account
 	n := float64(h.size)
 	for _, d := range demands {
-		if h.Keepers[d.ID] == nil {
+		if _, gathered := h.Keepers[d.ID]; !gathered {
 			c := h.Ceilings[d.ID]
 			all = append(all, Account{ID: d.ID, Rate: c.Rate / n, Burst: c.Burst / n, Asked: d.Asked})
 		}
@@ -53,10 +79,10 @@
 // rest. changed tells that they are others than before.
 func (h *Holding) Parts(now float64) (of map[uint64]float64, rest float64, changed bool) {
 	of, rest, h.until = h.Desk.Parts(now)
-	for id, keepers := range h.Keepers {
+	for id := range h.Keepers {
 		of[id] = 0
-		if slices.Contains(keepers, h.place) {
-			of[id] = float64(h.size) / float64(len(keepers))
+		if !h.Desk.lapsed(now) {
+			of[id] = h.KeeperPart[id]
 		}
 	}
 	changed = rest != h.rest || !maps.Equal(of, h.of)
@@ -71,14 +97,11 @@
 // Begins is what a limiter that begins anew has of an account's ceiling at once: all that may
 // begin with something have no more together than the rules say.
 func (h *Holding) Begins(r tariff.Rules, id uint64) float64 {
-	among := h.size
-	if gathered, keeper := h.Keeps(id); gathered {
-		if !keeper {
-			return 0
-		}
-		among = len(h.Keepers[id])
+	part := h.Desk.share
+	if gathered, _ := h.Keeps(id); gathered {
+		part = h.KeeperPart[id]
 	}
-	return r.Begins(h.Ceilings[id]) / float64(among)
+	return r.Begins(h.Ceilings[id]) * part / float64(h.size)
 }
 
 // Asked for a single token are so many others, those of the own region first.
@@ -91,14 +114,15 @@
 // near: its keepers or, where its parts are not gathered, others of the region. out tells who is
 // out of reach, shuffle is as in math/rand.
 func (h *Holding) Askees(id uint64, places []tariff.Place, out func(name string) bool, shuffle func(int, func(int, int))) (all []int, near int) {
-	keepers, region := h.Keepers[id], places[h.place].Region
+	keepers, gathered := h.Keepers[id]
+	region := places[h.place].Region
 	var close, far []int
 	for i, p := range places[:min(h.size, len(places))] {
 		switch {
-		case i == h.place, out(p.Name), keepers != nil && !slices.Contains(keepers, i):
+		case i == h.place, p.Name == "", out(p.Name), gathered && !slices.Contains(keepers, i):
 		case p.Region == region:
 			close = append(close, i)
-		case keepers != nil:
+		case gathered:
 			far = append(far, i)
 		}
 	}
