places: one pure Registrar decides for the host and the simulation; tests of leases

Change: which changes of the table of places are due is decided by places.Registrar, which internal/registry and internal/testring share. The simulated limiters go by the table, their leases and loans; cores are cut, end and agree on changes. A life that is not serving yet tells of itself as draining, so that it is not taken for one that is silent. A lease is renewed after the register that it is for has been adopted.

--- a/internal/registry/limiters.go
+++ b/internal/registry/limiters.go
@@ -8,8 +8,6 @@
 	"strings"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"example.org/madderdrum/controlstate"
 	"example.org/madderdrum/internal/nodesettings"
 	"example.org/madderdrum/internal/wait"
@@ -31,13 +29,10 @@
 // limiterPlaces is what a registry knows of limiters' places beside the register. The registry's mutex
 // guards it.
 type limiterPlaces struct {
-	settler  *places.Settler
-	absences *places.Absences
-	joining  map[string]places.Place // limiters without a place, by holder
-	done     map[string]bool         // holders that have left
-	tables   []table                 // latest last
-	changed  chan struct{}           // something is to be done soon
-	askedAt  time.Duration           // a change of places was asked for
+	*places.Registrar
+	tables  []table       // latest last
+	changed chan struct{} // something is to be done soon
+	askedAt time.Duration // a change of places was asked for
 }
 
 // table is the places of one register.
@@ -47,13 +42,12 @@
 }
 
 func newLimiterPlaces() *limiterPlaces {
-	return &limiterPlaces{settler: places.NewSettler(), absences: places.NewAbsences(), joining: map[string]places.Place{}, done: map[string]bool{},
-		changed: make(chan struct{}, 1)}
+	return &limiterPlaces{Registrar: places.NewRegistrar(), changed: make(chan struct{}, 1)}
 }
 
 // see takes in a register that was heard of.
 func (l *limiterPlaces) see(now time.Duration, reg *controlstate.Register) {
-	l.settler.See(now, reg.PlaceTable(), reg.Seq)
+	l.See(now, reg.PlaceTable(), reg.Seq)
 	if n := len(l.tables) - tablesMost; n >= 0 {
 		l.tables = slices.Delete(l.tables, 0, n+1)
 	}
@@ -72,21 +66,9 @@
 
 // hear takes in what a limiter tells of itself with a pull.
 func (l *limiterPlaces) hear(now time.Duration, reg *controlstate.Register, p places.Place, m *Pull) {
-	holder := p.Holder()
-	if m.Seq > 0 {
-		l.settler.Hear(now, places.Acknowledgement{Holder: holder, Version: m.Seq, InMs: m.LoansMs})
-	}
-	t := reg.PlaceTable()
-	has := t.SlotOf(p.Name, p.IP) >= 0
-	delete(l.joining, holder)
-	delete(l.done, holder)
-	switch {
-	case m.Done && has:
-		l.done[holder] = true
-	case m.Done || has:
+	report := places.Report{Place: p, Version: m.Seq, Loans: time.Duration(m.LoansMs) * time.Millisecond, Done: m.Done}
+	if !l.Hear(now, reg.PlaceTable(), report) {
 		return
-	default:
-		l.joining[holder] = p
 	}
 	select {
 	case l.changed <- struct{}{}:
@@ -94,35 +76,16 @@
 	}
 }
 
-// orders are the changes of places that are due.
-func (l *limiterPlaces) orders(now time.Duration, reg *controlstate.Register, gone []string) (all []controlstate.Order) {
-	t := reg.PlaceTable()
-	var joining []places.Place
-	for holder, p := range l.joining {
-		if t.SlotOf(p.Name, p.IP) >= 0 {
-			delete(l.joining, holder)
-			continue
-		}
-		joining = append(joining, p)
-	}
-	released := gone
-	for holder := range l.done {
-		if !slices.ContainsFunc(reg.Places, func(p places.Place) bool { return p.Held() && p.Holder() == holder }) {
-			delete(l.done, holder)
-			continue
-		}
-		released = append(released, holder)
-	}
-	if len(joining) > 0 {
-		slices.SortFunc(joining, func(a, b places.Place) int { return strings.Compare(a.Name, b.Name) })
-		all = append(all, controlstate.Order{Kind: controlstate.RegisterLimiters, Places: joining})
+// ordersOf are the orders for changes of places.
+func ordersOf(c places.Changes) (all []controlstate.Order) {
+	if len(c.Join) > 0 {
+		all = append(all, controlstate.Order{Kind: controlstate.RegisterLimiters, Places: c.Join})
 	}
-	if len(released) > 0 {
-		slices.Sort(released)
-		all = append(all, controlstate.Order{Kind: controlstate.ReleasePlaces, Holders: slices.Compact(released)})
+	if len(c.Release) > 0 {
+		all = append(all, controlstate.Order{Kind: controlstate.ReleasePlaces, Holders: c.Release})
 	}
-	if settled, ok := l.settler.Due(now, t); ok {
-		all = append(all, controlstate.Order{Kind: controlstate.SettlePlaces, Settled: settled})
+	if c.Settle > 0 {
+		all = append(all, controlstate.Order{Kind: controlstate.SettlePlaces, Settled: c.Settle})
 	}
 	return all
 }
@@ -137,19 +100,13 @@
 func (l *limiterPlaces) report(now time.Duration, reg *controlstate.Register) (lines []string) {
 	t := reg.PlaceTable()
 	for slot, p := range reg.Places {
-		state := "held"
-		left := time.Duration(0)
-		switch {
-		case p.Name == "":
+		if p.Name == "" {
 			continue
-		case p.To > 0:
-			state, left = "released", l.settler.Left(now, p.To)
-		case p.From > reg.PlacesSettled:
-			state, left = "joining", l.settler.Left(now, p.From)
 		}
-		line := fmt.Sprintf("place=%d limiter=%s ip=%s zone=%s state=%s since=%d", slot, p.Name, p.IP, p.Zone, state, max(p.From, p.To))
-		if left > 0 {
-			line += fmt.Sprintf(" settled_within=%s waits_for=%v", left.Round(time.Millisecond), l.settler.Missing(now, &t, max(p.From, p.To)))
+		state, left, missing := l.Pending(now, t, &p)
+		line := fmt.Sprintf("place=%d limiter=%s ip=%s zone=%s state=%s since=%d", slot, p.Name, p.IP, p.Zone, state, max(p.From, p.To, p.Back))
+		if state != "held" {
+			line += fmt.Sprintf(" settled_within=%s waits_for=%v", left.Round(time.Millisecond), missing)
 		}
 		lines = append(lines, line)
 	}
@@ -173,63 +130,58 @@
 // placesDue asks for the changes of places that are due.
 func (h *Registry) placesDue(ctx context.Context) {
 	h.mu.Lock()
-	pending := h.limiters.settler.Waits(h.reg.PlaceTable())
+	waits := h.limiters.Waits(h.reg.PlaceTable())
 	h.mu.Unlock()
-	if pending {
+	if waits {
 		h.gatherAcknowledgements(ctx)
 	}
 	h.mu.Lock()
-	gone := h.limiters.absences.Look(h.clock(), h.reg.PlaceTable(), h.apart(), h.isThere)
-	var orders []controlstate.Order
-	if h.clock()-h.limiters.askedAt > placesPause {
-		orders = h.limiters.orders(h.clock(), h.reg, gone)
-	}
-	if len(orders) > 0 {
+	running := h.running()
+	changes := h.limiters.Due(h.clock(), h.reg.PlaceTable(), h.apart(), func(holder string) bool { return running[holder] })
+	due := !changes.Empty() && h.clock()-h.limiters.askedAt > placesPause
+	if due {
 		h.limiters.askedAt = h.clock()
 	}
 	h.mu.Unlock()
-	if len(orders) == 0 {
+	if !due {
 		return
 	}
-	for _, o := range orders {
-		h.logPlaces(&o)
-	}
-	_, ok := h.orders(ctx, orders)
-	if !ok {
+	h.logPlaces(&changes)
+	if _, ok := h.orders(ctx, ordersOf(changes)); !ok {
 		h.log.Warn("change of places got no clear answer")
 	}
 	// Other registries have the same to ask for: not all at the same moment.
 	wait.Sleep(ctx, rand.N(50*time.Millisecond))
 }
 
-// logPlaces tells of a change of places that is asked for.
-func (h *Registry) logPlaces(o *controlstate.Order) {
-	switch o.Kind {
-	case controlstate.RegisterLimiters:
+// logPlaces tells of changes of places that are asked for.
+func (h *Registry) logPlaces(c *places.Changes) {
+	if len(c.Join) > 0 {
 		var names []string
-		for _, p := range o.Places {
+		for _, p := range c.Join {
 			names = append(names, p.Name)
 		}
 		h.log.WithField("limiters", names).Info("limiters join")
-	case controlstate.ReleasePlaces:
-		h.log.WithField("limiters", o.Holders).Info("places are released")
-	case controlstate.SettlePlaces:
-		h.log.WithFields(logrus.Fields{"seq": o.Settled}).Info("places are settled")
+	}
+	if len(c.Release) > 0 {
+		h.log.WithField("limiters", c.Release).Info("places are released")
+	}
+	if c.Settle > 0 {
+		h.log.WithField("seq", c.Settle).Info("places are settled")
 	}
 }
 
-// isThere tells that the holder of a place is known to run. The mutex is held.
-func (h *Registry) isThere(holder string) (there bool) {
+// running are the holders of places that are known to run: that their records are not of silent ones or of
+// lives that are over. The mutex is held.
+func (h *Registry) running() map[string]bool {
+	all := map[string]bool{}
 	h.book.Each(h.now(), func(r stock.Record) {
-		if r.Service != stock.Limiters || r.State == stock.Gone {
-			return
-		}
-		name, _, _ := strings.Cut(r.ID, "#")
-		if places.HolderOf(name, nodesettings.HostOf(r.Address)) == holder {
-			there = true
+		if r.Service == stock.Limiters && (r.State == stock.Available || r.State == stock.Draining) {
+			name, _, _ := strings.Cut(r.ID, "#")
+			all[places.HolderOf(name, nodesettings.HostOf(r.Address))] = true
 		}
 	})
-	return there
+	return all
 }
 
 // gatherAcknowledgements asks the other registries which places their limiters go by.
@@ -248,9 +200,7 @@
 	for range others {
 		all := <-answers
 		h.mu.Lock()
-		for _, a := range all {
-			h.limiters.settler.Hear(h.clock(), a)
-		}
+		h.limiters.HearAll(h.clock(), all)
 		h.mu.Unlock()
 	}
 }
@@ -259,5 +209,5 @@
 func (h *Registry) acknowledgements(context.Context) (any, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.limiters.settler.Acknowledgements(h.clock()), nil
+	return h.limiters.Acknowledgements(h.clock()), nil
 }
--- a/internal/switchyard/lease.go
+++ b/internal/switchyard/lease.go
@@ -13,13 +13,9 @@
 // proof that the register is current, and what it may use follows from all places that somebody may
 // still go by.
 
-// renew has the lease last longer, after proof that the register was current at a time. The mutex is
-// held.
-func (y *Yard) renew(at time.Time) {
-	ended := !y.lease.Valid(time.Since(y.begun))
-	if !y.lease.Renew(at.Sub(y.begun), 0) {
-		return
-	}
+// renewed has what stands by the place go by a lease that was renewed. ended tells that it had ended
+// before. The mutex is held.
+func (y *Yard) renewed(ended bool) {
 	y.holdShare()
 	if e := y.engine; ended && e != nil && y.lease.Valid(time.Since(y.begun)) {
 		e.parts()
@@ -30,6 +26,9 @@
 func (y *Yard) endLease() {
 	y.lease = places.Lease{}
 	y.holdShare()
+	if e := y.engine; e != nil {
+		e.parts()
+	}
 }
 
 // holds tells that this limiter has a part, and may use it now. It needs no mutex.
--- a/internal/switchyard/pull.go
+++ b/internal/switchyard/pull.go
@@ -92,7 +92,7 @@
 	if y.leaving.Load() {
 		me.State = stock.Draining
 	} else if y.engine == nil || !y.serving {
-		me.State, hold = stock.Silent, pullHold/2
+		me.State, hold = stock.Draining, pullHold/2 // nobody is to be led here yet
 	}
 	ask := registry.Pull{Vector: maps.Clone(y.book.Vector()), Seq: y.reg.Seq, Me: me, Version: y.reg.Version, Done: y.done}
 	if y.desk != nil {
@@ -141,6 +141,7 @@
 	y.mu.Lock()
 	defer y.mu.Unlock()
 	news := len(y.book.Merge(y.now(), a.Records)) > 0
+	ended := !y.lease.Valid(time.Since(y.begun))
 	y.book.Know(a.Vector)
 	if a.Register != nil && a.Register.Seq > y.reg.Seq {
 		// What this limiter has is left out, as it was when it asked: nothing else changes it.
@@ -153,6 +154,7 @@
 	} else {
 		y.prove(begun, a)
 	}
+	y.renewed(ended)
 	if news {
 		y.meet()
 		y.setLine()
@@ -170,7 +172,7 @@
 	if at.After(y.proved) {
 		y.proved = at
 	}
-	y.renew(at)
+	y.lease.Renew(at.Sub(y.begun), 0)
 }
 
 // complete puts into a register that was told what was left out of it: what this limiter had when it
--- a/internal/testring/cores.go
+++ b/internal/testring/cores.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"math"
 	"strings"
 
 	"example.org/madderdrum/internal/registry"
@@ -23,6 +24,7 @@
 	c.life++
 	c.up, c.waiting, c.stirred = true, nil, false
 	c.book = stock.New(fmt.Sprintf("%s#%d", c.name, c.life))
+	w.startPlaces(c)
 	for k := range w.cores {
 		if k != i {
 			w.follow(c, w.cores[k], c.life)
@@ -72,15 +74,17 @@
 			if _, known := to.book.Get(w.now, ask.Me.ID); (!known || ask.Me.Service == stock.Limiters) && to.book.Beat(w.now, *ask.Me) {
 				w.stir(to)
 			}
+			w.hearOfPlace(to, &ask)
 		}
-		until := w.now + held
+		came, until := w.now, w.now+held
 		var answer func()
 		answer = func() {
 			if over || !to.up || to.life != life {
 				return
 			}
 			lacks := to.book.Lacks(ask.Vector)
-			if !lacks && w.now < until {
+			newer := ask.Source == "" && to.version > ask.Seq
+			if !lacks && !newer && w.now < until {
 				to.waiting = append(to.waiting, answer)
 				return
 			}
@@ -88,6 +92,9 @@
 			if lacks {
 				a.Records, a.Vector = to.book.Since(w.now, ask.Vector), maps.Clone(to.book.Vector())
 			}
+			if ask.Source == "" {
+				w.tellPlaces(to, ask.Seq, w.now-came, a)
+			}
 			over = true
 			w.count(kind, len(rpc.Encode(a)))
 			if w.cut(to.spot, from) {
@@ -137,11 +144,25 @@
 	if n.book != nil {
 		n.vector = n.book.Vector()
 	}
-	w.call("pulls", n.spot, w.cores[n.core], registry.Pull{Vector: maps.Clone(n.vector), HoldMs: holdMs, Me: me}, holdMs,
+	ask, held := registry.Pull{Vector: maps.Clone(n.vector), HoldMs: holdMs, Me: me, Seq: n.version, Done: n.done}, holdMs
+	if n.holding != nil {
+		ask.LoansMs = uint64(math.Ceil(n.holding.Desk.LoansEndIn(w.now)))
+	}
+	givesBack := n.done && n.table.SlotOf(n.name, n.name) < 0
+	if givesBack {
+		held = 0
+	}
+	asked := w.now
+	w.call("pulls", n.spot, w.cores[n.core], ask, held,
 		func(a *registry.Pulled) {
 			if !n.up || n.life != life {
 				return
 			}
+			if givesBack {
+				n.up = false
+				return
+			}
+			w.takePlaces(n, asked, a)
 			if n.book != nil {
 				n.book.Merge(w.now, a.Records)
 				n.book.Know(a.Vector)
@@ -152,6 +173,7 @@
 			w.pull(n)
 		}, func() {
 			if n.up && n.life == life {
+				n.serial++
 				n.core = (n.core + 1) % len(w.cores)
 				w.pull(n)
 			}
--- a/internal/testring/testring.go
+++ b/internal/testring/testring.go
@@ -18,6 +18,7 @@
 	"example.org/madderdrum/internal/rpc"
 	"example.org/madderdrum/limiter"
 	"example.org/madderdrum/lineside"
+	"example.org/madderdrum/places"
 	"example.org/madderdrum/stock"
 	"example.org/madderdrum/tariff"
 	"example.org/madderdrum/wagons"
@@ -28,6 +29,8 @@
 	Seed            uint64
 	Regions, Zones  int // regions, and zones of each
 	Limiters        int
+	Standby         int  // limiters beside these that begin when they are started
+	Redirect        bool // clients go to limiters that are ready, whichever they are
 	Cores           int
 	Servers         int
 	Tenants         int
@@ -50,6 +53,7 @@
 	Sent     map[string]*Kind
 	Requests int // owed: within the tenant's quota
 	Refused  int // of them
+	Rounds   int // of ballots about places
 	now      float64
 	rng      *rand.Rand
 	due      events
@@ -58,7 +62,7 @@
 	byName   map[string]*node
 	cores    []*core
 	tenants  []*tenant
-	places   []tariff.Place
+	tables   []places.Table // of places that the cores have agreed on, by version
 	cut      func(a, b spot) bool
 }
 
@@ -84,14 +88,27 @@
 	waiting []func() // pulls that are held
 	stirred bool
 	life    int
+
+	begun     float64
+	version   uint64 // of the table of places
+	proved    float64
+	registrar *places.Registrar
+	asking    bool // for a change of places
 }
 
 // node is a limiter.
 type node struct {
 	spot
-	place   int
+	place   int // slot in the table; meaningless before there is one
 	life    int
 	up      bool
+	begun   float64
+	table   places.Table
+	version uint64
+	lease   places.Lease
+	leaving bool
+	done    bool    // it has nothing more to send
+	serving bool    // it holds a part
 	choked  float64 // until when its link is full, so that what it says is late
 	lim     *limiter.Limiter
 	holding *wagons.Holding
@@ -162,12 +179,12 @@
 		t.rate = 1.6 * t.usual
 		t.burst = t.rate
 	}
+	w.tables = []places.Table{{}}
 	all := o.Regions * o.Zones
-	for i := range o.Limiters {
+	for i := range o.Limiters + o.Standby {
 		z := i % all
-		n := &node{spot: spot{fmt.Sprintf("edge-%d", i), z, z % o.Regions}, place: i}
+		n := &node{spot: spot{fmt.Sprintf("edge-%d", i), z, z % o.Regions}}
 		w.nodes, w.byName[n.name] = append(w.nodes, n), n
-		w.places = append(w.places, tariff.Place{Name: n.name, Region: fmt.Sprint(n.region)})
 	}
 	for i := range o.Cores {
 		c := &core{spot: spot{fmt.Sprintf("core-%d", i), i % o.Zones * o.Regions, 0}}
@@ -176,7 +193,7 @@
 	for i := range w.cores {
 		w.StartCore(i)
 	}
-	for i := range w.nodes {
+	for i := range o.Limiters {
 		w.after(w.rng.Float64()*500, func() { w.Start(i) })
 	}
 	for i := range o.Servers {
@@ -244,41 +261,58 @@
 	if !w.Light {
 		n.book = stock.New("")
 	}
+	n.begun, n.table, n.version, n.lease = w.now, places.Table{}, 0, places.Lease{}
+	n.leaving, n.done, n.serving, n.lim, n.holding = false, false, false, nil, nil
+	w.every(n, 400, func() { w.lookAtLoans(n) })
+	w.every(n, 100, func() { w.say(n, n.line.Tick(w.now)) })
+	w.pull(n)
+}
+
+// slots are as many as limiters may hold places at once.
+func (w *World) slots() int { return w.Limiters + w.Standby }
+
+// open has a limiter that has got its place begin to decide.
+func (w *World) open(n *node, slot int) {
 	var near []int
-	for _, o := range w.nodes {
-		if o != n && o.region == n.region {
-			near = append(near, o.place)
+	for i, p := range n.table.Places {
+		if o := w.byName[p.Name]; i != slot && p.Held() && o.region == n.region {
+			near = append(near, i)
 		}
 	}
-	n.holding = wagons.Hold(wagons.New(w.now, n.place, w.Limiters, near, w.rng.Uint64()), n.place, w.Limiters)
-	n.holding.Ceilings, n.holding.Keepers = map[uint64]tariff.Ceiling{}, map[uint64][]int{}
-	s := limiter.Settings{Position: n.place, Balancers: w.Limiters, PeerInPerS: 3, Classes: []limiter.Class{{AimMs: 3000, DeadlineMs: 1, Worth: 1}},
+	n.place = slot
+	desk := wagons.New(w.now, slot, w.slots(), near, w.rng.Uint64())
+	if n.table.Places[slot].Life == n.id() {
+		desk.First()
+	}
+	n.holding = wagons.Hold(desk, slot, w.slots())
+	s := limiter.Settings{Position: n.place, Balancers: w.slots(), PeerInPerS: 3, Classes: []limiter.Class{{AimMs: 3000, DeadlineMs: 1, Worth: 1}},
 		Plans: []limiter.Plan{{Price: 1}}, Caps: limiter.Caps{Attempts: 2, Peers: true, RetryAfter: true, MaxWaitMs: 1000, ConnectMs: 300}, Rules: limiter.Rules{FallMs: 1000}}
-	from := &limiter.Handover{Position: n.place, Balancers: w.Limiters, HeadMs: 1e-6}
-	for k, t := range w.tenants {
+	from := &limiter.Handover{Position: n.place, Balancers: w.slots(), HeadMs: 1e-6}
+	for _, t := range w.tenants {
 		c := w.Rules.Ceiling(t.rate, t.burst)
-		n.holding.Ceilings[t.id] = c
-		if keepers := tariff.Keepers(fmt.Sprint(t.id), c, w.places); keepers != nil {
-			n.holding.Keepers[t.id] = keepers
-		}
 		s.Plans = append(s.Plans, limiter.Plan{Price: 1, Rate: c.Rate, Burst: c.Burst, CeilingRate: c.Rate, CeilingBurst: c.Burst})
-		from.Accounts = append(from.Accounts, limiter.AccountMemory{ID: t.id, Plan: k + 1, Spread: w.Limiters, Balance: c.Burst, Share: n.holding.Begins(w.Rules, t.id)})
 	}
 	from.Plans = s.Plans
+	w.gather(n)
+	w.hold(n)
+	for k, t := range w.tenants {
+		a := limiter.AccountMemory{ID: t.id, Plan: k + 1, Spread: w.slots(), Balance: n.holding.Ceilings[t.id].Burst}
+		if n.table.Places[slot].Life != n.id() {
+			a.Share = n.holding.Begins(w.Rules, t.id)
+		}
+		from.Accounts = append(from.Accounts, a)
+	}
 	lim, err := limiter.New(s, w.rng.Uint64())
 	if err != nil {
 		panic(fmt.Sprintf("testring: the settings make no sense: %v", err))
 	}
 	n.lim = lim
+	w.parts(n)
 	w.handle(n, limiter.Endpoints{Scope: limiter.Complete, Servers: []limiter.ServerInfo{{ID: 1, Phase: limiter.Up}, {ID: 2, Phase: limiter.Up}, {ID: 3, Phase: limiter.Up}}})
 	w.handle(n, limiter.Recall{Memory: &limiter.Memory{Handover: from}})
 	for k, t := range w.tenants {
-		w.handle(n, limiter.Ask{Submit: limiter.Submit{ID: "opens", ExpiresMs: 1, Plan: k + 1, Customer: t.id, Spread: w.Limiters}})
+		w.handle(n, limiter.Ask{Submit: limiter.Submit{ID: "opens", ExpiresMs: 1, Plan: k + 1, Customer: t.id, Spread: w.slots()}})
 	}
-	w.parts(n)
-	w.every(n, 400, func() { w.lookAtLoans(n) })
-	w.every(n, 100, func() { w.say(n, n.line.Tick(w.now)) })
-	w.pull(n)
 }
 
 // Stop ends a limiter without a word.
@@ -304,6 +338,9 @@
 
 // handle gives a limiter's decisions an event and does what they return.
 func (w *World) handle(n *node, ev limiter.Event) {
+	if n.lim == nil {
+		return
+	}
 	n.queue = append(n.queue, ev)
 	if n.working {
 		return
@@ -339,8 +376,9 @@
 			}
 		})
 	case limiter.Tell:
-		to, data := w.nodes[a.To], slices.Clone(a.Data)
-		w.datagram("spending", n, to, len(data)+1, func() { w.handle(to, limiter.PeerMessage{From: n.place, Data: data}) })
+		if to, data := w.at(n, a.To), slices.Clone(a.Data); to != nil {
+			w.datagram("spending", n, to, len(data)+1, func() { w.handle(to, limiter.PeerMessage{From: n.place, Data: data}) })
+		}
 	}
 }
 
@@ -354,7 +392,18 @@
 	}
 }
 
+// at is the limiter in a slot, as another one knows; nil: there is none.
+func (w *World) at(n *node, slot int) *node {
+	if slot < 0 || slot >= len(n.table.Places) || !n.table.Places[slot].Held() {
+		return nil
+	}
+	return w.byName[n.table.Places[slot].Name]
+}
+
 func (w *World) lookAtLoans(n *node) {
+	if n.lim == nil {
+		return
+	}
 	var demands []wagons.Demand
 	for _, d := range n.lim.Demands() {
 		demands = append(demands, wagons.Demand{ID: d.Account, Asked: d.Asked})
@@ -366,8 +415,14 @@
 }
 
 func (w *World) letter(n *node, l wagons.Letter) {
-	to := w.nodes[l.To]
+	to := w.at(n, l.To)
+	if to == nil {
+		return
+	}
 	w.datagram("loans", n, to, len(rpc.Encode(l.Message))+1, func() {
+		if to.holding == nil {
+			return
+		}
 		if a, ok := to.holding.Desk.Hear(w.now, n.place, l.Message); ok {
 			w.parts(to)
 			w.letter(to, a)
@@ -391,7 +446,7 @@
 	}
 	w.after(w.rng.ExpFloat64()/rate*1000, func() {
 		w.arrive(t)
-		if n := w.nodes[w.rng.IntN(len(w.nodes))]; n.up && w.now > 5000 {
+		if n := w.goesTo(); n != nil && n.up && w.now > 5000 {
 			hot := w.HotX > 0 && t == w.tenants[w.HotTenant] && w.now >= w.HotFrom && w.now < w.HotTo+5000
 			w.request(n, t, func(ok bool) {
 				if !hot {
@@ -405,11 +460,32 @@
 	})
 }
 
+// goesTo is the limiter that the next request comes to.
+func (w *World) goesTo() *node {
+	if !w.Redirect {
+		return w.nodes[w.rng.IntN(len(w.nodes))]
+	}
+	var ready []*node
+	for _, n := range w.nodes {
+		if n.up && n.serving && !n.leaving {
+			ready = append(ready, n)
+		}
+	}
+	if len(ready) == 0 {
+		return nil
+	}
+	return ready[w.rng.IntN(len(ready))]
+}
+
 // request has a limiter decide on a request of a tenant, as its host does.
 func (w *World) request(n *node, t *tenant, end func(ok bool)) {
+	if n.lim == nil || n.done {
+		end(false)
+		return
+	}
 	n.serial++
 	id := fmt.Sprint(n.serial)
-	ev := limiter.Submit{ID: id, ExpiresMs: 3000, Units: 1, Plan: int(t.id), Customer: t.id, Spread: w.Limiters}
+	ev := limiter.Submit{ID: id, ExpiresMs: 3000, Units: 1, Plan: int(t.id), Customer: t.id, Spread: w.slots()}
 	gathered, keeps := n.holding.Keeps(t.id)
 	submit := func(refused func(short bool)) {
 		n.calls[id] = func(ok, short bool, server uint64) {
@@ -468,7 +544,8 @@
 // token asks others for a token, the next one where there is no answer for a while.
 func (w *World) token(n *node, t *tenant, end func(ok bool)) {
 	life, over := n.life, false
-	q := wagons.Enquire(n.holding.Askees(t.id, w.places, func(name string) bool { return w.outFor(n, name) }, w.rng.Shuffle))
+	newest := w.sets(&n.table)
+	q := wagons.Enquire(n.holding.Askees(t.id, newest[len(newest)-1], func(name string) bool { return w.outFor(n, name) }, w.rng.Shuffle))
 	asked := 0
 	var next func()
 	next = func() {
@@ -482,12 +559,18 @@
 			return
 		}
 		asked++
-		turn, k := asked, w.nodes[place]
+		turn, k := asked, w.at(n, place)
+		if k == nil {
+			return
+		}
 		w.datagram("asks", n, k, 40, func() {
 			paid := false
+			if k.holding != nil && k.holding.Due(w.now) {
+				w.parts(k)
+			}
 			k.granted = &paid
 			k.serial++
-			w.handle(k, limiter.Ask{Submit: limiter.Submit{ID: fmt.Sprintf("ask/%d", k.serial), ExpiresMs: 3000, Units: 1, Plan: int(t.id), Customer: t.id, Spread: w.Limiters}})
+			w.handle(k, limiter.Ask{Submit: limiter.Submit{ID: fmt.Sprintf("ask/%d", k.serial), ExpiresMs: 3000, Units: 1, Plan: int(t.id), Customer: t.id, Spread: w.slots()}})
 			k.granted = nil
 			w.datagram("asks", k, n, 20, func() {
 				switch {
--- a/places/places_test.go
+++ b/places/places_test.go
@@ -263,3 +263,58 @@
 		t.Errorf("the living hold %g of everything", sum)
 	}
 }
+
+// A registry has limiters join that are without a place, those that have left released at once and those that
+// are silent after a while, and what all have acknowledged settled, whoever has heard them.
+func TestRegistrar(t *testing.T) {
+	var x Table
+	r, other := NewRegistrar(), NewRegistrar()
+	there := map[string]bool{}
+	due := func(now time.Duration) Changes {
+		return r.Due(now, x, false, func(holder string) bool { return there[holder] })
+	}
+	all := limiters(0, 3)
+	for _, p := range all {
+		there[p.Holder()] = true
+		if !r.Hear(0, x, Report{Place: p}) {
+			t.Errorf("%s needs nothing", p.Name)
+		}
+	}
+	if d := cmp.Diff(Changes{Join: all}, due(0)); d != "" {
+		t.Error(d)
+	}
+	x.Join(1, all)
+	r.See(0, x, 1)
+	if c := due(0); !c.Empty() || r.Waits(x) {
+		t.Errorf("%+v is due, and all hold their places", c)
+	}
+	for _, p := range all[:2] {
+		r.Hear(time.Second, x, Report{Place: p, Version: 1, Done: p.Name == "e1"})
+	}
+	if d := cmp.Diff(Changes{Release: []string{"e1@1"}}, due(time.Second)); d != "" {
+		t.Error(d)
+	}
+	x.Release(2, []string{"e1@1"})
+	r.See(time.Second, x, 2)
+	other.See(time.Second, x, 2)
+	for _, p := range all[:2] {
+		r.Hear(2*time.Second, x, Report{Place: p, Version: 2, Done: p.Name == "e1"})
+	}
+	other.Hear(2*time.Second, x, Report{Place: all[2], Version: 2})
+	if c := due(5 * time.Second); !c.Empty() {
+		t.Errorf("%+v is due before all are known to have acknowledged", c)
+	}
+	if state, left, missing := r.Pending(5*time.Second, x, &x.Places[1]); state != "released" || left <= 0 || !cmp.Equal(missing, []string{"e2@2"}) {
+		t.Errorf("%s, %v left, waits for %v", state, left, missing)
+	}
+	r.HearAll(5*time.Second, other.Acknowledgements(5*time.Second))
+	if d := cmp.Diff(Changes{Settle: 2}, due(5*time.Second)); d != "" {
+		t.Error(d)
+	}
+	x.Settle(2)
+	delete(there, "e2@2")
+	due(6 * time.Second)
+	if d := cmp.Diff(Changes{Release: []string{"e2@2"}}, due(6*time.Second+GoneAfter)); d != "" {
+		t.Error(d)
+	}
+}
--- a/places/settler.go
+++ b/places/settler.go
@@ -92,9 +92,6 @@
 	return all
 }
 
-// Waits tells that a table has changes that are not settled.
-func (s *Settler) Waits(t Table) bool { return len(t.Changes()) > 0 }
-
 // Due is the newest version up to which the table is settled; ok is false where that is no later
 // than is agreed.
 func (s *Settler) Due(now time.Duration, t Table) (version uint64, ok bool) {
