registry: only missing acknowledgements are asked for, once they can settle something

Change: the holders that are missing are named, from 2.5 s after the change on, twice a second at most.

--- a/internal/registry/limiters.go
+++ b/internal/registry/limiters.go
@@ -22,6 +22,9 @@
 	// placesPause is the least time between two changes of places that a registry asks for: what
 	// happens meanwhile goes together. Where several have the same to ask for the first one is enough.
 	placesPause = 300 * time.Millisecond
+	// gatherPause is the least time between two times that the other registries are asked for
+	// acknowledgements.
+	gatherPause = 500 * time.Millisecond
 	// tablesMost is how many former tables of places are kept to tell differences by.
 	tablesMost = 64
 )
@@ -33,6 +36,8 @@
 	tables  []table       // latest last
 	changed chan struct{} // something is to be done soon
 	askedAt time.Duration // a change of places was asked for
+	// gathered is when the other registries were asked for acknowledgements last.
+	gathered time.Duration
 }
 
 // table is the places of one register.
@@ -130,10 +135,14 @@
 // placesDue asks for the changes of places that are due.
 func (h *Registry) placesDue(ctx context.Context) {
 	h.mu.Lock()
-	waits := h.limiters.Waits(h.reg.PlaceTable())
+	wanted := h.limiters.Wanted(h.clock(), h.reg.PlaceTable())
+	ask := len(wanted) > 0 && h.clock()-h.limiters.gathered >= gatherPause
+	if ask {
+		h.limiters.gathered = h.clock()
+	}
 	h.mu.Unlock()
-	if waits {
-		h.gatherAcknowledgements(ctx)
+	if ask {
+		h.gatherAcknowledgements(ctx, wanted)
 	}
 	h.mu.Lock()
 	running := h.running()
@@ -184,14 +193,14 @@
 	return all
 }
 
-// gatherAcknowledgements asks the other registries which places their limiters go by.
-func (h *Registry) gatherAcknowledgements(ctx context.Context) {
+// gatherAcknowledgements asks the other registries which tables some holders go by.
+func (h *Registry) gatherAcknowledgements(ctx context.Context, holders []string) {
 	others := h.cores()[1:]
 	answers := make(chan []places.Acknowledgement, len(others))
 	for _, ip := range others {
 		go func() {
 			var all []places.Acknowledgement
-			if h.caller.Call(ctx, h.set.Internal(ip, nodesettings.RegistryPort), callAcknowledgements, nil, &all, pushWithin) != nil {
+			if h.caller.Call(ctx, h.set.Internal(ip, nodesettings.RegistryPort), callAcknowledgements, holders, &all, pushWithin) != nil {
 				all = nil
 			}
 			answers <- all
@@ -205,9 +214,9 @@
 	}
 }
 
-// acknowledgements tells another registry which places the limiters that pull here go by.
-func (h *Registry) acknowledgements(context.Context) (any, error) {
+// acknowledgements tells another registry which tables some holders of places go by, as was heard here.
+func (h *Registry) acknowledgements(_ context.Context, holders []string) (any, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.limiters.Acknowledgements(h.clock()), nil
+	return h.limiters.Acknowledgements(h.clock(), holders), nil
 }
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -132,7 +132,7 @@
 	if err != nil {
 		return fmt.Errorf("registry: listen for outside calls: %w", err)
 	}
-	go rpc.Serve(ctx, inner, map[string]rpc.Handler{CallPull: rpc.Taking(h.pull), callPush: rpc.Taking(h.pushed), callRepair: rpc.Taking(h.repaired), callAcknowledgements: rpc.Asking(h.acknowledgements), rpc.CallStatus: rpc.Asking(h.status)})
+	go rpc.Serve(ctx, inner, map[string]rpc.Handler{CallPull: rpc.Taking(h.pull), callPush: rpc.Taking(h.pushed), callRepair: rpc.Taking(h.repaired), callAcknowledgements: rpc.Taking(h.acknowledgements), rpc.CallStatus: rpc.Asking(h.status)})
 	go (&httpapi.Server{Handler: h.outside, MaxBody: maxBody, DropAbandoned: isEvacuation}).Serve(ctx, outer)
 	if set.Bootstrap {
 		h.voters = [][]string{set.Cores()}
--- a/internal/testring/places.go
+++ b/internal/testring/places.go
@@ -18,6 +18,9 @@
 	placesMs     = 250.0
 	ballotCross  = 4 // times that a change of places crosses between regions, at most
 	maxChangesMs = 300.0
+	// acknowledgedMs is the least time between two times that a core machine asks the others for what
+	// they have heard.
+	acknowledgedMs = 500.0
 )
 
 // span is a time of the world for the parts that count in spans.
@@ -25,7 +28,7 @@
 
 // startPlaces has a core machine follow what is agreed about places, and ask for changes.
 func (w *World) startPlaces(c *core) {
-	c.begun, c.version, c.proved, c.registrar, c.asking = w.now, 0, math.Inf(-1), places.NewRegistrar(), false
+	c.begun, c.version, c.proved, c.registrar, c.asking, c.askedAt = w.now, 0, math.Inf(-1), places.NewRegistrar(), false, 0
 	life := c.life
 	for ms, do := range map[float64]func(){confirmMs: func() { w.confirm(c) }, placesMs: func() { w.placesDue(c) }} {
 		var again func()
@@ -83,11 +86,12 @@
 // placesDue has a core machine ask for the changes of places that are due.
 func (w *World) placesDue(c *core) {
 	t := w.tables[c.version]
-	if c.registrar.Waits(t) {
+	if wanted := c.registrar.Wanted(span(w.now), t); len(wanted) > 0 && w.now-c.askedAt >= acknowledgedMs {
+		c.askedAt = w.now
 		for _, o := range w.cores {
 			if o != c && o.up && !w.cut(c.spot, o.spot) && !w.cut(o.spot, c.spot) {
-				all := o.registrar.Acknowledgements(span(w.now))
-				w.count("acknowledgements", len(rpc.Encode(all)))
+				all := o.registrar.Acknowledgements(span(w.now), wanted)
+				w.count("acknowledgements", len(rpc.Encode(wanted))+len(rpc.Encode(all)))
 				c.registrar.HearAll(span(w.now), all)
 			}
 		}
--- a/internal/testring/testring.go
+++ b/internal/testring/testring.go
@@ -94,6 +94,7 @@
 	proved    float64
 	registrar *places.Registrar
 	asking    bool // for a change of places
+	askedAt   float64
 }
 
 // node is a limiter.
--- a/places/places_test.go
+++ b/places/places_test.go
@@ -116,7 +116,7 @@
 	// The same as another registry tells it.
 	other := NewSettler()
 	other.See(now, x, 3)
-	for _, a := range s.Acknowledgements(now + 6*time.Second) {
+	for _, a := range s.Acknowledgements(now+6*time.Second, []string{"e0@0", "e1@1", "e2@2"}) {
 		other.Hear(now+6*time.Second, a)
 	}
 	if got, _ := other.Due(now+6*time.Second, x); got != 2 {
@@ -285,7 +285,7 @@
 	}
 	x.Join(1, all)
 	r.See(0, x, 1)
-	if c := due(0); !c.Empty() || r.Waits(x) {
+	if c := due(0); !c.Empty() || r.Wanted(time.Hour, x) != nil {
 		t.Errorf("%+v is due, and all hold their places", c)
 	}
 	for _, p := range all[:2] {
@@ -307,7 +307,10 @@
 	if state, left, missing := r.Pending(5*time.Second, x, &x.Places[1]); state != "released" || left <= 0 || !cmp.Equal(missing, []string{"e2@2"}) {
 		t.Errorf("%s, %v left, waits for %v", state, left, missing)
 	}
-	r.HearAll(5*time.Second, other.Acknowledgements(5*time.Second))
+	if d := cmp.Diff([]string{"e2@2"}, r.Wanted(5*time.Second, x)); d != "" || r.Wanted(2*time.Second, x) != nil {
+		t.Errorf("others are asked for %s", d)
+	}
+	r.HearAll(5*time.Second, other.Acknowledgements(5*time.Second, []string{"e2@2"}))
 	if d := cmp.Diff(Changes{Settle: 2}, due(5*time.Second)); d != "" {
 		t.Error(d)
 	}
--- a/places/registrar.go
+++ b/places/registrar.go
@@ -86,13 +86,13 @@
 	return c
 }
 
-// Waits tells that a table has changes that are not settled: acknowledgements that others have heard
-// are of use.
-func (r *Registrar) Waits(t Table) bool { return len(t.Changes()) > 0 }
+// Wanted are the holders whose acknowledgements, if other registries have heard them, would settle the
+// newest change that can be settled by now.
+func (r *Registrar) Wanted(now time.Duration, t Table) []string { return r.settler.Wanted(now, t) }
 
-// Acknowledgements are all that were heard, for another registry.
-func (r *Registrar) Acknowledgements(now time.Duration) []Acknowledgement {
-	return r.settler.Acknowledgements(now)
+// Acknowledgements are those that were heard of some holders, for another registry.
+func (r *Registrar) Acknowledgements(now time.Duration, holders []string) []Acknowledgement {
+	return r.settler.Acknowledgements(now, holders)
 }
 
 // HearAll takes in what another registry has heard.
--- a/places/settler.go
+++ b/places/settler.go
@@ -1,7 +1,6 @@
 package places
 
 import (
-	"cmp"
 	"slices"
 	"time"
 )
@@ -78,20 +77,28 @@
 	return slices.DeleteFunc(all, func(x acknowledged) bool { return x.version < newest })
 }
 
-// Acknowledgements are all that were heard, for another registry.
-func (s *Settler) Acknowledgements(now time.Duration) (all []Acknowledgement) {
-	for holder, heard := range s.acknowledged {
-		for _, x := range heard {
+// Acknowledgements are those that were heard of some holders, for another registry.
+func (s *Settler) Acknowledgements(now time.Duration, holders []string) (all []Acknowledgement) {
+	for _, holder := range holders {
+		for _, x := range s.acknowledged[holder] {
 			in := max(0, x.at-now+time.Millisecond-1)
 			all = append(all, Acknowledgement{Holder: holder, Version: x.version, InMs: uint64(in / time.Millisecond)})
 		}
 	}
-	slices.SortFunc(all, func(a, b Acknowledgement) int {
-		return cmp.Or(cmp.Compare(a.Holder, b.Holder), cmp.Compare(a.Version, b.Version))
-	})
 	return all
 }
 
+// Wanted are the holders whose acknowledgements would settle the newest change that was heard of for long
+// enough.
+func (s *Settler) Wanted(now time.Duration, t Table) []string {
+	for _, change := range slices.Backward(t.Changes()) {
+		if heard, ok := s.heardOf(change); ok && now-heard >= ackWait {
+			return s.Missing(now, &t, change)
+		}
+	}
+	return nil
+}
+
 // Due is the newest version up to which the table is settled; ok is false where that is no later
 // than is agreed.
 func (s *Settler) Due(now time.Duration, t Table) (version uint64, ok bool) {
