--- a/tariff/tariff.go
+++ b/allowance/allowance.go
@@ -1,7 +1,7 @@
-// Package tariff says how much of what binds all limiters together one of them may use: of
+// Package allowance says how much of what binds all limiters together one of them may use: of
 // tenants' quotas, of further tries, of what cold servers bear. It does no input or output and
 // reads no clock.
-package tariff
+package allowance
 
 import (
 	"cmp"
--- a/tariff/tariff_test.go
+++ b/allowance/allowance_test.go
@@ -1,4 +1,4 @@
-package tariff
+package allowance
 
 import (
 	"fmt"
--- a/cmd/modelrailway/scale.go
+++ b/cmd/modelrailway/scale.go
@@ -8,8 +8,8 @@
 
 	"github.com/spf13/cobra"
 
+	"example.org/madderdrum/allowance"
 	"example.org/madderdrum/internal/testring"
-	"example.org/madderdrum/tariff"
 )
 
 // scale plays the control state at several sizes in virtual time and prints what one limiter says.
@@ -44,7 +44,7 @@
 func play(seed uint64, limiters, servers int, span time.Duration) error {
 	begun := time.Now()
 	w := testring.New(testring.Options{Seed: seed, Regions: 3, Zones: 3, Limiters: limiters, Cores: 5, Servers: servers, Tenants: min(90, max(8, limiters)), PerS: 10 * float64(limiters),
-		Loss: 0.002, Light: limiters*servers > 500_000, Rules: tariff.Rules{QuotaWindow: 5 * time.Second, QuotaOvershoot: 0.1, QuotaSlack: 20, RetryRatio: 0.2, RetrySlack: 200}})
+		Loss: 0.002, Light: limiters*servers > 500_000, Rules: allowance.Rules{QuotaWindow: 5 * time.Second, QuotaOvershoot: 0.1, QuotaSlack: 20, RetryRatio: 0.2, RetrySlack: 200}})
 	w.Run(10_000)
 	clear(w.Sent)
 	refused, requests := w.Refused, w.Requests
--- a/internal/switchyard/asks.go
+++ b/internal/switchyard/asks.go
@@ -6,12 +6,12 @@
 	"strconv"
 	"time"
 
+	"example.org/madderdrum/allowance"
 	"example.org/madderdrum/internal/nodesettings"
 	"example.org/madderdrum/internal/rpc"
 	"example.org/madderdrum/limiter"
-	"example.org/madderdrum/tariff"
+	"example.org/madderdrum/quotaloan"
 	"example.org/madderdrum/timetable"
-	"example.org/madderdrum/wagons"
 )
 
 // Where a tenant's ceiling divided by all limiters comes to less than a few requests, no part
@@ -42,7 +42,7 @@
 	y.mu.Lock()
 	all, near := c.e.holding.Askees(account(c.tenant.Name), c.e.places, func(name string) bool { return y.out[name] }, rand.Shuffle)
 	y.mu.Unlock()
-	q, answers := wagons.Enquire(all, near), make(chan tokenAnswer, len(all))
+	q, answers := quotaloan.Enquire(all, near), make(chan tokenAnswer, len(all))
 	for {
 		place, within, more := q.Next(ms(time.Until(c.stopAt)))
 		if !more {
@@ -99,7 +99,7 @@
 	y.mu.Lock()
 	asks := y.asking[id]
 	if asks == nil {
-		asks = &tariff.Asks{}
+		asks = &allowance.Asks{}
 		y.asking[id] = asks
 	}
 	due := asks.Due(y.now())
--- a/internal/switchyard/engine.go
+++ b/internal/switchyard/engine.go
@@ -8,13 +8,13 @@
 
 	"github.com/sirupsen/logrus"
 
+	"example.org/madderdrum/allowance"
 	"example.org/madderdrum/blocks"
 	"example.org/madderdrum/internal/nodesettings"
 	"example.org/madderdrum/limiter"
+	"example.org/madderdrum/quotaloan"
 	"example.org/madderdrum/stock"
-	"example.org/madderdrum/tariff"
 	"example.org/madderdrum/timetable"
-	"example.org/madderdrum/wagons"
 )
 
 // engine drives the decisions of one limiter.Limiter: as many limiters stand in its set as
@@ -38,11 +38,11 @@
 	slots   map[uint32]float64        // of a life
 	beside  map[uint64]limiter.InHand // what else is in hand there, as the decisions were told
 	names   int
-	places  []tariff.Place  // by slot, in the newest table
-	holding *wagons.Holding // of tenants' ceilings
-	planOf  map[uint64]int  // plans by account
-	classOf map[uint64]int  // classes by the number that limiters tell each other for a route
-	ask     *tokenAnswer    // of another limiter, while it is decided on
+	places  []allowance.Place  // by slot, in the newest table
+	holding *quotaloan.Holding // of tenants' ceilings
+	planOf  map[uint64]int     // plans by account
+	classOf map[uint64]int     // classes by the number that limiters tell each other for a route
+	ask     *tokenAnswer       // of another limiter, while it is decided on
 }
 
 // poolKey says which servers of a service may take the same requests.
@@ -132,7 +132,7 @@
 		e.planOf[account(tn.Name)] = len(s.Plans)
 		s.Plans = append(s.Plans, p)
 		h.Ceilings[account(tn.Name)] = c
-		h.Gather(account(tn.Name), tariff.KeeperShares(tn.Name, c, sets))
+		h.Gather(account(tn.Name), allowance.KeeperShares(tn.Name, c, sets))
 	}
 	return s, classes, plans
 }
@@ -203,7 +203,7 @@
 			left = e.leave()
 		}
 		y.openDesk(position, size)
-		e = &engine{y: y, size: size, place: position, holding: wagons.Hold(y.desk, position, size), calls: map[string]*call{}, pools: map[poolKey]*pool{}, ids: map[berth]uint64{}, servers: map[uint64]*entry{},
+		e = &engine{y: y, size: size, place: position, holding: quotaloan.Hold(y.desk, position, size), calls: map[string]*call{}, pools: map[poolKey]*pool{}, ids: map[berth]uint64{}, servers: map[uint64]*entry{},
 			inHand: map[uint64]int{}}
 		e.name(t)
 		s, classes, plans := e.settings(t, position)
--- a/internal/switchyard/lease.go
+++ b/internal/switchyard/lease.go
@@ -5,8 +5,8 @@
 
 	"github.com/sirupsen/logrus"
 
+	"example.org/madderdrum/allowance"
 	"example.org/madderdrum/places"
-	"example.org/madderdrum/tariff"
 )
 
 // A limiter's place in the register is a lease (see package places): it stands as long as there is young
@@ -78,13 +78,13 @@
 
 // sets are the places of limiters by slot, in each set that somebody may still go by, the newest last.
 // The mutex is held.
-func (y *Yard) sets() (all [][]tariff.Place) {
+func (y *Yard) sets() (all [][]allowance.Place) {
 	t := y.reg.PlaceTable()
 	for _, set := range t.Sets() {
-		members := make([]tariff.Place, len(t.Places))
+		members := make([]allowance.Place, len(t.Places))
 		for _, slot := range set {
 			p := t.Places[slot]
-			members[slot] = tariff.Place{Name: p.Name, Region: y.set.Zones[p.Zone]}
+			members[slot] = allowance.Place{Name: p.Name, Region: y.set.Zones[p.Zone]}
 		}
 		all = append(all, members)
 	}
--- a/internal/switchyard/loans.go
+++ b/internal/switchyard/loans.go
@@ -10,13 +10,13 @@
 	"example.org/madderdrum/internal/rpc"
 	"example.org/madderdrum/limiter"
 	"example.org/madderdrum/places"
-	"example.org/madderdrum/wagons"
+	"example.org/madderdrum/quotaloan"
 )
 
 // Datagrams between limiters begin with what they are.
 const (
 	datagramSpending byte = 1 // of package limiter
-	datagramLoans    byte = 2 // of package wagons, in CBOR
+	datagramLoans    byte = 2 // of package quotaloan, in CBOR
 	datagramAsk      byte = 3 // a tokenAsk, in CBOR
 	datagramAnswer   byte = 4 // a tokenAnswer, in CBOR
 	datagramLine     byte = 5 // a lineMessage, in CBOR
@@ -43,7 +43,7 @@
 		y.desk.Resize(position, size, near)
 		return
 	}
-	y.desk = wagons.New(y.now(), position, size, near, rand.Uint64())
+	y.desk = quotaloan.New(y.now(), position, size, near, rand.Uint64())
 	if y.reg.Places[position].Life == y.self {
 		y.desk.First()
 	}
@@ -55,9 +55,9 @@
 	if y.engine != e {
 		return // another has taken its place
 	}
-	var demands []wagons.Demand
+	var demands []quotaloan.Demand
 	for _, d := range e.lim.Demands() {
-		demands = append(demands, wagons.Demand{ID: d.Account, Asked: d.Asked})
+		demands = append(demands, quotaloan.Demand{ID: d.Account, Asked: d.Asked})
 	}
 	for _, l := range e.holding.Look(y.now(), demands) {
 		e.write(l)
@@ -70,7 +70,7 @@
 	})
 }
 
-func (e *engine) write(l wagons.Letter) {
+func (e *engine) write(l quotaloan.Letter) {
 	if l.To < len(e.y.reg.Places) && e.y.reg.Places[l.To].IP != "" {
 		e.y.tell(e.y.set.Internal(e.y.reg.Places[l.To].IP, nodesettings.ProxyPort), datagramLoans, rpc.Encode(l.Message))
 	}
@@ -152,7 +152,7 @@
 				y.answered(a)
 			}
 		case datagramLoans:
-			var m wagons.Message
+			var m quotaloan.Message
 			if rpc.Decode(data, &m) != nil {
 				return
 			}
--- a/internal/switchyard/serve.go
+++ b/internal/switchyard/serve.go
@@ -8,8 +8,8 @@
 	"strings"
 	"time"
 
+	"example.org/madderdrum/allowance"
 	"example.org/madderdrum/limiter"
-	"example.org/madderdrum/tariff"
 	"example.org/madderdrum/timetable"
 )
 
@@ -111,7 +111,7 @@
 	c.id = strconv.Itoa(c.e.names) + "/" + id
 	b := y.budget[c.service]
 	if b == nil {
-		b = &tariff.Tries{}
+		b = &allowance.Tries{}
 		if y.set.Bootstrap {
 			b = y.rules.First(y.limiters)
 		}
--- a/internal/switchyard/switchyard.go
+++ b/internal/switchyard/switchyard.go
@@ -14,6 +14,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"example.org/madderdrum/allowance"
 	"example.org/madderdrum/blocks"
 	"example.org/madderdrum/controlstate"
 	"example.org/madderdrum/internal/nodesettings"
@@ -22,17 +23,16 @@
 	"example.org/madderdrum/internal/wait"
 	"example.org/madderdrum/lineside"
 	"example.org/madderdrum/places"
+	"example.org/madderdrum/quotaloan"
 	"example.org/madderdrum/stock"
-	"example.org/madderdrum/tariff"
 	"example.org/madderdrum/telegraph"
 	"example.org/madderdrum/timetable"
-	"example.org/madderdrum/wagons"
 )
 
 // Yard is one limiter of the system.
 type Yard struct {
 	set       *nodesettings.Settings
-	rules     tariff.Rules
+	rules     allowance.Rules
 	log       logrus.FieldLogger
 	caller    *rpc.Caller
 	begun     time.Time
@@ -62,14 +62,14 @@
 	gone       map[string]bool      // lives whose address another server answered at
 	engine     *engine
 	stations   map[string]*station
-	budget     map[string]*tariff.Tries // of further arrivals, by service
+	budget     map[string]*allowance.Tries // of further arrivals, by service
 	logged     time.Time
 	line       *lineside.Line  // the other limiters of the region
 	telegraph  *telegraph.Desk // where requests fail, of the region
 	blocks     *blocks.Desk    // what neighbours have in hand at servers
 	neighbours []places.Place
 	lease      places.Lease
-	desk       *wagons.Desk                // loans of parts
+	desk       *quotaloan.Desk             // loans of parts
 	share      float64                     // of what binds all limiters together, by the places that are known
 	limiters   int                         // that share it, at most
 	near       int                         // of them in this zone
@@ -79,7 +79,7 @@
 	lineIPs    map[string]string           // of their lives
 	out        map[string]bool             // those out of reach, by name
 	asks       map[uint64]chan tokenAnswer // that wait for an answer
-	asking     map[uint64]*tariff.Asks     // of single tokens, by account
+	asking     map[uint64]*allowance.Asks  // of single tokens, by account
 	serial     uint64                      // of the latest
 	listing    *time.Timer                 // makes the list of servers anew
 	listAt     time.Time                   // when; zero: not due
@@ -138,10 +138,10 @@
 	y := &Yard{set: set, log: log, link: newLink(set.LinkMbps), caller: rpc.NewCaller(), begun: time.Now(), self: fmt.Sprintf("%s#%08x", set.Node, rand.Uint32()),
 		seeds: set.Cores(), cores: set.Cores(), nudge: make(chan struct{}, 1), book: stock.New(""), reg: &controlstate.Register{},
 		evacuate: map[string]bool{}, coldTo: map[string]time.Time{}, gone: map[string]bool{},
-		stations: map[string]*station{}, budget: map[string]*tariff.Tries{}, ended: map[string]int{}, asks: map[uint64]chan tokenAnswer{}, asking: map[uint64]*tariff.Asks{},
+		stations: map[string]*station{}, budget: map[string]*allowance.Tries{}, ended: map[string]int{}, asks: map[uint64]chan tokenAnswer{}, asking: map[uint64]*allowance.Asks{},
 		lineIPs: map[string]string{}, out: map[string]bool{}}
 	b := &set.Bounds
-	y.rules = tariff.Rules{QuotaWindow: b.QuotaWindow, QuotaOvershoot: b.QuotaOvershoot, QuotaSlack: b.QuotaSlack, RetryRatio: b.RetryRatio, RetrySlack: b.RetrySlack,
+	y.rules = allowance.Rules{QuotaWindow: b.QuotaWindow, QuotaOvershoot: b.QuotaOvershoot, QuotaSlack: b.QuotaSlack, RetryRatio: b.RetryRatio, RetrySlack: b.RetrySlack,
 		WarmupOvershoot: b.WarmupOvershoot, WarmupSlack: b.WarmupSlack}
 	y.line = lineside.New(y.self, rand.Uint64())
 	y.telegraph = telegraph.New(rand.Uint32() | 1)
--- a/internal/switchyard/switchyard_test.go
+++ b/internal/switchyard/switchyard_test.go
@@ -17,6 +17,7 @@
 	"github.com/google/go-cmp/cmp"
 	"github.com/sirupsen/logrus"
 
+	"example.org/madderdrum/allowance"
 	"example.org/madderdrum/blocks"
 	"example.org/madderdrum/controlstate"
 	"example.org/madderdrum/internal/nodesettings"
@@ -24,10 +25,9 @@
 	"example.org/madderdrum/internal/rpc"
 	"example.org/madderdrum/lineside"
 	"example.org/madderdrum/places"
+	"example.org/madderdrum/quotaloan"
 	"example.org/madderdrum/stock"
-	"example.org/madderdrum/tariff"
 	"example.org/madderdrum/telegraph"
-	"example.org/madderdrum/wagons"
 )
 
 // yard is a limiter without its listeners, told directly what a core machine would tell.
@@ -195,7 +195,7 @@
 			}
 			y.tell(nil)
 			y.mu.Lock()
-			b := &tariff.Tries{}
+			b := &allowance.Tries{}
 			for range 10 {
 				b.Earn(y.rules, 1)
 			}
@@ -249,7 +249,7 @@
 	servers := []*server{y.server("i-0", 0, "cut", "ok"), y.server("i-1", 0, "cut", "ok")}
 	y.tell(nil)
 	y.mu.Lock()
-	b := &tariff.Tries{}
+	b := &allowance.Tries{}
 	for range 10 {
 		b.Earn(y.rules, 1)
 	}
@@ -616,7 +616,7 @@
 func FuzzDatagrams(f *testing.F) {
 	f.Add(datagramAsk, rpc.Encode(tokenAsk{1, 2, "read", "s"}))
 	f.Add(datagramAnswer, rpc.Encode(tokenAnswer{Serial: 1, OK: true}))
-	f.Add(datagramLoans, rpc.Encode(wagons.Message{Serial: 1, Items: []wagons.Item{{ID: 1, Part: -1}, {ID: 2, Part: 1e300}}}))
+	f.Add(datagramLoans, rpc.Encode(quotaloan.Message{Serial: 1, Items: []quotaloan.Item{{ID: 1, Part: -1}, {ID: 2, Part: 1e300}}}))
 	f.Add(datagramLine, rpc.Encode(lineMessage{lineside.Message{From: "e2#1", Claims: []lineside.Claim{{ID: "e1", State: 200}}}, []telegraph.Sighting{{Server: 1, Class: 9, Source: 2, Serial: 3}}, []serviceWait{{1, 65000}}, true}))
 	f.Add(datagramBlocks, rpc.Encode(blocks.Word{Version: 1, Source: 3, Serial: 1, Entries: []byte{0, 0, 0, 5, 255, 255}}))
 	f.Add(datagramSpending, []byte{1, 2, 3, 4, 5, 6, 7, 8, 9})
--- a/internal/testring/places.go
+++ b/internal/testring/places.go
@@ -5,12 +5,12 @@
 	"math"
 	"time"
 
+	"example.org/madderdrum/allowance"
 	"example.org/madderdrum/controlstate"
 	"example.org/madderdrum/internal/registry"
 	"example.org/madderdrum/internal/rpc"
 	"example.org/madderdrum/places"
 	"example.org/madderdrum/stock"
-	"example.org/madderdrum/tariff"
 )
 
 const (
@@ -177,11 +177,11 @@
 }
 
 // sets are the places by slot in each set that somebody may still go by.
-func (w *World) sets(t *places.Table) (all [][]tariff.Place) {
+func (w *World) sets(t *places.Table) (all [][]allowance.Place) {
 	for _, set := range t.Sets() {
-		members := make([]tariff.Place, w.slots())
+		members := make([]allowance.Place, w.slots())
 		for _, slot := range set {
-			members[slot] = tariff.Place{Name: t.Places[slot].Name, Region: fmt.Sprint(w.byName[t.Places[slot].Name].region)}
+			members[slot] = allowance.Place{Name: t.Places[slot].Name, Region: fmt.Sprint(w.byName[t.Places[slot].Name].region)}
 		}
 		all = append(all, members)
 	}
@@ -195,7 +195,7 @@
 	for _, t := range w.tenants {
 		c := w.Rules.Ceiling(t.rate, t.burst)
 		n.holding.Ceilings[t.id] = c
-		n.holding.Gather(t.id, tariff.KeeperShares(fmt.Sprint(t.id), c, sets))
+		n.holding.Gather(t.id, allowance.KeeperShares(fmt.Sprint(t.id), c, sets))
 	}
 }
 
--- a/internal/testring/testring.go
+++ b/internal/testring/testring.go
@@ -15,13 +15,13 @@
 	"strings"
 	"time"
 
+	"example.org/madderdrum/allowance"
 	"example.org/madderdrum/internal/rpc"
 	"example.org/madderdrum/limiter"
 	"example.org/madderdrum/lineside"
 	"example.org/madderdrum/places"
+	"example.org/madderdrum/quotaloan"
 	"example.org/madderdrum/stock"
-	"example.org/madderdrum/tariff"
-	"example.org/madderdrum/wagons"
 )
 
 // Options say what is played.
@@ -35,7 +35,7 @@
 	Servers         int
 	Tenants         int
 	PerS            float64 // requests of all tenants a second
-	Rules           tariff.Rules
+	Rules           allowance.Rules
 	HotTenant       int     // its rank by size, sends HotX times its usual ...
 	HotX            float64 // ... from HotFrom to HotTo
 	HotFrom, HotTo  float64 // ms
@@ -112,12 +112,12 @@
 	serving bool    // it holds a part
 	choked  float64 // until when its link is full, so that what it says is late
 	lim     *limiter.Limiter
-	holding *wagons.Holding
+	holding *quotaloan.Holding
 	line    *lineside.Line
 	book    *stock.Book
 	vector  stock.Vector
 	core    int
-	asks    map[uint64]*tariff.Asks
+	asks    map[uint64]*allowance.Asks
 	calls   map[string]func(ok bool, short bool, server uint64)
 	granted *bool
 	queue   []limiter.Event
@@ -257,7 +257,7 @@
 	n := w.nodes[i]
 	n.life++
 	n.up, n.core = true, w.rng.IntN(len(w.cores))
-	n.vector, n.asks, n.calls, n.queue, n.working = stock.Vector{}, map[uint64]*tariff.Asks{}, map[string]func(bool, bool, uint64){}, nil, false
+	n.vector, n.asks, n.calls, n.queue, n.working = stock.Vector{}, map[uint64]*allowance.Asks{}, map[string]func(bool, bool, uint64){}, nil, false
 	n.line = lineside.New(n.id(), w.rng.Uint64())
 	if !w.Light {
 		n.book = stock.New("")
@@ -281,11 +281,11 @@
 		}
 	}
 	n.place = slot
-	desk := wagons.New(w.now, slot, w.slots(), near, w.rng.Uint64())
+	desk := quotaloan.New(w.now, slot, w.slots(), near, w.rng.Uint64())
 	if n.table.Places[slot].Life == n.id() {
 		desk.First()
 	}
-	n.holding = wagons.Hold(desk, slot, w.slots())
+	n.holding = quotaloan.Hold(desk, slot, w.slots())
 	s := limiter.Settings{Position: n.place, Balancers: w.slots(), PeerInPerS: 3, Classes: []limiter.Class{{AimMs: 3000, DeadlineMs: 1, Worth: 1}},
 		Plans: []limiter.Plan{{Price: 1}}, Caps: limiter.Caps{Attempts: 2, Peers: true, RetryAfter: true, MaxWaitMs: 1000, ConnectMs: 300}, Rules: limiter.Rules{FallMs: 1000}}
 	from := &limiter.Handover{Position: n.place, Balancers: w.slots(), HeadMs: 1e-6}
@@ -405,9 +405,9 @@
 	if n.lim == nil {
 		return
 	}
-	var demands []wagons.Demand
+	var demands []quotaloan.Demand
 	for _, d := range n.lim.Demands() {
-		demands = append(demands, wagons.Demand{ID: d.Account, Asked: d.Asked})
+		demands = append(demands, quotaloan.Demand{ID: d.Account, Asked: d.Asked})
 	}
 	for _, l := range n.holding.Look(w.now, demands) {
 		w.letter(n, l)
@@ -415,7 +415,7 @@
 	w.parts(n)
 }
 
-func (w *World) letter(n *node, l wagons.Letter) {
+func (w *World) letter(n *node, l quotaloan.Letter) {
 	to := w.at(n, l.To)
 	if to == nil {
 		return
@@ -524,7 +524,7 @@
 	submit(func(short bool) {
 		a := n.asks[t.id]
 		if a == nil {
-			a = &tariff.Asks{}
+			a = &allowance.Asks{}
 			n.asks[t.id] = a
 		}
 		if !(keeps || short) || !a.Due(w.now) {
@@ -546,7 +546,7 @@
 func (w *World) token(n *node, t *tenant, end func(ok bool)) {
 	life, over := n.life, false
 	newest := w.sets(&n.table)
-	q := wagons.Enquire(n.holding.Askees(t.id, newest[len(newest)-1], func(name string) bool { return w.outFor(n, name) }, w.rng.Shuffle))
+	q := quotaloan.Enquire(n.holding.Askees(t.id, newest[len(newest)-1], func(name string) bool { return w.outFor(n, name) }, w.rng.Shuffle))
 	asked := 0
 	var next func()
 	next = func() {
--- a/internal/testring/testring_test.go
+++ b/internal/testring/testring_test.go
@@ -4,11 +4,11 @@
 	"testing"
 	"time"
 
+	"example.org/madderdrum/allowance"
 	"example.org/madderdrum/stock"
-	"example.org/madderdrum/tariff"
 )
 
-var rules = tariff.Rules{QuotaWindow: 5 * time.Second, QuotaOvershoot: 0.1, QuotaSlack: 20, RetryRatio: 0.2, RetrySlack: 200, WarmupOvershoot: 1.5, WarmupSlack: 8}
+var rules = allowance.Rules{QuotaWindow: 5 * time.Second, QuotaOvershoot: 0.1, QuotaSlack: 20, RetryRatio: 0.2, RetrySlack: 200, WarmupOvershoot: 1.5, WarmupSlack: 8}
 
 func options(seed uint64, limiters int) Options {
 	return Options{Seed: seed, Regions: 3, Zones: 3, Limiters: limiters, Cores: 3, Servers: 36, Tenants: 8, PerS: 15 * float64(limiters), Rules: rules, Loss: 0.002}
--- a/wagons/enquiry.go
+++ b/quotaloan/enquiry.go
@@ -1,4 +1,4 @@
-package wagons
+package quotaloan
 
 const (
 	// The next limiter is asked where the one before has no token or does not answer soon. A
--- a/wagons/holding.go
+++ b/quotaloan/holding.go
@@ -1,10 +1,10 @@
-package wagons
+package quotaloan
 
 import (
 	"maps"
 	"slices"
 
-	"example.org/madderdrum/tariff"
+	"example.org/madderdrum/allowance"
 )
 
 // Demand is what was asked for at this limiter of one account with a ceiling.
@@ -18,10 +18,10 @@
 type Holding struct {
 	Desk        *Desk
 	place, size int
-	Ceilings    map[uint64]tariff.Ceiling // by account
-	Keepers     map[uint64][]int          // of accounts whose parts are gathered, or were a moment ago
-	KeeperPart  map[uint64]float64        // this limiter's parts of these, where it has any
-	of          map[uint64]float64        // parts that are in force
+	Ceilings    map[uint64]allowance.Ceiling // by account
+	Keepers     map[uint64][]int             // of accounts whose parts are gathered, or were a moment ago
+	KeeperPart  map[uint64]float64           // this limiter's parts of these, where it has any
+	of          map[uint64]float64           // parts that are in force
 	rest        float64
 	until       float64 // they hold no longer than this; 0: for good
 }
@@ -59,7 +59,7 @@
 
 // Clear forgets all ceilings.
 func (h *Holding) Clear() {
-	h.Ceilings, h.Keepers, h.KeeperPart = map[uint64]tariff.Ceiling{}, map[uint64][]int{}, map[uint64]float64{}
+	h.Ceilings, h.Keepers, h.KeeperPart = map[uint64]allowance.Ceiling{}, map[uint64][]int{}, map[uint64]float64{}
 }
 
 // Look returns what to ask others for.
@@ -96,7 +96,7 @@
 
 // Begins is what a limiter that begins anew has of an account's ceiling at once: all that may
 // begin with something have no more together than the rules say.
-func (h *Holding) Begins(r tariff.Rules, id uint64) float64 {
+func (h *Holding) Begins(r allowance.Rules, id uint64) float64 {
 	part := h.Desk.share
 	if gathered, _ := h.Keeps(id); gathered {
 		part = h.KeeperPart[id]
@@ -113,7 +113,7 @@
 // Askees are whom to ask for a token of an account, one after the other, and how many of them are
 // near: its keepers or, where its parts are not gathered, others of the region. out tells who is
 // out of reach, shuffle is as in math/rand.
-func (h *Holding) Askees(id uint64, places []tariff.Place, out func(name string) bool, shuffle func(int, func(int, int))) (all []int, near int) {
+func (h *Holding) Askees(id uint64, places []allowance.Place, out func(name string) bool, shuffle func(int, func(int, int))) (all []int, near int) {
 	keepers, gathered := h.Keepers[id]
 	region := places[h.place].Region
 	var close, far []int
--- a/wagons/wagons.go
+++ b/quotaloan/quotaloan.go
@@ -1,5 +1,5 @@
-// Package wagons has limiters lend each other parts of tenants' ceilings, as railways lend
-// wagons: for a time, after which the lender has them back without a word. A ceiling is held
+// Package quotaloan has limiters lend each other parts of tenants' ceilings for a time, after which the
+// lender has them back without a word. A ceiling is held
 // by escrow, one equal part a limiter; a limiter where more of a tenant's requests arrive than
 // its part takes asks one with some to spare.
 //
@@ -18,7 +18,7 @@
 // A [Desk] does no input or output and reads no clock: times are handed in, in milliseconds on
 // a clock that does not go backwards. Clocks of different limiters need not agree, only run at
 // the same pace. It is not safe for concurrent use.
-package wagons
+package quotaloan
 
 import (
 	"cmp"
--- a/wagons/wagons_test.go
+++ b/quotaloan/quotaloan_test.go
@@ -1,4 +1,4 @@
-package wagons
+package quotaloan
 
 import (
 	"math/rand/v2"
