--- a/places/table.go
+++ b/places/table.go
@@ -17,7 +17,10 @@
 // clock of the process that asks.
 package places
 
-import "slices"
+import (
+	"slices"
+	"strings"
+)
 
 // Place is what one limiter holds, or held until it was released.
 type Place struct {
@@ -39,7 +42,7 @@
 // another holder, as the former one may still run.
 func (p *Place) Holder() string { return HolderOf(p.Name, p.IP) }
 
-// HolderOf is the holder of a name on the machine with an IP number.
+// HolderOf is the holder of a name, on the machine with an IP number.
 func HolderOf(name, ip string) string { return name + "@" + ip }
 
 // Held tells that the newest table gives the place to its limiter.
@@ -119,7 +122,12 @@
 
 // slotOf is the slot of a holder, or -1.
 func (t *Table) slotOf(holder string) int {
-	return slices.IndexFunc(t.Places, func(p Place) bool { return p.Name != "" && p.Holder() == holder })
+	at := strings.LastIndexByte(holder, '@')
+	if at < 0 {
+		return -1
+	}
+	name, ip := holder[:at], holder[at+1:]
+	return slices.IndexFunc(t.Places, func(p Place) bool { return p.Name != "" && p.Name == name && p.IP == ip })
 }
 
 // SlotOf is the slot that a limiter on a machine holds by the newest table, or -1.
