Review: five packages have the field's names in place of railway ones

Only moves: stock is catalog, lineside membership, telegraph failurereports, blocks loadreports, headway pacing; their pages too. Comments without metaphors.

--- a/stock/stock.go
+++ b/catalog/catalog.go
@@ -1,4 +1,4 @@
-// Package stock is the mergeable record of which servers and limiters there are. Any core
+// Package catalog is the mergeable record of which servers and limiters there are. Any core
 // machine may write it. Each record is of one life of a server and carries the number of
 // the beat that it rests on: of two copies the one with the later beat holds, whatever way
 // they came. Whoever learns something first stamps it with its own source and a version
@@ -6,7 +6,7 @@
 //
 // A [Book] does no input or output and reads no clock: times are handed in, in milliseconds
 // on any clock that does not go backwards. It is not safe for concurrent use.
-package stock
+package catalog
 
 import (
 	"fmt"
--- a/stock/stock_test.go
+++ b/catalog/catalog_test.go
@@ -1,4 +1,4 @@
-package stock
+package catalog
 
 import (
 	"fmt"
--- a/telegraph/telegraph.go
+++ b/failurereports/failurereports.go
@@ -1,5 +1,5 @@
-// Package telegraph is how limiters of a region tell each other where requests fail. One that
-// meets a failure tells it in the next messages that it sends along the line anyway; whoever hears
+// Package failurereports is how limiters of a region tell each other where requests fail. One that
+// meets a failure tells it in the next probes of package membership, which are sent anyway; whoever hears
 // it for the first time tells it on as often, so that all know within a few looks, and no message
 // is sent for it. What is told is single failures, not verdicts: each limiter judges by all that
 // it has met and heard.
@@ -9,7 +9,7 @@
 //
 // A [Desk] does no input or output and reads no clock: times are handed in, in milliseconds on a
 // clock that does not go backwards. It is not safe for concurrent use.
-package telegraph
+package failurereports
 
 const (
 	inMessage = 5      // sightings in one message
--- a/telegraph/telegraph_test.go
+++ b/failurereports/failurereports_test.go
@@ -1,4 +1,4 @@
-package telegraph
+package failurereports
 
 import (
 	"math/rand/v2"
--- a/internal/registry/limiters.go
+++ b/internal/registry/limiters.go
@@ -8,11 +8,11 @@
 	"strings"
 	"time"
 
+	"example.org/madderdrum/catalog"
 	"example.org/madderdrum/controlstate"
 	"example.org/madderdrum/internal/nodesettings"
 	"example.org/madderdrum/internal/wait"
 	"example.org/madderdrum/places"
-	"example.org/madderdrum/stock"
 )
 
 const (
@@ -184,8 +184,8 @@
 // lives that are over. The mutex is held.
 func (h *Registry) running() map[string]bool {
 	all := map[string]bool{}
-	h.book.Each(h.now(), func(r stock.Record) {
-		if r.Service == stock.Limiters && (r.State == stock.Available || r.State == stock.Draining) {
+	h.book.Each(h.now(), func(r catalog.Record) {
+		if r.Service == catalog.Limiters && (r.State == catalog.Available || r.State == catalog.Draining) {
 			name, _, _ := strings.Cut(r.ID, "#")
 			all[places.HolderOf(name, nodesettings.HostOf(r.Address))] = true
 		}
--- a/internal/registry/outside.go
+++ b/internal/registry/outside.go
@@ -10,10 +10,10 @@
 	"github.com/sirupsen/logrus"
 	"github.com/valyala/fastjson"
 
+	"example.org/madderdrum/catalog"
 	"example.org/madderdrum/controlstate"
 	"example.org/madderdrum/internal/configstore"
 	"example.org/madderdrum/internal/httpapi"
-	"example.org/madderdrum/stock"
 	"example.org/madderdrum/timetable"
 )
 
@@ -90,12 +90,12 @@
 	if err != nil {
 		return problem(400, "unreadable", "the body is not JSON: send the fields of a heartbeat")
 	}
-	r := stock.Record{ID: id, Service: string(v.GetStringBytes("service")), Address: string(v.GetStringBytes("address")),
+	r := catalog.Record{ID: id, Service: string(v.GetStringBytes("service")), Address: string(v.GetStringBytes("address")),
 		Zone: string(v.GetStringBytes("zone")), Slots: v.GetInt("capacity_slots"), Sequence: v.GetUint64("sequence")}
 	switch string(v.GetStringBytes("state")) {
 	case "available":
 	case "draining":
-		r.State = stock.Draining
+		r.State = catalog.Draining
 	default:
 		return problem(400, "unreadable", "state is neither available nor draining")
 	}
@@ -115,7 +115,7 @@
 		h.stir()
 	}
 	apart := h.apart()
-	unsafe := r.State == stock.Draining && !h.drained[id]
+	unsafe := r.State == catalog.Draining && !h.drained[id]
 	h.mu.Unlock()
 	if news {
 		h.log.WithFields(logrus.Fields{"instance": id, "service": r.Service, "state": r.State.String(), "sequence": r.Sequence, "warm_ms": r.WarmMs}).Debug("server is news")
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -1,6 +1,6 @@
 // Package registry is the host of the registry: it takes the outside calls of servers and
 // operators, keeps the book of servers and limiters with the other registries, and answers
-// the pulls of limiters. The decisions are in package stock.
+// the pulls of limiters. The decisions are in package catalog.
 package registry
 
 import (
@@ -16,6 +16,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"example.org/madderdrum/catalog"
 	"example.org/madderdrum/configdelta"
 	"example.org/madderdrum/controlstate"
 	"example.org/madderdrum/freshness"
@@ -25,7 +26,6 @@
 	"example.org/madderdrum/internal/rpc"
 	"example.org/madderdrum/internal/wait"
 	"example.org/madderdrum/places"
-	"example.org/madderdrum/stock"
 )
 
 const (
@@ -65,7 +65,7 @@
 	seeds    []string   // IP numbers that the settings name
 	contacts *freshness.Contacts
 	proof    freshness.Proof
-	book     *stock.Book
+	book     *catalog.Book
 	news     chan struct{} // closed when the book or the register changes
 	reg      *controlstate.Register
 	history  *configdelta.History // of configurations
@@ -83,11 +83,11 @@
 
 // Pull asks for what the caller lacks.
 type Pull struct {
-	Vector stock.Vector  `cbor:"1,keyasint,omitempty"`
-	Seq    uint64        `cbor:"2,keyasint,omitempty"` // of the register that it has
-	HoldMs uint64        `cbor:"3,keyasint,omitempty"` // wait so long for news
-	Me     *stock.Record `cbor:"4,keyasint,omitempty"` // a limiter's word of itself
-	Source string        `cbor:"5,keyasint,omitempty"` // a registry's own
+	Vector catalog.Vector  `cbor:"1,keyasint,omitempty"`
+	Seq    uint64          `cbor:"2,keyasint,omitempty"` // of the register that it has
+	HoldMs uint64          `cbor:"3,keyasint,omitempty"` // wait so long for news
+	Me     *catalog.Record `cbor:"4,keyasint,omitempty"` // a limiter's word of itself
+	Source string          `cbor:"5,keyasint,omitempty"` // a registry's own
 	// Version is of the configuration that a limiter has. Of the register with Seq it has the rest, unless
 	// it wants the Whole.
 	Version uint64 `cbor:"6,keyasint,omitempty"`
@@ -102,8 +102,8 @@
 // Pulled is the answer.
 type Pulled struct {
 	Register *controlstate.Register `cbor:"1,keyasint,omitempty"`
-	Records  []stock.Record         `cbor:"2,keyasint,omitempty"`
-	Vector   stock.Vector           `cbor:"3,keyasint,omitempty"` // only where it has something new
+	Records  []catalog.Record       `cbor:"2,keyasint,omitempty"`
+	Vector   catalog.Vector         `cbor:"3,keyasint,omitempty"` // only where it has something new
 	Source   string                 `cbor:"4,keyasint,omitempty"`
 	// ProofMs is how long ago a majority had chosen nothing newer than this register.
 	ProofMs uint64 `cbor:"5,keyasint,omitempty"`
@@ -123,7 +123,7 @@
 func Run(ctx context.Context, set *nodesettings.Settings, log logrus.FieldLogger) error {
 	h := &Registry{set: set, log: log, ctx: ctx, caller: rpc.NewCaller(), begun: time.Now(), news: make(chan struct{}),
 		reg: &controlstate.Register{}, contacts: freshness.NewContacts(set.IP), drained: map[string]bool{}, history: configdelta.NewHistory(historyMost), seeds: set.Cores(), lives: map[string]time.Time{}, limiters: newLimiterPlaces(),
-		book: stock.New(fmt.Sprintf("%s#%08x", set.Node, rand.Uint32()))}
+		book: catalog.New(fmt.Sprintf("%s#%08x", set.Node, rand.Uint32()))}
 	inner, err := net.Listen("tcp", set.Internal(set.IP, nodesettings.RegistryPort))
 	if err != nil {
 		return fmt.Errorf("registry: listen for other processes: %w", err)
@@ -181,8 +181,8 @@
 // meetAll meets the registries that the book names. The mutex is held.
 func (h *Registry) meetAll() {
 	var found []string
-	h.book.Each(h.now(), func(r stock.Record) {
-		if r.Service == stock.Cores && r.State == stock.Available {
+	h.book.Each(h.now(), func(r catalog.Record) {
+		if r.Service == catalog.Cores && r.State == catalog.Available {
 			found = append(found, r.Address)
 		}
 	})
@@ -199,8 +199,8 @@
 }
 
 // self is this registry's word of itself, with a number that rises.
-func (h *Registry) self() stock.Record {
-	return stock.Record{ID: h.source(), Service: stock.Cores, Address: h.set.IP, Zone: h.set.Zone, Sequence: uint64(h.now())}
+func (h *Registry) self() catalog.Record {
+	return catalog.Record{ID: h.source(), Service: catalog.Cores, Address: h.set.IP, Zone: h.set.Zone, Sequence: uint64(h.now())}
 }
 
 // keep does what is due at intervals.
@@ -305,7 +305,7 @@
 		h.lives[m.Source] = begun
 	}
 	switch {
-	case m.Me != nil && m.Me.Service == stock.Cores:
+	case m.Me != nil && m.Me.Service == catalog.Cores:
 		h.registry(*m.Me)
 	case m.Me != nil:
 		h.limiter(*m.Me, &m)
@@ -351,7 +351,7 @@
 
 // registry takes in another registry's word of itself, if nobody has told of it yet. The mutex
 // is held.
-func (h *Registry) registry(r stock.Record) {
+func (h *Registry) registry(r catalog.Record) {
 	if _, known := h.book.Get(h.now(), r.ID); !known && h.book.Beat(h.now(), r) {
 		h.stir()
 	}
@@ -359,15 +359,15 @@
 }
 
 // limiter takes in a limiter's word of itself. Its earlier lives are over. The mutex is held.
-func (h *Registry) limiter(r stock.Record, m *Pull) {
+func (h *Registry) limiter(r catalog.Record, m *Pull) {
 	now := h.now()
 	_, known := h.book.Get(now, r.ID)
 	news := h.book.Beat(now, r)
 	name, _, _ := strings.Cut(r.ID, "#")
 	if !known {
 		var old []string
-		h.book.Each(now, func(o stock.Record) {
-			if n, _, _ := strings.Cut(o.ID, "#"); o.Service == stock.Limiters && n == name && o.ID != r.ID && o.State != stock.Gone {
+		h.book.Each(now, func(o catalog.Record) {
+			if n, _, _ := strings.Cut(o.ID, "#"); o.Service == catalog.Limiters && n == name && o.ID != r.ID && o.State != catalog.Gone {
 				old = append(old, o.ID)
 			}
 		})
@@ -395,7 +395,7 @@
 	done := make(chan string, len(others))
 	for _, ip := range others {
 		go func() {
-			if h.caller.Call(ctx, h.set.Internal(ip, nodesettings.RegistryPort), callPush, []stock.Record{record}, nil, pushWithin) != nil {
+			if h.caller.Call(ctx, h.set.Internal(ip, nodesettings.RegistryPort), callPush, []catalog.Record{record}, nil, pushWithin) != nil {
 				ip = ""
 			}
 			done <- ip
@@ -410,7 +410,7 @@
 	return false
 }
 
-func (h *Registry) pushed(_ context.Context, records []stock.Record) (any, error) {
+func (h *Registry) pushed(_ context.Context, records []catalog.Record) (any, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if len(h.book.Merge(h.now(), records)) > 0 {
@@ -429,7 +429,7 @@
 	h.mu.Lock()
 	d := h.book.Digests()
 	h.mu.Unlock()
-	var records []stock.Record
+	var records []catalog.Record
 	if h.caller.Call(ctx, h.set.Internal(ip, nodesettings.RegistryPort), callRepair, d, &records, time.Second) != nil {
 		return
 	}
@@ -440,7 +440,7 @@
 	}
 }
 
-func (h *Registry) repaired(_ context.Context, d [stock.Ranges]uint64) (any, error) {
+func (h *Registry) repaired(_ context.Context, d [catalog.Ranges]uint64) (any, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return h.book.Differing(h.now(), d), nil
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -11,11 +11,11 @@
 
 	"github.com/sirupsen/logrus"
 
+	"example.org/madderdrum/catalog"
 	"example.org/madderdrum/controlstate"
 	"example.org/madderdrum/freshness"
 	"example.org/madderdrum/internal/nodesettings"
 	"example.org/madderdrum/internal/rpc"
-	"example.org/madderdrum/stock"
 )
 
 // houses are registries of three on loopback; there are no stores.
@@ -112,7 +112,7 @@
 		a, err := h.pulled(ctx, 1)
 		for _, r := range a.Records {
 			if r.ID == "i-1" {
-				return err == nil && r.State == stock.Draining
+				return err == nil && r.State == catalog.Draining
 			}
 		}
 		return false
@@ -121,7 +121,7 @@
 }
 
 func TestBadCalls(t *testing.T) {
-	h := &Registry{set: &nodesettings.Settings{Zones: map[string]string{"z": "r"}, Listen: map[string]string{}}, drained: map[string]bool{}, contacts: freshness.NewContacts(""), reg: &controlstate.Register{}, book: stock.New("s"), news: make(chan struct{})}
+	h := &Registry{set: &nodesettings.Settings{Zones: map[string]string{"z": "r"}, Listen: map[string]string{}}, drained: map[string]bool{}, contacts: freshness.NewContacts(""), reg: &controlstate.Register{}, book: catalog.New("s"), news: make(chan struct{})}
 	for _, x := range []struct {
 		method, path, body string
 		status             int
--- a/internal/switchyard/engine.go
+++ b/internal/switchyard/engine.go
@@ -9,11 +9,11 @@
 	"github.com/sirupsen/logrus"
 
 	"example.org/madderdrum/allowance"
-	"example.org/madderdrum/blocks"
+	"example.org/madderdrum/catalog"
 	"example.org/madderdrum/internal/nodesettings"
 	"example.org/madderdrum/limiter"
+	"example.org/madderdrum/loadreports"
 	"example.org/madderdrum/quotaloan"
-	"example.org/madderdrum/stock"
 	"example.org/madderdrum/timetable"
 )
 
@@ -283,17 +283,17 @@
 	var list []limiter.ServerInfo
 	e.berths = map[uint32][]uint64{}
 	e.slots = map[uint32]float64{}
-	serving := map[uint32]blocks.Server{}
-	y.book.Each(y.now(), func(r stock.Record) {
+	serving := map[uint32]loadreports.Server{}
+	y.book.Each(y.now(), func(r catalog.Record) {
 		of := pools[r.Service]
 		if len(of) == 0 {
 			return
 		}
 		st := y.station(&r)
-		st.usable = r.State == stock.Available && !y.evacuate[r.Zone] && !y.gone[r.ID]
+		st.usable = r.State == catalog.Available && !y.evacuate[r.Zone] && !y.gone[r.ID]
 		phase := limiter.Draining
 		if st.usable {
-			x := blocks.Server{Service: r.Service, Slots: max(1, r.Slots), Zone: r.Zone, Near: r.Zone == y.set.Zone}
+			x := loadreports.Server{Service: r.Service, Slots: max(1, r.Slots), Zone: r.Zone, Near: r.Zone == y.set.Zone}
 			serving[st.number], e.slots[st.number] = x, float64(x.Slots)
 			y.chill(st, &r, now)
 			if !st.cold(now) || r.Zone == y.set.Zone && !now.Before(st.nextAt) {
@@ -343,7 +343,7 @@
 }
 
 // chill notes until when a server is cold, and has the list made anew then.
-func (y *Yard) chill(st *station, r *stock.Record, now time.Time) {
+func (y *Yard) chill(st *station, r *catalog.Record, now time.Time) {
 	until := now.Add(time.Duration(r.WarmMs) * time.Millisecond)
 	if to := y.coldTo[r.ID]; to.After(until) {
 		until = to
--- a/internal/switchyard/link.go
+++ b/internal/switchyard/link.go
@@ -6,31 +6,31 @@
 	"sync"
 	"time"
 
-	"example.org/madderdrum/headway"
+	"example.org/madderdrum/pacing"
 )
 
-// link is the limiter's own link, on which long bodies keep a distance: see package headway.
+// link is the limiter's own link, on which long bodies keep a distance: see package pacing.
 type link struct {
 	mu      sync.Mutex
-	in, out *headway.Line
+	in, out *pacing.Line
 	begun   time.Time
 }
 
 func newLink(mbps float64) *link {
-	return &link{in: headway.New(mbps), out: headway.New(mbps), begun: time.Now()}
+	return &link{in: pacing.New(mbps), out: pacing.New(mbps), begun: time.Now()}
 }
 
 func (l *link) now() float64 { return ms(time.Since(l.begun)) }
 
 // short books bytes that do not wait.
-func (l *link) short(line *headway.Line, n int) {
+func (l *link) short(line *pacing.Line, n int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	line.Short(l.now(), n)
 }
 
 // piece waits until the next piece of a long body is due.
-func (l *link) piece(line *headway.Line, n int) {
+func (l *link) piece(line *pacing.Line, n int) {
 	l.mu.Lock()
 	wait := line.Next(l.now(), n)
 	l.mu.Unlock()
--- a/internal/switchyard/loans.go
+++ b/internal/switchyard/loans.go
@@ -5,10 +5,10 @@
 	"slices"
 	"time"
 
-	"example.org/madderdrum/blocks"
 	"example.org/madderdrum/internal/nodesettings"
 	"example.org/madderdrum/internal/rpc"
 	"example.org/madderdrum/limiter"
+	"example.org/madderdrum/loadreports"
 	"example.org/madderdrum/places"
 	"example.org/madderdrum/quotaloan"
 )
@@ -20,7 +20,7 @@
 	datagramAsk      byte = 3 // a tokenAsk, in CBOR
 	datagramAnswer   byte = 4 // a tokenAnswer, in CBOR
 	datagramLine     byte = 5 // a lineMessage, in CBOR
-	datagramBlocks   byte = 6 // a blocks.Word, in CBOR
+	datagramBlocks   byte = 6 // a loadreports.Word, in CBOR
 )
 
 const loansEvery = 400 * time.Millisecond
@@ -128,7 +128,7 @@
 		return
 	}
 	if kind == datagramBlocks {
-		var w blocks.Word
+		var w loadreports.Word
 		if slices.ContainsFunc(y.reg.Places, func(p places.Place) bool { return p.Held() && p.IP == ip }) && rpc.Decode(data, &w) == nil {
 			y.blocks.Hear(y.now(), w)
 		}
--- a/internal/switchyard/pull.go
+++ b/internal/switchyard/pull.go
@@ -11,13 +11,13 @@
 
 	"github.com/sirupsen/logrus"
 
+	"example.org/madderdrum/catalog"
 	"example.org/madderdrum/configdelta"
 	"example.org/madderdrum/directory"
 	"example.org/madderdrum/freshness"
 	"example.org/madderdrum/internal/nodesettings"
 	"example.org/madderdrum/internal/registry"
 	"example.org/madderdrum/internal/wait"
-	"example.org/madderdrum/stock"
 	"example.org/madderdrum/timetable"
 )
 
@@ -64,10 +64,10 @@
 	for _, ip := range y.seeds {
 		named[ip] = true
 	}
-	y.book.Each(y.now(), func(r stock.Record) {
+	y.book.Each(y.now(), func(r catalog.Record) {
 		switch {
-		case r.Service != stock.Cores:
-		case r.State == stock.Available:
+		case r.Service != catalog.Cores:
+		case r.State == catalog.Available:
 			named[r.Address], running[r.Address] = true, true
 		default: // a life that is over
 			dark[r.Address] = true
@@ -88,11 +88,11 @@
 	y.mu.Lock()
 	y.sequence++
 	hold := pullHold
-	me := &stock.Record{ID: y.self, Service: stock.Limiters, Address: y.set.Listen["frontend"], Zone: y.set.Zone, Sequence: y.sequence}
+	me := &catalog.Record{ID: y.self, Service: catalog.Limiters, Address: y.set.Listen["frontend"], Zone: y.set.Zone, Sequence: y.sequence}
 	if y.leaving.Load() {
-		me.State = stock.Draining
+		me.State = catalog.Draining
 	} else if y.engine == nil || !y.serving {
-		me.State, hold = stock.Draining, pullHold/2 // nobody is to be led here yet
+		me.State, hold = catalog.Draining, pullHold/2 // nobody is to be led here yet
 	}
 	ask := registry.Pull{Vector: maps.Clone(y.book.Vector()), Seq: y.reg.Seq, Me: me, Version: y.reg.Version, Done: y.done}
 	if y.desk != nil {
@@ -241,7 +241,7 @@
 
 // rest holds the servers of a zone for cold until they can't be any more. The mutex is held.
 func (y *Yard) rest(zone string, table *timetable.Table) {
-	y.book.Each(y.now(), func(r stock.Record) {
+	y.book.Each(y.now(), func(r catalog.Record) {
 		if r.Zone == zone && table != nil {
 			if s := table.Services[r.Service]; s != nil {
 				y.coldTo[r.ID] = time.Now().Add(s.Warmup)
@@ -261,8 +261,8 @@
 	y.mu.Lock()
 	defer y.mu.Unlock()
 	var all []directory.Limiter
-	y.book.Each(y.now(), func(r stock.Record) {
-		if name, _, _ := strings.Cut(r.ID, "#"); r.Service == stock.Limiters && r.State == stock.Available && !y.out[name] {
+	y.book.Each(y.now(), func(r catalog.Record) {
+		if name, _, _ := strings.Cut(r.ID, "#"); r.Service == catalog.Limiters && r.State == catalog.Available && !y.out[name] {
 			all = append(all, directory.Limiter{Address: r.Address, Zone: r.Zone, Region: y.set.Zones[r.Zone]})
 		}
 	})
--- a/internal/switchyard/switchyard.go
+++ b/internal/switchyard/switchyard.go
@@ -15,17 +15,17 @@
 	"github.com/sirupsen/logrus"
 
 	"example.org/madderdrum/allowance"
-	"example.org/madderdrum/blocks"
+	"example.org/madderdrum/catalog"
 	"example.org/madderdrum/controlstate"
+	"example.org/madderdrum/failurereports"
 	"example.org/madderdrum/internal/nodesettings"
 	"example.org/madderdrum/internal/rpc"
 	"example.org/madderdrum/internal/sockets"
 	"example.org/madderdrum/internal/wait"
-	"example.org/madderdrum/lineside"
+	"example.org/madderdrum/loadreports"
+	"example.org/madderdrum/membership"
 	"example.org/madderdrum/places"
 	"example.org/madderdrum/quotaloan"
-	"example.org/madderdrum/stock"
-	"example.org/madderdrum/telegraph"
 	"example.org/madderdrum/timetable"
 )
 
@@ -52,7 +52,7 @@
 	holdsUntil atomic.Int64 // in ns since the beginning: what is held here may be used until then
 
 	mu         sync.Mutex // round what follows
-	book       *stock.Book
+	book       *catalog.Book
 	reg        *controlstate.Register
 	sequence   uint64 // of this limiter's own word
 	proved     time.Time
@@ -64,9 +64,9 @@
 	stations   map[string]*station
 	budget     map[string]*allowance.Tries // of further arrivals, by service
 	logged     time.Time
-	line       *lineside.Line  // the other limiters of the region
-	telegraph  *telegraph.Desk // where requests fail, of the region
-	blocks     *blocks.Desk    // what neighbours have in hand at servers
+	line       *membership.Line     // the other limiters of the region
+	telegraph  *failurereports.Desk // where requests fail, of the region
+	blocks     *loadreports.Desk    // what neighbours have in hand at servers
 	neighbours []places.Place
 	lease      places.Lease
 	desk       *quotaloan.Desk             // loans of parts
@@ -136,16 +136,16 @@
 // newYardOf returns a limiter that knows nothing yet.
 func newYardOf(set *nodesettings.Settings, log logrus.FieldLogger) *Yard {
 	y := &Yard{set: set, log: log, link: newLink(set.LinkMbps), caller: rpc.NewCaller(), begun: time.Now(), self: fmt.Sprintf("%s#%08x", set.Node, rand.Uint32()),
-		seeds: set.Cores(), cores: set.Cores(), nudge: make(chan struct{}, 1), book: stock.New(""), reg: &controlstate.Register{},
+		seeds: set.Cores(), cores: set.Cores(), nudge: make(chan struct{}, 1), book: catalog.New(""), reg: &controlstate.Register{},
 		evacuate: map[string]bool{}, coldTo: map[string]time.Time{}, gone: map[string]bool{},
 		stations: map[string]*station{}, budget: map[string]*allowance.Tries{}, ended: map[string]int{}, asks: map[uint64]chan tokenAnswer{}, asking: map[uint64]*allowance.Asks{},
 		lineIPs: map[string]string{}, out: map[string]bool{}}
 	b := &set.Bounds
 	y.rules = allowance.Rules{QuotaWindow: b.QuotaWindow, QuotaOvershoot: b.QuotaOvershoot, QuotaSlack: b.QuotaSlack, RetryRatio: b.RetryRatio, RetrySlack: b.RetrySlack,
 		WarmupOvershoot: b.WarmupOvershoot, WarmupSlack: b.WarmupSlack}
-	y.line = lineside.New(y.self, rand.Uint64())
-	y.telegraph = telegraph.New(rand.Uint32() | 1)
-	y.blocks = blocks.New(rand.Uint32() | 1)
+	y.line = membership.New(y.self, rand.Uint64())
+	y.telegraph = failurereports.New(rand.Uint32() | 1)
+	y.blocks = loadreports.New(rand.Uint32() | 1)
 	return y
 }
 
--- a/internal/switchyard/switchyard_test.go
+++ b/internal/switchyard/switchyard_test.go
@@ -18,23 +18,23 @@
 	"github.com/sirupsen/logrus"
 
 	"example.org/madderdrum/allowance"
-	"example.org/madderdrum/blocks"
+	"example.org/madderdrum/catalog"
 	"example.org/madderdrum/controlstate"
+	"example.org/madderdrum/failurereports"
 	"example.org/madderdrum/internal/nodesettings"
 	"example.org/madderdrum/internal/registry"
 	"example.org/madderdrum/internal/rpc"
-	"example.org/madderdrum/lineside"
+	"example.org/madderdrum/loadreports"
+	"example.org/madderdrum/membership"
 	"example.org/madderdrum/places"
 	"example.org/madderdrum/quotaloan"
-	"example.org/madderdrum/stock"
-	"example.org/madderdrum/telegraph"
 )
 
 // yard is a limiter without its listeners, told directly what a core machine would tell.
 type yard struct {
 	*Yard
 	t    *testing.T
-	book *stock.Book
+	book *catalog.Book
 }
 
 const routes = `{"config_version":"r1","base_revision":0,"limits":{"max_header_bytes":16384,"max_body_bytes":100000,"idle_timeout":"15s"},
@@ -54,7 +54,7 @@
 	t.Cleanup(func() { peers.Close() })
 	set := &nodesettings.Settings{Node: "e1", IP: "127.0.0.1", Zone: "z", Region: "r", Zones: map[string]string{"z": "r"}, Ports: [2]int{7460, 7475},
 		Bounds: nodesettings.Bounds{RetryRatio: 0.2, QuotaWindow: 5 * time.Second, QuotaOvershoot: 0.1, QuotaSlack: 20, WarmupOvershoot: 1.5, WarmupSlack: 5}}
-	y := &yard{t: t, book: stock.New("core"), Yard: newYardOf(set, log)}
+	y := &yard{t: t, book: catalog.New("core"), Yard: newYardOf(set, log)}
 	y.Yard.peers = peers
 	y.tell(&controlstate.Register{Seq: 1, Version: 1, Config: []byte(routes), Places: []places.Place{{Name: "e1", IP: "127.0.0.1", Zone: "z"}}})
 	return y
@@ -89,7 +89,7 @@
 			go s.conn(c)
 		}
 	}()
-	y.book.Beat(0, stock.Record{ID: id, Service: "s", Address: s.address, Zone: "z", Sequence: 1, WarmMs: warmMs})
+	y.book.Beat(0, catalog.Record{ID: id, Service: "s", Address: s.address, Zone: "z", Sequence: 1, WarmMs: warmMs})
 	return s
 }
 
@@ -431,14 +431,14 @@
 			return nil, err
 		}
 		asks <- m
-		if m.Me.State != stock.Draining {
+		if m.Me.State != catalog.Draining {
 			<-ctx.Done() // held
 		}
 		return registry.Pulled{Proven: true}, nil
 	}})
 	done := make(chan bool, 1)
 	go func() { done <- y.pull(ctx, l.Addr().String()) }()
-	if a := <-asks; a.Seq != 1 || a.Me.State != stock.Available {
+	if a := <-asks; a.Seq != 1 || a.Me.State != catalog.Available {
 		t.Errorf("asked with %+v", a)
 	}
 	y.leaving.Store(true)
@@ -447,7 +447,7 @@
 		t.Error("a pull that this limiter gave up speaks against the core machine")
 	}
 	y.pull(ctx, l.Addr().String())
-	if a := <-asks; a.Me.State != stock.Draining {
+	if a := <-asks; a.Me.State != catalog.Draining {
 		t.Errorf("a limiter that leaves says %v", a.Me.State)
 	}
 }
@@ -617,8 +617,8 @@
 	f.Add(datagramAsk, rpc.Encode(tokenAsk{1, 2, "read", "s"}))
 	f.Add(datagramAnswer, rpc.Encode(tokenAnswer{Serial: 1, OK: true}))
 	f.Add(datagramLoans, rpc.Encode(quotaloan.Message{Serial: 1, Items: []quotaloan.Item{{ID: 1, Part: -1}, {ID: 2, Part: 1e300}}}))
-	f.Add(datagramLine, rpc.Encode(lineMessage{lineside.Message{From: "e2#1", Claims: []lineside.Claim{{ID: "e1", State: 200}}}, []telegraph.Sighting{{Server: 1, Class: 9, Source: 2, Serial: 3}}, []serviceWait{{1, 65000}}, true}))
-	f.Add(datagramBlocks, rpc.Encode(blocks.Word{Version: 1, Source: 3, Serial: 1, Entries: []byte{0, 0, 0, 5, 255, 255}}))
+	f.Add(datagramLine, rpc.Encode(lineMessage{membership.Message{From: "e2#1", Claims: []membership.Claim{{ID: "e1", State: 200}}}, []failurereports.Sighting{{Server: 1, Class: 9, Source: 2, Serial: 3}}, []serviceWait{{1, 65000}}, true}))
+	f.Add(datagramBlocks, rpc.Encode(loadreports.Word{Version: 1, Source: 3, Serial: 1, Entries: []byte{0, 0, 0, 5, 255, 255}}))
 	f.Add(datagramSpending, []byte{1, 2, 3, 4, 5, 6, 7, 8, 9})
 	f.Fuzz(func(t *testing.T, kind byte, data []byte) {
 		y := newYard(t)
--- a/internal/switchyard/upstream.go
+++ b/internal/switchyard/upstream.go
@@ -13,11 +13,11 @@
 	"sync"
 	"time"
 
+	"example.org/madderdrum/catalog"
 	"example.org/madderdrum/internal/rpc"
 	"example.org/madderdrum/internal/sockets"
 	"example.org/madderdrum/internal/wait"
 	"example.org/madderdrum/limiter"
-	"example.org/madderdrum/stock"
 )
 
 const (
@@ -70,7 +70,7 @@
 }
 
 // station returns that of a server's record. The yard's mutex is held.
-func (y *Yard) station(r *stock.Record) *station {
+func (y *Yard) station(r *catalog.Record) *station {
 	st := y.stations[r.ID]
 	if st == nil || st.address != r.Address {
 		if st != nil {
@@ -79,7 +79,7 @@
 		st = &station{life: r.ID, address: r.Address, service: r.Service, number: shortNumber(r.ID)}
 		y.stations[r.ID] = st
 	}
-	if r.State == stock.Gone || r.State == stock.Silent {
+	if r.State == catalog.Gone || r.State == catalog.Silent {
 		st.drop()
 	}
 	return st
@@ -145,7 +145,7 @@
 			st.idle = kept
 			empty := len(kept) == 0
 			st.mu.Unlock()
-			if rec, ok := y.book.Get(y.now(), life); !ok && empty || ok && rec.State == stock.Gone && empty && rec.Since > 60_000 {
+			if rec, ok := y.book.Get(y.now(), life); !ok && empty || ok && rec.State == catalog.Gone && empty && rec.Since > 60_000 {
 				delete(y.stations, life)
 			}
 		}
--- a/internal/switchyard/watch.go
+++ b/internal/switchyard/watch.go
@@ -8,13 +8,13 @@
 
 	"github.com/sirupsen/logrus"
 
-	"example.org/madderdrum/blocks"
+	"example.org/madderdrum/catalog"
+	"example.org/madderdrum/failurereports"
 	"example.org/madderdrum/internal/nodesettings"
 	"example.org/madderdrum/internal/rpc"
 	"example.org/madderdrum/limiter"
-	"example.org/madderdrum/lineside"
-	"example.org/madderdrum/stock"
-	"example.org/madderdrum/telegraph"
+	"example.org/madderdrum/loadreports"
+	"example.org/madderdrum/membership"
 )
 
 const lineEvery = 100 * time.Millisecond
@@ -47,10 +47,10 @@
 
 // lineMessage is a message of the line, and what else it carries.
 type lineMessage struct {
-	Line lineside.Message     `cbor:"1,keyasint"`
-	Seen []telegraph.Sighting `cbor:"2,keyasint,omitempty"`
-	Wait []serviceWait        `cbor:"3,keyasint,omitempty"`
-	Sure bool                 `cbor:"4,keyasint,omitempty"` // Wait is known
+	Line membership.Message        `cbor:"1,keyasint"`
+	Seen []failurereports.Sighting `cbor:"2,keyasint,omitempty"`
+	Wait []serviceWait             `cbor:"3,keyasint,omitempty"`
+	Sure bool                      `cbor:"4,keyasint,omitempty"` // Wait is known
 }
 
 // serviceWait tells how full a service's servers of the sender's zone are.
@@ -72,11 +72,11 @@
 func (y *Yard) hearWaits(from string, all []serviceWait) {
 	v := y.view.Load()
 	if r, known := y.book.Get(y.now(), from); known && v != nil && r.Zone != y.set.Zone {
-		var waits []blocks.Wait
+		var waits []loadreports.Wait
 		for name := range v.table.Services {
 			for _, w := range all {
 				if w.Service == shortNumber(name) {
-					waits = append(waits, blocks.Wait{Service: name, Of: float64(w.Percent) / 100})
+					waits = append(waits, loadreports.Wait{Service: name, Of: float64(w.Percent) / 100})
 				}
 			}
 		}
@@ -85,7 +85,7 @@
 }
 
 // along sends what the line has to say, and with it where requests fail. The mutex is held.
-func (y *Yard) along(out []lineside.Letter) {
+func (y *Yard) along(out []membership.Letter) {
 	for _, l := range out {
 		if ip := y.lineIPs[l.To]; ip != "" {
 			m := lineMessage{Line: l.Message, Seen: y.telegraph.Next(y.now())}
@@ -126,8 +126,8 @@
 func (y *Yard) setLine() {
 	clear(y.lineIPs)
 	zones := map[string]string{y.self: y.set.Zone}
-	y.book.Each(y.now(), func(r stock.Record) {
-		if r.Service == stock.Limiters && r.State == stock.Available && y.set.Zones[r.Zone] == y.set.Region {
+	y.book.Each(y.now(), func(r catalog.Record) {
+		if r.Service == catalog.Limiters && r.State == catalog.Available && y.set.Zones[r.Zone] == y.set.Region {
 			zones[r.ID] = r.Zone
 			y.lineIPs[r.ID] = nodesettings.HostOf(r.Address)
 		}
@@ -142,7 +142,7 @@
 	}
 	now := map[string]bool{}
 	for id := range y.lineIPs {
-		if y.line.State(id) == lineside.Out {
+		if y.line.State(id) == membership.Out {
 			name, _, _ := strings.Cut(id, "#")
 			now[name] = true
 			if !y.out[name] {
--- a/internal/testring/cores.go
+++ b/internal/testring/cores.go
@@ -6,9 +6,9 @@
 	"math"
 	"strings"
 
+	"example.org/madderdrum/catalog"
 	"example.org/madderdrum/internal/registry"
 	"example.org/madderdrum/internal/rpc"
-	"example.org/madderdrum/stock"
 )
 
 const (
@@ -23,7 +23,7 @@
 	c := w.cores[i]
 	c.life++
 	c.up, c.waiting, c.stirred = true, nil, false
-	c.book = stock.New(fmt.Sprintf("%s#%d", c.name, c.life))
+	c.book = catalog.New(fmt.Sprintf("%s#%d", c.name, c.life))
 	w.startPlaces(c)
 	for k := range w.cores {
 		if k != i {
@@ -71,7 +71,7 @@
 			return
 		}
 		if ask.Me != nil {
-			if _, known := to.book.Get(w.now, ask.Me.ID); (!known || ask.Me.Service == stock.Limiters) && to.book.Beat(w.now, *ask.Me) {
+			if _, known := to.book.Get(w.now, ask.Me.ID); (!known || ask.Me.Service == catalog.Limiters) && to.book.Beat(w.now, *ask.Me) {
 				w.stir(to)
 			}
 			w.hearOfPlace(to, &ask)
@@ -118,7 +118,7 @@
 		if !c.up || c.life != life {
 			return
 		}
-		me := stock.Record{ID: c.book.Source(), Service: stock.Cores, Address: c.name, Sequence: uint64(w.now)}
+		me := catalog.Record{ID: c.book.Source(), Service: catalog.Cores, Address: c.name, Sequence: uint64(w.now)}
 		w.call("registries", c.spot, from, registry.Pull{Vector: maps.Clone(c.book.Vector()), HoldMs: followMs, Source: c.book.Source(), Me: &me}, followMs,
 			func(a *registry.Pulled) {
 				if !c.up || c.life != life {
@@ -140,7 +140,7 @@
 		return
 	}
 	n.serial++
-	me := &stock.Record{ID: n.id(), Service: stock.Limiters, Address: n.name + ":8686", Zone: fmt.Sprint(n.zone), Sequence: uint64(n.serial)}
+	me := &catalog.Record{ID: n.id(), Service: catalog.Limiters, Address: n.name + ":8686", Zone: fmt.Sprint(n.zone), Sequence: uint64(n.serial)}
 	if n.book != nil {
 		n.vector = n.book.Vector()
 	}
@@ -190,8 +190,8 @@
 			}
 		}
 	} else {
-		n.book.Each(w.now, func(r stock.Record) {
-			if r.Service == stock.Limiters && r.State == stock.Available {
+		n.book.Each(w.now, func(r catalog.Record) {
+			if r.Service == catalog.Limiters && r.State == catalog.Available {
 				name, _, _ := strings.Cut(r.ID, "#")
 				if o := w.byName[name]; o != nil && o.region == n.region && o.id() == r.ID {
 					zones[r.ID] = r.Zone
@@ -203,21 +203,21 @@
 }
 
 // beat has a server say that it is there, again and again, at a registry that answers.
-func (w *World) beat(i, at, sequence int, s stock.State) {
+func (w *World) beat(i, at, sequence int, s catalog.State) {
 	c := w.cores[at%len(w.cores)]
 	if !c.up {
 		w.after(200, func() { w.beat(i, at+1, sequence, s) })
 		return
 	}
 	w.count("beats", 200)
-	if c.book.Beat(w.now, stock.Record{ID: fmt.Sprintf("i-%d", i), Service: fmt.Sprintf("s%d", i%4), Address: fmt.Sprintf("10.1.%d.%d:8080", i>>8, i&255),
+	if c.book.Beat(w.now, catalog.Record{ID: fmt.Sprintf("i-%d", i), Service: fmt.Sprintf("s%d", i%4), Address: fmt.Sprintf("10.1.%d.%d:8080", i>>8, i&255),
 		Zone: fmt.Sprint(i % (w.Regions * w.Zones)), Slots: 2, State: s, Sequence: uint64(sequence)}) {
 		w.stir(c)
 	}
-	if s == stock.Available {
+	if s == catalog.Available {
 		w.after(heartbeatMs, func() { w.beat(i, at, sequence+1, s) })
 	}
 }
 
 // Drain has a server say at a registry that it drains; its beats end.
-func (w *World) Drain(server, at int) { w.beat(server, at, 1<<30, stock.Draining) }
+func (w *World) Drain(server, at int) { w.beat(server, at, 1<<30, catalog.Draining) }
--- a/internal/testring/places.go
+++ b/internal/testring/places.go
@@ -6,11 +6,11 @@
 	"time"
 
 	"example.org/madderdrum/allowance"
+	"example.org/madderdrum/catalog"
 	"example.org/madderdrum/controlstate"
 	"example.org/madderdrum/internal/registry"
 	"example.org/madderdrum/internal/rpc"
 	"example.org/madderdrum/places"
-	"example.org/madderdrum/stock"
 )
 
 const (
@@ -75,7 +75,7 @@
 
 // hearOfPlace takes in what a limiter tells of itself with a pull.
 func (w *World) hearOfPlace(c *core, ask *registry.Pull) {
-	if ask.Me.Service != stock.Limiters {
+	if ask.Me.Service != catalog.Limiters {
 		return
 	}
 	n := w.byName[nameOf(ask.Me.ID)]
@@ -97,12 +97,12 @@
 		}
 	}
 	running := map[string]bool{}
-	c.book.Each(w.now, func(r stock.Record) {
-		if r.Service == stock.Limiters && (r.State == stock.Available || r.State == stock.Draining) {
+	c.book.Each(w.now, func(r catalog.Record) {
+		if r.Service == catalog.Limiters && (r.State == catalog.Available || r.State == catalog.Draining) {
 			running[places.HolderOf(nameOf(r.ID), nameOf(r.ID))] = true
 		}
 	})
-	// A book is empty at first, and what is silent expires: see package stock.
+	// A book is empty at first, and what is silent expires: see package catalog.
 	c.book.Expire(w.now, 4*heartbeatMs, 3200, func(string) bool { return true })
 	changes := c.registrar.Due(span(w.now), t, !w.majority(c) || w.now-c.begun < 2000, func(holder string) bool { return running[holder] })
 	if changes.Empty() || c.asking || !w.majority(c) {
--- a/internal/testring/requests.go
+++ b/internal/testring/requests.go
@@ -5,7 +5,7 @@
 
 	"example.org/madderdrum/allowance"
 	"example.org/madderdrum/limiter"
-	"example.org/madderdrum/lineside"
+	"example.org/madderdrum/membership"
 	"example.org/madderdrum/quotaloan"
 )
 
@@ -169,5 +169,5 @@
 // outFor tells whether a limiter takes another for out of reach.
 func (w *World) outFor(n *node, name string) bool {
 	o := w.byName[name]
-	return o.region == n.region && n.line.State(o.id()) == lineside.Out
+	return o.region == n.region && n.line.State(o.id()) == membership.Out
 }
--- a/internal/testring/rush.go
+++ b/internal/testring/rush.go
@@ -7,9 +7,9 @@
 	"math/rand/v2"
 	"slices"
 
-	"example.org/madderdrum/blocks"
 	"example.org/madderdrum/internal/rpc"
 	"example.org/madderdrum/limiter"
+	"example.org/madderdrum/loadreports"
 )
 
 // View is what limiters go by in a rush.
@@ -75,7 +75,7 @@
 type rushLimiter struct {
 	zone  int
 	lim   *limiter.Limiter
-	desk  *blocks.Desk
+	desk  *loadreports.Desk
 	calls map[string]func(server uint64) // nil server: 0
 	told  map[uint64]limiter.InHand
 	queue []limiter.Event
@@ -132,7 +132,7 @@
 
 // begin starts a limiter.
 func (w *rush) begin(i int) {
-	n := &rushLimiter{zone: i % w.Zones, desk: blocks.New(uint32(i + 1)), calls: map[string]func(uint64){}, told: map[uint64]limiter.InHand{}}
+	n := &rushLimiter{zone: i % w.Zones, desk: loadreports.New(uint32(i + 1)), calls: map[string]func(uint64){}, told: map[uint64]limiter.InHand{}}
 	lim, err := limiter.New(limiter.Settings{Position: i, Balancers: w.Zones * w.Limiters, Classes: []limiter.Class{{Repeat: limiter.Unsafe, AimMs: 3 * w.AimMs, DeadlineMs: 1, Worth: 1, LateShare: 0.3}},
 		Plans: []limiter.Plan{{Price: 1}}, Caps: limiter.Caps{Attempts: 1, RetryAfter: true, MaxWaitMs: 1000, ConnectMs: 300}, Rules: limiter.Rules{FallMs: 1000}}, w.rng.Uint64())
 	if err != nil {
@@ -141,14 +141,14 @@
 	n.lim = lim
 	w.limiters = append(w.limiters, n)
 	var list []limiter.ServerInfo
-	known := map[uint32]blocks.Server{}
+	known := map[uint32]loadreports.Server{}
 	for k, s := range w.servers {
 		far := 0.3
 		if s.zone == n.zone {
 			far = 0
 		}
 		list = append(list, limiter.ServerInfo{ID: uint64(k + 1), Phase: limiter.Up, Far: far})
-		known[uint32(k+1)] = blocks.Server{Service: "desk", Slots: w.Slots, Zone: fmt.Sprint(s.zone), Near: s.zone == n.zone}
+		known[uint32(k+1)] = loadreports.Server{Service: "desk", Slots: w.Slots, Zone: fmt.Sprint(s.zone), Near: s.zone == n.zone}
 	}
 	n.desk.Serve(known)
 	n.desk.Expect(w.Limiters - 1)
--- a/internal/testring/testring.go
+++ b/internal/testring/testring.go
@@ -16,12 +16,12 @@
 	"time"
 
 	"example.org/madderdrum/allowance"
+	"example.org/madderdrum/catalog"
 	"example.org/madderdrum/internal/rpc"
 	"example.org/madderdrum/limiter"
-	"example.org/madderdrum/lineside"
+	"example.org/madderdrum/membership"
 	"example.org/madderdrum/places"
 	"example.org/madderdrum/quotaloan"
-	"example.org/madderdrum/stock"
 )
 
 // Options say what is played.
@@ -83,7 +83,7 @@
 // core is a registry.
 type core struct {
 	spot
-	book    *stock.Book
+	book    *catalog.Book
 	up      bool
 	waiting []func() // pulls that are held
 	stirred bool
@@ -113,9 +113,9 @@
 	choked  float64 // until when its link is full, so that what it says is late
 	lim     *limiter.Limiter
 	holding *quotaloan.Holding
-	line    *lineside.Line
-	book    *stock.Book
-	vector  stock.Vector
+	line    *membership.Line
+	book    *catalog.Book
+	vector  catalog.Vector
 	core    int
 	asks    map[uint64]*allowance.Asks
 	calls   map[string]func(ok bool, short bool, server uint64)
@@ -198,7 +198,7 @@
 		w.after(w.rng.Float64()*500, func() { w.Start(i) })
 	}
 	for i := range o.Servers {
-		w.after(w.rng.Float64()*1500, func() { w.beat(i, i%o.Cores, 1, stock.Available) })
+		w.after(w.rng.Float64()*1500, func() { w.beat(i, i%o.Cores, 1, catalog.Available) })
 	}
 	for _, t := range w.tenants {
 		w.arrive(t)
@@ -257,10 +257,10 @@
 	n := w.nodes[i]
 	n.life++
 	n.up, n.core = true, w.rng.IntN(len(w.cores))
-	n.vector, n.asks, n.calls, n.queue, n.working = stock.Vector{}, map[uint64]*allowance.Asks{}, map[string]func(bool, bool, uint64){}, nil, false
-	n.line = lineside.New(n.id(), w.rng.Uint64())
+	n.vector, n.asks, n.calls, n.queue, n.working = catalog.Vector{}, map[uint64]*allowance.Asks{}, map[string]func(bool, bool, uint64){}, nil, false
+	n.line = membership.New(n.id(), w.rng.Uint64())
 	if !w.Light {
-		n.book = stock.New("")
+		n.book = catalog.New("")
 	}
 	n.begun, n.table, n.version, n.lease = w.now, places.Table{}, 0, places.Lease{}
 	n.leaving, n.done, n.serving, n.lim, n.holding = false, false, false, nil, nil
@@ -384,7 +384,7 @@
 }
 
 // say sends what a limiter's line has to say.
-func (w *World) say(n *node, out []lineside.Letter) {
+func (w *World) say(n *node, out []membership.Letter) {
 	for _, l := range out {
 		name, _, _ := strings.Cut(l.To, "#")
 		if to := w.byName[name]; to != nil && to.up && to.id() == l.To {
@@ -443,7 +443,7 @@
 func (w *World) Out() (wrong int) {
 	for _, n := range w.nodes {
 		for _, o := range w.nodes {
-			if n != o && n.up && o.up && n.region == o.region && n.line.State(o.id()) == lineside.Out {
+			if n != o && n.up && o.up && n.region == o.region && n.line.State(o.id()) == membership.Out {
 				wrong++
 			}
 		}
@@ -471,7 +471,7 @@
 }
 
 // Knows tells how many limiters that run know a server to stand so.
-func (w *World) Knows(server int, s stock.State) (n int) {
+func (w *World) Knows(server int, s catalog.State) (n int) {
 	for _, l := range w.nodes {
 		if l.up && l.book != nil {
 			if r, ok := l.book.Get(w.now, fmt.Sprintf("i-%d", server)); ok && r.State == s {
--- a/internal/testring/testring_test.go
+++ b/internal/testring/testring_test.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"example.org/madderdrum/allowance"
-	"example.org/madderdrum/stock"
+	"example.org/madderdrum/catalog"
 )
 
 var rules = allowance.Rules{QuotaWindow: 5 * time.Second, QuotaOvershoot: 0.1, QuotaSlack: 20, RetryRatio: 0.2, RetrySlack: 200, WarmupOvershoot: 1.5, WarmupSlack: 8}
@@ -100,7 +100,7 @@
 		}
 		w.Drain(5, 1)
 		w.Run(2500)
-		if n := w.Knows(5, stock.Draining); n != w.Up() {
+		if n := w.Knows(5, catalog.Draining); n != w.Up() {
 			t.Errorf("seed %d: %d of %d limiters know of a drain 2.5 s after it", seed, n, w.Up())
 		}
 	}
--- a/blocks/blocks.go
+++ b/loadreports/loadreports.go
@@ -1,5 +1,4 @@
-// Package blocks is how neighbouring limiters tell each other how occupied servers are, as the
-// signal boxes along a line tell which block holds a train. Each tells its neighbours, the limiters
+// Package loadreports is how neighbouring limiters tell each other how occupied servers are. Each tells its neighbours, the limiters
 // of its zone, what it has in hand at which server; nobody collects it. What is told is counted
 // for as long as requests take, by a weight that falls with age: a request that was told and takes
 // 200 ms is half gone after 100. So whoever is cut off, or hears nobody, comes back to what it
@@ -13,7 +12,7 @@
 //
 // A [Desk] does no input or output and reads no clock: times are handed in, in milliseconds on a
 // clock that does not go backwards. It is not safe for concurrent use.
-package blocks
+package loadreports
 
 import (
 	"cmp"
--- a/blocks/blocks_test.go
+++ b/loadreports/loadreports_test.go
@@ -1,4 +1,4 @@
-package blocks
+package loadreports
 
 import (
 	"fmt"
--- a/lineside/lineside.go
+++ b/membership/membership.go
@@ -1,5 +1,4 @@
-// Package lineside is how the limiters of a region know which of them are there, as watchmen
-// along a line do. Each looks at one other in turn; where that does not answer, three third
+// Package membership is how the limiters of a region know which of them are in reach. Each looks at one other in turn; where that does not answer, three third
 // parties of other zones are asked to look too; where nobody gets an answer it is suspected, which
 // all are told, itself among them if it hears; it has a while to object, or to be heard by third
 // parties that are asked again; then it is out, until it is heard of again.
@@ -9,7 +8,7 @@
 //
 // A [Line] does no input or output and reads no clock: times are handed in, in milliseconds.
 // It is not safe for concurrent use.
-package lineside
+package membership
 
 import (
 	"math/rand/v2"
--- a/lineside/lineside_test.go
+++ b/membership/membership_test.go
@@ -1,4 +1,4 @@
-package lineside
+package membership
 
 import (
 	"fmt"
--- a/headway/headway.go
+++ b/pacing/pacing.go
@@ -1,5 +1,4 @@
-// Package headway keeps a distance between the pieces of long bodies on a narrow link, as
-// signals do between trains, so that what is short never waits behind a whole body: requests,
+// Package pacing keeps a distance between the pieces of long bodies on a narrow link, so that what is short never waits behind a whole body: requests,
 // answers of a few kilobytes, datagrams of other limiters. A body is passed in pieces; each
 // piece waits until the link can have carried what was booked before it. What is short is
 // booked and does not wait.
@@ -7,7 +6,7 @@
 // A [Line] is one direction of one link. It does no input or output and reads no clock: times
 // are handed in, in milliseconds on a clock that does not go backwards. It is not safe for
 // concurrent use.
-package headway
+package pacing
 
 const (
 	// A link that carries so much needs no distance: a body of a megabyte takes 80 ms there.
--- a/headway/headway_test.go
+++ b/pacing/pacing_test.go
@@ -1,4 +1,4 @@
-package headway
+package pacing
 
 import (
 	"math/rand/v2"
