--- /dev/null
+++ b/cmd/proxy/main.go
@@ -0,0 +1,9 @@
+// Command proxy is one of the three programs of the system. Passes clients' requests on to servers.
+package main
+
+import (
+	"example.org/madderdrum/internal/cli"
+	"example.org/madderdrum/internal/proxy"
+)
+
+func main() { cli.Main("proxy", "Passes clients' requests on to servers", proxy.Run) }
--- a/cmd/modelrailway/main.go
+++ b/cmd/smallsystem/main.go
@@ -1,4 +1,4 @@
-// Command modelrailway runs the whole system in small on loopback, for somebody who sees it
+// Command smallsystem runs the whole system in small on loopback, for somebody who sees it
 // for the first time: three core machines, two limiters, three servers, and a request a second.
 package main
 
@@ -14,13 +14,13 @@
 
 	"github.com/spf13/cobra"
 
-	"example.org/madderdrum/internal/modelrailway"
+	"example.org/madderdrum/internal/smallsystem"
 )
 
 func main() {
 	var dir, programs string
 	var within time.Duration
-	cmd := &cobra.Command{Use: "modelrailway", Short: "Run the whole system in small on loopback", Args: cobra.NoArgs, SilenceUsage: true,
+	cmd := &cobra.Command{Use: "smallsystem", Short: "Run the whole system in small on loopback", Args: cobra.NoArgs, SilenceUsage: true,
 		RunE: func(*cobra.Command, []string) error {
 			ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 			defer stop()
@@ -43,25 +43,25 @@
 func run(ctx context.Context, dir, programs string) error {
 	if dir == "" {
 		var err error
-		if dir, err = os.MkdirTemp("", "modelrailway"); err != nil {
+		if dir, err = os.MkdirTemp("", "smallsystem"); err != nil {
 			return err
 		}
 	}
 	if programs == "" {
 		programs = filepath.Join(dir, "programs")
-		build := exec.CommandContext(ctx, "go", "build", "-o", programs+"/", "./cmd/switchyard", "./cmd/registry", "./cmd/configstore")
+		build := exec.CommandContext(ctx, "go", "build", "-o", programs+"/", "./cmd/proxy", "./cmd/registry", "./cmd/configstore")
 		build.Stderr = os.Stderr
 		if err := build.Run(); err != nil {
 			return fmt.Errorf("build the programs: %w: run this in the repository, or name a folder with --programs", err)
 		}
 	}
 	fmt.Println("settings, disks and logs are in", dir)
-	s, err := modelrailway.Start(modelrailway.Options{Programs: programs, Dir: dir, Net: 70, Edges: 2, Servers: 3})
+	s, err := smallsystem.Start(smallsystem.Options{Programs: programs, Dir: dir, Net: 70, Edges: 2, Servers: 3})
 	defer s.Stop()
 	if err != nil {
 		return err
 	}
-	status, answer, err := s.Order(ctx, "POST", "/config/replace", modelrailway.Config(1, 0, "/", "key-1"))
+	status, answer, err := s.Order(ctx, "POST", "/config/replace", smallsystem.Config(1, 0, "/", "key-1"))
 	if err != nil {
 		return err
 	}
--- a/internal/nodesettings/nodesettings_test.go
+++ b/internal/nodesettings/nodesettings_test.go
@@ -10,7 +10,7 @@
 	"time"
 )
 
-const settings = `{"self_identity":{"node_name":"e1","role":"switchyard","ip_address":"10.0.0.1","zone":"a","region":"r","bootstrap":true,"data_dir":null,"limits":{"memory_mb":284}},
+const settings = `{"self_identity":{"node_name":"e1","role":"proxy","ip_address":"10.0.0.1","zone":"a","region":"r","bootstrap":true,"data_dir":null,"limits":{"memory_mb":284}},
 "network":{"listen":{"frontend":"10.0.0.1:8389"},"internal_ports":[7460,7475],"seed_nodes":["10.0.0.9:8383","10.0.0.8:8383"],"zones":{"a":"r"}},
 "provider":{"heartbeat":"1500ms"},"timing_terms":{"fault_tolerance":{"machines":2},"bounds":{"revoke":"5000ms","drain":"3s","revocation_strict":true,"quota_slack":20},"new_field":1}}`
 
--- a/internal/switchyard/asks.go
+++ b/internal/proxy/asks.go
@@ -1,4 +1,4 @@
-package switchyard
+package proxy
 
 import (
 	"cmp"
@@ -38,7 +38,7 @@
 }
 
 // token asks others for one token of a call's tenant until one pays for it.
-func (y *Yard) token(c *call) (ok bool, waitMs float64, why string) {
+func (y *Proxy) token(c *call) (ok bool, waitMs float64, why string) {
 	y.mu.Lock()
 	all, near := c.e.holding.Askees(account(c.tenant.Name), c.e.places, func(name string) bool { return y.out[name] }, rand.Shuffle)
 	y.mu.Unlock()
@@ -66,7 +66,7 @@
 }
 
 // askToken asks a limiter for a token. Its answer, if one comes, is put into answers.
-func (y *Yard) askToken(c *call, place int, answers chan tokenAnswer) (serial uint64) {
+func (y *Proxy) askToken(c *call, place int, answers chan tokenAnswer) (serial uint64) {
 	y.mu.Lock()
 	y.serial++
 	serial = y.serial
@@ -78,14 +78,14 @@
 }
 
 // endAsk has an answer that is still to come be let go.
-func (y *Yard) endAsk(serial uint64) {
+func (y *Proxy) endAsk(serial uint64) {
 	y.mu.Lock()
 	defer y.mu.Unlock()
 	delete(y.asks, serial)
 }
 
 // answered hands an answer to the call that waits for it, once. The mutex is held.
-func (y *Yard) answered(a tokenAnswer) {
+func (y *Proxy) answered(a tokenAnswer) {
 	if answers := y.asks[a.Serial]; answers != nil {
 		delete(y.asks, a.Serial)
 		answers <- a // it has room for one answer to each ask
@@ -94,7 +94,7 @@
 
 // shortOf has a call whose tenant's part is short here ask others for a token, unless they had
 // none a moment ago.
-func (y *Yard) shortOf(c *call) (ok bool, waitMs float64) {
+func (y *Proxy) shortOf(c *call) (ok bool, waitMs float64) {
 	id := account(c.tenant.Name)
 	y.mu.Lock()
 	asks := y.asking[id]
--- a/internal/switchyard/doors.go
+++ b/internal/proxy/doors.go
@@ -1,4 +1,4 @@
-package switchyard
+package proxy
 
 import (
 	"context"
@@ -17,7 +17,7 @@
 )
 
 // doors opens the listeners for the platform's checks and for clients that ask where to go.
-func (y *Yard) doors(ctx context.Context) error {
+func (y *Proxy) doors(ctx context.Context) error {
 	for name, h := range map[string]httpapi.Handler{"readiness": y.readiness, "directory": y.resolve} {
 		address := y.set.Listen[name]
 		if address == "" {
@@ -25,20 +25,20 @@
 		}
 		l, err := net.Listen("tcp", address)
 		if err != nil {
-			return fmt.Errorf("switchyard: listen for %s: %w", name, err)
+			return fmt.Errorf("proxy: listen for %s: %w", name, err)
 		}
 		go (&httpapi.Server{Handler: h, MaxBody: 1 << 10}).Serve(ctx, l)
 	}
 	l, err := net.Listen("tcp", y.set.Internal(y.set.IP, nodesettings.ProxyPort))
 	if err != nil {
-		return fmt.Errorf("switchyard: listen for those who ask how it stands: %w", err)
+		return fmt.Errorf("proxy: listen for those who ask how it stands: %w", err)
 	}
 	go rpc.Serve(ctx, l, map[string]rpc.Handler{rpc.CallStatus: rpc.Asking(y.status)})
 	return nil
 }
 
 // status tells how this limiter stands.
-func (y *Yard) status(context.Context) (any, error) {
+func (y *Proxy) status(context.Context) (any, error) {
 	ready := y.ready()
 	y.mu.Lock()
 	defer y.mu.Unlock()
@@ -47,7 +47,7 @@
 		proof = time.Since(y.proved).Round(time.Millisecond).String()
 	}
 	lines := []string{
-		fmt.Sprintf("program=switchyard node=%s zone=%s life=%s ready=%v leaving=%v in_hand=%d proof_age=%s keys_honoured=%v",
+		fmt.Sprintf("program=proxy node=%s zone=%s life=%s ready=%v leaving=%v in_hand=%d proof_age=%s keys_honoured=%v",
 			y.set.Node, y.set.Zone, y.self, ready, y.leaving.Load(), y.inHand.Load(), proof, y.vouched()),
 		fmt.Sprintf("register seq=%d version=r%d evacuated=%v limiters=%d", y.reg.Seq, y.reg.Version, y.reg.Evac, len(y.reg.Places)),
 	}
@@ -68,7 +68,7 @@
 	return rpc.Status{Lines: lines}, nil
 }
 
-func (y *Yard) readiness(_ context.Context, r *http.Request, _ []byte) httpapi.Answer {
+func (y *Proxy) readiness(_ context.Context, r *http.Request, _ []byte) httpapi.Answer {
 	if !y.ready() {
 		return httpapi.Answer{Status: 503}
 	}
@@ -80,7 +80,7 @@
 	TTL       string   `json:"ttl"`
 }
 
-func (y *Yard) resolve(_ context.Context, r *http.Request, _ []byte) httpapi.Answer {
+func (y *Proxy) resolve(_ context.Context, r *http.Request, _ []byte) httpapi.Answer {
 	if r.URL.Path != "/resolve" {
 		return httpapi.Answer{Status: 404, Body: []byte(`{"error":"ask for /resolve"}`)}
 	}
--- a/internal/switchyard/engine.go
+++ b/internal/proxy/engine.go
@@ -1,4 +1,4 @@
-package switchyard
+package proxy
 
 import (
 	"slices"
@@ -19,9 +19,9 @@
 
 // engine drives the decisions of one limiter.Limiter: as many limiters stand in its set as
 // have places. Where their number changes another engine takes the requests that come, and
-// this one ends those that it has. The yard's mutex guards it.
+// this one ends those that it has. The proxy's mutex guards it.
 type engine struct {
-	y       *Yard
+	y       *Proxy
 	lim     *limiter.Limiter
 	size    int // limiters of the set
 	place   int // this one's among them
@@ -186,9 +186,9 @@
 
 func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
-// steam has the decisions go by the register that is in force, once this limiter has its
+// updateEngine has the decisions go by the register that is in force, once this limiter has its
 // place. The mutex is held.
-func (y *Yard) steam(t *timetable.Table) {
+func (y *Proxy) updateEngine(t *timetable.Table) {
 	if t == nil {
 		return
 	}
@@ -270,7 +270,7 @@
 }
 
 // relist hands the decisions the servers that may be used now. The mutex is held.
-func (y *Yard) relist() {
+func (y *Proxy) relist() {
 	e := y.engine
 	if e == nil || y.view.Load() == nil {
 		return
@@ -295,7 +295,7 @@
 		if st.usable {
 			x := loadreports.Server{Service: r.Service, Slots: max(1, r.Slots), Zone: r.Zone, Near: r.Zone == y.set.Zone}
 			serving[st.number], e.slots[st.number] = x, float64(x.Slots)
-			y.chill(st, &r, now)
+			y.noteWarmup(st, &r, now)
 			if !st.cold(now) || r.Zone == y.set.Zone && !now.Before(st.nextAt) {
 				phase = limiter.Up
 			}
@@ -330,7 +330,7 @@
 func routeID(name string) uint64 { return fnv64(name) >> 32 }
 
 // far is by how much more an answer from a zone counts.
-func (y *Yard) far(zone string, download bool) float64 {
+func (y *Proxy) far(zone string, download bool) float64 {
 	switch {
 	case zone == y.set.Zone:
 		return 0
@@ -342,8 +342,8 @@
 	return farRegion
 }
 
-// chill notes until when a server is cold, and has the list made anew then.
-func (y *Yard) chill(st *station, r *catalog.Record, now time.Time) {
+// noteWarmup notes until when a server is cold, and has the list made anew then.
+func (y *Proxy) noteWarmup(st *station, r *catalog.Record, now time.Time) {
 	until := now.Add(time.Duration(r.WarmMs) * time.Millisecond)
 	if to := y.coldTo[r.ID]; to.After(until) {
 		until = to
@@ -366,7 +366,7 @@
 
 // later makes the list of servers anew after a while. Only the earliest of what is due waits:
 // whatever else is due is seen when the list is made. The mutex is held.
-func (y *Yard) later(d time.Duration) {
+func (y *Proxy) later(d time.Duration) {
 	at := time.Now().Add(d)
 	if !y.listAt.IsZero() && !at.Before(y.listAt) {
 		return
@@ -385,7 +385,7 @@
 
 // coldPause is the least time between two requests of this limiter to one cold server of its
 // zone.
-func (y *Yard) coldPause(service string) time.Duration {
+func (y *Proxy) coldPause(service string) time.Duration {
 	s := y.view.Load().table.Services[service]
 	if s == nil {
 		return time.Hour
--- a/internal/switchyard/front.go
+++ b/internal/proxy/front.go
@@ -1,4 +1,4 @@
-package switchyard
+package proxy
 
 import (
 	"bufio"
@@ -86,7 +86,7 @@
 }
 
 // client serves one connection: requests are read as they come and answered in their order.
-func (y *Yard) client(c net.Conn) {
+func (y *Proxy) client(c net.Conn) {
 	l := &lane{slots: make(chan *slot, pipelineMost+1)}
 	room := make(chan struct{}, pipelineMost)
 	written := make(chan struct{})
@@ -125,7 +125,7 @@
 }
 
 // reads takes in the requests of a connection. room holds a place for each that is in hand.
-func (y *Yard) reads(c net.Conn, l *lane, room chan<- struct{}) {
+func (y *Proxy) reads(c net.Conn, l *lane, room chan<- struct{}) {
 	lim := &limited{r: c, heads: &framing.Watch{}}
 	in := bufio.NewReaderSize(lim, 4<<10)
 	for {
@@ -212,7 +212,7 @@
 
 // awaits waits for the first byte of a request. When the limiter ends, a connection on which
 // nothing was read closes.
-func (y *Yard) awaits(c net.Conn, in *bufio.Reader, idle time.Duration) bool {
+func (y *Proxy) awaits(c net.Conn, in *bufio.Reader, idle time.Duration) bool {
 	until := time.Now().Add(idle)
 	for {
 		step := until
@@ -250,7 +250,7 @@
 }
 
 // turnAway answers what can't be read; the connection closes behind it.
-func (y *Yard) turnAway(l *lane, room chan<- struct{}, status int, why string) {
+func (y *Proxy) turnAway(l *lane, room chan<- struct{}, status int, why string) {
 	l.unread = true
 	s := &slot{done: make(chan *answer, 1), end: true}
 	room <- struct{}{}
@@ -264,7 +264,7 @@
 }
 
 // warn logs bad input at a bounded rate.
-func (y *Yard) warn(text, id, why string) {
+func (y *Proxy) warn(text, id, why string) {
 	y.mu.Lock()
 	due := time.Since(y.logged) > time.Second
 	if due {
@@ -277,7 +277,7 @@
 }
 
 // writes answers the requests of a connection in their order.
-func (y *Yard) writes(c net.Conn, l *lane, room <-chan struct{}) {
+func (y *Proxy) writes(c net.Conn, l *lane, room <-chan struct{}) {
 	over := false
 	for s := range l.slots {
 		a := <-s.done
@@ -308,7 +308,7 @@
 }
 
 // write writes one answer and tells that the connection can go on.
-func (y *Yard) write(c net.Conn, s *slot, a *answer, end bool) bool {
+func (y *Proxy) write(c net.Conn, s *slot, a *answer, end bool) bool {
 	out := make([]byte, 0, 512+min(len(a.body), 64<<10))
 	out = append(out, "HTTP/1.1 "...)
 	out = strconv.AppendInt(out, int64(a.status), 10)
--- a/internal/switchyard/lease.go
+++ b/internal/proxy/lease.go
@@ -1,4 +1,4 @@
-package switchyard
+package proxy
 
 import (
 	"time"
@@ -15,7 +15,7 @@
 
 // renewed has what stands by the place go by a lease that was renewed. ended tells that it had ended
 // before. The mutex is held.
-func (y *Yard) renewed(ended bool) {
+func (y *Proxy) renewed(ended bool) {
 	y.holdShare()
 	if e := y.engine; ended && e != nil && y.lease.Valid(time.Since(y.begun)) {
 		e.parts()
@@ -23,7 +23,7 @@
 }
 
 // endLease has nothing that stands by the place used any more. The mutex is held.
-func (y *Yard) endLease() {
+func (y *Proxy) endLease() {
 	y.lease = places.Lease{}
 	y.holdShare()
 	if e := y.engine; e != nil {
@@ -32,16 +32,16 @@
 }
 
 // holds tells that this limiter has a part, and may use it now. It needs no mutex.
-func (y *Yard) holds() bool { return int64(time.Since(y.begun)) < y.holdsUntil.Load() }
+func (y *Proxy) holds() bool { return int64(time.Since(y.begun)) < y.holdsUntil.Load() }
 
 // slot is this limiter's in the register, or -1. The mutex is held.
-func (y *Yard) slot() int {
+func (y *Proxy) slot() int {
 	t := y.reg.PlaceTable()
 	return t.SlotOf(y.set.Node, y.set.IP)
 }
 
 // takePlaces works out what the places of the register in force give to this limiter. The mutex is held.
-func (y *Yard) takePlaces() {
+func (y *Proxy) takePlaces() {
 	t := y.reg.PlaceTable()
 	sets := t.Sets()
 	y.limiters = 1
@@ -57,7 +57,7 @@
 }
 
 // holdShare has what is sent and lent here go by this limiter's part and lease. The mutex is held.
-func (y *Yard) holdShare() {
+func (y *Proxy) holdShare() {
 	e := y.engine
 	if e == nil {
 		return
@@ -78,7 +78,7 @@
 
 // sets are the places of limiters by slot, in each set that somebody may still go by, the newest last.
 // The mutex is held.
-func (y *Yard) sets() (all [][]allowance.Place) {
+func (y *Proxy) sets() (all [][]allowance.Place) {
 	t := y.reg.PlaceTable()
 	for _, set := range t.Sets() {
 		members := make([]allowance.Place, len(t.Places))
@@ -92,7 +92,7 @@
 }
 
 // stopLending has nothing lent any more: what is lent would outlive this process.
-func (y *Yard) stopLending() {
+func (y *Proxy) stopLending() {
 	y.mu.Lock()
 	defer y.mu.Unlock()
 	if y.desk != nil {
@@ -102,7 +102,7 @@
 
 // giveBack has this limiter's place given back, after the last request, and tells whether the core
 // machines know that this limiter goes by registers without it.
-func (y *Yard) giveBack() bool {
+func (y *Proxy) giveBack() bool {
 	y.mu.Lock()
 	defer y.mu.Unlock()
 	if y.slot() < 0 && !y.done {
--- a/internal/switchyard/lease_test.go
+++ b/internal/proxy/lease_test.go
@@ -1,4 +1,4 @@
-package switchyard
+package proxy
 
 import (
 	"testing"
@@ -24,14 +24,14 @@
 }
 
 // served is the status of one request within its quota.
-func (y *yard) served(id string) int {
+func (y *testProxy) served(id string) int {
 	got, _ := y.client(request("GET", "/read/1", id, "", ""), 1)
 	return got[0].StatusCode
 }
 
 // A limiter whose place is taken away refuses what a ceiling binds, and serves again once it has it back.
 func TestPlaceIsTakenAway(t *testing.T) {
-	y := newYard(t)
+	y := newTestProxy(t)
 	y.server("i-1", 0, "ok")
 	y.tell(nil)
 	if got := y.served("id-1"); got != 200 {
@@ -52,8 +52,8 @@
 
 // A limiter that joins others is not ready, and uses nothing, until its place is settled.
 func TestJoinerWaits(t *testing.T) {
-	y := newYard(t)
-	y.Yard.serving, y.Yard.engine, y.Yard.desk = false, nil, nil // as at its beginning
+	y := newTestProxy(t)
+	y.Proxy.serving, y.Proxy.engine, y.Proxy.desk = false, nil, nil // as at its beginning
 	y.tell(placed(2, 1, other("e2", 1), own(places.Place{From: 2, Life: y.self})))
 	y.mu.Lock()
 	of, rest, _ := y.engine.holding.Desk.Parts(y.now())
@@ -73,7 +73,7 @@
 // What was admitted before the process stood still is not sent once the lease has ended, and the client hears
 // that it has not run. Further tries and requests to cold servers are over with the lease too.
 func TestNothingIsSentOnAnEndedLease(t *testing.T) {
-	y := newYard(t)
+	y := newTestProxy(t)
 	s := y.server("i-1", 0, "ok")
 	y.tell(nil)
 	y.holdsUntil.Store(1) // the decisions have not heard of it: they admit
@@ -98,7 +98,7 @@
 // Proof of an older register than the one that a limiter has renews its lease no further than it reaches, and
 // none at all renews nothing.
 func TestLeaseGoesByTheProof(t *testing.T) {
-	y := newYard(t)
+	y := newTestProxy(t)
 	y.begun = y.begun.Add(-time.Hour)
 	y.mu.Lock()
 	y.endLease()
@@ -123,7 +123,7 @@
 // A limiter that leaves gives its place back after the last request: it uses nothing from then on, and
 // is not through until a core machine has heard that it goes by a register without it.
 func TestPlaceIsGivenBack(t *testing.T) {
-	y := newYard(t)
+	y := newTestProxy(t)
 	y.leaving.Store(true)
 	y.stopLending()
 	if y.giveBack() {
--- a/internal/switchyard/load.go
+++ b/internal/proxy/load.go
@@ -1,4 +1,4 @@
-package switchyard
+package proxy
 
 import (
 	"hash/fnv"
@@ -22,7 +22,7 @@
 )
 
 // tellLoad tells neighbours what this limiter has in hand, and the decisions what they have.
-func (y *Yard) tellLoad() {
+func (y *Proxy) tellLoad() {
 	y.mu.Lock()
 	var to []string
 	for _, p := range y.neighbours {
@@ -45,7 +45,7 @@
 
 // nearOnes is how many other limiters of this zone are in reach, whether they are told or not. The
 // mutex is held.
-func (y *Yard) nearOnes() (n int) {
+func (y *Proxy) nearOnes() (n int) {
 	for _, p := range y.reg.Places {
 		if p.Held() && p.Zone == y.set.Zone && p.Name != y.set.Node && !y.out[p.Name] {
 			n++
@@ -56,7 +56,7 @@
 
 // believe has the decisions go by what is in hand at servers beside their own requests. The mutex
 // is held.
-func (y *Yard) believe() {
+func (y *Proxy) believe() {
 	others := y.blocks.Others(y.now())
 	for _, s := range y.blocks.Steps() {
 		y.log.WithFields(logrus.Fields{"service": s.Service, "share": float64(int(s.Share*100)) / 100, "pressed": s.Pressed}).Info("load of a service changes")
--- a/internal/switchyard/loans.go
+++ b/internal/proxy/loans.go
@@ -1,4 +1,4 @@
-package switchyard
+package proxy
 
 import (
 	"math/rand/v2"
@@ -27,7 +27,7 @@
 
 // openDesk has loans of parts dealt in from a slot among so many. What is lent and borrowed goes on where
 // that has changed while this process runs. The mutex is held.
-func (y *Yard) openDesk(position, size int) {
+func (y *Proxy) openDesk(position, size int) {
 	var near, region []int
 	for i, p := range y.reg.Places {
 		switch {
@@ -94,7 +94,7 @@
 }
 
 // tell sends a datagram to another limiter.
-func (y *Yard) tell(to string, kind byte, data []byte) {
+func (y *Proxy) tell(to string, kind byte, data []byte) {
 	addr, err := resolveUDP(to)
 	if err != nil {
 		return
@@ -103,7 +103,7 @@
 }
 
 // hear takes in datagrams of other limiters.
-func (y *Yard) hear() {
+func (y *Proxy) hear() {
 	buf := make([]byte, 64<<10)
 	for {
 		n, from, err := y.peers.ReadFrom(buf)
@@ -116,7 +116,7 @@
 	}
 }
 
-func (y *Yard) heard(ip string, kind byte, data []byte) {
+func (y *Proxy) heard(ip string, kind byte, data []byte) {
 	y.mu.Lock()
 	defer y.mu.Unlock()
 	if kind == datagramLine {
--- a/internal/switchyard/switchyard.go
+++ b/internal/proxy/proxy.go
@@ -1,7 +1,7 @@
-// Package switchyard is the host of the proxy: it takes clients' requests, has the decisions
+// Package proxy is the host of the proxy: it takes clients' requests, has the decisions
 // of package limiter say which pass and which server gets them, and passes them on. It learns
 // of servers, limiters and configurations by pulls from the core machines.
-package switchyard
+package proxy
 
 import (
 	"context"
@@ -29,8 +29,8 @@
 	"example.org/madderdrum/timetable"
 )
 
-// Yard is one limiter of the system.
-type Yard struct {
+// Proxy is one limiter of the system.
+type Proxy struct {
 	set       *nodesettings.Settings
 	rules     allowance.Rules
 	log       logrus.FieldLogger
@@ -100,13 +100,13 @@
 
 // Run serves until the context ends, which is a SIGTERM, and a while beyond.
 func Run(ctx context.Context, set *nodesettings.Settings, log logrus.FieldLogger) error {
-	y := newYardOf(set, log)
+	y := newProxy(set, log)
 	front, err := net.Listen("tcp", set.Listen["frontend"])
 	if err != nil {
-		return fmt.Errorf("switchyard: listen for clients: %w", err)
+		return fmt.Errorf("proxy: listen for clients: %w", err)
 	}
 	if y.peers, err = net.ListenPacket("udp", set.Internal(set.IP, nodesettings.ProxyPort)); err != nil {
-		return fmt.Errorf("switchyard: listen for other limiters: %w", err)
+		return fmt.Errorf("proxy: listen for other limiters: %w", err)
 	}
 	life, end := context.WithCancel(context.Background()) // outlives SIGTERM
 	defer end()
@@ -133,9 +133,9 @@
 	return nil
 }
 
-// newYardOf returns a limiter that knows nothing yet.
-func newYardOf(set *nodesettings.Settings, log logrus.FieldLogger) *Yard {
-	y := &Yard{set: set, log: log, link: newLink(set.LinkMbps), caller: rpc.NewCaller(), begun: time.Now(), self: fmt.Sprintf("%s#%08x", set.Node, rand.Uint32()),
+// newProxy returns a limiter that knows nothing yet.
+func newProxy(set *nodesettings.Settings, log logrus.FieldLogger) *Proxy {
+	y := &Proxy{set: set, log: log, link: newLink(set.LinkMbps), caller: rpc.NewCaller(), begun: time.Now(), self: fmt.Sprintf("%s#%08x", set.Node, rand.Uint32()),
 		seeds: set.Cores(), cores: set.Cores(), nudge: make(chan struct{}, 1), book: catalog.New(""), reg: &controlstate.Register{},
 		evacuate: map[string]bool{}, coldTo: map[string]time.Time{}, gone: map[string]bool{},
 		stations: map[string]*station{}, budget: map[string]*allowance.Tries{}, ended: map[string]int{}, asks: map[uint64]chan tokenAnswer{}, asking: map[uint64]*allowance.Asks{},
@@ -151,7 +151,7 @@
 
 // leave ends in order: out of the directory and not ready at once, no new request near the
 // end of the grace, and what is in hand is answered.
-func (y *Yard) leave(front net.Listener) {
+func (y *Proxy) leave(front net.Listener) {
 	begun := time.Now()
 	grace := y.set.Bounds.Grace
 	if grace == 0 {
@@ -188,7 +188,7 @@
 const tallyEvery = 10 * time.Second
 
 // tally logs how requests ended.
-func (y *Yard) tally(ctx context.Context) {
+func (y *Proxy) tally(ctx context.Context) {
 	for ctx.Err() == nil {
 		wait.Sleep(ctx, tallyEvery)
 		y.mu.Lock()
@@ -204,7 +204,7 @@
 	}
 }
 
-func (y *Yard) poke() {
+func (y *Proxy) poke() {
 	select {
 	case y.nudge <- struct{}{}:
 	default:
@@ -212,10 +212,10 @@
 }
 
 // now is the time in ms on the clock of the decisions.
-func (y *Yard) now() float64 { return float64(time.Since(y.begun)) / float64(time.Millisecond) }
+func (y *Proxy) now() float64 { return float64(time.Since(y.begun)) / float64(time.Millisecond) }
 
 // ready tells that requests can be served here.
-func (y *Yard) ready() bool {
+func (y *Proxy) ready() bool {
 	if y.leaving.Load() || y.view.Load() == nil {
 		return false
 	}
@@ -226,7 +226,7 @@
 
 // vouched tells that keys may be honoured: nothing newer can have been acknowledged for as
 // long as the rule on keys that are taken away allows. The mutex is held.
-func (y *Yard) vouched() bool {
+func (y *Proxy) vouched() bool {
 	b := &y.set.Bounds
 	if !b.RevocationStrict || b.Revoke == 0 {
 		return true
--- a/internal/switchyard/switchyard_test.go
+++ b/internal/proxy/proxy_test.go
@@ -1,4 +1,4 @@
-package switchyard
+package proxy
 
 import (
 	"bufio"
@@ -30,9 +30,9 @@
 	"example.org/madderdrum/quotaloan"
 )
 
-// yard is a limiter without its listeners, told directly what a core machine would tell.
-type yard struct {
-	*Yard
+// testProxy is a limiter without its listeners, told directly what a core machine would tell.
+type testProxy struct {
+	*Proxy
 	t    *testing.T
 	book *catalog.Book
 }
@@ -44,7 +44,7 @@
 {"name":"send","route_type":"non_idempotent","target_latency":"600ms","match_criteria":{"path_prefix":"/send/"},"forward_action":{"service":"s","timeout":"1s","max_attempts":2}}]}],
 "clusters":[{"name":"s","health_path":"/health","warmup":"3s","cold_per_s":3.6}]}`
 
-func newYard(t *testing.T) *yard {
+func newTestProxy(t *testing.T) *testProxy {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	peers, err := net.ListenPacket("udp", "127.0.0.1:0")
@@ -54,15 +54,15 @@
 	t.Cleanup(func() { peers.Close() })
 	set := &nodesettings.Settings{Node: "e1", IP: "127.0.0.1", Zone: "z", Region: "r", Zones: map[string]string{"z": "r"}, Ports: [2]int{7460, 7475},
 		Bounds: nodesettings.Bounds{RetryRatio: 0.2, QuotaWindow: 5 * time.Second, QuotaOvershoot: 0.1, QuotaSlack: 20, WarmupOvershoot: 1.5, WarmupSlack: 5}}
-	y := &yard{t: t, book: catalog.New("core"), Yard: newYardOf(set, log)}
-	y.Yard.peers = peers
+	y := &testProxy{t: t, book: catalog.New("core"), Proxy: newProxy(set, log)}
+	y.Proxy.peers = peers
 	y.tell(&controlstate.Register{Seq: 1, Version: 1, Config: []byte(routes), Places: []places.Place{{Name: "e1", IP: "127.0.0.1", Zone: "z"}}})
 	return y
 }
 
 // tell has the limiter hear what is new in the core's book, and a register.
-func (y *yard) tell(reg *controlstate.Register) {
-	y.take(time.Now(), &registry.Pulled{Register: reg, Records: y.book.Since(0, y.Yard.book.Vector()), Vector: y.book.Vector(), Proven: true, ProofMs: 1})
+func (y *testProxy) tell(reg *controlstate.Register) {
+	y.take(time.Now(), &registry.Pulled{Register: reg, Records: y.book.Since(0, y.Proxy.book.Vector()), Vector: y.book.Vector(), Proven: true, ProofMs: 1})
 }
 
 // server is a stand-in that answers each request with the next of its ways, the last for good.
@@ -73,7 +73,7 @@
 	ran         []string // attempt ids
 }
 
-func (y *yard) server(id string, warmMs uint64, ways ...string) *server {
+func (y *testProxy) server(id string, warmMs uint64, ways ...string) *server {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		y.t.Fatal(err)
@@ -145,11 +145,11 @@
 }
 
 // client sends bytes on one connection and reads that many answers.
-func (y *yard) client(text string, n int) (all []*http.Response, bodies []string) {
+func (y *testProxy) client(text string, n int) (all []*http.Response, bodies []string) {
 	y.t.Helper()
 	a, b := net.Pipe()
 	defer a.Close()
-	go y.Yard.client(b)
+	go y.Proxy.client(b)
 	go io.WriteString(a, text)
 	a.SetReadDeadline(time.Now().Add(5 * time.Second))
 	in := bufio.NewReader(a)
@@ -187,7 +187,7 @@
 		{"half", 200, 502, 1}, {"other", 200, 502, 1}, {"twice", 200, 200, 1},
 	} {
 		for _, send := range []bool{false, true} {
-			y := newYard(t)
+			y := newTestProxy(t)
 			var all []*server
 			for i := range 2 {
 				// Whichever is chosen first behaves so; the other one is well by then.
@@ -245,7 +245,7 @@
 // The test of the one above: a request that is taken for repeatable does run twice where its first
 // server runs it and then cuts the connection.
 func TestResentAfterACut(t *testing.T) {
-	y := newYard(t)
+	y := newTestProxy(t)
 	servers := []*server{y.server("i-0", 0, "cut", "ok"), y.server("i-1", 0, "cut", "ok")}
 	y.tell(nil)
 	y.mu.Lock()
@@ -270,7 +270,7 @@
 // Requests that come at once on one connection are answered in their order, also where a later
 // one is ready first; what comes behind a late second answer belongs to nobody.
 func TestPipeline(t *testing.T) {
-	y := newYard(t)
+	y := newTestProxy(t)
 	y.server("i-1", 0, "twice", "ok")
 	y.tell(nil)
 	text := ""
@@ -286,7 +286,7 @@
 }
 
 func TestTurnedAway(t *testing.T) {
-	y := newYard(t)
+	y := newTestProxy(t)
 	y.server("i-1", 0, "ok")
 	y.tell(nil)
 	for name, x := range map[string]struct {
@@ -338,7 +338,7 @@
 		"too long, length": {[]string{"ok"}, request("POST", "/send/1", "a", "", long), 1 << 20, 413, 0},
 		"too long, chunks": {[]string{"ok"}, request("POST", "/send/1", "a", "Transfer-Encoding: chunked\r\n", "") + chunked, bodyHeld + 1000, 413, 0},
 	} {
-		y := newYard(t)
+		y := newTestProxy(t)
 		v := *y.view.Load()
 		table := *v.table
 		table.Limits.Body = x.most
@@ -364,7 +364,7 @@
 
 // However often the list of servers is made while many are cold, one timer waits.
 func TestOneTimerForTheList(t *testing.T) {
-	y := newYard(t)
+	y := newTestProxy(t)
 	for i := range 8 {
 		y.server(fmt.Sprintf("i-%d", i), 3000, "ok")
 	}
@@ -383,7 +383,7 @@
 
 // A cold server gets no more than its allowance from this limiter, however much is asked.
 func TestColdAllowance(t *testing.T) {
-	y := newYard(t)
+	y := newTestProxy(t)
 	s := y.server("i-1", 60000, "ok")
 	y.tell(nil)
 	for i := range 40 {
@@ -399,7 +399,7 @@
 
 // Where keys that are taken away bind strictly, none is honoured without a young proof.
 func TestNoProofNoKeys(t *testing.T) {
-	y := newYard(t)
+	y := newTestProxy(t)
 	y.set.Bounds.RevocationStrict, y.set.Bounds.Revoke = true, 5*time.Second
 	y.server("i-1", 0, "ok")
 	y.tell(nil)
@@ -417,7 +417,7 @@
 
 // A pull says what this limiter lacks, and one that has news for the core goes at once.
 func TestPullAsksForWhatIsLacking(t *testing.T) {
-	y := newYard(t)
+	y := newTestProxy(t)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -454,7 +454,7 @@
 
 // A keeper pays for what another limiter asks as long as its part lasts, and then says no.
 func TestKeeperPaysOutOfItsPart(t *testing.T) {
-	y := newYard(t)
+	y := newTestProxy(t)
 	y.server("i-1", 0, "ok")
 	y.tell(nil)
 	y.mu.Lock()
@@ -481,7 +481,7 @@
 
 // A register that comes without the configuration and places that this limiter has is whole here.
 func TestRegisterInParts(t *testing.T) {
-	y := newYard(t)
+	y := newTestProxy(t)
 	post := places.Place{Name: "e2", IP: "127.0.0.2", Zone: "z"}
 	y.take(time.Now(), &registry.Pulled{Places: added(1, post), Register: &controlstate.Register{Seq: 2, Version: 1, Evac: []string{"z"}}})
 	y.mu.Lock()
@@ -501,7 +501,7 @@
 // A limiter that leaves takes nobody for out of reach: the others don't answer it any more.
 func TestLeaverSuspectsNobody(t *testing.T) {
 	for _, leaves := range []bool{false, true} {
-		y := newYard(t)
+		y := newTestProxy(t)
 		y.leaving.Store(leaves)
 		y.mu.Lock()
 		y.begun = time.Now().Add(-time.Hour)
@@ -524,7 +524,7 @@
 // it where requests fail.
 func TestServersAreKnownByOneNumber(t *testing.T) {
 	numbers := func(ids ...string) map[string]uint64 {
-		y := newYard(t)
+		y := newTestProxy(t)
 		for _, id := range ids {
 			y.server(id, 0, "ok")
 			y.tell(nil)
@@ -544,7 +544,7 @@
 
 // A limiter that joins gives nobody anew what is spent: the others go on with what they have left.
 func TestJoinersRenewNothing(t *testing.T) {
-	y := newYard(t)
+	y := newTestProxy(t)
 	y.server("i-1", 0, "ok")
 	y.tell(nil)
 	ask := func() (paid int) {
@@ -621,7 +621,7 @@
 	f.Add(datagramBlocks, rpc.Encode(loadreports.Word{Version: 1, Source: 3, Serial: 1, Entries: []byte{0, 0, 0, 5, 255, 255}}))
 	f.Add(datagramSpending, []byte{1, 2, 3, 4, 5, 6, 7, 8, 9})
 	f.Fuzz(func(t *testing.T, kind byte, data []byte) {
-		y := newYard(t)
+		y := newTestProxy(t)
 		y.take(time.Now(), &registry.Pulled{Places: added(1, places.Place{Name: "e2", IP: "127.0.0.2", Zone: "z"}), Register: &controlstate.Register{Seq: 2, Version: 1}})
 		for range 3 {
 			y.heard("127.0.0.2", kind, data)
@@ -643,13 +643,13 @@
 // When a limiter leaves, the answer that says so is the last of its connection, and what is read
 // behind it does not run.
 func TestLastAnswerIsTheLast(t *testing.T) {
-	y := newYard(t)
+	y := newTestProxy(t)
 	s := y.server("i-1", 0, "ok")
 	y.tell(nil)
 	y.leaving.Store(true)
 	a, b := net.Pipe()
 	defer a.Close()
-	go y.Yard.client(b)
+	go y.Proxy.client(b)
 	sent := 0
 	send := func(n int) {
 		text := ""
@@ -705,15 +705,15 @@
 	const versions = 30
 	for seed := range uint64(4) {
 		rng := rand.New(rand.NewPCG(seed, 5))
-		yards := []*yard{newYard(t)}
+		limiters := []*testProxy{newTestProxy(t)}
 		newest := make([]int, 2)
-		posts := yards[0].reg.Places
+		posts := limiters[0].reg.Places
 		for v := 2; v <= versions; v++ {
 			if v == versions/2 {
-				yards = append(yards, newYard(t))
+				limiters = append(limiters, newTestProxy(t))
 			}
 			for range 3 {
-				for i, y := range yards {
+				for i, y := range limiters {
 					from := max(1, v-rng.IntN(6)) // a core machine that is so far behind
 					if v == versions {
 						from = v
@@ -735,7 +735,7 @@
 				}
 			}
 		}
-		for _, y := range yards {
+		for _, y := range limiters {
 			if y.reg.Version != versions {
 				t.Errorf("seed %d: r%d is in force in the end", seed, y.reg.Version)
 			}
--- a/internal/switchyard/pull.go
+++ b/internal/proxy/pull.go
@@ -1,4 +1,4 @@
-package switchyard
+package proxy
 
 import (
 	"context"
@@ -29,7 +29,7 @@
 
 // pulls keeps asking a core machine for what this limiter lacks. One that does not answer, or
 // has no proof that it is up to date, is left for the next.
-func (y *Yard) pulls(ctx context.Context) {
+func (y *Proxy) pulls(ctx context.Context) {
 	k := rand.IntN(1 << 10)
 	for failed := 0; ctx.Err() == nil; {
 		cores := y.coresToAsk(failed)
@@ -47,7 +47,7 @@
 }
 
 // coresToAsk are the core machines to ask after so many failures in a row.
-func (y *Yard) coresToAsk(failed int) []string {
+func (y *Proxy) coresToAsk(failed int) []string {
 	y.mu.Lock()
 	defer y.mu.Unlock()
 	if failed < len(y.cores) {
@@ -59,7 +59,7 @@
 // meet works out which core machines to ask: those that the settings name and those that the book
 // knows to run. Machines that the book takes for dark are asked only when no other one answers. The
 // mutex is held.
-func (y *Yard) meet() {
+func (y *Proxy) meet() {
 	named, running, dark := map[string]bool{}, map[string]bool{}, map[string]bool{}
 	for _, ip := range y.seeds {
 		named[ip] = true
@@ -84,7 +84,7 @@
 }
 
 // pull asks once and takes in the answer. It tells whether the other may be asked again.
-func (y *Yard) pull(ctx context.Context, to string) bool {
+func (y *Proxy) pull(ctx context.Context, to string) bool {
 	y.mu.Lock()
 	y.sequence++
 	hold := pullHold
@@ -137,7 +137,7 @@
 }
 
 // take takes in what a core machine told. begun is when it was asked.
-func (y *Yard) take(begun time.Time, a *registry.Pulled) {
+func (y *Proxy) take(begun time.Time, a *registry.Pulled) {
 	y.mu.Lock()
 	defer y.mu.Unlock()
 	news := len(y.book.Merge(y.now(), a.Records)) > 0
@@ -164,7 +164,7 @@
 
 // prove takes in how old a core machine's proof is that the register which it told, or an older one than
 // this limiter has, is current. The mutex is held.
-func (y *Yard) prove(begun time.Time, a *registry.Pulled) {
+func (y *Proxy) prove(begun time.Time, a *registry.Pulled) {
 	if !a.Proven {
 		return
 	}
@@ -177,7 +177,7 @@
 
 // complete puts into a register that was told what was left out of it: what this limiter had when it
 // asked, which nothing else changes. It tells whether the register is whole now. The mutex is held.
-func (y *Yard) complete(a *registry.Pulled) bool {
+func (y *Proxy) complete(a *registry.Pulled) bool {
 	r := a.Register
 	switch {
 	case r.Version == y.reg.Version:
@@ -205,7 +205,7 @@
 }
 
 // adopt has a newer register hold. The mutex is held.
-func (y *Yard) adopt(a *registry.Pulled) {
+func (y *Proxy) adopt(a *registry.Pulled) {
 	reg := a.Register
 	evacuate := map[string]bool{}
 	for _, z := range reg.Evac {
@@ -236,11 +236,11 @@
 	y.neighbours = neighboursOf(reg.Places, y.set.Node, y.set.Zone, y.set.Region, y.set.Zones)
 	y.takePlaces()
 	y.log.WithFields(logrus.Fields{"seq": reg.Seq, "version": reg.Version, "limiters": y.limiters, "evacuated": len(evacuate)}).Info("register is in force")
-	y.steam(table)
+	y.updateEngine(table)
 }
 
 // rest holds the servers of a zone for cold until they can't be any more. The mutex is held.
-func (y *Yard) rest(zone string, table *timetable.Table) {
+func (y *Proxy) rest(zone string, table *timetable.Table) {
 	y.book.Each(y.now(), func(r catalog.Record) {
 		if r.Zone == zone && table != nil {
 			if s := table.Services[r.Service]; s != nil {
@@ -251,7 +251,7 @@
 }
 
 // nearby lists the limiters that clients of a zone are sent to for a host, near ones first.
-func (y *Yard) nearby(host, zone, region string) []string {
+func (y *Proxy) nearby(host, zone, region string) []string {
 	var homes []string
 	bound := false
 	if v := y.view.Load(); v != nil && v.table != nil {
--- a/internal/switchyard/serve.go
+++ b/internal/proxy/serve.go
@@ -1,4 +1,4 @@
-package switchyard
+package proxy
 
 import (
 	"hash/fnv"
@@ -15,7 +15,7 @@
 
 // call is a request in hand.
 type call struct {
-	y       *Yard
+	y       *Proxy
 	e       *engine
 	id      string // of the decisions: ids of clients may come twice
 	req     *http.Request
@@ -28,7 +28,7 @@
 	most    int // servers that it may be sent to
 	steps   chan step
 
-	// The yard's mutex guards these.
+	// The proxy's mutex guards these.
 	tries   int
 	arrived int // at servers
 	over    bool
@@ -54,7 +54,7 @@
 	select {
 	case c.steps <- s:
 	default:
-		panic("switchyard: a call has two steps to do") // a broken invariant
+		panic("proxy: a call has two steps to do") // a broken invariant
 	}
 }
 
@@ -65,7 +65,7 @@
 }
 
 // serve gives a request its final answer.
-func (y *Yard) serve(r *http.Request, body []byte, rest *upload) *answer {
+func (y *Proxy) serve(r *http.Request, body []byte, rest *upload) *answer {
 	arrived := time.Now()
 	v := y.view.Load()
 	if v == nil {
@@ -169,7 +169,7 @@
 }
 
 // count notes how a request ended.
-func (y *Yard) count(a *answer) {
+func (y *Proxy) count(a *answer) {
 	key := "s" + strconv.Itoa(a.status)
 	if a.why != "" {
 		key += "_" + strings.ReplaceAll(a.why, " ", "_")
--- a/internal/switchyard/upload.go
+++ b/internal/proxy/upload.go
@@ -1,4 +1,4 @@
-package switchyard
+package proxy
 
 import (
 	"errors"
--- a/internal/switchyard/upstream.go
+++ b/internal/proxy/upstream.go
@@ -1,4 +1,4 @@
-package switchyard
+package proxy
 
 import (
 	"bufio"
@@ -38,7 +38,7 @@
 	service string
 	number  uint32 // for other limiters
 
-	// The yard's mutex guards these.
+	// The proxy's mutex guards these.
 	usable bool
 	coldTo time.Time
 	nextAt time.Time // when the next request may go to it while it is cold
@@ -69,8 +69,8 @@
 	return n, err
 }
 
-// station returns that of a server's record. The yard's mutex is held.
-func (y *Yard) station(r *catalog.Record) *station {
+// station returns that of a server's record. The proxy's mutex is held.
+func (y *Proxy) station(r *catalog.Record) *station {
 	st := y.stations[r.ID]
 	if st == nil || st.address != r.Address {
 		if st != nil {
@@ -127,7 +127,7 @@
 func (r *rail) quiet() bool { return r.in.Buffered() == 0 && sockets.Quiet(r.Conn) }
 
 // sweep closes connections whose time is up, and forgets servers that are gone.
-func (y *Yard) sweep(ctx context.Context) {
+func (y *Proxy) sweep(ctx context.Context) {
 	for ctx.Err() == nil {
 		wait.Sleep(ctx, time.Second)
 		y.mu.Lock()
@@ -180,7 +180,7 @@
 }
 
 // try carries out one attempt of a call at a server.
-func (y *Yard) try(c *call, st *station) (rep reply) {
+func (y *Proxy) try(c *call, st *station) (rep reply) {
 	begun := time.Now()
 	defer func() { rep.spentMs = ms(time.Since(begun)) }()
 	most := idleMost
@@ -434,7 +434,7 @@
 	}
 }
 
-// probe asks a server for its health. The yard's mutex is held.
+// probe asks a server for its health. The proxy's mutex is held.
 func (e *engine) probe(id uint64) {
 	y := e.y
 	s := e.servers[id]
--- a/internal/switchyard/watch.go
+++ b/internal/proxy/watch.go
@@ -1,4 +1,4 @@
-package switchyard
+package proxy
 
 import (
 	"context"
@@ -35,7 +35,7 @@
 
 // lookAlong does what is due on the line. One that leaves looks at nobody: the others answer
 // those alone whom the book names, and are no less there for it.
-func (y *Yard) lookAlong() {
+func (y *Proxy) lookAlong() {
 	if y.leaving.Load() {
 		return
 	}
@@ -60,7 +60,7 @@
 }
 
 // waits are those of this limiter's zone.
-func (y *Yard) waits() (all []serviceWait, known bool) {
+func (y *Proxy) waits() (all []serviceWait, known bool) {
 	waits, known := y.blocks.Waits()
 	for _, w := range waits {
 		all = append(all, serviceWait{shortNumber(w.Service), uint16(math.Round(100 * w.Of))})
@@ -69,7 +69,7 @@
 }
 
 // hearWaits takes in those of another zone.
-func (y *Yard) hearWaits(from string, all []serviceWait) {
+func (y *Proxy) hearWaits(from string, all []serviceWait) {
 	v := y.view.Load()
 	if r, known := y.book.Get(y.now(), from); known && v != nil && r.Zone != y.set.Zone {
 		var waits []loadreports.Wait
@@ -85,7 +85,7 @@
 }
 
 // along sends what the line has to say, and with it where requests fail. The mutex is held.
-func (y *Yard) along(out []membership.Letter) {
+func (y *Proxy) along(out []membership.Letter) {
 	for _, l := range out {
 		if ip := y.lineIPs[l.To]; ip != "" {
 			m := lineMessage{Line: l.Message, Seen: y.telegraph.Next(y.now())}
@@ -96,7 +96,7 @@
 }
 
 // hearLine takes in a message of the line. The mutex is held.
-func (y *Yard) hearLine(ip string, data []byte) {
+func (y *Proxy) hearLine(ip string, data []byte) {
 	var m lineMessage
 	if rpc.Decode(data, &m) != nil || y.lineIPs[m.Line.From] != ip {
 		return
@@ -123,7 +123,7 @@
 }
 
 // setLine says whom of the region there is to look at, by the book. The mutex is held.
-func (y *Yard) setLine() {
+func (y *Proxy) setLine() {
 	clear(y.lineIPs)
 	zones := map[string]string{y.self: y.set.Zone}
 	y.book.Each(y.now(), func(r catalog.Record) {
@@ -136,7 +136,7 @@
 }
 
 // outs notes who is out of reach. The mutex is held.
-func (y *Yard) outs() {
+func (y *Proxy) outs() {
 	if !y.line.Changed() {
 		return
 	}
--- a/internal/modelrailway/modelrailway.go
+++ b/internal/smallsystem/smallsystem.go
@@ -1,7 +1,7 @@
-// Package modelrailway is the whole system in small, on loopback: three core machines, some
+// Package smallsystem is the whole system in small, on loopback: three core machines, some
 // limiters, and servers and an operator of its own. Each machine has an address of its own in
 // 127.0.0.0/8. It is for newcomers, who start it with one command, and for tests.
-package modelrailway
+package smallsystem
 
 import (
 	"bytes"
@@ -79,7 +79,7 @@
 	}
 	for i := range o.Edges {
 		ip := s.edge(i)
-		err := s.add(fmt.Sprintf("edge-%d", i+1), "switchyard", "edge", ip, "", map[string]string{
+		err := s.add(fmt.Sprintf("edge-%d", i+1), "proxy", "edge", ip, "", map[string]string{
 			"frontend": fmt.Sprintf("%s:%d", ip, frontPort), "readiness": fmt.Sprintf("%s:%d", ip, readyPort),
 			"directory": fmt.Sprintf("%s:%d", ip, lookupPort)})
 		if err != nil {
@@ -136,7 +136,7 @@
 	cmd.Env = append(os.Environ(), "MADDERDRUM_BOOT="+p.settings)
 	cmd.Stdout, cmd.Stderr = out, out
 	if err := cmd.Start(); err != nil {
-		return fmt.Errorf("model railway: start %s of %s: %w", p.role, p.name, err)
+		return fmt.Errorf("smallsystem: start %s of %s: %w", p.role, p.name, err)
 	}
 	ended := make(chan struct{})
 	s.mu.Lock()
@@ -223,7 +223,7 @@
 		}
 		select {
 		case <-ctx.Done():
-			return 0, nil, fmt.Errorf("model railway: %s: no clear answer, last %d %w", path, status, errors.Join(err, ctx.Err()))
+			return 0, nil, fmt.Errorf("smallsystem: %s: no clear answer, last %d %w", path, status, errors.Join(err, ctx.Err()))
 		case <-time.After(50 * time.Millisecond):
 		}
 	}
@@ -289,7 +289,7 @@
 	x.state.Store("available")
 	l, err := net.Listen("tcp", x.addr)
 	if err != nil {
-		return nil, fmt.Errorf("model railway: a server's address: %w", err)
+		return nil, fmt.Errorf("smallsystem: a server's address: %w", err)
 	}
 	x.srv = &http.Server{Handler: x}
 	go x.srv.Serve(l)
--- a/internal/modelrailway/modelrailway_test.go
+++ b/internal/smallsystem/smallsystem_test.go
@@ -1,4 +1,4 @@
-package modelrailway
+package smallsystem
 
 import (
 	"bytes"
@@ -19,7 +19,7 @@
 		return dir
 	}
 	dir := t.TempDir()
-	cmd := exec.Command("go", "build", "-o", dir+"/", "./cmd/switchyard", "./cmd/registry", "./cmd/configstore")
+	cmd := exec.Command("go", "build", "-o", dir+"/", "./cmd/proxy", "./cmd/registry", "./cmd/configstore")
 	cmd.Dir = "../.."
 	if out, err := cmd.CombinedOutput(); err != nil {
 		t.Fatalf("%v\n%s", err, out)
