--- a/timetable/timetable.go
+++ b/configuration/configuration.go
@@ -1,7 +1,7 @@
-// Package timetable holds configurations: it reads and checks them, applies changes of
+// Package configuration holds configurations: it reads and checks them, applies changes of
 // named items, and finds the route of a request. It does no input or output and reads no
 // clock. A [Table] does not change once it is read and may be used by many at once.
-package timetable
+package configuration
 
 import (
 	"fmt"
--- a/timetable/timetable_test.go
+++ b/configuration/configuration_test.go
@@ -1,4 +1,4 @@
-package timetable
+package configuration
 
 import (
 	"strings"
--- a/controlstate/controlstate.go
+++ b/controlstate/controlstate.go
@@ -11,8 +11,8 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"example.org/madderdrum/configuration"
 	"example.org/madderdrum/places"
-	"example.org/madderdrum/timetable"
 )
 
 // Register is one version of the agreed state. Its zero value is that before any order.
@@ -171,7 +171,7 @@
 	case ChangeVoters:
 		return r.changeVoters(o)
 	}
-	return false, Outcome{Status: 400, Code: timetable.Unreadable, Text: fmt.Sprintf("order of kind %d is not known", o.Kind)}
+	return false, Outcome{Status: 400, Code: configuration.Unreadable, Text: fmt.Sprintf("order of kind %d is not known", o.Kind)}
 }
 
 // evacuate begins or finishes the evacuation of a zone. What is so already is acknowledged. An order
@@ -203,7 +203,7 @@
 // change takes a configuration. The same call again is answered as it was at first. One that is
 // older than all calls that are remembered may have been taken: it gets no clear answer.
 func (r *Register) change(o *Order) (bool, Outcome) {
-	c, f := timetable.ReadCall(o.Body, o.Kind == Update)
+	c, f := configuration.ReadCall(o.Body, o.Kind == Update)
 	if f != nil {
 		return false, fault(f)
 	}
@@ -216,12 +216,12 @@
 	if len(r.Applied) == appliedMost && c.Version < r.Applied[0].Version {
 		return false, Outcome{Status: 503, Code: "forgotten", Text: fmt.Sprintf("r%d is older than the last %d changes: whether it was taken is not known any more", c.Version, appliedMost)}
 	}
-	next, f := timetable.Apply(r.Config, r.Version, c)
+	next, f := configuration.Apply(r.Config, r.Version, c)
 	if f != nil {
 		return false, fault(f)
 	}
-	if old, bad := timetable.Read(r.Config); bad == nil && len(r.Config) > 0 {
-		if t, bad := timetable.Read(next); bad == nil && timetable.Lost(old, t) {
+	if old, bad := configuration.Read(r.Config); bad == nil && len(r.Config) > 0 {
+		if t, bad := configuration.Read(next); bad == nil && configuration.Lost(old, t) {
 			r.Revoked = r.Seq + 1
 		}
 	}
@@ -233,9 +233,9 @@
 	return true, Outcome{Status: 200}
 }
 
-func fault(f *timetable.Fault) Outcome {
+func fault(f *configuration.Fault) Outcome {
 	status := 400
-	if f.Code == timetable.WrongBase {
+	if f.Code == configuration.WrongBase {
 		status = 412
 	}
 	return Outcome{Status: status, Code: f.Code, Text: f.Error()}
--- a/controlstate/size_test.go
+++ b/controlstate/size_test.go
@@ -6,7 +6,7 @@
 	"testing"
 
 	"example.org/madderdrum/configdelta"
-	"example.org/madderdrum/timetable"
+	"example.org/madderdrum/configuration"
 )
 
 // sizes are numbers of tenants; routes and services grow with them to 1,700 and 240.
@@ -94,7 +94,7 @@
 			text := configurationOf(tenants)
 			b.ReportAllocs()
 			for b.Loop() {
-				if _, fault := timetable.Read(text); fault != nil {
+				if _, fault := configuration.Read(text); fault != nil {
 					b.Fatal(fault)
 				}
 			}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -16,9 +16,9 @@
 	"github.com/sirupsen/logrus"
 	"github.com/spf13/cobra"
 
+	"example.org/madderdrum/configuration"
 	"example.org/madderdrum/internal/nodesettings"
 	"example.org/madderdrum/internal/rpc"
-	"example.org/madderdrum/timetable"
 )
 
 const (
@@ -47,11 +47,11 @@
 
 // check is the command that checks settings and configurations.
 func check() *cobra.Command {
-	var configuration bool
+	var isConfiguration bool
 	cmd := &cobra.Command{Use: "check FILE", Short: "Check a settings file or, with --configuration, a configuration", Args: cobra.ExactArgs(1)}
-	cmd.Flags().BoolVar(&configuration, "configuration", false, "the file is a whole configuration")
+	cmd.Flags().BoolVar(&isConfiguration, "configuration", false, "the file is a whole configuration")
 	cmd.RunE = func(cmd *cobra.Command, args []string) error {
-		if !configuration {
+		if !isConfiguration {
 			s, err := nodesettings.LoadFile(args[0])
 			if err == nil {
 				fmt.Fprintf(cmd.OutOrStdout(), "settings of %v in zone %s are good\n", s, s.Zone)
@@ -62,10 +62,10 @@
 		if err != nil {
 			return err
 		}
-		if _, fault := timetable.ReadCall(text, false); fault != nil {
+		if _, fault := configuration.ReadCall(text, false); fault != nil {
 			return fault
 		}
-		t, fault := timetable.Read(text)
+		t, fault := configuration.Read(text)
 		if fault != nil {
 			return fault
 		}
--- a/internal/nodesettings/nodesettings.go
+++ b/internal/nodesettings/nodesettings.go
@@ -14,7 +14,7 @@
 
 	"github.com/valyala/fastjson"
 
-	"example.org/madderdrum/timetable"
+	"example.org/madderdrum/configuration"
 )
 
 // Variable names the environment variable that holds the path of the settings file.
@@ -167,7 +167,7 @@
 	if v.Get(keys...) == nil {
 		return 0
 	}
-	d, ok := timetable.Duration(r.text(v, field, true, keys...))
+	d, ok := configuration.Duration(r.text(v, field, true, keys...))
 	if !ok {
 		r.fail(field, "is not a time", "write a number and its unit, as in 1500ms or 2.5s")
 	}
--- a/internal/proxy/asks.go
+++ b/internal/proxy/asks.go
@@ -7,11 +7,11 @@
 	"time"
 
 	"example.org/madderdrum/allowance"
+	"example.org/madderdrum/configuration"
 	"example.org/madderdrum/internal/nodesettings"
 	"example.org/madderdrum/internal/rpc"
 	"example.org/madderdrum/limiter"
 	"example.org/madderdrum/quotaloan"
-	"example.org/madderdrum/timetable"
 )
 
 // Where a tenant's ceiling divided by all limiters comes to less than a few requests, no part
@@ -126,7 +126,7 @@
 	if v == nil {
 		return a
 	}
-	var route *timetable.Route
+	var route *configuration.Route
 	for i := range v.table.Routes {
 		if v.table.Routes[i].Name == m.Route {
 			route = &v.table.Routes[i]
--- a/internal/proxy/engine.go
+++ b/internal/proxy/engine.go
@@ -10,11 +10,11 @@
 
 	"example.org/madderdrum/allowance"
 	"example.org/madderdrum/catalog"
+	"example.org/madderdrum/configuration"
 	"example.org/madderdrum/internal/nodesettings"
 	"example.org/madderdrum/limiter"
 	"example.org/madderdrum/loadreports"
 	"example.org/madderdrum/quotaloan"
-	"example.org/madderdrum/timetable"
 )
 
 // engine drives the decisions of one limiter.Limiter: as many limiters stand in its set as
@@ -91,7 +91,7 @@
 )
 
 // settings are those of the decisions for a table.
-func (e *engine) settings(t *timetable.Table, position int) (s limiter.Settings, classes, plans map[string]int) {
+func (e *engine) settings(t *configuration.Table, position int) (s limiter.Settings, classes, plans map[string]int) {
 	s = limiter.Settings{Position: position, Balancers: e.size, Zone: 0, PeerInPerS: peerInPerS, IllMostMs: illMostMs,
 		Caps:  limiter.Caps{Attempts: 8, Peers: e.size > 1, Probes: true, RetryAfter: true, MaxWaitMs: 1000, ConnectMs: 300},
 		Rules: limiter.Rules{FallMs: 1000}}
@@ -188,7 +188,7 @@
 
 // updateEngine has the decisions go by the register that is in force, once this limiter has its
 // place. The mutex is held.
-func (y *Proxy) updateEngine(t *timetable.Table) {
+func (y *Proxy) updateEngine(t *configuration.Table) {
 	if t == nil {
 		return
 	}
@@ -242,7 +242,7 @@
 }
 
 // name gives the services and homes of a table their pools.
-func (e *engine) name(t *timetable.Table) {
+func (e *engine) name(t *configuration.Table) {
 	for i := range t.Routes {
 		r := &t.Routes[i]
 		for _, to := range r.To {
@@ -257,10 +257,10 @@
 }
 
 // poolOf is the pool of a service's servers in the regions where a request may be served.
-func (e *engine) poolOf(service string, r *timetable.Route, t *timetable.Tenant) uint64 {
-	homes, all := timetable.Homes(r, t)
+func (e *engine) poolOf(service string, r *configuration.Route, t *configuration.Tenant) uint64 {
+	homes, all := configuration.Homes(r, t)
 	homes = slices.Sorted(slices.Values(homes))
-	key := poolKey{service, strings.Join(homes, " "), !all, r.Kind == timetable.Download}
+	key := poolKey{service, strings.Join(homes, " "), !all, r.Kind == configuration.Download}
 	p := e.pools[key]
 	if p == nil {
 		p = &pool{key, uint64(len(e.pools) + 1), homes}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -16,6 +16,7 @@
 
 	"example.org/madderdrum/allowance"
 	"example.org/madderdrum/catalog"
+	"example.org/madderdrum/configuration"
 	"example.org/madderdrum/controlstate"
 	"example.org/madderdrum/failurereports"
 	"example.org/madderdrum/internal/nodesettings"
@@ -26,7 +27,6 @@
 	"example.org/madderdrum/membership"
 	"example.org/madderdrum/places"
 	"example.org/madderdrum/quotaloan"
-	"example.org/madderdrum/timetable"
 )
 
 // Proxy is one limiter of the system.
@@ -88,7 +88,7 @@
 
 // view is what a request needs of a version; it does not change.
 type view struct {
-	table *timetable.Table
+	table *configuration.Table
 	seq   uint64
 }
 
--- a/internal/proxy/pull.go
+++ b/internal/proxy/pull.go
@@ -13,12 +13,12 @@
 
 	"example.org/madderdrum/catalog"
 	"example.org/madderdrum/configdelta"
+	"example.org/madderdrum/configuration"
 	"example.org/madderdrum/directory"
 	"example.org/madderdrum/freshness"
 	"example.org/madderdrum/internal/nodesettings"
 	"example.org/madderdrum/internal/registry"
 	"example.org/madderdrum/internal/wait"
-	"example.org/madderdrum/timetable"
 )
 
 const (
@@ -211,12 +211,12 @@
 	for _, z := range reg.Evac {
 		evacuate[z] = true
 	}
-	var table *timetable.Table
+	var table *configuration.Table
 	if v := y.view.Load(); v != nil {
 		table = v.table
 	}
 	if len(reg.Config) > 0 && reg.Version != y.reg.Version {
-		t, fault := timetable.Read(reg.Config)
+		t, fault := configuration.Read(reg.Config)
 		if fault != nil { // the core checks before it takes one
 			y.log.WithField("err", fault).Error("configuration can't be read")
 			y.endLease() // the proof is of a register that does not hold here
@@ -240,7 +240,7 @@
 }
 
 // rest holds the servers of a zone for cold until they can't be any more. The mutex is held.
-func (y *Proxy) rest(zone string, table *timetable.Table) {
+func (y *Proxy) rest(zone string, table *configuration.Table) {
 	y.book.Each(y.now(), func(r catalog.Record) {
 		if r.Zone == zone && table != nil {
 			if s := table.Services[r.Service]; s != nil {
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"example.org/madderdrum/allowance"
+	"example.org/madderdrum/configuration"
 	"example.org/madderdrum/limiter"
-	"example.org/madderdrum/timetable"
 )
 
 // call is a request in hand.
@@ -21,8 +21,8 @@
 	req     *http.Request
 	body    []byte
 	rest    *upload // what is not in body; nil: nothing
-	route   *timetable.Route
-	tenant  *timetable.Tenant
+	route   *configuration.Route
+	tenant  *configuration.Tenant
 	service string
 	stopAt  time.Time
 	most    int // servers that it may be sent to
@@ -75,7 +75,7 @@
 	if route == nil {
 		return &answer{status: 404, why: "no route takes this"}
 	}
-	var tenant *timetable.Tenant
+	var tenant *configuration.Tenant
 	if v.table.Guarded() && !route.Open {
 		keys := r.Header[headerCredential]
 		if len(keys) == 1 {
@@ -180,7 +180,7 @@
 }
 
 // share draws a service of a route by their weights.
-func share(r *timetable.Route, x float64) string {
+func share(r *configuration.Route, x float64) string {
 	if len(r.To) == 1 {
 		return r.To[0].Service
 	}
--- a/internal/registry/outside.go
+++ b/internal/registry/outside.go
@@ -11,10 +11,10 @@
 	"github.com/valyala/fastjson"
 
 	"example.org/madderdrum/catalog"
+	"example.org/madderdrum/configuration"
 	"example.org/madderdrum/controlstate"
 	"example.org/madderdrum/internal/configstore"
 	"example.org/madderdrum/internal/httpapi"
-	"example.org/madderdrum/timetable"
 )
 
 // The paths of the outside calls. They are described in api/control.yaml.
@@ -100,7 +100,7 @@
 		return problem(400, "unreadable", "state is neither available nor draining")
 	}
 	if text := string(v.GetStringBytes("warmup_left")); text != "" {
-		left, ok := timetable.Duration(text)
+		left, ok := configuration.Duration(text)
 		if !ok {
 			return problem(400, "unreadable", "warmup_left is not a time: write a number and its unit, as in 1500ms")
 		}
