places: a join that was overtaken is void, and nothing is asked for in vain

A registry that had just begun knew no places, took all limiters for joiners and had one that had left given its place again. And a registry asked twice a second, by a ballot each, for a settlement that the table put off.

Change: joins carry the register that they were judged by; a limiter not heard for 2 s is not joined; only a settlement that changes something is asked for.

--- a/controlstate/controlstate.go
+++ b/controlstate/controlstate.go
@@ -93,8 +93,8 @@
 	// Term of ChangeVoters is that of the voters that the change was decided by: it is refused under
 	// any other. Zero is for operators' commands, which hold under every term.
 	Term uint64 `cbor:"8,keyasint,omitempty"`
-	// Seen of Begin and Finish is the Seq of the register that was in force where the order came in.
-	// An order that was overtaken by another one for the same zone is not carried out.
+	// Seen of Begin, Finish and RegisterLimiters is the Seq of the register that was in force where the
+	// order came in. One that was overtaken by another one for the same zone or limiter is not carried out.
 	Seen uint64 `cbor:"9,keyasint,omitempty"`
 	// Holders of ReleasePlaces are those whose places end.
 	Holders []string `cbor:"10,keyasint,omitempty"`
@@ -160,7 +160,7 @@
 	case Begin, Finish:
 		return r.evacuate(o)
 	case RegisterLimiters:
-		return r.changePlaces(func(t *places.Table, version uint64) bool { return t.Join(version, o.Places) }), Outcome{Status: 200}
+		return r.changePlaces(func(t *places.Table, version uint64) bool { return t.Join(version, o.Seen, o.Places) }), Outcome{Status: 200}
 	case ReleasePlaces:
 		return r.changePlaces(func(t *places.Table, version uint64) bool { return t.Release(version, o.Holders) }), Outcome{Status: 200}
 	case SettlePlaces:
--- a/controlstate/controlstate_test.go
+++ b/controlstate/controlstate_test.go
@@ -60,9 +60,9 @@
 	give("another evacuation", Order{Kind: Begin, Zone: "z", Seen: r.Seq}, 200)
 	give("the end of the former one, which was held up", Order{Kind: Finish, Zone: "z", Seen: begun}, 503)
 	give("its own end", Order{Kind: Finish, Zone: "z", Seen: r.Seq}, 200)
-	give("places", Order{Kind: RegisterLimiters, Places: []places.Place{{Name: "b", IP: "2", Zone: "z"}, {Name: "a", IP: "1", Zone: "z"}}}, 200)
+	give("places", Order{Kind: RegisterLimiters, Seen: r.Seq, Places: []places.Place{{Name: "b", IP: "2", Zone: "z"}, {Name: "a", IP: "1", Zone: "z"}}}, 200)
 	since := r.Seq
-	give("another machine under a name", Order{Kind: RegisterLimiters, Places: []places.Place{{Name: "a", IP: "9", Zone: "z"}, {Name: "c", IP: "3", Zone: "z"}}}, 200)
+	give("another machine under a name", Order{Kind: RegisterLimiters, Seen: r.Seq, Places: []places.Place{{Name: "a", IP: "9", Zone: "z"}, {Name: "c", IP: "3", Zone: "z"}}}, 200)
 	want := []places.Place{{Name: "b", IP: "2", Zone: "z", From: since}, {Name: "a", IP: "1", Zone: "z", From: since, To: since + 1},
 		{Name: "a", IP: "9", Zone: "z", From: since + 1}, {Name: "c", IP: "3", Zone: "z", From: since + 1}}
 	if diff := cmp.Diff(want, r.Places); diff != "" || r.PlacesSettled != since {
@@ -70,11 +70,17 @@
 	}
 	give("places are settled that are not agreed on", Order{Kind: SettlePlaces, Settled: r.Seq + 1}, 409)
 	give("places are settled", Order{Kind: SettlePlaces, Settled: r.Seq}, 200)
+	before := r.Seq
 	give("a place is released", Order{Kind: ReleasePlaces, Holders: []string{places.HolderOf("b", "2")}}, 200)
+	give("a join that was overtaken by that", Order{Kind: RegisterLimiters, Seen: before, Places: []places.Place{{Name: "b", IP: "2", Zone: "z"}}}, 200)
 	give("and that is settled", Order{Kind: SettlePlaces, Settled: r.Seq}, 200)
 	if want := []places.Place{{}, {}, want[2], want[3]}; !cmp.Equal(want, r.Places) {
 		t.Errorf("slots that are settled are free: %s", cmp.Diff(want, r.Places))
 	}
+	give("a join that was overtaken by that", Order{Kind: RegisterLimiters, Seen: before, Places: []places.Place{{Name: "b", IP: "2", Zone: "z"}}}, 200)
+	if r.Places[0].Name != "" {
+		t.Error("a limiter that has left has got a place again")
+	}
 }
 
 // After any number of changes a call that comes again is acknowledged or gets no clear answer.
--- a/controlstate/places_test.go
+++ b/controlstate/places_test.go
@@ -28,13 +28,13 @@
 		return len(value)
 	}
 	for i := range living {
-		give(Order{Kind: RegisterLimiters, Places: []places.Place{place(i)}})
+		give(Order{Kind: RegisterLimiters, Seen: r.Seq, Places: []places.Place{place(i)}})
 	}
 	give(Order{Kind: SettlePlaces, Settled: r.Seq})
 	begin := size()
 	for k := range replaced * days {
 		old := place(k)
-		give(Order{Kind: RegisterLimiters, Places: []places.Place{place(living + k)}})
+		give(Order{Kind: RegisterLimiters, Seen: r.Seq, Places: []places.Place{place(living + k)}})
 		give(Order{Kind: ReleasePlaces, Holders: []string{old.Holder()}})
 		if k%3 == 0 {
 			give(Order{Kind: SettlePlaces, Settled: r.Seq})
--- a/internal/registry/limiters.go
+++ b/internal/registry/limiters.go
@@ -81,10 +81,10 @@
 	}
 }
 
-// ordersOf are the orders for changes of places.
-func ordersOf(c places.Changes) (all []controlstate.Order) {
+// ordersOf are the orders for changes of places that are due by the register with a Seq.
+func ordersOf(c places.Changes, seen uint64) (all []controlstate.Order) {
 	if len(c.Join) > 0 {
-		all = append(all, controlstate.Order{Kind: controlstate.RegisterLimiters, Places: c.Join})
+		all = append(all, controlstate.Order{Kind: controlstate.RegisterLimiters, Places: c.Join, Seen: seen})
 	}
 	if len(c.Release) > 0 {
 		all = append(all, controlstate.Order{Kind: controlstate.ReleasePlaces, Holders: c.Release})
@@ -148,6 +148,7 @@
 	running := h.running()
 	changes := h.limiters.Due(h.clock(), h.reg.PlaceTable(), h.apart(), func(holder string) bool { return running[holder] })
 	due := !changes.Empty() && h.clock()-h.limiters.askedAt > placesPause
+	seen := h.reg.Seq
 	if due {
 		h.limiters.askedAt = h.clock()
 	}
@@ -156,7 +157,7 @@
 		return
 	}
 	h.logPlaces(&changes)
-	if _, ok := h.orders(ctx, ordersOf(changes)); !ok {
+	if _, ok := h.orders(ctx, ordersOf(changes, seen)); !ok {
 		h.log.Warn("change of places got no clear answer")
 	}
 	// Other registries have the same to ask for: not all at the same moment.
--- a/internal/testring/places.go
+++ b/internal/testring/places.go
@@ -53,6 +53,16 @@
 	return 2*n > len(w.cores)
 }
 
+// hears tells that a core machine hears another one's present life.
+func (w *World) hears(c *core, source string) bool {
+	for _, o := range w.cores {
+		if o.up && o.book.Source() == source {
+			return o == c || !w.cut(c.spot, o.spot) && !w.cut(o.spot, c.spot)
+		}
+	}
+	return false
+}
+
 // newest is the version of the table that is agreed on.
 func (w *World) newest() uint64 { return uint64(len(w.tables) - 1) }
 
@@ -103,30 +113,32 @@
 		}
 	})
 	// A book is empty at first, and what is silent expires: see package catalog.
-	c.book.Expire(w.now, 4*heartbeatMs, 3200, func(string) bool { return true })
+	if w.majority(c) {
+		c.book.Expire(w.now, 4*heartbeatMs, 3200, func(source string) bool { return w.hears(c, source) })
+	}
 	changes := c.registrar.Due(span(w.now), t, !w.majority(c) || w.now-c.begun < 2000, func(holder string) bool { return running[holder] })
 	if changes.Empty() || c.asking || !w.majority(c) {
 		return
 	}
 	c.asking = true
-	life := c.life
+	life, seen := c.life, c.version
 	w.after(ballotCross*w.CrossMs, func() {
 		if !c.up || c.life != life || !w.majority(c) {
 			c.asking = false
 			return
 		}
-		w.agree(changes)
+		w.agree(changes, seen)
 		w.learn(c, w.newest())
 	})
 	w.after(maxChangesMs, func() { c.asking = false })
 }
 
 // agree has the core agree on changes of places.
-func (w *World) agree(c places.Changes) {
+func (w *World) agree(c places.Changes, seen uint64) {
 	t := w.tables[w.newest()]
 	t.Places = append([]places.Place(nil), t.Places...)
 	version := w.newest() + 1
-	changed := len(c.Join) > 0 && t.Join(version, c.Join)
+	changed := len(c.Join) > 0 && t.Join(version, seen, c.Join)
 	changed = len(c.Release) > 0 && t.Release(version, c.Release) || changed
 	changed = c.Settle > 0 && t.Settle(c.Settle) || changed
 	w.Rounds++
@@ -164,7 +176,7 @@
 		n.lease.Renew(span(proved), span(n.begun))
 	}
 	slot := n.table.SlotOf(n.name, n.name)
-	if n.lim == nil && slot >= 0 {
+	if slot >= 0 && (n.lim == nil || slot != n.place) {
 		w.open(n, slot)
 	}
 	if n.lim != nil && (a.Register != nil || ended || !n.serving) {
--- a/internal/testring/places_test.go
+++ b/internal/testring/places_test.go
@@ -165,6 +165,30 @@
 	if over := w.Over(); over > 0 {
 		return fmt.Errorf("a tenant is %.0f requests over its quota", over)
 	}
+	return w.settles()
+}
+
+// settles heals all, and tells of what the living do not hold once all leases of others must have ended, or of
+// changes that are asked for on and on.
+func (w *World) settles() error {
+	w.Cut(func(a, b int) bool { return false })
+	for k, c := range w.cores {
+		if !c.up {
+			w.StartCore(k)
+		}
+	}
+	if w.Up() == 0 {
+		w.Start(0)
+	}
+	w.Run(75_000)
+	if used := w.UsedShares(); used < 0.999 || used > 1.001 {
+		return fmt.Errorf("%.3f of everything is held 75 s after all is well, by %+v", used, w.tables[w.newest()])
+	}
+	rounds := w.Rounds
+	w.Run(5000)
+	if w.Rounds > rounds {
+		return fmt.Errorf("%d changes of places are asked for in 5 s, and nothing happens", w.Rounds-rounds)
+	}
 	return nil
 }
 
--- a/internal/testring/testring.go
+++ b/internal/testring/testring.go
@@ -113,6 +113,7 @@
 	choked  float64 // until when its link is full, so that what it says is late
 	lim     *limiter.Limiter
 	holding *quotaloan.Holding
+	desk    *quotaloan.Desk
 	line    *membership.Line
 	book    *catalog.Book
 	vector  catalog.Vector
@@ -263,7 +264,7 @@
 		n.book = catalog.New("")
 	}
 	n.begun, n.table, n.version, n.lease = w.now, places.Table{}, 0, places.Lease{}
-	n.leaving, n.done, n.serving, n.lim, n.holding = false, false, false, nil, nil
+	n.leaving, n.done, n.serving, n.lim, n.holding, n.desk = false, false, false, nil, nil, nil
 	w.every(n, 400, func() { w.lookAtLoans(n) })
 	w.every(n, 100, func() { w.say(n, n.line.Tick(w.now)) })
 	w.pull(n)
@@ -281,11 +282,15 @@
 		}
 	}
 	n.place = slot
-	desk := quotaloan.New(w.now, slot, w.slots(), near, w.rng.Uint64())
-	if n.table.Places[slot].Life == n.id() {
-		desk.First()
+	if n.desk != nil { // it had another slot
+		n.desk.Resize(slot, w.slots(), near)
+	} else {
+		n.desk = quotaloan.New(w.now, slot, w.slots(), near, w.rng.Uint64())
+		if n.table.Places[slot].Life == n.id() {
+			n.desk.First()
+		}
 	}
-	n.holding = quotaloan.Hold(desk, slot, w.slots())
+	n.holding = quotaloan.Hold(n.desk, slot, w.slots())
 	s := limiter.Settings{Position: n.place, Balancers: w.slots(), PeerInPerS: 3, Classes: []limiter.Class{{AimMs: 3000, DeadlineMs: 1, Worth: 1}},
 		Plans: []limiter.Plan{{Price: 1}}, Caps: limiter.Caps{Attempts: 2, Peers: true, RetryAfter: true, MaxWaitMs: 1000, ConnectMs: 300}, Rules: limiter.Rules{FallMs: 1000}}
 	from := &limiter.Handover{Position: n.place, Balancers: w.slots(), HeadMs: 1e-6}
--- a/places/model_test.go
+++ b/places/model_test.go
@@ -118,7 +118,7 @@
 		}
 	}
 	add(m.change(func(t *Table, v uint64) bool { return v <= 5 && t.Release(v, []string{HolderOf("a", "a")}) }))
-	add(m.change(func(t *Table, v uint64) bool { return v <= 5 && t.Join(v, []Place{{Name: "b", IP: "b"}}) }))
+	add(m.change(func(t *Table, v uint64) bool { return v <= 5 && t.Join(v, v, []Place{{Name: "b", IP: "b"}}) }))
 	if settled, due := m.settled(fault); due {
 		add(m.change(func(t *Table, v uint64) bool { return t.Settle(settled) }))
 	}
@@ -227,7 +227,7 @@
 // search looks at all states that can be reached by so many steps.
 func search(fault modelFault, depth int) (states int, broken string) {
 	var first Table
-	first.Join(1, []Place{{Name: "a", IP: "a"}})
+	first.Join(1, 1, []Place{{Name: "a", IP: "a"}})
 	begin := model{tables: []Table{first}, seen: []time.Duration{0}}
 	begin.a.version = 1
 	begin.a.lease.Renew(0, 0)
--- a/places/places_test.go
+++ b/places/places_test.go
@@ -36,9 +36,9 @@
 			t.Errorf("%s: %s", what, d)
 		}
 	}
-	x.Join(1, limiters(0, 4))
+	x.Join(1, 1, limiters(0, 4))
 	check("all begin", .25, .25, .25, .25)
-	x.Join(2, limiters(4, 5))
+	x.Join(2, 2, limiters(4, 5))
 	check("one joins", .2, .2, .2, .2, 0)
 	x.Settle(2)
 	check("that is settled", .2, .2, .2, .2, .2)
@@ -47,20 +47,20 @@
 	if d := cmp.Diff([]string{"e0@0", "e1@1", "e2@2", "e3@3", "e4@4"}, x.Holders(3)); d != "" {
 		t.Error(d)
 	}
-	x.Join(4, limiters(1, 2))
+	x.Join(4, 4, limiters(1, 2))
 	check("one of them returns before that is settled", .2, .2, .2, 0, .2)
-	x.Join(5, limiters(5, 7))
+	x.Join(5, 5, limiters(5, 7))
 	check("two join in its stead", 1./6, 1./6, 1./6, 0, 1./6, 0, 0)
 	x.Settle(5)
 	check("all is settled", 1./6, 1./6, 1./6, 0, 1./6, 1./6, 1./6)
-	x.Join(6, limiters(7, 8))
+	x.Join(6, 6, limiters(7, 8))
 	if x.Places[3].Name != "e7" || len(x.Changes()) != 1 {
 		t.Errorf("a slot that is free is not used again: %+v", x.Places)
 	}
 	if n, near := x.Count(), x.InZone("z1"); n != 7 || near != 3 {
 		t.Errorf("%d hold places, %d in a zone", n, near)
 	}
-	x.Join(7, []Place{{Name: "e7", IP: "70", Zone: "z1"}, {Name: "e8", IP: "0", Zone: "z1"}})
+	x.Join(7, 7, []Place{{Name: "e7", IP: "70", Zone: "z1"}, {Name: "e8", IP: "0", Zone: "z1"}})
 	if a, b := x.SlotOf("e0", "0"), x.SlotOf("e8", "0"); a < 0 || b < 0 || a == b {
 		t.Errorf("two that have had one address hold slots %d and %d", a, b)
 	}
@@ -94,7 +94,7 @@
 func TestSettler(t *testing.T) {
 	var x Table
 	s := NewSettler()
-	x.Join(1, limiters(0, 3))
+	x.Join(1, 1, limiters(0, 3))
 	s.See(0, x, 1)
 	x.Release(2, []string{"e2@2"})
 	now := 10 * time.Second
@@ -142,7 +142,7 @@
 // A place is released after a silence, and by nobody who is cut off.
 func TestAbsences(t *testing.T) {
 	var x Table
-	x.Join(1, limiters(0, 2))
+	x.Join(1, 1, limiters(0, 2))
 	a := NewAbsences()
 	there := func(holder string) bool { return holder == "e0@0" }
 	look := func(at time.Duration, cutOff bool) []string { return a.Look(at, x, cutOff, there) }
@@ -163,7 +163,7 @@
 func TestDelta(t *testing.T) {
 	rng := rand.New(rand.NewPCG(1, 1))
 	var x Table
-	x.Join(1, limiters(0, 5))
+	x.Join(1, 1, limiters(0, 5))
 	for v := uint64(2); v < 300; v++ {
 		before := append([]Place(nil), x.Places...)
 		randomChange(rng, &x, v)
@@ -184,7 +184,7 @@
 	k := rng.IntN(12)
 	switch rng.IntN(5) {
 	case 0, 1:
-		x.Join(version, limiters(k, k+1+rng.IntN(2)))
+		x.Join(version, version, limiters(k, k+1+rng.IntN(2)))
 	case 2, 3:
 		x.Release(version, []string{HolderOf(fmt.Sprint("e", k), fmt.Sprint(k))})
 	default:
@@ -200,7 +200,7 @@
 		rng := rand.New(rand.NewPCG(seed, 2))
 		var tables []Table // by version
 		var x Table
-		x.Join(1, limiters(0, 1+rng.IntN(6)))
+		x.Join(1, 1, limiters(0, 1+rng.IntN(6)))
 		tables = append(tables, Table{}, x)
 		for v := uint64(2); v < 60; v++ {
 			x.Places = append([]Place(nil), x.Places...)
@@ -234,7 +234,7 @@
 func TestTableStaysBounded(t *testing.T) {
 	const living, replaced, days = 760, 1900, 30
 	var x Table
-	x.Join(1, limiters(0, living))
+	x.Join(1, 1, limiters(0, living))
 	version, next := uint64(1), living
 	rng := rand.New(rand.NewPCG(3, 3))
 	names := make([]int, living)
@@ -247,7 +247,7 @@
 		version++
 		x.Release(version, []string{HolderOf(fmt.Sprint("e", names[k]), fmt.Sprint(names[k]))})
 		version++
-		x.Join(version, limiters(next, next+1))
+		x.Join(version, version, limiters(next, next+1))
 		names[k], next = next, next+1
 		if rng.IntN(3) == 0 { // a replacement is settled before the next one but a few
 			x.Settle(version)
@@ -286,7 +286,7 @@
 	if d := cmp.Diff(Changes{Join: all}, due(0)); d != "" {
 		t.Error(d)
 	}
-	x.Join(1, all)
+	x.Join(1, 1, all)
 	r.See(0, x, 1)
 	if c := due(0); !c.Empty() || r.Wanted(time.Hour, x) != nil {
 		t.Errorf("%+v is due, and all hold their places", c)
@@ -318,9 +318,43 @@
 		t.Error(d)
 	}
 	x.Settle(2)
+	r.Hear(6*time.Second, x, Report{Place: limiters(7, 8)[0]})
+	if c := due(6*time.Second + joinerSilent); len(c.Join) != 1 {
+		t.Errorf("%+v is due while one that was just heard has no place", c)
+	}
+	if c := due(6*time.Second + joinerSilent + 1); !c.Empty() {
+		t.Errorf("%+v is due, and who wanted a place is silent", c)
+	}
 	delete(there, "e2@2")
-	due(6 * time.Second)
-	if d := cmp.Diff(Changes{Release: []string{"e2@2"}}, due(6*time.Second+GoneAfter)); d != "" {
+	due(9 * time.Second)
+	if d := cmp.Diff(Changes{Release: []string{"e2@2"}}, due(9*time.Second+GoneAfter)); d != "" {
+		t.Error(d)
+	}
+}
+
+// A version that can't be the settled one, as a limiter was away by it, is not asked for: the table would stay
+// as it is.
+func TestNothingIsAskedForInVain(t *testing.T) {
+	var x Table
+	r := NewRegistrar()
+	all := limiters(0, 2)
+	x.Join(1, 1, all)
+	r.See(0, x, 1)
+	x.Release(2, []string{"e0@0"})
+	r.See(0, x, 2)
+	x.Join(3, 3, all[:1])
+	r.See(0, x, 3)
+	there := func(string) bool { return true }
+	for _, p := range all { // by the version in between
+		r.Hear(time.Second, x, Report{Place: p, Version: 2})
+	}
+	if c := r.Due(5*time.Second, x, false, there); !c.Empty() {
+		t.Errorf("%+v is asked for, and changes nothing", c)
+	}
+	for _, p := range all {
+		r.Hear(6*time.Second, x, Report{Place: p, Version: 3})
+	}
+	if d := cmp.Diff(Changes{Settle: 3}, r.Due(6*time.Second, x, false, there)); d != "" {
 		t.Error(d)
 	}
 }
--- a/places/registrar.go
+++ b/places/registrar.go
@@ -11,13 +11,23 @@
 type Registrar struct {
 	settler  *Settler
 	absences *Absences
-	joining  map[string]Place // limiters without a place, by holder
-	done     map[string]bool  // holders that have left
+	joining  map[string]joiner // limiters without a place, by holder
+	done     map[string]bool   // holders that have left
 }
 
+// joiner is a limiter without a place.
+type joiner struct {
+	place   Place
+	heardAt time.Duration
+}
+
+// joinerSilent is the silence after which a limiter without a place is not taken for one that still wants
+// one: it may have got it, and have left, by way of another registry.
+const joinerSilent = 2 * time.Second
+
 // NewRegistrar returns one that has heard nothing.
 func NewRegistrar() *Registrar {
-	return &Registrar{settler: NewSettler(), absences: NewAbsences(), joining: map[string]Place{}, done: map[string]bool{}}
+	return &Registrar{settler: NewSettler(), absences: NewAbsences(), joining: map[string]joiner{}, done: map[string]bool{}}
 }
 
 // Changes are what a registry asks the core for.
@@ -57,19 +67,19 @@
 	case report.Done || has:
 		return false
 	}
-	r.joining[holder] = report.Place
+	r.joining[holder] = joiner{report.Place, now}
 	return true
 }
 
 // Due are the changes that are due. A registry that is cut off from the others releases nobody for being
 // silent; there tells who is known to run.
 func (r *Registrar) Due(now time.Duration, t Table, cutOff bool, there func(holder string) bool) (c Changes) {
-	for holder, p := range r.joining {
-		if t.SlotOf(p.Name, p.IP) >= 0 {
+	for holder, j := range r.joining {
+		if now-j.heardAt > joinerSilent || t.SlotOf(j.place.Name, j.place.IP) >= 0 {
 			delete(r.joining, holder)
 			continue
 		}
-		c.Join = append(c.Join, p)
+		c.Join = append(c.Join, j.place)
 	}
 	slices.SortFunc(c.Join, func(a, b Place) int { return strings.Compare(a.Holder(), b.Holder()) })
 	c.Release = r.absences.Look(now, t, cutOff, there)
@@ -82,7 +92,9 @@
 	}
 	slices.Sort(c.Release)
 	c.Release = slices.Compact(c.Release)
-	c.Settle, _ = r.settler.Due(now, t)
+	if version, ok := r.settler.Due(now, t); ok {
+		c.Settle = version
+	}
 	return c
 }
 
--- a/places/table.go
+++ b/places/table.go
@@ -62,12 +62,16 @@
 }
 
 // Join gives limiters places in the table of a version, or notes where they are now. A limiter that was
-// released and returns before that is settled has its former place again. It tells whether anything
-// has changed.
-func (t *Table) Join(version uint64, limiters []Place) (changed bool) {
+// released and returns before that is settled has its former place again. seen is the version that
+// whoever asks had seen when the limiters had no places: what was released or settled since then may be
+// theirs, after they have left. It tells whether anything has changed.
+func (t *Table) Join(version, seen uint64, limiters []Place) (changed bool) {
+	if seen < t.Settled {
+		return false
+	}
 	first := !slices.ContainsFunc(t.Places, func(p Place) bool { return p.Name != "" })
 	for _, l := range limiters {
-		if l.Name != "" && t.join(version, l) {
+		if l.Name != "" && t.join(version, seen, l) {
 			changed = true
 		}
 	}
@@ -78,7 +82,7 @@
 }
 
 // join gives one limiter a place.
-func (t *Table) join(version uint64, l Place) (changed bool) {
+func (t *Table) join(version, seen uint64, l Place) (changed bool) {
 	for i := range t.Places { // its name has moved to another machine
 		if p := &t.Places[i]; p.Name == l.Name && p.IP != l.IP && p.Held() {
 			p.To, changed = version, true
@@ -92,6 +96,9 @@
 	}
 	now := t.Places[slot]
 	now.Zone = l.Zone
+	if now.To > seen {
+		return changed
+	}
 	if now.To > 0 {
 		now.giveBack(version)
 	}
