--- a/internal/proxy/engine.go
+++ b/internal/proxy/engine.go
@@ -31,10 +31,10 @@
 	classes map[string]int // by route
 	plans   map[string]int // by tenant
 	pools   map[poolKey]*pool
-	ids     map[berth]uint64 // of servers
+	ids     map[member]uint64 // of servers
 	servers map[uint64]*entry
-	berths  map[uint32][]uint64       // numbers of a life's berths
-	inHand  map[uint64]int            // attempts out, by berth
+	members map[uint32][]uint64       // numbers of a life in the pools
+	inHand  map[uint64]int            // attempts out, by member of a pool
 	slots   map[uint32]float64        // of a life
 	beside  map[uint64]limiter.InHand // what else is in hand there, as the decisions were told
 	names   int
@@ -60,8 +60,8 @@
 	regions []string // homes
 }
 
-// berth is a life of a server in a pool.
-type berth struct {
+// member is a life of a server in a pool.
+type member struct {
 	pool uint64
 	life string
 }
@@ -203,7 +203,7 @@
 			left = e.leave()
 		}
 		y.openDesk(position, size)
-		e = &engine{y: y, size: size, place: position, holding: quotaloan.Hold(y.desk, position, size), calls: map[string]*call{}, pools: map[poolKey]*pool{}, ids: map[berth]uint64{}, servers: map[uint64]*entry{},
+		e = &engine{y: y, size: size, place: position, holding: quotaloan.Hold(y.desk, position, size), calls: map[string]*call{}, pools: map[poolKey]*pool{}, ids: map[member]uint64{}, servers: map[uint64]*entry{},
 			inHand: map[uint64]int{}}
 		e.name(t)
 		s, classes, plans := e.settings(t, position)
@@ -281,7 +281,7 @@
 	}
 	now := time.Now()
 	var list []limiter.ServerInfo
-	e.berths = map[uint32][]uint64{}
+	e.members = map[uint32][]uint64{}
 	e.slots = map[uint32]float64{}
 	serving := map[uint32]loadreports.Server{}
 	y.book.Each(y.now(), func(r catalog.Record) {
@@ -289,7 +289,7 @@
 		if len(of) == 0 {
 			return
 		}
-		st := y.station(&r)
+		st := y.upstream(&r)
 		st.usable = r.State == catalog.Available && !y.evacuate[r.Zone] && !y.gone[r.ID]
 		phase := limiter.Draining
 		if st.usable {
@@ -304,15 +304,15 @@
 			if p.bound && !slices.Contains(p.regions, y.set.Zones[r.Zone]) {
 				continue
 			}
-			at := berth{p.id, r.ID}
+			at := member{p.id, r.ID}
 			n, ok := e.ids[at]
 			if !ok {
-				n = berthID(p, r.ID)
+				n = memberID(p, r.ID)
 				e.ids[at] = n
 			}
 			info := limiter.ServerInfo{ID: n, Pool: p.id, Phase: phase, Far: y.far(r.Zone, p.download)}
 			e.servers[n] = &entry{life: r.ID, pool: p.id, info: info}
-			e.berths[st.number] = append(e.berths[st.number], n)
+			e.members[st.number] = append(e.members[st.number], n)
 			list = append(list, info)
 		}
 	})
@@ -320,9 +320,9 @@
 	e.handle(limiter.Endpoints{Scope: limiter.Complete, Servers: list})
 }
 
-// berthID is a server's number for the decisions, the same at all limiters: they tell each other
+// memberID is a server's number for the decisions, the same at all limiters: they tell each other
 // by it at which ones requests fail.
-func berthID(p *pool, life string) uint64 {
+func memberID(p *pool, life string) uint64 {
 	return fnv64(p.service+"\x00"+p.homes+"\x00"+life+"\x00"+strconv.FormatBool(p.download)+strconv.FormatBool(p.bound)) >> 1
 }
 
@@ -343,7 +343,7 @@
 }
 
 // noteWarmup notes until when a server is cold, and has the list made anew then.
-func (y *Proxy) noteWarmup(st *station, r *catalog.Record, now time.Time) {
+func (y *Proxy) noteWarmup(st *upstream, r *catalog.Record, now time.Time) {
 	until := now.Add(time.Duration(r.WarmMs) * time.Millisecond)
 	if to := y.coldTo[r.ID]; to.After(until) {
 		until = to
@@ -474,7 +474,7 @@
 		e.queue = append(e.queue, limiter.Outcome{ID: a.ID, Try: try, Server: a.Server, Result: limiter.StaleSend, Done: c.over})
 		return
 	}
-	st := y.stations[s.life]
+	st := y.upstreams[s.life]
 	if st == nil || !st.usable || c.arrived > 0 && (c.arrived >= c.most || !y.holds() || !y.budget[c.service].Take()) {
 		e.queue = append(e.queue, limiter.Outcome{ID: a.ID, Try: try, Server: a.Server, Result: limiter.StaleSend})
 		return
@@ -492,5 +492,5 @@
 		y.later(st.pause + time.Millisecond)
 	}
 	e.begins(st, a.Server)
-	c.next(step{station: st, server: a.Server, try: try})
+	c.next(step{upstream: st, server: a.Server, try: try})
 }
--- a/internal/proxy/load.go
+++ b/internal/proxy/load.go
@@ -67,7 +67,7 @@
 	}
 	beside := map[uint64]limiter.InHand{}
 	for server, n := range others {
-		for _, b := range e.berths[server] {
+		for _, b := range e.members[server] {
 			beside[b] = limiter.InHand{Server: b, Others: n + float64(y.blocks.Own(server)-e.inHand[b]), Slots: e.slots[server]}
 		}
 	}
@@ -88,14 +88,14 @@
 }
 
 // begins notes that an attempt goes out, ends that it is over. The mutex is held.
-func (e *engine) begins(st *station, berth uint64) {
-	e.inHand[berth]++
+func (e *engine) begins(st *upstream, member uint64) {
+	e.inHand[member]++
 	e.y.blocks.Began(st.number)
 }
 
-func (e *engine) ends(st *station, berth uint64, result limiter.Result, spentMs float64) {
-	if e.inHand[berth]--; e.inHand[berth] <= 0 {
-		delete(e.inHand, berth)
+func (e *engine) ends(st *upstream, member uint64, result limiter.Result, spentMs float64) {
+	if e.inHand[member]--; e.inHand[member] <= 0 {
+		delete(e.inHand, member)
 	}
 	e.y.blocks.Ended(st.number, result == limiter.Pass || result == limiter.TooSlow, spentMs)
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -61,7 +61,7 @@
 	coldTo     map[string]time.Time // servers that are held for cold, by life, beyond what their beats tell
 	gone       map[string]bool      // lives whose address another server answered at
 	engine     *engine
-	stations   map[string]*station
+	upstreams  map[string]*upstream
 	budget     map[string]*allowance.Tries // of further arrivals, by service
 	logged     time.Time
 	line       *membership.Line     // the other limiters of the region
@@ -138,7 +138,7 @@
 	y := &Proxy{set: set, log: log, link: newLink(set.LinkMbps), caller: rpc.NewCaller(), begun: time.Now(), self: fmt.Sprintf("%s#%08x", set.Node, rand.Uint32()),
 		seeds: set.Cores(), cores: set.Cores(), nudge: make(chan struct{}, 1), book: catalog.New(""), reg: &controlstate.Register{},
 		evacuate: map[string]bool{}, coldTo: map[string]time.Time{}, gone: map[string]bool{},
-		stations: map[string]*station{}, budget: map[string]*allowance.Tries{}, ended: map[string]int{}, asks: map[uint64]chan tokenAnswer{}, asking: map[uint64]*allowance.Asks{},
+		upstreams: map[string]*upstream{}, budget: map[string]*allowance.Tries{}, ended: map[string]int{}, asks: map[uint64]chan tokenAnswer{}, asking: map[uint64]*allowance.Asks{},
 		lineIPs: map[string]string{}, out: map[string]bool{}}
 	b := &set.Bounds
 	y.rules = allowance.Rules{QuotaWindow: b.QuotaWindow, QuotaOvershoot: b.QuotaOvershoot, QuotaSlack: b.QuotaSlack, RetryRatio: b.RetryRatio, RetrySlack: b.RetrySlack,
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -42,11 +42,11 @@
 
 // step is what a call is to do next.
 type step struct {
-	station *station
-	server  uint64
-	try     int
-	refuse  *limiter.Refuse
-	fail    bool
+	upstream *upstream
+	server   uint64
+	try      int
+	refuse   *limiter.Refuse
+	fail     bool
 }
 
 // next hands a call its next step; it takes one at a time.
@@ -207,7 +207,7 @@
 		case s.fail:
 			return c.failed()
 		}
-		rep := c.y.try(c, s.station)
+		rep := c.y.try(c, s.upstream)
 		done := rep.result == limiter.Pass
 		if rep.answer != nil && !done {
 			c.last = rep.answer
@@ -221,7 +221,7 @@
 		// What a client's connection has given once can't be had again.
 		done = done || c.lapsed || !time.Now().Before(c.stopAt) || c.rest != nil && c.rest.begun
 		c.y.mu.Lock()
-		c.e.ends(s.station, s.server, rep.result, rep.spentMs)
+		c.e.ends(s.upstream, s.server, rep.result, rep.spentMs)
 		c.e.handle(limiter.Outcome{ID: c.id, Try: s.try, Server: s.server, Result: rep.result, SpentMs: rep.spentMs, Done: done,
 			Load: limiter.Load{Busy: -1, Pending: -1, ServiceMs: -1}})
 		c.y.mu.Unlock()
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -31,8 +31,8 @@
 	idleKept      = 16
 )
 
-// station is one life of a server, with the connections to it.
-type station struct {
+// upstream is one life of a server, with the connections to it.
+type upstream struct {
 	life    string
 	address string
 	service string
@@ -45,13 +45,13 @@
 	pause  time.Duration
 
 	mu   sync.Mutex
-	idle []*rail // the latest used last
+	idle []*serverConn // the latest used last
 }
 
-func (s *station) cold(now time.Time) bool { return s.coldTo.After(now) }
+func (s *upstream) cold(now time.Time) bool { return s.coldTo.After(now) }
 
-// rail is a connection to a server: one request at a time.
-type rail struct {
+// serverConn is a connection to a server: one request at a time.
+type serverConn struct {
 	net.Conn
 	lim    *limited
 	in     *bufio.Reader
@@ -61,7 +61,7 @@
 	died   bool
 }
 
-func (r *rail) Read(b []byte) (int, error) {
+func (r *serverConn) Read(b []byte) (int, error) {
 	n, err := r.Conn.Read(b)
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		r.died = true
@@ -69,15 +69,15 @@
 	return n, err
 }
 
-// station returns that of a server's record. The proxy's mutex is held.
-func (y *Proxy) station(r *catalog.Record) *station {
-	st := y.stations[r.ID]
+// upstream returns that of a server's record. The proxy's mutex is held.
+func (y *Proxy) upstream(r *catalog.Record) *upstream {
+	st := y.upstreams[r.ID]
 	if st == nil || st.address != r.Address {
 		if st != nil {
 			st.drop()
 		}
-		st = &station{life: r.ID, address: r.Address, service: r.Service, number: shortNumber(r.ID)}
-		y.stations[r.ID] = st
+		st = &upstream{life: r.ID, address: r.Address, service: r.Service, number: shortNumber(r.ID)}
+		y.upstreams[r.ID] = st
 	}
 	if r.State == catalog.Gone || r.State == catalog.Silent {
 		st.drop()
@@ -85,7 +85,7 @@
 	return st
 }
 
-func (s *station) drop() {
+func (s *upstream) drop() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, r := range s.idle {
@@ -94,7 +94,7 @@
 	s.idle = nil
 }
 
-func (s *station) take(most time.Duration) *rail {
+func (s *upstream) take(most time.Duration) *serverConn {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for n := len(s.idle); n > 0; n = len(s.idle) {
@@ -108,7 +108,7 @@
 	return nil
 }
 
-func (s *station) put(r *rail) {
+func (s *upstream) put(r *serverConn) {
 	if r.SetDeadline(time.Time{}) != nil {
 		r.Close()
 		return
@@ -124,14 +124,14 @@
 }
 
 // quiet tells that an idle connection is open and silent.
-func (r *rail) quiet() bool { return r.in.Buffered() == 0 && sockets.Quiet(r.Conn) }
+func (r *serverConn) quiet() bool { return r.in.Buffered() == 0 && sockets.Quiet(r.Conn) }
 
 // sweep closes connections whose time is up, and forgets servers that are gone.
 func (y *Proxy) sweep(ctx context.Context) {
 	for ctx.Err() == nil {
 		wait.Sleep(ctx, time.Second)
 		y.mu.Lock()
-		for life, st := range y.stations {
+		for life, st := range y.upstreams {
 			st.mu.Lock()
 			kept := st.idle[:0]
 			for _, r := range st.idle {
@@ -146,7 +146,7 @@
 			empty := len(kept) == 0
 			st.mu.Unlock()
 			if rec, ok := y.book.Get(y.now(), life); !ok && empty || ok && rec.State == catalog.Gone && empty && rec.Since > 60_000 {
-				delete(y.stations, life)
+				delete(y.upstreams, life)
 			}
 		}
 		y.mu.Unlock()
@@ -156,7 +156,7 @@
 func resolveUDP(to string) (*net.UDPAddr, error) { return net.ResolveUDPAddr("udp", to) }
 
 // connect opens a connection.
-func (s *station) connect(stopAt time.Time) (*rail, error) {
+func (s *upstream) connect(stopAt time.Time) (*serverConn, error) {
 	until := time.Now().Add(connectWithin)
 	if stopAt.Before(until) {
 		until = stopAt
@@ -166,7 +166,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &rail{Conn: c, keep: idleMost}
+	r := &serverConn{Conn: c, keep: idleMost}
 	r.lim = &limited{r: r}
 	r.in = bufio.NewReaderSize(r.lim, 4<<10)
 	return r, nil
@@ -180,7 +180,7 @@
 }
 
 // try carries out one attempt of a call at a server.
-func (y *Proxy) try(c *call, st *station) (rep reply) {
+func (y *Proxy) try(c *call, st *upstream) (rep reply) {
 	begun := time.Now()
 	defer func() { rep.spentMs = ms(time.Since(begun)) }()
 	most := idleMost
@@ -234,7 +234,7 @@
 }
 
 // request writes the request as a server gets it.
-func (c *call) request(st *station, left time.Duration) []byte {
+func (c *call) request(st *upstream, left time.Duration) []byte {
 	out := make([]byte, 0, 512+len(c.body))
 	out = append(append(append(append(out, c.req.Method...), ' '), c.req.RequestURI...), " HTTP/1.1\r\n"...)
 	out = appendHeader(out, "Host", c.req.Host)
@@ -272,7 +272,7 @@
 
 // exchange writes the request on a connection and reads its answer. It is stale if the
 // connection turned out to be of no use before anything was written.
-func (c *call) exchange(r *rail, st *station) (rep reply, stale bool) {
+func (c *call) exchange(r *serverConn, st *upstream) (rep reply, stale bool) {
 	if r.used && !r.quiet() {
 		r.Close()
 		return rep, true
@@ -314,7 +314,7 @@
 			return reply{result: limiter.Spoilt}, false
 		}
 		r.lim.left = resp.ContentLength + 64<<10
-		a.stream = &passage{link: c.y.link, resp: resp, rail: r, station: st, length: resp.ContentLength, stopAt: c.stopAt}
+		a.stream = &passage{link: c.y.link, resp: resp, serverConn: r, upstream: st, length: resp.ContentLength, stopAt: c.stopAt}
 		return reply{result: limiter.Pass, answer: a}, false
 	}
 	if resp.ContentLength >= 0 {
@@ -353,7 +353,7 @@
 }
 
 // broke is what an answer that did not come whole tells.
-func (c *call) broke(r *rail, err error) reply {
+func (c *call) broke(r *serverConn, err error) reply {
 	r.Close()
 	switch {
 	case r.died:
@@ -389,15 +389,15 @@
 
 // passage is the rest of a long answer, on its way from a server to a client.
 type passage struct {
-	link    *link
-	resp    *http.Response
-	rail    *rail
-	station *station
-	length  int64
-	stopAt  time.Time
+	link       *link
+	resp       *http.Response
+	serverConn *serverConn
+	upstream   *upstream
+	length     int64
+	stopAt     time.Time
 }
 
-func (p *passage) drop() { p.rail.Close() }
+func (p *passage) drop() { p.serverConn.Close() }
 
 // copy passes the rest on. Its error tells that the answer is not whole.
 func (p *passage) copy(to net.Conn) error {
@@ -405,7 +405,7 @@
 	total := int64(0)
 	body := p.link.body(p.resp.Body, p.length)
 	for {
-		p.rail.SetReadDeadline(p.stopAt)
+		p.serverConn.SetReadDeadline(p.stopAt)
 		n, err := body.Read(buf)
 		if n > 0 {
 			to.SetWriteDeadline(time.Now().Add(writeWithin))
@@ -417,10 +417,10 @@
 			total += int64(n)
 		}
 		if err == io.EOF && total == p.length {
-			if p.resp.Close || p.rail.in.Buffered() > 0 {
+			if p.resp.Close || p.serverConn.in.Buffered() > 0 {
 				p.drop()
 			} else {
-				p.station.put(p.rail)
+				p.upstream.put(p.serverConn)
 			}
 			return nil
 		}
@@ -439,10 +439,10 @@
 	y := e.y
 	s := e.servers[id]
 	v := y.view.Load()
-	if s == nil || v == nil || y.stations[s.life] == nil {
+	if s == nil || v == nil || y.upstreams[s.life] == nil {
 		return
 	}
-	st := y.stations[s.life]
+	st := y.upstreams[s.life]
 	path := "/health"
 	if svc := v.table.Services[st.service]; svc != nil && svc.HealthPath != "" {
 		path = svc.HealthPath
@@ -460,7 +460,7 @@
 }
 
 // health asks for a server's health on a connection of its own.
-func (r *rail) health(st *station, path string, until time.Time) limiter.Result {
+func (r *serverConn) health(st *upstream, path string, until time.Time) limiter.Result {
 	r.SetDeadline(until)
 	r.lim.left = answerHead
 	out := appendHeader([]byte("GET "+path+" HTTP/1.1\r\n"), "Host", st.address)
