--- a/internal/smallsystem/smallsystem.go
+++ b/internal/smallsystem/smallsystem.go
@@ -15,10 +15,14 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"example.org/madderdrum/internal/nodesettings"
+	"example.org/madderdrum/internal/rpc"
 )
 
 // Options say how much there is of what.
@@ -259,6 +263,16 @@
 	return a.Addresses, json.Unmarshal(body, &a)
 }
 
+// RegistryStatus is what the registry of a core machine tells of how it stands, line by line.
+func (s *System) RegistryStatus(ctx context.Context, core int) ([]string, error) {
+	var status rpc.Status
+	to := net.JoinHostPort(s.core(core), strconv.Itoa(portsFrom+nodesettings.RegistryPort))
+	if err := rpc.NewCaller().Call(ctx, to, rpc.CallStatus, nil, &status, time.Second); err != nil {
+		return nil, fmt.Errorf("smallsystem: status of a registry: %w", err)
+	}
+	return status.Lines, nil
+}
+
 // Ready tells that a limiter says that it is ready.
 func (s *System) Ready(ctx context.Context, edge int) bool {
 	status, _, err := s.call(ctx, http.MethodGet, fmt.Sprintf("http://%s:%d/readiness", s.edge(edge), readyPort), nil, nil)
--- a/internal/smallsystem/smallsystem_test.go
+++ b/internal/smallsystem/smallsystem_test.go
@@ -8,6 +8,7 @@
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -135,6 +136,11 @@
 		all, err := s.Resolve(ctx, 0)
 		return err == nil && len(all) == 1
 	})
+	until(t, ctx, "its place is released and settled, so that the other one holds everything", func() bool {
+		lines, err := s.RegistryStatus(ctx, 0)
+		all := strings.Join(lines, "\n")
+		return err == nil && strings.Count(all, "place=") == 1 && strings.Contains(all, "limiter=edge-1 ") && strings.Contains(all, "state=held")
+	})
 	// The whole core is killed: what was acknowledged is there, and the limiter serves on.
 	for _, m := range []string{"core-1", "core-2", "core-3"} {
 		s.Kill(m, syscall.SIGKILL)
