--- a/internal/registry/limiters.go
+++ b/internal/registry/limiters.go
@@ -147,7 +147,8 @@
 	h.mu.Lock()
 	running := h.running()
 	changes := h.limiters.Due(h.clock(), h.reg.PlaceTable(), h.apart(), func(holder string) bool { return running[holder] })
-	due := !changes.Empty() && h.clock()-h.limiters.askedAt > placesPause
+	// One that is cut off from the others would get no answer.
+	due := !changes.Empty() && !h.apart() && h.clock()-h.limiters.askedAt > placesPause
 	seen := h.reg.Seq
 	if due {
 		h.limiters.askedAt = h.clock()
