--- a/internal/testring/places_test.go
+++ b/internal/testring/places_test.go
@@ -4,6 +4,8 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"runtime"
+	"sync"
 	"testing"
 )
 
@@ -105,11 +107,18 @@
 // each at random, while a tenant presses: all that is held at any moment is never more than everything,
 // and no tenant is over its quota.
 func TestPlacesUnderFaults(t *testing.T) {
+	var tasks sync.WaitGroup
+	slots := make(chan struct{}, runtime.GOMAXPROCS(0))
 	for seed := range *placeSeeds {
-		if err := playPlaces(seed); err != nil {
-			t.Errorf("seed %d: %v", seed, err)
-		}
+		slots <- struct{}{}
+		tasks.Go(func() {
+			defer func() { <-slots }()
+			if err := playPlaces(seed); err != nil {
+				t.Errorf("seed %d: %v", seed, err)
+			}
+		})
 	}
+	tasks.Wait()
 }
 
 func playPlaces(seed uint64) error {
