Review: what a limiter may use by a table and a lease is decided once

The proxy and the simulated limiters each worked out the sets of places and the share with its end: allowance.PlacesOf and places.Lease.Use do, both pure. Behaviour stays; the tests of both pass as they were.

--- a/allowance/allowance.go
+++ b/allowance/allowance.go
@@ -8,6 +8,8 @@
 	"hash/fnv"
 	"slices"
 	"time"
+
+	"example.org/madderdrum/places"
 )
 
 // Rules are the figures of the rules in force.
@@ -67,6 +69,20 @@
 // Place is that of one limiter. One without a name is free.
 type Place struct{ Name, Region string }
 
+// PlacesOf are the places of limiters by slot, in each set of a table that somebody may still go by, the
+// newest last. region tells where a zone is.
+func PlacesOf(t places.Table, region func(zone string) string) (all [][]Place) {
+	for _, set := range t.Sets() {
+		members := make([]Place, len(t.Places))
+		for _, slot := range set {
+			p := &t.Places[slot]
+			members[slot] = Place{Name: p.Name, Region: region(p.Zone)}
+		}
+		all = append(all, members)
+	}
+	return all
+}
+
 // KeeperShares are the shares of a tenant's ceiling that limiters may use by slot, while somebody may
 // still go by one of some sets of places: the least that a slot has in any of them. nil where equal
 // parts are of use in all of them.
--- a/internal/proxy/lease.go
+++ b/internal/proxy/lease.go
@@ -62,15 +62,13 @@
 	if e == nil {
 		return
 	}
-	share, until := y.share*float64(e.size), y.lease.End()
-	if y.done || y.slot() != e.place {
-		share = 0
-	}
-	if share == 0 {
-		until = 0
+	slot := y.slot()
+	if y.done || slot != e.place {
+		slot = -1
 	}
+	share, until := y.lease.Use(y.reg.PlaceTable(), slot)
 	y.holdsUntil.Store(int64(until))
-	y.desk.Hold(share, ms(until))
+	y.desk.Hold(share*float64(e.size), ms(until))
 	if y.holds() {
 		y.serving = true
 	}
@@ -78,17 +76,8 @@
 
 // sets are the places of limiters by slot, in each set that somebody may still go by, the newest last.
 // The mutex is held.
-func (y *Proxy) sets() (all [][]allowance.Place) {
-	t := y.reg.PlaceTable()
-	for _, set := range t.Sets() {
-		members := make([]allowance.Place, len(t.Places))
-		for _, slot := range set {
-			p := t.Places[slot]
-			members[slot] = allowance.Place{Name: p.Name, Region: y.set.Zones[p.Zone]}
-		}
-		all = append(all, members)
-	}
-	return all
+func (y *Proxy) sets() [][]allowance.Place {
+	return allowance.PlacesOf(y.reg.PlaceTable(), func(zone string) string { return y.set.Zones[zone] })
 }
 
 // stopLending has nothing lent any more: what is lent would outlive this process.
--- a/internal/testring/places.go
+++ b/internal/testring/places.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"strconv"
 	"time"
 
 	"example.org/madderdrum/allowance"
@@ -189,15 +190,11 @@
 }
 
 // sets are the places by slot in each set that somebody may still go by.
-func (w *World) sets(t *places.Table) (all [][]allowance.Place) {
-	for _, set := range t.Sets() {
-		members := make([]allowance.Place, w.slots())
-		for _, slot := range set {
-			members[slot] = allowance.Place{Name: t.Places[slot].Name, Region: fmt.Sprint(w.byName[t.Places[slot].Name].region)}
-		}
-		all = append(all, members)
-	}
-	return all
+func (w *World) sets(t *places.Table) [][]allowance.Place {
+	return allowance.PlacesOf(*t, func(zone string) string { // zones are numbered round the regions
+		n, _ := strconv.Atoi(zone)
+		return fmt.Sprint(n % w.Regions)
+	})
 }
 
 // gather works out where the ceilings of small tenants are gathered.
@@ -213,12 +210,13 @@
 
 // hold has a limiter's loans go by its part and its lease.
 func (w *World) hold(n *node) {
-	share := places.Share(n.table.Sets(), n.place) * float64(w.slots())
-	if n.done || n.table.SlotOf(n.name, n.name) != n.place {
-		share = 0
+	slot := n.table.SlotOf(n.name, n.name)
+	if n.done || slot != n.place {
+		slot = -1
 	}
-	end := float64(n.lease.End()) / float64(time.Millisecond)
-	n.holding.Desk.Hold(share, end)
+	share, until := n.lease.Use(n.table, slot)
+	end := float64(until) / float64(time.Millisecond)
+	n.holding.Desk.Hold(share*float64(w.slots()), end)
 	if share > 0 && w.now < end {
 		n.serving = true
 	}
--- a/places/lease.go
+++ b/places/lease.go
@@ -41,5 +41,17 @@
 // End is when the lease ends.
 func (l *Lease) End() time.Duration { return l.end }
 
+// Use is what the limiter of a slot may use by a table, and until when by its lease. Without a slot, which
+// is less than 0, it may use nothing.
+func (l *Lease) Use(t Table, slot int) (share float64, until time.Duration) {
+	if slot < 0 {
+		return 0, 0
+	}
+	if share = Share(t.Sets(), slot); share == 0 {
+		return 0, 0
+	}
+	return share, l.end
+}
+
 // Valid tells that the lease has not ended.
 func (l *Lease) Valid(now time.Duration) bool { return now < l.end }
