--- a/internal/smallsystem/smallsystem.go
+++ b/internal/smallsystem/smallsystem.go
@@ -69,6 +69,9 @@
 // Start starts the machines and the servers; it does not wait for anything.
 func Start(o Options) (*System, error) {
 	s := &System{o: o, programs: map[string]*program{}, client: &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{}}}
+	if err := os.MkdirAll(o.Dir, 0o755); err != nil {
+		return s, fmt.Errorf("smallsystem: folder for settings, disks and logs: %w", err)
+	}
 	for i := range cores {
 		name := fmt.Sprintf("core-%d", i+1)
 		for _, role := range []string{"configstore", "registry"} {
