proxy: status tells of the place, the share and the lease

Cause: held against the text of the issue, a limiter's status did not show its place or term, and counted free slots among the limiters.

--- a/internal/proxy/doors.go
+++ b/internal/proxy/doors.go
@@ -46,10 +46,12 @@
 	if !y.proved.IsZero() {
 		proof = time.Since(y.proved).Round(time.Millisecond).String()
 	}
+	table := y.reg.PlaceTable()
 	lines := []string{
 		fmt.Sprintf("program=proxy node=%s zone=%s life=%s ready=%v leaving=%v in_hand=%d proof_age=%s keys_honoured=%v",
 			y.set.Node, y.set.Zone, y.self, ready, y.leaving.Load(), y.inHand.Load(), proof, y.vouched()),
-		fmt.Sprintf("register seq=%d version=r%d evacuated=%v limiters=%d", y.reg.Seq, y.reg.Version, y.reg.Evac, len(y.reg.Places)),
+		fmt.Sprintf("register seq=%d version=r%d evacuated=%v limiters=%d", y.reg.Seq, y.reg.Version, y.reg.Evac, table.Count()),
+		fmt.Sprintf("place=%d share=%.4f lease_left=%s settled=%d", y.slot(), y.share, max(0, y.lease.End()-time.Since(y.begun)).Round(time.Millisecond), table.Settled),
 	}
 	lines = append(lines, fmt.Sprintf("line looked_at=%d out=%v", len(y.lineIPs), slices.Sorted(maps.Keys(y.out))))
 	lines = append(lines, y.blocks.Report(y.now())...)
--- a/internal/proxy/lease_test.go
+++ b/internal/proxy/lease_test.go
@@ -1,11 +1,14 @@
 package proxy
 
 import (
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
 	"example.org/madderdrum/controlstate"
 	"example.org/madderdrum/internal/registry"
+	"example.org/madderdrum/internal/rpc"
 	"example.org/madderdrum/places"
 )
 
@@ -41,6 +44,11 @@
 	if got := y.served("id-2"); got != 429 {
 		t.Errorf("%d without a place", got)
 	}
+	if answer, err := y.Proxy.status(t.Context()); err != nil || !slices.ContainsFunc(answer.(rpc.Status).Lines, func(line string) bool {
+		return strings.HasPrefix(line, "place=-1 share=0.0000 ")
+	}) {
+		t.Errorf("its status is %v, %v", answer, err)
+	}
 	y.tell(placed(3, 0, own(places.Place{Left: 2, Back: 3})))
 	// What had been saved up is gone with the place: it fills up again.
 	for until := time.Now().Add(2 * time.Second); y.served("id-3") != 200; {
