proxy: clients that leave with requests in hand are counted

Nothing told whether a limiter sees that a client closes its connection, nor what becomes of what it had asked for. Now status and a log line tell connections, requests, attempts sent afterwards, attempts broken off, requests that ran on, the longest time. No decision changes.

--- /dev/null
+++ b/internal/proxy/departure.go
@@ -0,0 +1,111 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+// ranOnAfter is how long after its client has left a request may still be in hand without being counted
+// as one that ran on.
+const ranOnAfter = 500 * time.Millisecond
+
+// departure is the end of a client's connection as its client brings it about. Its context ends when
+// the client is known to have closed the connection, or the connection to have broken.
+type departure struct {
+	context.Context
+	end context.CancelFunc
+
+	mu sync.Mutex
+	at time.Time // zero: the client is there, as far as is known
+}
+
+func newDeparture() *departure {
+	ctx, end := context.WithCancel(context.Background())
+	return &departure{Context: ctx, end: end}
+}
+
+// leave notes that the client has left. Only the first call counts.
+func (d *departure) leave() {
+	d.mu.Lock()
+	if d.at.IsZero() {
+		d.at = time.Now()
+	}
+	d.mu.Unlock()
+	d.end()
+}
+
+// since is how long ago the client left; ok is false while it is there.
+func (d *departure) since() (ago time.Duration, ok bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.at.IsZero() {
+		return 0, false
+	}
+	return time.Since(d.at), true
+}
+
+// tellsDeparture tells that an error of reading from a client means that the client has closed the
+// connection or that the connection has broken, and not that its time was up or that what it sent
+// can't be read.
+func tellsDeparture(err error) bool {
+	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.ErrClosedPipe) {
+		return true
+	}
+	var network net.Error
+	return errors.As(err, &network) && !network.Timeout()
+}
+
+// departureFigures counts, since the process began, what became of requests whose clients left while
+// these were in hand.
+type departureFigures struct {
+	connections int           // that were closed with requests in hand
+	requests    int           // those requests
+	sentAfter   int           // attempts that were sent to a server after their client had left
+	brokenOff   int           // attempts that were ended at their server because their client had left
+	ranOn       int           // requests that were in hand for longer than ranOnAfter behind it
+	longest     time.Duration // that one was
+}
+
+// fields are the figures for a log line.
+func (f *departureFigures) fields() logrus.Fields {
+	return logrus.Fields{"connections": f.connections, "requests": f.requests, "sent_after": f.sentAfter,
+		"broken_off": f.brokenOff, "ran_on": f.ranOn, "longest_ms": f.longest.Milliseconds()}
+}
+
+// noteDeparture counts a client that has left with requests in hand.
+func (y *Proxy) noteDeparture(requests int) {
+	if requests == 0 {
+		return
+	}
+	y.mu.Lock()
+	defer y.mu.Unlock()
+	y.departures.connections++
+	y.departures.requests += requests
+}
+
+// noteEnded counts a request that ends so long after its client has left.
+func (y *Proxy) noteEnded(after time.Duration) {
+	y.mu.Lock()
+	defer y.mu.Unlock()
+	f := &y.departures
+	f.longest = max(f.longest, after)
+	if after > ranOnAfter {
+		f.ranOn++
+	}
+}
+
+// noteSent counts an attempt that is sent though its client has left.
+func (c *call) noteSent() {
+	if _, left := c.client.since(); !left {
+		return
+	}
+	c.y.mu.Lock()
+	defer c.y.mu.Unlock()
+	c.y.departures.sentAfter++
+}
--- a/internal/proxy/doors.go
+++ b/internal/proxy/doors.go
@@ -54,6 +54,8 @@
 		fmt.Sprintf("place=%d share=%.4f lease_left=%s settled=%d", y.slot(), y.share, max(0, y.lease.End()-time.Since(y.begun)).Round(time.Millisecond), table.Settled),
 	}
 	lines = append(lines, fmt.Sprintf("line looked_at=%d out=%v", len(y.lineIPs), slices.Sorted(maps.Keys(y.out))))
+	lines = append(lines, fmt.Sprintf("clients_left connections=%d requests=%d sent_after=%d broken_off=%d ran_on=%d longest_ms=%d",
+		y.departures.connections, y.departures.requests, y.departures.sentAfter, y.departures.brokenOff, y.departures.ranOn, y.departures.longest.Milliseconds()))
 	lines = append(lines, y.blocks.Report(y.now())...)
 	lines = append(lines, y.book.Report(y.now())...)
 	if e := y.engine; e != nil {
--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -61,6 +61,7 @@
 	// unread tells, once the reader has ended, that what stands behind the last answer was left
 	// in the middle of a request.
 	unread bool
+	client *departure
 }
 
 // enter takes a request in, unless the connection's last answer has been begun.
@@ -75,6 +76,13 @@
 	return true
 }
 
+// inHand is how many requests were taken in and have no answer yet.
+func (l *lane) inHand() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.due
+}
+
 // last tells, when an answer is begun, whether it is the connection's last: with closing it is
 // when no other is due.
 func (l *lane) last(s *slot, closing bool) bool {
@@ -87,14 +95,18 @@
 
 // client serves one connection: requests are read as they come and answered in their order.
 func (y *Proxy) client(c net.Conn) {
-	l := &lane{slots: make(chan *slot, pipelineMost+1)}
+	l := &lane{slots: make(chan *slot, pipelineMost+1), client: newDeparture()}
+	defer l.client.end()
 	room := make(chan struct{}, pipelineMost)
 	written := make(chan struct{})
 	go func() {
 		defer close(written)
 		y.writes(c, l, room)
 	}()
-	y.reads(c, l, room)
+	if y.reads(c, l, room) == clientLeft {
+		y.noteDeparture(l.inHand())
+		l.client.leave()
+	}
 	close(l.slots)
 	<-written
 	if l.unread {
@@ -124,13 +136,29 @@
 	return n, err
 }
 
+// readEnd says why no further request is read from a connection.
+type readEnd int
+
+const (
+	readsNoMore readEnd = iota // the limiter reads no further one
+	clientLeft                 // the client has closed the connection, or it has broken
+)
+
+// endOf is what an error of reading from a client means.
+func endOf(err error) readEnd {
+	if tellsDeparture(err) {
+		return clientLeft
+	}
+	return readsNoMore
+}
+
 // reads takes in the requests of a connection. room holds a place for each that is in hand.
-func (y *Proxy) reads(c net.Conn, l *lane, room chan<- struct{}) {
+func (y *Proxy) reads(c net.Conn, l *lane, room chan<- struct{}) readEnd {
 	lim := &limited{r: c, heads: &framing.Watch{}}
 	in := bufio.NewReaderSize(lim, 4<<10)
 	for {
 		if y.closing.Load() && in.Buffered() == 0 {
-			return
+			return readsNoMore
 		}
 		idle, headMax, bodyMax := idleWithin, int64(headMost), int64(bodyMost)
 		if v := y.view.Load(); v != nil {
@@ -146,29 +174,29 @@
 			}
 		}
 		lim.left = headMax + 4<<10
-		if !y.awaits(c, in, idle) {
-			return
+		if err := y.awaits(c, in, idle); err != nil {
+			return endOf(err)
 		}
 		c.SetReadDeadline(time.Now().Add(headWithin))
 		r, err := http.ReadRequest(in)
 		if err != nil {
-			var ne net.Error
+			var network net.Error
 			switch {
 			case errors.Is(err, errHeadTooLong):
 				y.turnAway(l, room, 431, "the head is too long")
-			case err == io.EOF, errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &ne):
+			case tellsDeparture(err), errors.As(err, &network):
 			default:
 				y.turnAway(l, room, 400, "the request can't be read")
 			}
-			return
+			return endOf(err)
 		}
 		if bad := misframed(r, lim.heads); bad != "" {
 			y.turnAway(l, room, 400, bad)
-			return
+			return readsNoMore
 		}
 		if r.ContentLength > bodyMax {
 			y.turnAway(l, room, 413, "the body is too long")
-			return
+			return readsNoMore
 		}
 		var body []byte
 		var rest *upload
@@ -178,13 +206,13 @@
 			held := min(bodyHeld, bodyMax)
 			body, err = io.ReadAll(io.LimitReader(r.Body, held+1))
 			if err != nil {
-				return
+				return endOf(err)
 			}
 			switch {
 			case int64(len(body)) <= held:
 			case held == bodyMax:
 				y.turnAway(l, room, 413, "the body is too long")
-				return
+				return readsNoMore
 			default:
 				rest = &upload{rest: r.Body, from: c, length: r.ContentLength, left: bodyMax - int64(len(body))}
 			}
@@ -196,23 +224,23 @@
 		y.inHand.Add(1)
 		if !l.enter(s) {
 			y.inHand.Add(-1)
-			return
+			return readsNoMore
 		}
 		go func() {
-			a := y.serve(r, body, rest)
+			a := y.serve(l.client, r, body, rest)
 			y.count(a)
 			s.done <- a
 		}()
 		if s.end {
 			l.unread = rest != nil
-			return
+			return readsNoMore
 		}
 	}
 }
 
 // awaits waits for the first byte of a request. When the limiter ends, a connection on which
-// nothing was read closes.
-func (y *Proxy) awaits(c net.Conn, in *bufio.Reader, idle time.Duration) bool {
+// nothing was read closes. Its error is that of reading from the client.
+func (y *Proxy) awaits(c net.Conn, in *bufio.Reader, idle time.Duration) error {
 	until := time.Now().Add(idle)
 	for {
 		step := until
@@ -227,11 +255,11 @@
 		c.SetReadDeadline(step)
 		_, err := in.Peek(1)
 		if err == nil {
-			return true
+			return nil
 		}
-		var ne net.Error
-		if !errors.As(err, &ne) || !ne.Timeout() || y.closing.Load() || !time.Now().Before(until) {
-			return false
+		var network net.Error
+		if !errors.As(err, &network) || !network.Timeout() || y.closing.Load() || !time.Now().Before(until) {
+			return err
 		}
 	}
 }
@@ -281,6 +309,9 @@
 	over := false
 	for s := range l.slots {
 		a := <-s.done
+		if after, left := l.client.since(); left {
+			y.noteEnded(after)
+		}
 		end := l.last(s, y.leaving.Load())
 		switch {
 		case over && a.stream != nil:
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -83,6 +83,7 @@
 	serial     uint64                      // of the latest
 	listing    *time.Timer                 // makes the list of servers anew
 	listAt     time.Time                   // when; zero: not due
+	departures departureFigures            // of clients, with requests in hand
 	ended      map[string]int              // answers since the last line about them, by status and reason
 }
 
@@ -187,8 +188,9 @@
 // tallyEvery is how often a line tells how requests ended, where any did.
 const tallyEvery = 10 * time.Second
 
-// tally logs how requests ended.
+// tally logs how requests ended, and what became of those whose clients left.
 func (y *Proxy) tally(ctx context.Context) {
+	var told departureFigures
 	for ctx.Err() == nil {
 		wait.Sleep(ctx, tallyEvery)
 		y.mu.Lock()
@@ -197,10 +199,15 @@
 			fields[k] = n
 		}
 		clear(y.ended)
+		departures := y.departures
 		y.mu.Unlock()
 		if len(fields) > 0 {
 			y.log.WithFields(fields).Info("requests ended")
 		}
+		if departures != told {
+			y.log.WithFields(departures.fields()).Info("clients have left with requests in hand")
+			told = departures
+		}
 	}
 }
 
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -17,7 +17,8 @@
 type call struct {
 	y       *Proxy
 	e       *engine
-	id      string // of the decisions: ids of clients may come twice
+	client  *departure // of the connection that it came on
+	id      string     // of the decisions: ids of clients may come twice
 	req     *http.Request
 	body    []byte
 	rest    *upload // what is not in body; nil: nothing
@@ -64,8 +65,8 @@
 	return h.Sum64()
 }
 
-// serve gives a request its final answer.
-func (y *Proxy) serve(r *http.Request, body []byte, rest *upload) *answer {
+// serve gives a request of a client its final answer.
+func (y *Proxy) serve(client *departure, r *http.Request, body []byte, rest *upload) *answer {
 	arrived := time.Now()
 	v := y.view.Load()
 	if v == nil {
@@ -98,7 +99,7 @@
 		within = min(within, time.Duration(n)*time.Millisecond)
 	}
 	patience := within - min(margin, within/8)
-	c := &call{y: y, req: r, body: body, rest: rest, route: route, tenant: tenant, stopAt: arrived.Add(patience),
+	c := &call{y: y, client: client, req: r, body: body, rest: rest, route: route, tenant: tenant, stopAt: arrived.Add(patience),
 		most: max(1, route.Attempts), steps: make(chan step, 1)}
 	y.mu.Lock()
 	if y.engine == nil || tenant != nil && !y.vouched() || y.inHand.Load() > requestsMost {
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -285,6 +285,7 @@
 	}
 	r.SetDeadline(c.stopAt)
 	r.used, r.lim.left = true, answerHead
+	c.noteSent()
 	if _, err := r.Write(c.request(st, time.Until(c.stopAt))); err != nil {
 		r.Close()
 		return reply{result: limiter.NoRoute}, false
