proxy: what a client has asked for ends when it leaves

Cause: nothing connected the end of a client's connection with its requests in hand: the reader saw the close and ended, the requests were served to their deadlines, with further tries. Behind a connection's last request, behind a long body, while the limiter ends and with eight requests in hand nothing even read the socket.

Now each connection has a departure, a context that ends with it. A repeatable attempt has its connection to the server closed, nothing is sent to a server afterwards, no token is asked for, the decisions are told by Aborted; what can't be repeated and is at a server ends there. The reader goes on behind the last request and, up to 16 KiB, behind as many requests as may be in hand. A connection with requests in hand is not idle. A body that its client does not send whole no longer speaks against the server.

--- a/internal/proxy/asks.go
+++ b/internal/proxy/asks.go
@@ -60,6 +60,8 @@
 				waiting = !q.Refused(a.WaitMs, a.Why)
 			case <-late:
 				waiting = false
+			case <-c.client.Done():
+				return false, 0, "client left"
 			}
 		}
 	}
--- a/internal/proxy/departure.go
+++ b/internal/proxy/departure.go
@@ -50,6 +50,30 @@
 	return time.Since(d.at), true
 }
 
+// statusClientLeft stands for the answer that no client gets, as it has left. It is counted, and not sent.
+const statusClientLeft = 499
+
+// unheard is the answer of a request whose client has left.
+func unheard() *answer { return &answer{status: statusClientLeft, why: "client left"} }
+
+// clientLeft tells that nobody waits for the call's answer any more.
+func (c *call) clientLeft() bool { return c.client.Err() != nil }
+
+// attach has a server's connection closed when the client leaves, until detach is called, which tells
+// whether that has not happened. What can't be repeated is left to end at its server: it may have had its
+// effect there, and its client can't tell.
+func (c *call) attach(to *serverConn) (detach func() bool) {
+	if !c.route.Kind.Repeatable() {
+		return func() bool { return true }
+	}
+	return context.AfterFunc(c.client, func() {
+		to.Close()
+		c.y.mu.Lock()
+		defer c.y.mu.Unlock()
+		c.y.departures.brokenOff++
+	})
+}
+
 // tellsDeparture tells that an error of reading from a client means that the client has closed the
 // connection or that the connection has broken, and not that its time was up or that what it sent
 // can't be read.
--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 
 	"example.org/madderdrum/internal/framing"
@@ -44,70 +43,27 @@
 	short      bool // only this limiter's part of a ceiling is
 }
 
-// slot is the place of a request in the order of its connection.
-type slot struct {
-	done chan *answer
-	end  bool // the connection closes behind it
-	id   string
-}
-
-// lane is the order of a connection's requests. An answer that says that the connection closes
-// is its last: what is read behind it is not begun, and its client sends it again.
-type lane struct {
-	mu    sync.Mutex
-	slots chan *slot
-	due   int // requests that were taken in and whose answers are still to be begun
-	ended bool
-	// unread tells, once the reader has ended, that what stands behind the last answer was left
-	// in the middle of a request.
-	unread bool
-	client *departure
-}
-
-// enter takes a request in, unless the connection's last answer has been begun.
-func (l *lane) enter(s *slot) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.ended {
-		return false
-	}
-	l.due++
-	l.slots <- s // the reader waits where as many are in hand as may be: see room
-	return true
-}
-
-// inHand is how many requests were taken in and have no answer yet.
-func (l *lane) inHand() int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.due
-}
-
-// last tells, when an answer is begun, whether it is the connection's last: with closing it is
-// when no other is due.
-func (l *lane) last(s *slot, closing bool) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.due--
-	l.ended = l.ended || s.end || closing && l.due == 0
-	return l.ended
-}
-
-// client serves one connection: requests are read as they come and answered in their order.
+// client serves one connection: requests are read as they come and answered in their order. What
+// is in hand when the client leaves ends with it, but for what can't be repeated and is at a server.
 func (y *Proxy) client(c net.Conn) {
-	l := &lane{slots: make(chan *slot, pipelineMost+1), client: newDeparture()}
+	l := newLane(c)
 	defer l.client.end()
-	room := make(chan struct{}, pipelineMost)
 	written := make(chan struct{})
 	go func() {
 		defer close(written)
-		y.writes(c, l, room)
+		y.writes(c, l)
+		l.answered()
 	}()
-	if y.reads(c, l, room) == clientLeft {
+	end := y.reads(c, l)
+	close(l.slots)
+	if end == readsNoMore {
+		end = l.watch()
+	}
+	if end == clientLeft {
 		y.noteDeparture(l.inHand())
 		l.client.leave()
+		c.Close()
 	}
-	close(l.slots)
 	<-written
 	if l.unread {
 		linger(c)
@@ -152,8 +108,8 @@
 	return readsNoMore
 }
 
-// reads takes in the requests of a connection. room holds a place for each that is in hand.
-func (y *Proxy) reads(c net.Conn, l *lane, room chan<- struct{}) readEnd {
+// reads takes in the requests of a connection.
+func (y *Proxy) reads(c net.Conn, l *lane) readEnd {
 	lim := &limited{r: c, heads: &framing.Watch{}}
 	in := bufio.NewReaderSize(lim, 4<<10)
 	for {
@@ -174,7 +130,7 @@
 			}
 		}
 		lim.left = headMax + 4<<10
-		if err := y.awaits(c, in, idle); err != nil {
+		if err := y.awaits(l, in, idle); err != nil {
 			return endOf(err)
 		}
 		c.SetReadDeadline(time.Now().Add(headWithin))
@@ -183,19 +139,19 @@
 			var network net.Error
 			switch {
 			case errors.Is(err, errHeadTooLong):
-				y.turnAway(l, room, 431, "the head is too long")
+				y.turnAway(l, 431, "the head is too long")
 			case tellsDeparture(err), errors.As(err, &network):
 			default:
-				y.turnAway(l, room, 400, "the request can't be read")
+				y.turnAway(l, 400, "the request can't be read")
 			}
 			return endOf(err)
 		}
 		if bad := misframed(r, lim.heads); bad != "" {
-			y.turnAway(l, room, 400, bad)
+			y.turnAway(l, 400, bad)
 			return readsNoMore
 		}
 		if r.ContentLength > bodyMax {
-			y.turnAway(l, room, 413, "the body is too long")
+			y.turnAway(l, 413, "the body is too long")
 			return readsNoMore
 		}
 		var body []byte
@@ -211,16 +167,24 @@
 			switch {
 			case int64(len(body)) <= held:
 			case held == bodyMax:
-				y.turnAway(l, room, 413, "the body is too long")
+				y.turnAway(l, 413, "the body is too long")
 				return readsNoMore
 			default:
-				rest = &upload{rest: r.Body, from: c, length: r.ContentLength, left: bodyMax - int64(len(body))}
+				rest = newUpload(r, c, bodyMax-int64(len(body)))
+				l.upload = rest
 			}
 		}
 		// Behind a long body the connection closes: how far it is read is not known when the answer
 		// is due.
 		s := &slot{done: make(chan *answer, 1), end: r.Close || rest != nil, id: r.Header.Get(headerAttempt)}
-		room <- struct{}{}
+		if rest != nil {
+			l.places <- struct{}{} // what stands behind the head is the body, and is not read ahead
+		} else {
+			lim.left = headMax + 4<<10
+			if in, err = l.takePlace(in); err != nil {
+				return endOf(err)
+			}
+		}
 		y.inHand.Add(1)
 		if !l.enter(s) {
 			y.inHand.Add(-1)
@@ -228,6 +192,9 @@
 		}
 		go func() {
 			a := y.serve(l.client, r, body, rest)
+			if rest != nil {
+				rest.finish()
+			}
 			y.count(a)
 			s.done <- a
 		}()
@@ -238,9 +205,9 @@
 	}
 }
 
-// awaits waits for the first byte of a request. When the limiter ends, a connection on which
-// nothing was read closes. Its error is that of reading from the client.
-func (y *Proxy) awaits(c net.Conn, in *bufio.Reader, idle time.Duration) error {
+// awaits waits for the first byte of a request. A connection is idle while nothing is in hand. When
+// the limiter ends, one on which nothing was read closes. The error is that of reading from the client.
+func (y *Proxy) awaits(l *lane, in *bufio.Reader, idle time.Duration) error {
 	until := time.Now().Add(idle)
 	for {
 		step := until
@@ -252,13 +219,19 @@
 		if y.closing.Load() {
 			step = time.Unix(1, 0)
 		}
-		c.SetReadDeadline(step)
+		l.conn.SetReadDeadline(step)
 		_, err := in.Peek(1)
 		if err == nil {
 			return nil
 		}
 		var network net.Error
-		if !errors.As(err, &network) || !network.Timeout() || y.closing.Load() || !time.Now().Before(until) {
+		if !errors.As(err, &network) || !network.Timeout() || y.closing.Load() {
+			return err
+		}
+		if l.inHand() > 0 {
+			until = time.Now().Add(idle)
+		}
+		if !time.Now().Before(until) {
 			return err
 		}
 	}
@@ -278,10 +251,10 @@
 }
 
 // turnAway answers what can't be read; the connection closes behind it.
-func (y *Proxy) turnAway(l *lane, room chan<- struct{}, status int, why string) {
+func (y *Proxy) turnAway(l *lane, status int, why string) {
 	l.unread = true
 	s := &slot{done: make(chan *answer, 1), end: true}
-	room <- struct{}{}
+	l.places <- struct{}{}
 	y.inHand.Add(1)
 	if !l.enter(s) {
 		y.inHand.Add(-1)
@@ -305,12 +278,13 @@
 }
 
 // writes answers the requests of a connection in their order.
-func (y *Proxy) writes(c net.Conn, l *lane, room <-chan struct{}) {
+func (y *Proxy) writes(c net.Conn, l *lane) {
 	over := false
 	for s := range l.slots {
 		a := <-s.done
 		if after, left := l.client.since(); left {
 			y.noteEnded(after)
+			over = true
 		}
 		end := l.last(s, y.leaving.Load())
 		switch {
@@ -325,7 +299,7 @@
 			hangUp(c)
 		}
 		y.inHand.Add(-1)
-		<-room
+		l.freePlace()
 	}
 }
 
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -132,6 +132,10 @@
 		}
 		y.mu.Lock()
 	}
+	if c.clientLeft() {
+		y.mu.Unlock()
+		return unheard()
+	}
 	return c.submit(patience, gathered && !keeps, keeps)
 }
 
@@ -209,6 +213,10 @@
 			return c.failed()
 		}
 		rep := c.y.try(c, s.upstream)
+		if rep.abandoned {
+			c.withdraw(s, rep.spentMs)
+			return unheard()
+		}
 		done := rep.result == limiter.Pass
 		if rep.answer != nil && !done {
 			c.last = rep.answer
@@ -220,7 +228,7 @@
 			c.saw(s.server)
 		}
 		// What a client's connection has given once can't be had again.
-		done = done || c.lapsed || !time.Now().Before(c.stopAt) || c.rest != nil && c.rest.begun
+		done = done || c.clientLeft() || c.lapsed || !time.Now().Before(c.stopAt) || c.rest != nil && c.rest.begun
 		c.y.mu.Lock()
 		c.e.ends(s.upstream, s.server, rep.result, rep.spentMs)
 		c.e.handle(limiter.Outcome{ID: c.id, Try: s.try, Server: s.server, Result: rep.result, SpentMs: rep.spentMs, Done: done,
@@ -235,6 +243,15 @@
 	}
 }
 
+// withdraw ends a call whose client has left before the attempt of a step was over. Nothing is learnt of
+// the server.
+func (c *call) withdraw(s step, spentMs float64) {
+	c.y.mu.Lock()
+	defer c.y.mu.Unlock()
+	c.e.ends(s.upstream, s.server, limiter.Undone, spentMs)
+	c.e.handle(limiter.Aborted{ID: c.id})
+}
+
 // unrun tells that a result proves that nothing ran.
 func unrun(r limiter.Result) bool {
 	return r == limiter.NoRoom || r == limiter.NoRoute || r == limiter.StaleSend
--- a/internal/proxy/upload.go
+++ b/internal/proxy/upload.go
@@ -4,7 +4,9 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"strconv"
+	"sync"
 	"time"
 )
 
@@ -22,14 +24,34 @@
 	left   int64     // that may still come where the length is not known
 	begun  bool
 	long   bool // it came to more than may be
+
+	finished chan struct{} // closed once nothing more of it is read
+	finish   func()        // closes it
 }
 
 var errBodyTooLong = errors.New("the body is too long")
 
+// clientBodyError tells that a request's body did not come whole from its client, which says nothing of
+// the server that it was passed on to.
+type clientBodyError struct{ err error }
+
+func (e *clientBodyError) Error() string { return "read the request's body: " + e.err.Error() }
+
+func (e *clientBodyError) Unwrap() error { return e.err }
+
+// newUpload is the rest of a request's body behind what is held of it. Where its length is not known, left
+// bytes may come at most.
+func newUpload(r *http.Request, from net.Conn, left int64) *upload {
+	finished := make(chan struct{})
+	return &upload{rest: r.Body, from: from, length: r.ContentLength, left: left,
+		finished: finished, finish: sync.OnceFunc(func() { close(finished) })}
+}
+
 // pass hands the rest on behind what was held. An error tells that the server has not had all of
 // it.
 func (u *upload) pass(to net.Conn, l *link, stopAt time.Time) error {
 	u.begun = true
+	defer u.finish()
 	buf := make([]byte, 16<<10)
 	for {
 		until := time.Now().Add(uploadPauses)
@@ -62,7 +84,7 @@
 		case err == io.EOF:
 			return nil
 		case err != nil:
-			return err
+			return &clientBodyError{err}
 		}
 	}
 }
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -177,6 +177,8 @@
 	result  limiter.Result
 	answer  *answer
 	spentMs float64
+	// abandoned tells that the attempt was given up, or not begun, as the client has left.
+	abandoned bool
 }
 
 // try carries out one attempt of a call at a server.
@@ -188,6 +190,9 @@
 		most = idleUnsafe
 	}
 	for {
+		if c.clientLeft() {
+			return reply{abandoned: true}
+		}
 		r := st.take(most)
 		if r == nil {
 			var err error
@@ -270,8 +275,8 @@
 	return append(append(out, "\r\n"...), c.body...)
 }
 
-// exchange writes the request on a connection and reads its answer. It is stale if the
-// connection turned out to be of no use before anything was written.
+// exchange writes the request on a connection and reads its answer, as long as the client is there. It is
+// stale if the connection turned out to be of no use before anything was written.
 func (c *call) exchange(r *serverConn, st *upstream) (rep reply, stale bool) {
 	if r.used && !r.quiet() {
 		r.Close()
@@ -283,11 +288,35 @@
 		st.put(r)
 		return reply{result: limiter.StaleSend}, false
 	}
+	if c.clientLeft() {
+		st.put(r)
+		return reply{abandoned: true}, false
+	}
+	detach := c.attach(r)
+	rep, keep := c.converse(r, st)
+	if rep.answer != nil && rep.answer.stream != nil {
+		rep.answer.stream.upstream, rep.answer.stream.detach = st, detach
+		return rep, false
+	}
+	attached := detach()
+	if keep && attached {
+		st.put(r)
+	} else {
+		r.Close()
+	}
+	if !attached && rep.result != limiter.Pass {
+		return reply{abandoned: true}, false
+	}
+	return rep, false
+}
+
+// converse writes the request on a connection and reads its answer. keep tells that the connection can be
+// used again.
+func (c *call) converse(r *serverConn, st *upstream) (rep reply, keep bool) {
 	r.SetDeadline(c.stopAt)
 	r.used, r.lim.left = true, answerHead
 	c.noteSent()
 	if _, err := r.Write(c.request(st, time.Until(c.stopAt))); err != nil {
-		r.Close()
 		return reply{result: limiter.NoRoute}, false
 	}
 	if c.rest != nil {
@@ -304,18 +333,16 @@
 	}
 	h := resp.Header
 	if id := h.Get(headerAttempt); id != "" && id != c.req.Header.Get(headerAttempt) {
-		r.Close()
 		return reply{result: limiter.Spoilt}, false
 	}
 	a := &answer{status: resp.StatusCode, head: forwarded(h)}
 	r.lim.left = wholeMost + wholeMost/8
 	if resp.ContentLength > wholeMost {
 		if resp.StatusCode/100 != 2 || h.Get(headerSeal) == "" {
-			r.Close()
 			return reply{result: limiter.Spoilt}, false
 		}
 		r.lim.left = resp.ContentLength + 64<<10
-		a.stream = &passage{link: c.y.link, resp: resp, serverConn: r, upstream: st, length: resp.ContentLength, stopAt: c.stopAt}
+		a.stream = &passage{link: c.y.link, resp: resp, serverConn: r, length: resp.ContentLength, stopAt: c.stopAt}
 		return reply{result: limiter.Pass, answer: a}, false
 	}
 	if resp.ContentLength >= 0 {
@@ -329,34 +356,43 @@
 	}
 	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.StatusCode/100 == 2 {
 		// Its end is the connection's end: a whole one can't be told from one cut short.
-		r.Close()
 		return reply{result: limiter.Spoilt}, false
 	}
-	if resp.Close || r.in.Buffered() > 0 {
-		r.Close()
-	} else {
+	if keep = !resp.Close && r.in.Buffered() == 0; keep {
 		r.keep = keepAlive(h.Get("Keep-Alive"))
-		st.put(r)
 	}
+	rep.result = resultOf(resp)
+	if rep.result != limiter.NoRoom && rep.result != limiter.Spoilt {
+		rep.answer = a
+	}
+	return rep, keep
+}
+
+// resultOf is what a whole answer of a server tells.
+func resultOf(resp *http.Response) limiter.Result {
+	h := resp.Header
+	sealed := h.Get(headerSeal) != ""
 	switch {
 	case resp.StatusCode == http.StatusMisdirectedRequest:
-		return reply{result: limiter.NoRoute, answer: a}, false
-	case h.Get(headerUnrun) != "" && h.Get(headerSeal) == "":
-		return reply{result: limiter.NoRoom}, false
-	case resp.StatusCode/100 == 2 && h.Get(headerSeal) != "" && h.Get("Content-Encoding") == "":
-		return reply{result: limiter.Pass, answer: a}, false
+		return limiter.NoRoute
+	case h.Get(headerUnrun) != "" && !sealed:
+		return limiter.NoRoom
+	case resp.StatusCode/100 == 2 && sealed && h.Get("Content-Encoding") == "":
+		return limiter.Pass
 	case resp.StatusCode/100 == 2:
-		return reply{result: limiter.Spoilt}, false
+		return limiter.Spoilt
 	case resp.StatusCode < 500:
-		return reply{result: limiter.Pass, answer: a}, false
+		return limiter.Pass
 	}
-	return reply{result: limiter.Fault, answer: a}, false
+	return limiter.Fault
 }
 
 // broke is what an answer that did not come whole tells.
 func (c *call) broke(r *serverConn, err error) reply {
-	r.Close()
+	var body *clientBodyError
 	switch {
+	case errors.As(err, &body):
+		return reply{result: limiter.Spoilt}
 	case r.died:
 		return reply{result: limiter.Cut}
 	case errors.Is(err, os.ErrDeadlineExceeded):
@@ -396,9 +432,13 @@
 	upstream   *upstream
 	length     int64
 	stopAt     time.Time
+	detach     func() bool // from the client: see attach
 }
 
-func (p *passage) drop() { p.serverConn.Close() }
+func (p *passage) drop() {
+	p.detach()
+	p.serverConn.Close()
+}
 
 // copy passes the rest on. Its error tells that the answer is not whole.
 func (p *passage) copy(to net.Conn) error {
@@ -418,10 +458,10 @@
 			total += int64(n)
 		}
 		if err == io.EOF && total == p.length {
-			if p.resp.Close || p.serverConn.in.Buffered() > 0 {
-				p.drop()
-			} else {
+			if p.detach() && !p.resp.Close && p.serverConn.in.Buffered() == 0 {
 				p.upstream.put(p.serverConn)
+			} else {
+				p.serverConn.Close()
 			}
 			return nil
 		}
