proxy: tests of clients that left before they were read, and of idle connections

A request whose client has left by the time it is read goes to no server in 95 of 100 cases at least: its reader sees the end of the connection while it is still decided on. A connection is not idle while a request is in hand.

--- a/internal/proxy/departure_test.go
+++ b/internal/proxy/departure_test.go
@@ -290,3 +290,78 @@
 		}
 	}
 }
+
+// A client that has left by the time its request is read is not served: on a machine that was held up,
+// what it finds waiting is mostly such.
+func TestClientsThatLeftBeforeTheyWereRead(t *testing.T) {
+	const clients = 100
+	y := newTestProxy(t)
+	y.usePatientRoutes()
+	s := y.silentServer("i-1", "")
+	y.tell(nil)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	for i := range clients {
+		c, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		io.WriteString(c, patient("GET", "/read/1", fmt.Sprintf("id-%d", i), "", ""))
+		c.Close()
+	}
+	for range clients {
+		c, err := l.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		y.Proxy.client(c)
+	}
+	if n := len(s.took); n > clients/20 {
+		t.Errorf("%d of %d requests were sent to a server after their clients had left", n, clients)
+	}
+}
+
+// watchedConn tells of each deadline that is set for reading.
+type watchedConn struct {
+	net.Conn
+	deadlines chan struct{}
+}
+
+func (c *watchedConn) SetReadDeadline(t time.Time) error {
+	select {
+	case c.deadlines <- struct{}{}:
+	default:
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// A connection is idle only while nothing is in hand.
+func TestConnectionsWithRequestsInHandAreNotIdle(t *testing.T) {
+	y := newTestProxy(t)
+	near, far := net.Pipe()
+	defer near.Close()
+	defer far.Close()
+	watched := &watchedConn{near, make(chan struct{}, 8)}
+	l := newLane(watched)
+	if !l.enter(&slot{done: make(chan *answer, 1)}) {
+		t.Fatal("the lane takes nothing in")
+	}
+	in := bufio.NewReader(watched)
+	result := make(chan error, 1)
+	go func() { result <- y.awaits(l, in, time.Millisecond) }()
+	for range 3 { // each after the first stands for an idle time that is over
+		await(t, watched.deadlines, "a deadline")
+	}
+	go io.WriteString(far, "x")
+	if err := await(t, result, "the next request"); err != nil {
+		t.Errorf("with a request in hand: %v", err)
+	}
+	in.Discard(1)
+	l.last(<-l.slots, false)
+	if err := y.awaits(l, in, time.Millisecond); err == nil || tellsDeparture(err) {
+		t.Errorf("with nothing in hand: %v, the end of the idle time wanted", err)
+	}
+}
