node: a client is seen to leave also behind a further request

Connections read ahead now, up to 16 KiB, while a request is at work and a further one has come, and end the context of their requests.

--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -75,6 +75,9 @@
 		ErrorLog:          errors,
 		ConnState:         n.conns.changed,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			if framed, ok := c.(*framedConn); ok {
+				ctx = framed.ahead.watch(ctx)
+			}
 			return context.WithValue(ctx, connKey{}, c)
 		},
 	}
--- a/internal/node/framing.go
+++ b/internal/node/framing.go
@@ -17,7 +17,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &framedConn{Conn: c}, nil
+	return newFramedConn(c), nil
 }
 
 // framedConn is a client's connection. It tells whether a head on it has had both a
@@ -31,6 +31,14 @@
 	started bool       // something has been read since the connection began to wait
 	since   time.Time  // when
 	ended   bool       // nothing is to be waited for any more
+	// deadline is the one for reading that is in force.
+	deadline time.Time
+
+	ahead readAhead
+}
+
+func newFramedConn(c net.Conn) *framedConn {
+	return &framedConn{Conn: c, ahead: readAhead{leave: func() {}}}
 }
 
 // longPast is a deadline that has passed.
@@ -57,7 +65,7 @@
 	}
 	if c.ended {
 		c.ended = false
-		c.Conn.SetReadDeadline(deadline)
+		c.set(deadline)
 	}
 }
 
@@ -77,7 +85,7 @@
 		return true
 	}
 	c.ended = true
-	c.Conn.SetReadDeadline(longPast)
+	c.set(longPast)
 	return true
 }
 
@@ -88,12 +96,18 @@
 	if c.ended {
 		t = longPast
 	}
+	return c.set(t)
+}
+
+// set puts a deadline for reading in force. The mutex is held.
+func (c *framedConn) set(t time.Time) error {
+	c.deadline = t
 	return c.Conn.SetReadDeadline(t)
 }
 
 // Read passes on what comes, and has it looked at.
 func (c *framedConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
+	n, err := c.take(b)
 	if n > 0 {
 		c.mu.Lock()
 		if !c.started || c.ended {
@@ -102,5 +116,28 @@
 		c.mu.Unlock()
 	}
 	c.heads.Look(b[:n])
+	if n == 1 && len(b) == 1 { // net/http looks for the client's departure, and found a further request
+		c.ahead.begin(c.Conn)
+	}
 	return n, err
 }
+
+// take reads from what was read ahead, or else from the connection.
+func (c *framedConn) take(b []byte) (int, error) {
+	if c.ahead.interrupt(c.Conn) {
+		c.mu.Lock()
+		c.Conn.SetReadDeadline(c.deadline)
+		c.mu.Unlock()
+	}
+	if n := copy(b, c.ahead.held); n > 0 {
+		c.ahead.held = c.ahead.held[n:]
+		return n, nil
+	}
+	return c.Conn.Read(b)
+}
+
+// Close closes the connection. Its requests have nobody to answer.
+func (c *framedConn) Close() error {
+	c.ahead.leave()
+	return c.Conn.Close()
+}
