proxy: reading, answering, exchanges, streams and probes in files of their own

Moves and names alone: lane is pipeline, passage answerStream, departure disconnect; the reader of requests is a type with short methods.

Measured: tests of the package, plain and under the race detector, passed.

--- a/internal/proxy/departure.go
+++ b/internal/proxy/disconnect.go
@@ -15,9 +15,9 @@
 // as one that ran on.
 const ranOnAfter = 500 * time.Millisecond
 
-// departure is the end of a client's connection as its client brings it about. Its context ends when
+// disconnect is the end of a client's connection as its client brings it about. Its context ends when
 // the client is known to have closed the connection, or the connection to have broken.
-type departure struct {
+type disconnect struct {
 	context.Context
 	end context.CancelFunc
 
@@ -25,13 +25,13 @@
 	at time.Time // zero: the client is there, as far as is known
 }
 
-func newDeparture() *departure {
+func newDisconnect() *disconnect {
 	ctx, end := context.WithCancel(context.Background())
-	return &departure{Context: ctx, end: end}
+	return &disconnect{Context: ctx, end: end}
 }
 
-// leave notes that the client has left. Only the first call counts.
-func (d *departure) leave() {
+// mark notes that the client has left. Only the first call counts.
+func (d *disconnect) mark() {
 	d.mu.Lock()
 	if d.at.IsZero() {
 		d.at = time.Now()
@@ -41,7 +41,7 @@
 }
 
 // since is how long ago the client left; ok is false while it is there.
-func (d *departure) since() (ago time.Duration, ok bool) {
+func (d *disconnect) since() (ago time.Duration, ok bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.at.IsZero() {
@@ -50,11 +50,11 @@
 	return time.Since(d.at), true
 }
 
-// statusClientLeft stands for the answer that no client gets, as it has left. It is counted, and not sent.
-const statusClientLeft = 499
+// statusClientClosed stands for the answer that no client gets, as it has left. It is counted, and not sent.
+const statusClientClosed = 499
 
 // unheard is the answer of a request whose client has left.
-func unheard() *answer { return &answer{status: statusClientLeft, why: "client left"} }
+func unheard() *answer { return &answer{status: statusClientClosed, why: "client left"} }
 
 // clientLeft tells that nobody waits for the call's answer any more.
 func (c *call) clientLeft() bool { return c.client.Err() != nil }
@@ -70,14 +70,14 @@
 		to.Close()
 		c.y.mu.Lock()
 		defer c.y.mu.Unlock()
-		c.y.departures.brokenOff++
+		c.y.disconnects.brokenOff++
 	})
 }
 
-// tellsDeparture tells that an error of reading from a client means that the client has closed the
+// isDisconnect tells that an error of reading from a client means that the client has closed the
 // connection or that the connection has broken, and not that its time was up or that what it sent
 // can't be read.
-func tellsDeparture(err error) bool {
+func isDisconnect(err error) bool {
 	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.ErrClosedPipe) {
 		return true
 	}
@@ -85,9 +85,9 @@
 	return errors.As(err, &network) && !network.Timeout()
 }
 
-// departureFigures counts, since the process began, what became of requests whose clients left while
+// disconnectFigures counts, since the process began, what became of requests whose clients left while
 // these were in hand.
-type departureFigures struct {
+type disconnectFigures struct {
 	connections int           // that were closed with requests in hand
 	requests    int           // those requests
 	sentAfter   int           // attempts that were sent to a server after their client had left
@@ -97,39 +97,39 @@
 }
 
 // fields are the figures for a log line.
-func (f *departureFigures) fields() logrus.Fields {
+func (f *disconnectFigures) fields() logrus.Fields {
 	return logrus.Fields{"connections": f.connections, "requests": f.requests, "sent_after": f.sentAfter,
 		"broken_off": f.brokenOff, "ran_on": f.ranOn, "longest_ms": f.longest.Milliseconds()}
 }
 
-// noteDeparture counts a client that has left with requests in hand.
-func (y *Proxy) noteDeparture(requests int) {
+// countDisconnect counts a client that has left with requests in hand.
+func (y *Proxy) countDisconnect(requests int) {
 	if requests == 0 {
 		return
 	}
 	y.mu.Lock()
 	defer y.mu.Unlock()
-	y.departures.connections++
-	y.departures.requests += requests
+	y.disconnects.connections++
+	y.disconnects.requests += requests
 }
 
-// noteEnded counts a request that ends so long after its client has left.
-func (y *Proxy) noteEnded(after time.Duration) {
+// countRanOn counts a request that ends so long after its client has left.
+func (y *Proxy) countRanOn(after time.Duration) {
 	y.mu.Lock()
 	defer y.mu.Unlock()
-	f := &y.departures
+	f := &y.disconnects
 	f.longest = max(f.longest, after)
 	if after > ranOnAfter {
 		f.ranOn++
 	}
 }
 
-// noteSent counts an attempt that is sent though its client has left.
-func (c *call) noteSent() {
+// countSentAfter counts an attempt that is sent though its client has left.
+func (c *call) countSentAfter() {
 	if _, left := c.client.since(); !left {
 		return
 	}
 	c.y.mu.Lock()
 	defer c.y.mu.Unlock()
-	c.y.departures.sentAfter++
+	c.y.disconnects.sentAfter++
 }
--- a/internal/proxy/departure_test.go
+++ b/internal/proxy/disconnect_test.go
@@ -81,8 +81,8 @@
 	s.ended <- struct{}{}
 }
 
-// leaver is a client on a socket of its own.
-func (y *testProxy) leaver() net.Conn {
+// closingClient is a client on a socket of its own.
+func (y *testProxy) closingClient() net.Conn {
 	y.t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -98,7 +98,7 @@
 	if err != nil {
 		y.t.Fatal(err)
 	}
-	go y.Proxy.client(c)
+	go y.Proxy.serveConnection(c)
 	return client
 }
 
@@ -168,7 +168,7 @@
 			y.usePatientRoutes()
 			s := y.silentServer("i-1", x.begins)
 			y.tell(nil)
-			client := y.leaver()
+			client := y.closingClient()
 			if _, err := io.WriteString(client, x.text); err != nil {
 				t.Fatal(err)
 			}
@@ -247,7 +247,7 @@
 			y.usePatientRoutes()
 			all := []*silentServer{y.silentServer("i-1", ""), y.silentServer("i-2", "")}
 			y.tell(nil)
-			client := y.leaver()
+			client := y.closingClient()
 			io.WriteString(client, patient("POST", "/send/1", "id-0", "", "payload"))
 			var first, second *silentServer
 			select {
@@ -259,7 +259,7 @@
 				t.Fatal("the request is at no server")
 			}
 			client.Close()
-			y.awaitDeparture()
+			y.awaitDisconnect()
 			select {
 			case <-first.ended:
 				t.Error("what can't be repeated was broken off")
@@ -274,15 +274,15 @@
 	}
 }
 
-// awaitDeparture waits until the limiter has seen a client leave with a request in hand.
-func (y *testProxy) awaitDeparture() {
+// awaitDisconnect waits until the limiter has seen a client leave with a request in hand.
+func (y *testProxy) awaitDisconnect() {
 	y.t.Helper()
 	tick := time.NewTicker(time.Millisecond)
 	defer tick.Stop()
 	seen := func() bool {
 		y.mu.Lock()
 		defer y.mu.Unlock()
-		return y.departures.connections > 0
+		return y.disconnects.connections > 0
 	}
 	for until := time.Now().Add(brokenOffWithin); !seen(); <-tick.C {
 		if time.Now().After(until) {
@@ -317,7 +317,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		y.Proxy.client(c)
+		y.Proxy.serveConnection(c)
 	}
 	if n := len(s.took); n > clients/20 {
 		t.Errorf("%d of %d requests were sent to a server after their clients had left", n, clients)
@@ -345,13 +345,13 @@
 	defer near.Close()
 	defer far.Close()
 	watched := &watchedConn{near, make(chan struct{}, 8)}
-	l := newLane(watched)
+	l := newPipeline(watched)
 	if !l.enter(&slot{done: make(chan *answer, 1)}) {
-		t.Fatal("the lane takes nothing in")
+		t.Fatal("the pipeline takes nothing in")
 	}
 	in := bufio.NewReader(watched)
 	result := make(chan error, 1)
-	go func() { result <- y.awaits(l, in, time.Millisecond) }()
+	go func() { result <- y.awaitRequest(l, in, time.Millisecond) }()
 	for range 3 { // each after the first stands for an idle time that is over
 		await(t, watched.deadlines, "a deadline")
 	}
@@ -361,7 +361,7 @@
 	}
 	in.Discard(1)
 	l.last(<-l.slots, false)
-	if err := y.awaits(l, in, time.Millisecond); err == nil || tellsDeparture(err) {
+	if err := y.awaitRequest(l, in, time.Millisecond); err == nil || isDisconnect(err) {
 		t.Errorf("with nothing in hand: %v, the end of the idle time wanted", err)
 	}
 }
--- a/internal/proxy/doors.go
+++ b/internal/proxy/doors.go
@@ -55,7 +55,7 @@
 	}
 	lines = append(lines, fmt.Sprintf("line looked_at=%d out=%v", len(y.lineIPs), slices.Sorted(maps.Keys(y.out))))
 	lines = append(lines, fmt.Sprintf("clients_left connections=%d requests=%d sent_after=%d broken_off=%d ran_on=%d longest_ms=%d",
-		y.departures.connections, y.departures.requests, y.departures.sentAfter, y.departures.brokenOff, y.departures.ranOn, y.departures.longest.Milliseconds()))
+		y.disconnects.connections, y.disconnects.requests, y.disconnects.sentAfter, y.disconnects.brokenOff, y.disconnects.ranOn, y.disconnects.longest.Milliseconds()))
 	lines = append(lines, y.blocks.Report(y.now())...)
 	lines = append(lines, y.book.Report(y.now())...)
 	if e := y.engine; e != nil {
--- a/internal/proxy/lane.go
+++ b/internal/proxy/pipeline.go
@@ -23,11 +23,11 @@
 	id   string
 }
 
-// lane is the order of a connection's requests. An answer that says that the connection closes
+// pipeline is the order of a connection's requests. An answer that says that the connection closes
 // is its last: what is read behind it is not begun, and its client sends it again.
-type lane struct {
+type pipeline struct {
 	conn   net.Conn
-	client *departure
+	client *disconnect
 	slots  chan *slot
 	places chan struct{} // one for each request in hand
 
@@ -42,12 +42,12 @@
 	written bool // all answers are
 }
 
-func newLane(c net.Conn) *lane {
-	return &lane{conn: c, client: newDeparture(), slots: make(chan *slot, pipelineMost+1), places: make(chan struct{}, pipelineMost)}
+func newPipeline(c net.Conn) *pipeline {
+	return &pipeline{conn: c, client: newDisconnect(), slots: make(chan *slot, pipelineMost+1), places: make(chan struct{}, pipelineMost)}
 }
 
 // enter takes a request in, unless the connection's last answer has been begun.
-func (l *lane) enter(s *slot) bool {
+func (l *pipeline) enter(s *slot) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.ended {
@@ -59,7 +59,7 @@
 }
 
 // inHand is how many requests were taken in and have no answer yet.
-func (l *lane) inHand() int {
+func (l *pipeline) inHand() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.due
@@ -67,7 +67,7 @@
 
 // last tells, when an answer is begun, whether it is the connection's last: with closing it is
 // when no other is due.
-func (l *lane) last(s *slot, closing bool) bool {
+func (l *pipeline) last(s *slot, closing bool) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.due--
@@ -78,7 +78,7 @@
 // takePlace waits until fewer requests are in hand than may be. Meanwhile it reads ahead, up to
 // readAheadMost, so that the client is seen to leave; the reader that it returns goes on behind that.
 // Its error is that of reading from the client.
-func (l *lane) takePlace(in *bufio.Reader) (*bufio.Reader, error) {
+func (l *pipeline) takePlace(in *bufio.Reader) (*bufio.Reader, error) {
 	for !l.tryPlace() {
 		if in.Buffered() == in.Size() {
 			if in.Size() >= readAheadMost {
@@ -97,7 +97,7 @@
 }
 
 // tryPlace takes a place if there is one. If not, the next read of the connection ends when one is free.
-func (l *lane) tryPlace() bool {
+func (l *pipeline) tryPlace() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	select {
@@ -112,7 +112,7 @@
 }
 
 // freePlace frees the place of a request that has its answer.
-func (l *lane) freePlace() {
+func (l *pipeline) freePlace() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	<-l.places
@@ -123,7 +123,7 @@
 }
 
 // answered tells that all answers are written: whoever watches the client ends.
-func (l *lane) answered() {
+func (l *pipeline) answered() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.written = true
@@ -131,7 +131,7 @@
 }
 
 // beginWatch has reads wait until all answers are written, and tells whether they are already.
-func (l *lane) beginWatch() (written bool) {
+func (l *pipeline) beginWatch() (written bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !l.written {
@@ -142,7 +142,7 @@
 
 // watch reads on behind a connection's last request, to see the client leave before it has its answers.
 // What the client sends there belongs to no request that is answered.
-func (l *lane) watch() readEnd {
+func (l *pipeline) watch() readEnd {
 	if l.upload != nil {
 		<-l.upload.finished
 	}
@@ -151,7 +151,7 @@
 	}
 	_, err := io.Copy(io.Discard, l.conn)
 	if err == nil { // the end of what the client sends
-		return clientLeft
+		return clientGone
 	}
 	return endOf(err)
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -51,40 +51,40 @@
 	view       atomic.Pointer[view]
 	holdsUntil atomic.Int64 // in ns since the beginning: what is held here may be used until then
 
-	mu         sync.Mutex // round what follows
-	book       *catalog.Book
-	reg        *controlstate.Register
-	sequence   uint64 // of this limiter's own word
-	proved     time.Time
-	wantsWhole bool // a difference did not fit: the next pull asks for the whole configuration
-	evacuate   map[string]bool
-	coldTo     map[string]time.Time // servers that are held for cold, by life, beyond what their beats tell
-	gone       map[string]bool      // lives whose address another server answered at
-	engine     *engine
-	upstreams  map[string]*upstream
-	budget     map[string]*allowance.Tries // of further arrivals, by service
-	logged     time.Time
-	line       *membership.Line     // the other limiters of the region
-	telegraph  *failurereports.Desk // where requests fail, of the region
-	blocks     *loadreports.Desk    // what neighbours have in hand at servers
-	neighbours []places.Place
-	lease      places.Lease
-	desk       *quotaloan.Desk             // loans of parts
-	share      float64                     // of what binds all limiters together, by the places that are known
-	limiters   int                         // that share it, at most
-	near       int                         // of them in this zone
-	serving    bool                        // it has held a part in this life
-	done       bool                        // nothing is sent any more: the place can be given back
-	givenBack  bool                        // the core machines know that it was
-	lineIPs    map[string]string           // of their lives
-	out        map[string]bool             // those out of reach, by name
-	asks       map[uint64]chan tokenAnswer // that wait for an answer
-	asking     map[uint64]*allowance.Asks  // of single tokens, by account
-	serial     uint64                      // of the latest
-	listing    *time.Timer                 // makes the list of servers anew
-	listAt     time.Time                   // when; zero: not due
-	departures departureFigures            // of clients, with requests in hand
-	ended      map[string]int              // answers since the last line about them, by status and reason
+	mu          sync.Mutex // round what follows
+	book        *catalog.Book
+	reg         *controlstate.Register
+	sequence    uint64 // of this limiter's own word
+	proved      time.Time
+	wantsWhole  bool // a difference did not fit: the next pull asks for the whole configuration
+	evacuate    map[string]bool
+	coldTo      map[string]time.Time // servers that are held for cold, by life, beyond what their beats tell
+	gone        map[string]bool      // lives whose address another server answered at
+	engine      *engine
+	upstreams   map[string]*upstream
+	budget      map[string]*allowance.Tries // of further arrivals, by service
+	logged      time.Time
+	line        *membership.Line     // the other limiters of the region
+	telegraph   *failurereports.Desk // where requests fail, of the region
+	blocks      *loadreports.Desk    // what neighbours have in hand at servers
+	neighbours  []places.Place
+	lease       places.Lease
+	desk        *quotaloan.Desk             // loans of parts
+	share       float64                     // of what binds all limiters together, by the places that are known
+	limiters    int                         // that share it, at most
+	near        int                         // of them in this zone
+	serving     bool                        // it has held a part in this life
+	done        bool                        // nothing is sent any more: the place can be given back
+	givenBack   bool                        // the core machines know that it was
+	lineIPs     map[string]string           // of their lives
+	out         map[string]bool             // those out of reach, by name
+	asks        map[uint64]chan tokenAnswer // that wait for an answer
+	asking      map[uint64]*allowance.Asks  // of single tokens, by account
+	serial      uint64                      // of the latest
+	listing     *time.Timer                 // makes the list of servers anew
+	listAt      time.Time                   // when; zero: not due
+	disconnects disconnectFigures           // of clients, with requests in hand
+	ended       map[string]int              // answers since the last line about them, by status and reason
 }
 
 // view is what a request needs of a version; it does not change.
@@ -117,7 +117,7 @@
 	go y.hear()
 	go y.pulls(life)
 	go y.sweep(life)
-	go sockets.Accept(life, front, y.client)
+	go sockets.Accept(life, front, y.serveConnection)
 	go y.tally(life)
 	go again(life, lineEvery, y.lookAlong)
 	go again(life, loadEvery, y.tellLoad)
@@ -190,7 +190,7 @@
 
 // tally logs how requests ended, and what became of those whose clients left.
 func (y *Proxy) tally(ctx context.Context) {
-	var told departureFigures
+	var told disconnectFigures
 	for ctx.Err() == nil {
 		wait.Sleep(ctx, tallyEvery)
 		y.mu.Lock()
@@ -199,14 +199,14 @@
 			fields[k] = n
 		}
 		clear(y.ended)
-		departures := y.departures
+		disconnects := y.disconnects
 		y.mu.Unlock()
 		if len(fields) > 0 {
 			y.log.WithFields(fields).Info("requests ended")
 		}
-		if departures != told {
-			y.log.WithFields(departures.fields()).Info("clients have left with requests in hand")
-			told = departures
+		if disconnects != told {
+			y.log.WithFields(disconnects.fields()).Info("clients have left with requests in hand")
+			told = disconnects
 		}
 	}
 }
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -149,7 +149,7 @@
 	y.t.Helper()
 	a, b := net.Pipe()
 	defer a.Close()
-	go y.Proxy.client(b)
+	go y.Proxy.serveConnection(b)
 	go io.WriteString(a, text)
 	a.SetReadDeadline(time.Now().Add(5 * time.Second))
 	in := bufio.NewReader(a)
@@ -649,7 +649,7 @@
 	y.leaving.Store(true)
 	a, b := net.Pipe()
 	defer a.Close()
-	go y.Proxy.client(b)
+	go y.Proxy.serveConnection(b)
 	sent := 0
 	send := func(n int) {
 		text := ""
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -3,7 +3,6 @@
 import (
 	"hash/fnv"
 	"math/rand/v2"
-	"net/http"
 	"strconv"
 	"strings"
 	"time"
@@ -15,13 +14,11 @@
 
 // call is a request in hand.
 type call struct {
-	y       *Proxy
-	e       *engine
-	client  *departure // of the connection that it came on
-	id      string     // of the decisions: ids of clients may come twice
-	req     *http.Request
-	body    []byte
-	rest    *upload // what is not in body; nil: nothing
+	y      *Proxy
+	e      *engine
+	client *disconnect // of the connection that it came on
+	id     string      // of the decisions: ids of clients may come twice
+	*clientRequest
 	route   *configuration.Route
 	tenant  *configuration.Tenant
 	service string
@@ -66,7 +63,7 @@
 }
 
 // serve gives a request of a client its final answer.
-func (y *Proxy) serve(client *departure, r *http.Request, body []byte, rest *upload) *answer {
+func (y *Proxy) serve(client *disconnect, r *clientRequest) *answer {
 	arrived := time.Now()
 	v := y.view.Load()
 	if v == nil {
@@ -99,7 +96,7 @@
 		within = min(within, time.Duration(n)*time.Millisecond)
 	}
 	patience := within - min(margin, within/8)
-	c := &call{y: y, client: client, req: r, body: body, rest: rest, route: route, tenant: tenant, stopAt: arrived.Add(patience),
+	c := &call{y: y, client: client, clientRequest: r, route: route, tenant: tenant, stopAt: arrived.Add(patience),
 		most: max(1, route.Attempts), steps: make(chan step, 1)}
 	y.mu.Lock()
 	if y.engine == nil || tenant != nil && !y.vouched() || y.inHand.Load() > requestsMost {
