smallsystem: a client that leaves, by real processes

A request that a server is at work on until its caller has gone ends with its client; the limiter's status tells one attempt broken off, none sent afterwards, none that ran on.

--- a/internal/smallsystem/smallsystem.go
+++ b/internal/smallsystem/smallsystem.go
@@ -16,6 +16,7 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -268,10 +269,19 @@
 
 // RegistryStatus is what the registry of a core machine tells of how it stands, line by line.
 func (s *System) RegistryStatus(ctx context.Context, core int) ([]string, error) {
+	return s.status(ctx, s.core(core), nodesettings.RegistryPort)
+}
+
+// LimiterStatus are the lines by which a limiter tells how it stands.
+func (s *System) LimiterStatus(ctx context.Context, edge int) ([]string, error) {
+	return s.status(ctx, s.edge(edge), nodesettings.ProxyPort)
+}
+
+func (s *System) status(ctx context.Context, ip string, port int) ([]string, error) {
 	var status rpc.Status
-	to := net.JoinHostPort(s.core(core), strconv.Itoa(portsFrom+nodesettings.RegistryPort))
+	to := net.JoinHostPort(ip, strconv.Itoa(portsFrom+port))
 	if err := rpc.NewCaller().Call(ctx, to, rpc.CallStatus, nil, &status, time.Second); err != nil {
-		return nil, fmt.Errorf("smallsystem: status of a registry: %w", err)
+		return nil, fmt.Errorf("smallsystem: status: %w", err)
 	}
 	return status.Lines, nil
 }
@@ -289,10 +299,14 @@
 	return s.call(ctx, http.MethodGet, fmt.Sprintf("http://%s:%d%s", s.edge(edge), frontPort, path), nil, h)
 }
 
+// HoldPath ends the path of requests that a server is at work on until their caller has gone.
+const HoldPath = "/hold"
+
 // Server is one server of the service.
 type Server struct {
 	ID    string
 	Ran   atomic.Int64 // requests
+	Held  atomic.Int64 // requests at work until their caller closes the connection
 	sys   *System
 	addr  string
 	srv   *http.Server
@@ -339,6 +353,12 @@
 		return
 	}
 	x.Ran.Add(1)
+	if strings.HasSuffix(r.URL.Path, HoldPath) {
+		x.Held.Add(1)
+		defer x.Held.Add(-1)
+		<-r.Context().Done()
+		return
+	}
 	w.Header().Set("X-Madderdrum-Server-Seal", "model")
 	fmt.Fprintf(w, "%s ran %s for %s\n", x.ID, r.URL.Path, r.Header.Get("X-Madderdrum-Tenant"))
 }
--- a/internal/smallsystem/smallsystem_test.go
+++ b/internal/smallsystem/smallsystem_test.go
@@ -101,6 +101,23 @@
 	if !serves(0, "/a/1", "key-9", 401)() || !serves(0, "/b/1", "key-1", 404)() {
 		t.Error("a key or a route that is not there is let through")
 	}
+	// A client that leaves: its request ends at the server at once, and not by its deadline.
+	leaving, leave := context.WithCancel(ctx)
+	go s.Send(leaving, 0, "/a"+HoldPath, "key-1")
+	held := func() (n int64) {
+		for _, x := range s.stubs {
+			n += x.Held.Load()
+		}
+		return n
+	}
+	until(t, ctx, "a request is at work", func() bool { return held() == 1 })
+	leave()
+	until(t, ctx, "it ends with its client", func() bool { return held() == 0 })
+	until(t, ctx, "the limiter tells of it", func() bool {
+		lines, err := s.LimiterStatus(ctx, 0)
+		last = strings.Join(lines, "\n")
+		return err == nil && strings.Contains(last, "connections=1 requests=1 sent_after=0 broken_off=1 ran_on=0")
+	})
 	// A drain: from soon after on the server gets nothing more.
 	x := s.stubs[0]
 	x.Drain()
