--- a/internal/proxy/disconnect.go
+++ b/internal/proxy/disconnect.go
@@ -15,6 +15,9 @@
 // as one that ran on.
 const ranOnAfter = 500 * time.Millisecond
 
+// crossesWithin is how shortly after a client was seen to leave a request may go out that was begun before.
+const crossesWithin = 10 * time.Millisecond
+
 // disconnect is the end of a client's connection as its client brings it about. Its context ends when
 // the client is known to have closed the connection, or the connection to have broken.
 type disconnect struct {
@@ -126,7 +129,7 @@
 
 // countSentAfter counts an attempt that is sent though its client has left.
 func (c *call) countSentAfter() {
-	if _, left := c.client.since(); !left {
+	if ago, left := c.client.since(); !left || ago < crossesWithin {
 		return
 	}
 	c.y.mu.Lock()
