--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -331,27 +331,45 @@
 	return all
 }
 
-// Report is one line of key=value pairs for each source and each service.
-func (b *Book) Report(now float64) (lines []string) {
-	for _, s := range b.Sources() {
-		lines = append(lines, fmt.Sprintf("source=%s version=%d", s, b.vector[s]))
-	}
-	counts, cold := map[string]*[len(stateNames)]int{}, map[string]int{}
+// ServiceCount is how many lives of a service's servers stand how.
+type ServiceCount struct {
+	Service string
+	States  [len(stateNames)]int // by State
+	Cold    int
+}
+
+// Counts are those of all services, by name.
+func (b *Book) Counts(now float64) []ServiceCount {
+	byName := map[string]*ServiceCount{}
 	b.Each(now, func(r Record) {
-		if counts[r.Service] == nil {
-			counts[r.Service] = &[len(stateNames)]int{}
+		count := byName[r.Service]
+		if count == nil {
+			count = &ServiceCount{Service: r.Service}
+			byName[r.Service] = count
 		}
-		counts[r.Service][r.State]++
+		count.States[r.State]++
 		if r.WarmMs > 0 {
-			cold[r.Service]++
+			count.Cold++
 		}
 	})
-	for _, s := range slices.Sorted(maps.Keys(counts)) {
-		line := "service=" + s
-		for k, n := range counts[s] {
-			line += fmt.Sprintf(" %s=%d", stateNames[k], n)
+	var all []ServiceCount
+	for _, name := range slices.Sorted(maps.Keys(byName)) {
+		all = append(all, *byName[name])
+	}
+	return all
+}
+
+// Report is one line of key=value pairs for each source and each service.
+func (b *Book) Report(now float64) (lines []string) {
+	for _, s := range b.Sources() {
+		lines = append(lines, fmt.Sprintf("source=%s version=%d", s, b.vector[s]))
+	}
+	for _, count := range b.Counts(now) {
+		line := "service=" + count.Service
+		for state, n := range count.States {
+			line += fmt.Sprintf(" %s=%d", stateNames[state], n)
 		}
-		lines = append(lines, fmt.Sprintf("%s cold=%d", line, cold[s]))
+		lines = append(lines, fmt.Sprintf("%s cold=%d", line, count.Cold))
 	}
 	return lines
 }
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -17,6 +17,7 @@
 	"github.com/spf13/cobra"
 
 	"example.org/madderdrum/configuration"
+	"example.org/madderdrum/internal/metrics"
 	"example.org/madderdrum/internal/nodesettings"
 	"example.org/madderdrum/internal/rpc"
 )
@@ -27,6 +28,7 @@
 	logLevel    = "MADDERDRUM_LOG"
 
 	statusWithin = 3 * time.Second
+	portMost     = 1<<16 - 1
 )
 
 // Run is a program's work until its context ends.
@@ -36,9 +38,7 @@
 func Main(name, short string, run Run, more ...*cobra.Command) {
 	root := &cobra.Command{Use: name, Short: short, SilenceUsage: true}
 	root.CompletionOptions.DisableDefaultCmd = true
-	root.AddCommand(&cobra.Command{Use: "serve", Short: "Serve until SIGTERM; " + nodesettings.Variable + " names the settings file",
-		Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error { return serve(name, run) }})
-	root.AddCommand(check(), status())
+	root.AddCommand(serveCommand(name, run), check(), status())
 	root.AddCommand(more...)
 	if root.ExecuteContext(context.Background()) != nil {
 		os.Exit(1)
@@ -90,7 +90,21 @@
 		}}
 }
 
-func serve(name string, run Run) error {
+// serveCommand is the command that a program runs by.
+func serveCommand(name string, run Run) *cobra.Command {
+	var metricsPort int
+	cmd := &cobra.Command{Use: "serve", Short: "Serve until SIGTERM; " + nodesettings.Variable + " names the settings file", Args: cobra.NoArgs}
+	cmd.Flags().IntVar(&metricsPort, "metrics", 0, "port at which the process tells its own figures, at "+metrics.Path+"; 0: none")
+	cmd.RunE = func(*cobra.Command, []string) error {
+		if metricsPort < 0 || metricsPort > portMost {
+			return fmt.Errorf("--metrics is %d: write a port from 1 to %d, or 0 for none", metricsPort, portMost)
+		}
+		return serve(name, metricsPort, run)
+	}
+	return cmd
+}
+
+func serve(name string, metricsPort int, run Run) error {
 	// From the very start on: Go's default action on SIGHUP ends the program. Who follows the
 	// settings takes it in too.
 	signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP)
@@ -100,6 +114,7 @@
 	if err != nil {
 		return err
 	}
+	set.MetricsPort = metricsPort
 	runtime.GOMAXPROCS(1)
 	debug.SetGCPercent(gcPercent)
 	if set.MemoryMB > 0 {
--- a/internal/configstore/store.go
+++ b/internal/configstore/store.go
@@ -18,6 +18,7 @@
 
 	"example.org/madderdrum/controlstate"
 	"example.org/madderdrum/coremembers"
+	"example.org/madderdrum/internal/metrics"
 	"example.org/madderdrum/internal/nodesettings"
 	"example.org/madderdrum/internal/rpc"
 	"example.org/madderdrum/paxos"
@@ -68,6 +69,7 @@
 	log.WithFields(logrus.Fields{"voter": s.voter(), "first": s.replica.First(), "accepted": s.acceptor.Record.Accepted.Number}).Info("begins")
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
+	metrics.Offer(work, settings.MetricsAddress(), log, s.figures)
 	go rpc.Serve(work, listener, s.handlers())
 	go s.followSettings(work)
 	go s.confirm(work)
--- a/internal/httpapi/httpapi.go
+++ b/internal/httpapi/httpapi.go
@@ -5,6 +5,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -29,9 +30,13 @@
 type Answer struct {
 	Status int
 	Header map[string]string
-	Body   []byte // JSON
+	Body   []byte
+	// ContentType is the body's; none is JSON.
+	ContentType string
 }
 
+const contentTypeJSON = "application/json"
+
 // Handler answers a call, whose body has been read.
 type Handler func(ctx context.Context, r *http.Request, body []byte) Answer
 
@@ -108,7 +113,7 @@
 	out = append(out, http.StatusText(a.Status)...)
 	out = append(out, "\r\n"...)
 	if len(a.Body) > 0 {
-		out = append(out, "Content-Type: application/json\r\n"...)
+		out = append(append(append(out, "Content-Type: "...), cmp.Or(a.ContentType, contentTypeJSON)...), "\r\n"...)
 	}
 	for k, v := range a.Header {
 		out = append(append(append(append(out, k...), ": "...), v...), "\r\n"...)
--- /dev/null
+++ b/internal/metrics/instances.go
@@ -0,0 +1,15 @@
+package metrics
+
+import "example.org/madderdrum/catalog"
+
+// Instances tells how many lives of servers and limiters stand how, by service.
+func Instances(name string, counts []catalog.ServiceCount) Figure {
+	f := Figure{Name: name, Help: "Lives of servers and limiters that are known here, by service and state.", Kind: Gauge}
+	for _, count := range counts {
+		for state, n := range count.States {
+			f.Samples = append(f.Samples, Sample{Value: float64(n),
+				Labels: []Label{{"service", count.Service}, {"state", catalog.State(state).String()}}})
+		}
+	}
+	return f
+}
--- a/internal/nodesettings/nodesettings.go
+++ b/internal/nodesettings/nodesettings.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"net"
 	"os"
 	"os/signal"
 	"strconv"
@@ -44,7 +45,9 @@
 	Heartbeat time.Duration
 	Tolerate  int // core machines that may be lost at once
 	Contracts map[string]bool
-	Bounds    Bounds
+	// MetricsPort is where the process tells its own figures; 0: nowhere. It comes from the command line.
+	MetricsPort int
+	Bounds      Bounds
 }
 
 // Bounds are the figures of the rules in force. A zero means that the rule is not in force.
@@ -303,3 +306,11 @@
 
 // String is a short name for logs.
 func (s *Settings) String() string { return fmt.Sprintf("%s/%s", s.Node, s.Role) }
+
+// MetricsAddress is where the process tells its own figures; empty: nowhere.
+func (s *Settings) MetricsAddress() string {
+	if s.MetricsPort == 0 {
+		return ""
+	}
+	return net.JoinHostPort(s.IP, strconv.Itoa(s.MetricsPort))
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -19,6 +19,7 @@
 	"example.org/madderdrum/configuration"
 	"example.org/madderdrum/controlstate"
 	"example.org/madderdrum/failurereports"
+	"example.org/madderdrum/internal/metrics"
 	"example.org/madderdrum/internal/nodesettings"
 	"example.org/madderdrum/internal/rpc"
 	"example.org/madderdrum/internal/sockets"
@@ -84,7 +85,7 @@
 	listing     *time.Timer                 // makes the list of servers anew
 	listAt      time.Time                   // when; zero: not due
 	disconnects disconnectFigures           // of clients, with requests in hand
-	ended       map[string]int              // answers since the last line about them, by status and reason
+	ended       map[ending]int              // answers since the process began
 }
 
 // view is what a request needs of a version; it does not change.
@@ -128,6 +129,7 @@
 		y.seeds = next.Cores()
 		y.meet()
 	}, func(err error) { log.WithField("err", err).Warn("settings can't be used") })
+	metrics.Offer(life, set.MetricsAddress(), log, y.figures)
 	log.WithFields(logrus.Fields{"cores": len(y.cores), "life": y.self}).Info("begins")
 	<-ctx.Done()
 	y.leave(front)
@@ -139,7 +141,7 @@
 	y := &Proxy{set: set, log: log, link: newLink(set.LinkMbps), caller: rpc.NewCaller(), begun: time.Now(), self: fmt.Sprintf("%s#%08x", set.Node, rand.Uint32()),
 		seeds: set.Cores(), cores: set.Cores(), nudge: make(chan struct{}, 1), book: catalog.New(""), reg: &controlstate.Register{},
 		evacuate: map[string]bool{}, coldTo: map[string]time.Time{}, gone: map[string]bool{},
-		upstreams: map[string]*upstream{}, budget: map[string]*allowance.Tries{}, ended: map[string]int{}, asks: map[uint64]chan tokenAnswer{}, asking: map[uint64]*allowance.Asks{},
+		upstreams: map[string]*upstream{}, budget: map[string]*allowance.Tries{}, ended: map[ending]int{}, asks: map[uint64]chan tokenAnswer{}, asking: map[uint64]*allowance.Asks{},
 		lineIPs: map[string]string{}, out: map[string]bool{}}
 	b := &set.Bounds
 	y.rules = allowance.Rules{QuotaWindow: b.QuotaWindow, QuotaOvershoot: b.QuotaOvershoot, QuotaSlack: b.QuotaSlack, RetryRatio: b.RetryRatio, RetrySlack: b.RetrySlack,
@@ -191,14 +193,17 @@
 // tally logs how requests ended, and what became of those whose clients left.
 func (y *Proxy) tally(ctx context.Context) {
 	var told disconnectFigures
+	before := map[ending]int{}
 	for ctx.Err() == nil {
 		wait.Sleep(ctx, tallyEvery)
 		y.mu.Lock()
 		fields := logrus.Fields{}
 		for k, n := range y.ended {
-			fields[k] = n
+			if n > before[k] {
+				fields[k.field()] = n - before[k]
+			}
+			before[k] = n
 		}
-		clear(y.ended)
 		disconnects := y.disconnects
 		y.mu.Unlock()
 		if len(fields) > 0 {
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -172,13 +172,9 @@
 
 // count notes how a request ended.
 func (y *Proxy) count(a *answer) {
-	key := "s" + strconv.Itoa(a.status)
-	if a.why != "" {
-		key += "_" + strings.ReplaceAll(a.why, " ", "_")
-	}
 	y.mu.Lock()
-	y.ended[key]++
-	y.mu.Unlock()
+	defer y.mu.Unlock()
+	y.ended[ending{a.status, strings.ReplaceAll(a.why, " ", "_")}]++
 }
 
 // share draws a service of a route by their weights.
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -22,6 +22,7 @@
 	"example.org/madderdrum/freshness"
 	"example.org/madderdrum/internal/configstore"
 	"example.org/madderdrum/internal/httpapi"
+	"example.org/madderdrum/internal/metrics"
 	"example.org/madderdrum/internal/nodesettings"
 	"example.org/madderdrum/internal/rpc"
 	"example.org/madderdrum/internal/wait"
@@ -142,6 +143,7 @@
 		h.meet(ip)
 	}
 	h.mu.Unlock()
+	metrics.Offer(ctx, set.MetricsAddress(), log, h.figures)
 	go h.watch(ctx)
 	go h.keepPlaces(ctx)
 	go set.Follow(ctx, func(next *nodesettings.Settings) {
--- a/internal/smallsystem/smallsystem.go
+++ b/internal/smallsystem/smallsystem.go
@@ -22,6 +22,7 @@
 	"syscall"
 	"time"
 
+	"example.org/madderdrum/internal/metrics"
 	"example.org/madderdrum/internal/nodesettings"
 	"example.org/madderdrum/internal/rpc"
 )
@@ -48,6 +49,9 @@
 	beatEvery   = 300 * time.Millisecond
 )
 
+// metricsPorts are where the programs tell their figures, by role: those of one machine share its ports.
+var metricsPorts = map[string]int{"proxy": 7470, "registry": 7471, "configstore": 7472}
+
 // System is one that runs.
 type System struct {
 	o        Options
@@ -140,7 +144,7 @@
 		return err
 	}
 	defer out.Close()
-	cmd := exec.Command(filepath.Join(s.o.Programs, p.role), "serve")
+	cmd := exec.Command(filepath.Join(s.o.Programs, p.role), "serve", "--metrics", strconv.Itoa(metricsPorts[p.role]))
 	cmd.Env = append(os.Environ(), "MADDERDRUM_BOOT="+p.settings)
 	cmd.Stdout, cmd.Stderr = out, out
 	if err := cmd.Start(); err != nil {
@@ -286,6 +290,16 @@
 	return status.Lines, nil
 }
 
+// Metrics is the text of figures that a program of a machine tells.
+func (s *System) Metrics(ctx context.Context, ip, role string) (string, error) {
+	to := net.JoinHostPort(ip, strconv.Itoa(metricsPorts[role]))
+	status, body, err := s.call(ctx, http.MethodGet, "http://"+to+metrics.Path, nil, nil)
+	if err != nil || status != http.StatusOK {
+		return "", errors.Join(err, fmt.Errorf("smallsystem: metrics of a %s: status %d", role, status))
+	}
+	return string(body), nil
+}
+
 // Ready tells that a limiter says that it is ready.
 func (s *System) Ready(ctx context.Context, edge int) bool {
 	status, _, err := s.call(ctx, http.MethodGet, fmt.Sprintf("http://%s:%d/readiness", s.edge(edge), readyPort), nil, nil)
--- a/internal/smallsystem/smallsystem_test.go
+++ b/internal/smallsystem/smallsystem_test.go
@@ -118,6 +118,18 @@
 		last = strings.Join(lines, "\n")
 		return err == nil && strings.Contains(last, "connections=1 requests=1 sent_after=0 broken_off=1 ran_on=0")
 	})
+	// All three programs tell their figures.
+	for _, x := range []struct{ ip, role, line string }{
+		{s.edge(0), "proxy", "madderdrum_proxy_disconnected_attempts_broken_off_total 1\n"},
+		{s.edge(0), "proxy", "madderdrum_proxy_answers_total{status=\"401\""},
+		{s.core(0), "registry", "madderdrum_registry_instances{service=\"engines\",state=\"available\"} 3\n"},
+		{s.core(0), "configstore", "madderdrum_configstore_configuration_version 3\n"},
+	} {
+		text, err := s.Metrics(ctx, x.ip, x.role)
+		if err != nil || !strings.Contains(text, x.line) {
+			t.Errorf("metrics of a %s lack %q: %s %v", x.role, x.line, text, err)
+		}
+	}
 	// A drain: from soon after on the server gets nothing more.
 	x := s.stubs[0]
 	x.Drain()
