--- a/internal/proxy/pipeline.go
+++ b/internal/proxy/pipeline.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"errors"
-	"io"
 	"net"
 	"sync"
 	"time"
@@ -13,6 +12,9 @@
 // to see it leave.
 const readAheadMost = 16 << 10
 
+// watchPiece is how much is read at once of what belongs to no request, in bytes: mostly nothing comes.
+const watchPiece = 512
+
 // longPast is a deadline that ends a read at once.
 var longPast = time.Unix(1, 0)
 
@@ -149,9 +151,10 @@
 	if l.beginWatch() {
 		return readsNoMore
 	}
-	_, err := io.Copy(io.Discard, l.conn)
-	if err == nil { // the end of what the client sends
-		return clientGone
+	ignored := make([]byte, watchPiece)
+	for {
+		if _, err := l.conn.Read(ignored); err != nil {
+			return endOf(err)
+		}
 	}
-	return endOf(err)
 }
