--- a/internal/proxy/asks.go
+++ b/internal/proxy/asks.go
@@ -40,7 +40,7 @@
 // token asks others for one token of a call's tenant until one pays for it.
 func (y *Proxy) token(c *call) (ok bool, waitMs float64, why string) {
 	y.mu.Lock()
-	all, near := c.e.holding.Askees(account(c.tenant.Name), c.e.places, func(name string) bool { return y.out[name] }, rand.Shuffle)
+	all, near := c.e.holding.Askees(account(c.tenant.Name), c.e.places, func(name string) bool { return y.unreachable[name] }, rand.Shuffle)
 	y.mu.Unlock()
 	q, answers := quotaloan.Enquire(all, near), make(chan tokenAnswer, len(all))
 	for {
--- a/internal/proxy/engine.go
+++ b/internal/proxy/engine.go
@@ -316,7 +316,7 @@
 			list = append(list, info)
 		}
 	})
-	y.blocks.Serve(serving)
+	y.loads.Serve(serving)
 	e.handle(limiter.Endpoints{Scope: limiter.Complete, Servers: list})
 }
 
--- a/internal/proxy/figures.go
+++ b/internal/proxy/figures.go
@@ -39,7 +39,7 @@
 		metrics.One("madderdrum_proxy_lease_left_seconds", "For how long it holds that part yet.", metrics.Gauge, left.Seconds()),
 		metrics.One("madderdrum_proxy_register_sequence", "Number of the agreed state that is in force here.", metrics.Gauge, float64(y.reg.Seq)),
 		metrics.One("madderdrum_proxy_configuration_version", "Version of the configuration that is in force here.", metrics.Gauge, float64(y.reg.Version)),
-		metrics.One("madderdrum_proxy_limiters_out_of_reach", "Other limiters of the region that this one does not reach.", metrics.Gauge, float64(len(y.out))),
+		metrics.One("madderdrum_proxy_limiters_out_of_reach", "Other limiters of the region that this one does not reach.", metrics.Gauge, float64(len(y.unreachable))),
 	}
 	if !y.proved.IsZero() {
 		all = append(all, metrics.One("madderdrum_proxy_proof_age_seconds", "Age of the latest proof that nothing newer is agreed.", metrics.Gauge, time.Since(y.proved).Seconds()))
--- a/internal/proxy/doors.go
+++ b/internal/proxy/listeners.go
@@ -16,8 +16,8 @@
 	"example.org/madderdrum/internal/rpc"
 )
 
-// doors opens the listeners for the platform's checks and for clients that ask where to go.
-func (y *Proxy) doors(ctx context.Context) error {
+// listen opens the listeners for the platform's checks and for clients that ask where to go.
+func (y *Proxy) listen(ctx context.Context) error {
 	for name, h := range map[string]httpapi.Handler{"readiness": y.readiness, "directory": y.resolve} {
 		address := y.set.Listen[name]
 		if address == "" {
@@ -53,10 +53,10 @@
 		fmt.Sprintf("register seq=%d version=r%d evacuated=%v limiters=%d", y.reg.Seq, y.reg.Version, y.reg.Evac, table.Count()),
 		fmt.Sprintf("place=%d share=%.4f lease_left=%s settled=%d", y.slot(), y.share, max(0, y.lease.End()-time.Since(y.begun)).Round(time.Millisecond), table.Settled),
 	}
-	lines = append(lines, fmt.Sprintf("line looked_at=%d out=%v", len(y.lineIPs), slices.Sorted(maps.Keys(y.out))))
+	lines = append(lines, fmt.Sprintf("membership probed=%d unreachable=%v", len(y.memberIPs), slices.Sorted(maps.Keys(y.unreachable))))
 	lines = append(lines, fmt.Sprintf("clients_left connections=%d requests=%d sent_after=%d broken_off=%d ran_on=%d longest_ms=%d",
 		y.disconnects.connections, y.disconnects.requests, y.disconnects.sentAfter, y.disconnects.brokenOff, y.disconnects.ranOn, y.disconnects.longest.Milliseconds()))
-	lines = append(lines, y.blocks.Report(y.now())...)
+	lines = append(lines, y.loads.Report(y.now())...)
 	lines = append(lines, y.book.Report(y.now())...)
 	if e := y.engine; e != nil {
 		of, rest, _ := e.holding.Desk.Parts(y.now())
--- a/internal/proxy/load.go
+++ b/internal/proxy/load.go
@@ -26,20 +26,20 @@
 	y.mu.Lock()
 	var to []string
 	for _, p := range y.neighbours {
-		if !y.out[p.Name] {
+		if !y.unreachable[p.Name] {
 			to = append(to, p.IP)
 		}
 	}
-	y.blocks.Expect(max(len(to), y.nearOnes()))
+	y.loads.Expect(max(len(to), y.nearOnes()))
 	y.believe()
-	word, due := y.blocks.Next(y.now())
+	word, due := y.loads.Next(y.now())
 	y.mu.Unlock()
 	if !due {
 		return
 	}
 	data := rpc.Encode(word)
 	for _, ip := range to {
-		y.tell(y.set.Internal(ip, nodesettings.ProxyPort), datagramBlocks, data)
+		y.tell(y.set.Internal(ip, nodesettings.ProxyPort), datagramLoad, data)
 	}
 }
 
@@ -47,7 +47,7 @@
 // mutex is held.
 func (y *Proxy) nearOnes() (n int) {
 	for _, p := range y.reg.Places {
-		if p.Held() && p.Zone == y.set.Zone && p.Name != y.set.Node && !y.out[p.Name] {
+		if p.Held() && p.Zone == y.set.Zone && p.Name != y.set.Node && !y.unreachable[p.Name] {
 			n++
 		}
 	}
@@ -57,8 +57,8 @@
 // believe has the decisions go by what is in hand at servers beside their own requests. The mutex
 // is held.
 func (y *Proxy) believe() {
-	others := y.blocks.Others(y.now())
-	for _, s := range y.blocks.Steps() {
+	others := y.loads.Others(y.now())
+	for _, s := range y.loads.Steps() {
 		y.log.WithFields(logrus.Fields{"service": s.Service, "share": float64(int(s.Share*100)) / 100, "pressed": s.Pressed}).Info("load of a service changes")
 	}
 	e := y.engine
@@ -68,7 +68,7 @@
 	beside := map[uint64]limiter.InHand{}
 	for server, n := range others {
 		for _, b := range e.members[server] {
-			beside[b] = limiter.InHand{Server: b, Others: n + float64(y.blocks.Own(server)-e.inHand[b]), Slots: e.slots[server]}
+			beside[b] = limiter.InHand{Server: b, Others: n + float64(y.loads.Own(server)-e.inHand[b]), Slots: e.slots[server]}
 		}
 	}
 	var news []limiter.InHand
@@ -90,14 +90,14 @@
 // begins notes that an attempt goes out, ends that it is over. The mutex is held.
 func (e *engine) begins(st *upstream, member uint64) {
 	e.inHand[member]++
-	e.y.blocks.Began(st.number)
+	e.y.loads.Began(st.number)
 }
 
 func (e *engine) ends(st *upstream, member uint64, result limiter.Result, spentMs float64) {
 	if e.inHand[member]--; e.inHand[member] <= 0 {
 		delete(e.inHand, member)
 	}
-	e.y.blocks.Ended(st.number, result == limiter.Pass || result == limiter.TooSlow, spentMs)
+	e.y.loads.Ended(st.number, result == limiter.Pass || result == limiter.TooSlow, spentMs)
 }
 
 // neighboursOf are the limiters that one tells what it has in hand: those of its zone, and as many
--- a/internal/proxy/loans.go
+++ b/internal/proxy/loans.go
@@ -19,8 +19,8 @@
 	datagramLoans    byte = 2 // of package quotaloan, in CBOR
 	datagramAsk      byte = 3 // a tokenAsk, in CBOR
 	datagramAnswer   byte = 4 // a tokenAnswer, in CBOR
-	datagramLine     byte = 5 // a lineMessage, in CBOR
-	datagramBlocks   byte = 6 // a loadreports.Word, in CBOR
+	datagramProbe    byte = 5 // a probeMessage, in CBOR
+	datagramLoad     byte = 6 // a loadreports.Word, in CBOR
 )
 
 const loansEvery = 400 * time.Millisecond
@@ -119,18 +119,18 @@
 func (y *Proxy) heard(ip string, kind byte, data []byte) {
 	y.mu.Lock()
 	defer y.mu.Unlock()
-	if kind == datagramLine {
-		y.hearLine(ip, data)
+	if kind == datagramProbe {
+		y.hearProbe(ip, data)
 		return
 	}
 	e := y.engine
 	if e == nil {
 		return
 	}
-	if kind == datagramBlocks {
+	if kind == datagramLoad {
 		var w loadreports.Word
 		if slices.ContainsFunc(y.reg.Places, func(p places.Place) bool { return p.Held() && p.IP == ip }) && rpc.Decode(data, &w) == nil {
-			y.blocks.Hear(y.now(), w)
+			y.loads.Hear(y.now(), w)
 		}
 		return
 	}
--- a/internal/proxy/watch.go
+++ b/internal/proxy/membership.go
@@ -17,7 +17,7 @@
 	"example.org/madderdrum/membership"
 )
 
-const lineEvery = 100 * time.Millisecond
+const probeEvery = 100 * time.Millisecond
 
 // again does something at intervals until the context ends.
 func again(ctx context.Context, every time.Duration, do func()) {
@@ -33,20 +33,20 @@
 	}
 }
 
-// lookAlong does what is due on the line. One that leaves looks at nobody: the others answer
-// those alone whom the book names, and are no less there for it.
-func (y *Proxy) lookAlong() {
+// probeMembers sends the probes that are due. A limiter that leaves sends none: the others answer
+// only members that the catalog names.
+func (y *Proxy) probeMembers() {
 	if y.leaving.Load() {
 		return
 	}
 	y.mu.Lock()
 	defer y.mu.Unlock()
-	y.along(y.line.Tick(y.now()))
-	y.outs()
+	y.sendProbes(y.members.Tick(y.now()))
+	y.noteUnreachable()
 }
 
-// lineMessage is a message of the line, and what else it carries.
-type lineMessage struct {
+// probeMessage is a message of the membership, and what else it carries.
+type probeMessage struct {
 	Line membership.Message        `cbor:"1,keyasint"`
 	Seen []failurereports.Sighting `cbor:"2,keyasint,omitempty"`
 	Wait []serviceWait             `cbor:"3,keyasint,omitempty"`
@@ -61,7 +61,7 @@
 
 // waits are those of this limiter's zone.
 func (y *Proxy) waits() (all []serviceWait, known bool) {
-	waits, known := y.blocks.Waits()
+	waits, known := y.loads.Waits()
 	for _, w := range waits {
 		all = append(all, serviceWait{shortNumber(w.Service), uint16(math.Round(100 * w.Of))})
 	}
@@ -80,28 +80,28 @@
 				}
 			}
 		}
-		y.blocks.Zone(y.now(), r.Zone, waits)
+		y.loads.Zone(y.now(), r.Zone, waits)
 	}
 }
 
-// along sends what the line has to say, and with it where requests fail. The mutex is held.
-func (y *Proxy) along(out []membership.Letter) {
+// sendProbes sends what the membership has to say, and with it where requests fail. The mutex is held.
+func (y *Proxy) sendProbes(out []membership.Letter) {
 	for _, l := range out {
-		if ip := y.lineIPs[l.To]; ip != "" {
-			m := lineMessage{Line: l.Message, Seen: y.telegraph.Next(y.now())}
+		if ip := y.memberIPs[l.To]; ip != "" {
+			m := probeMessage{Line: l.Message, Seen: y.failures.Next(y.now())}
 			m.Wait, m.Sure = y.waits()
-			y.tell(y.set.Internal(ip, nodesettings.ProxyPort), datagramLine, rpc.Encode(m))
+			y.tell(y.set.Internal(ip, nodesettings.ProxyPort), datagramProbe, rpc.Encode(m))
 		}
 	}
 }
 
-// hearLine takes in a message of the line. The mutex is held.
-func (y *Proxy) hearLine(ip string, data []byte) {
-	var m lineMessage
-	if rpc.Decode(data, &m) != nil || y.lineIPs[m.Line.From] != ip {
+// hearProbe takes in a message of the membership. The mutex is held.
+func (y *Proxy) hearProbe(ip string, data []byte) {
+	var m probeMessage
+	if rpc.Decode(data, &m) != nil || y.memberIPs[m.Line.From] != ip {
 		return
 	}
-	for _, s := range y.telegraph.Hear(y.now(), m.Seen) {
+	for _, s := range y.failures.Hear(y.now(), m.Seen) {
 		if e := y.engine; e != nil {
 			if class, known := e.classOf[s.Class]; known {
 				e.handle(limiter.Sighting{Server: s.Server, Class: class})
@@ -111,49 +111,49 @@
 	if m.Sure {
 		y.hearWaits(m.Line.From, m.Wait)
 	}
-	y.along(y.line.Hear(y.now(), m.Line))
-	y.outs()
+	y.sendProbes(y.members.Hear(y.now(), m.Line))
+	y.noteUnreachable()
 }
 
 // saw notes that the call failed at a server, for the others of the region.
 func (c *call) saw(server uint64) {
 	c.y.mu.Lock()
 	defer c.y.mu.Unlock()
-	c.y.telegraph.Saw(c.y.now(), server, routeID(c.route.Name))
+	c.y.failures.Saw(c.y.now(), server, routeID(c.route.Name))
 }
 
-// setLine says whom of the region there is to look at, by the book. The mutex is held.
-func (y *Proxy) setLine() {
-	clear(y.lineIPs)
+// setMembers says which limiters of the region are members, by the catalog. The mutex is held.
+func (y *Proxy) setMembers() {
+	clear(y.memberIPs)
 	zones := map[string]string{y.self: y.set.Zone}
 	y.book.Each(y.now(), func(r catalog.Record) {
 		if r.Service == catalog.Limiters && r.State == catalog.Available && y.set.Zones[r.Zone] == y.set.Region {
 			zones[r.ID] = r.Zone
-			y.lineIPs[r.ID] = nodesettings.HostOf(r.Address)
+			y.memberIPs[r.ID] = nodesettings.HostOf(r.Address)
 		}
 	})
-	y.line.Set(zones)
+	y.members.Set(zones)
 }
 
-// outs notes who is out of reach. The mutex is held.
-func (y *Proxy) outs() {
-	if !y.line.Changed() {
+// noteUnreachable notes who is out of reach. The mutex is held.
+func (y *Proxy) noteUnreachable() {
+	if !y.members.Changed() {
 		return
 	}
 	now := map[string]bool{}
-	for id := range y.lineIPs {
-		if y.line.State(id) == membership.Out {
+	for id := range y.memberIPs {
+		if y.members.State(id) == membership.Out {
 			name, _, _ := strings.Cut(id, "#")
 			now[name] = true
-			if !y.out[name] {
+			if !y.unreachable[name] {
 				y.log.WithFields(logrus.Fields{"limiter": name}).Info("limiter is out of reach")
 			}
 		}
 	}
-	for name := range y.out {
+	for name := range y.unreachable {
 		if !now[name] {
 			y.log.WithFields(logrus.Fields{"limiter": name}).Info("limiter is in reach again")
 		}
 	}
-	y.out = now
+	y.unreachable = now
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -65,9 +65,9 @@
 	upstreams   map[string]*upstream
 	budget      map[string]*allowance.Tries // of further arrivals, by service
 	logged      time.Time
-	line        *membership.Line     // the other limiters of the region
-	telegraph   *failurereports.Desk // where requests fail, of the region
-	blocks      *loadreports.Desk    // what neighbours have in hand at servers
+	members     *membership.Line     // the other limiters of the region
+	failures    *failurereports.Desk // where requests fail, of the region
+	loads       *loadreports.Desk    // what neighbours have in hand at servers
 	neighbours  []places.Place
 	lease       places.Lease
 	desk        *quotaloan.Desk             // loans of parts
@@ -77,8 +77,8 @@
 	serving     bool                        // it has held a part in this life
 	done        bool                        // nothing is sent any more: the place can be given back
 	givenBack   bool                        // the core machines know that it was
-	lineIPs     map[string]string           // of their lives
-	out         map[string]bool             // those out of reach, by name
+	memberIPs   map[string]string           // of their lives
+	unreachable map[string]bool             // those out of reach, by name
 	asks        map[uint64]chan tokenAnswer // that wait for an answer
 	asking      map[uint64]*allowance.Asks  // of single tokens, by account
 	serial      uint64                      // of the latest
@@ -112,7 +112,7 @@
 	}
 	life, end := context.WithCancel(context.Background()) // outlives SIGTERM
 	defer end()
-	if err := y.doors(life); err != nil {
+	if err := y.listen(life); err != nil {
 		return err
 	}
 	go y.hear()
@@ -120,7 +120,7 @@
 	go y.sweep(life)
 	go sockets.Accept(life, front, y.serveConnection)
 	go y.tally(life)
-	go again(life, lineEvery, y.lookAlong)
+	go again(life, probeEvery, y.probeMembers)
 	go again(life, loadEvery, y.tellLoad)
 	go set.Follow(life, func(next *nodesettings.Settings) {
 		log.WithField("seeds", len(next.Seeds)).Info("settings have changed")
@@ -142,13 +142,13 @@
 		seeds: set.Cores(), cores: set.Cores(), nudge: make(chan struct{}, 1), book: catalog.New(""), reg: &controlstate.Register{},
 		evacuate: map[string]bool{}, coldTo: map[string]time.Time{}, gone: map[string]bool{},
 		upstreams: map[string]*upstream{}, budget: map[string]*allowance.Tries{}, ended: map[ending]int{}, asks: map[uint64]chan tokenAnswer{}, asking: map[uint64]*allowance.Asks{},
-		lineIPs: map[string]string{}, out: map[string]bool{}}
+		memberIPs: map[string]string{}, unreachable: map[string]bool{}}
 	b := &set.Bounds
 	y.rules = allowance.Rules{QuotaWindow: b.QuotaWindow, QuotaOvershoot: b.QuotaOvershoot, QuotaSlack: b.QuotaSlack, RetryRatio: b.RetryRatio, RetrySlack: b.RetrySlack,
 		WarmupOvershoot: b.WarmupOvershoot, WarmupSlack: b.WarmupSlack}
-	y.line = membership.New(y.self, rand.Uint64())
-	y.telegraph = failurereports.New(rand.Uint32() | 1)
-	y.blocks = loadreports.New(rand.Uint32() | 1)
+	y.members = membership.New(y.self, rand.Uint64())
+	y.failures = failurereports.New(rand.Uint32() | 1)
+	y.loads = loadreports.New(rand.Uint32() | 1)
 	return y
 }
 
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -505,17 +505,17 @@
 		y.leaving.Store(leaves)
 		y.mu.Lock()
 		y.begun = time.Now().Add(-time.Hour)
-		y.lineIPs["e2#1"] = "127.0.0.2" // which never answers
-		y.line.Set(map[string]string{"e2#1": "z"})
+		y.memberIPs["e2#1"] = "127.0.0.2" // which never answers
+		y.members.Set(map[string]string{"e2#1": "z"})
 		y.mu.Unlock()
 		for range 100 {
-			y.lookAlong()
+			y.probeMembers()
 			y.mu.Lock()
 			y.begun = y.begun.Add(-50 * time.Millisecond) // the time goes on
 			y.mu.Unlock()
 		}
-		if y.out["e2"] == leaves {
-			t.Errorf("leaves: %v; it takes another for out of reach: %v", leaves, y.out["e2"])
+		if y.unreachable["e2"] == leaves {
+			t.Errorf("leaves: %v; it takes another for out of reach: %v", leaves, y.unreachable["e2"])
 		}
 	}
 }
@@ -617,8 +617,8 @@
 	f.Add(datagramAsk, rpc.Encode(tokenAsk{1, 2, "read", "s"}))
 	f.Add(datagramAnswer, rpc.Encode(tokenAnswer{Serial: 1, OK: true}))
 	f.Add(datagramLoans, rpc.Encode(quotaloan.Message{Serial: 1, Items: []quotaloan.Item{{ID: 1, Part: -1}, {ID: 2, Part: 1e300}}}))
-	f.Add(datagramLine, rpc.Encode(lineMessage{membership.Message{From: "e2#1", Claims: []membership.Claim{{ID: "e1", State: 200}}}, []failurereports.Sighting{{Server: 1, Class: 9, Source: 2, Serial: 3}}, []serviceWait{{1, 65000}}, true}))
-	f.Add(datagramBlocks, rpc.Encode(loadreports.Word{Version: 1, Source: 3, Serial: 1, Entries: []byte{0, 0, 0, 5, 255, 255}}))
+	f.Add(datagramProbe, rpc.Encode(probeMessage{membership.Message{From: "e2#1", Claims: []membership.Claim{{ID: "e1", State: 200}}}, []failurereports.Sighting{{Server: 1, Class: 9, Source: 2, Serial: 3}}, []serviceWait{{1, 65000}}, true}))
+	f.Add(datagramLoad, rpc.Encode(loadreports.Word{Version: 1, Source: 3, Serial: 1, Entries: []byte{0, 0, 0, 5, 255, 255}}))
 	f.Add(datagramSpending, []byte{1, 2, 3, 4, 5, 6, 7, 8, 9})
 	f.Fuzz(func(t *testing.T, kind byte, data []byte) {
 		y := newTestProxy(t)
--- a/internal/proxy/pull.go
+++ b/internal/proxy/pull.go
@@ -157,7 +157,7 @@
 	y.renewed(ended)
 	if news {
 		y.meet()
-		y.setLine()
+		y.setMembers()
 		y.relist()
 	}
 }
@@ -262,7 +262,7 @@
 	defer y.mu.Unlock()
 	var all []directory.Limiter
 	y.book.Each(y.now(), func(r catalog.Record) {
-		if name, _, _ := strings.Cut(r.ID, "#"); r.Service == catalog.Limiters && r.State == catalog.Available && !y.out[name] {
+		if name, _, _ := strings.Cut(r.ID, "#"); r.Service == catalog.Limiters && r.State == catalog.Available && !y.unreachable[name] {
 			all = append(all, directory.Limiter{Address: r.Address, Zone: r.Zone, Region: y.set.Zones[r.Zone]})
 		}
 	})
