--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -33,7 +33,7 @@
 // testProxy is a limiter without its listeners, told directly what a core machine would tell.
 type testProxy struct {
 	*Proxy
-	t    *testing.T
+	t    testing.TB
 	book *catalog.Book
 }
 
@@ -44,7 +44,7 @@
 {"name":"send","route_type":"non_idempotent","target_latency":"600ms","match_criteria":{"path_prefix":"/send/"},"forward_action":{"service":"s","timeout":"1s","max_attempts":2}}]}],
 "clusters":[{"name":"s","health_path":"/health","warmup":"3s","cold_per_s":3.6}]}`
 
-func newTestProxy(t *testing.T) *testProxy {
+func newTestProxy(t testing.TB) *testProxy {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	peers, err := net.ListenPacket("udp", "127.0.0.1:0")
