--- a/internal/proxy/bench_test.go
+++ b/internal/proxy/bench_test.go
@@ -19,21 +19,7 @@
 	reg.Config = []byte(strings.Replace(strings.Replace(routes, `"r1"`, `"r2"`, 1), `"rate_per_s":500,"burst_size":500`, `"rate_per_s":0`, 1))
 	y.server("i-1", 0, "ok")
 	y.tell(&reg)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		b.Fatal(err)
-	}
-	b.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go y.Proxy.serveConnection(c)
-		}
-	}()
-	return l.Addr().String()
+	return listen(b, y.Proxy.serveConnection)
 }
 
 // ask sends a request and reads its answer.
--- a/internal/proxy/disconnect_test.go
+++ b/internal/proxy/disconnect_test.go
@@ -35,22 +35,9 @@
 }
 
 func (y *testProxy) silentServer(id, begins string) *silentServer {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		y.t.Fatal(err)
-	}
-	y.t.Cleanup(func() { l.Close() })
 	s := &silentServer{id: id, begins: begins, took: make(chan string, 64), ended: make(chan struct{}, 64), answer: make(chan string, 64)}
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go s.serve(c)
-		}
-	}()
-	y.book.Beat(0, catalog.Record{ID: id, Service: "s", Address: l.Addr().String(), Zone: "z", Sequence: 1, Slots: 64})
+	address := listen(y.t, s.serve)
+	y.book.Beat(0, catalog.Record{ID: id, Service: "s", Address: address, Zone: "z", Sequence: 1, Slots: 64})
 	return s
 }
 
--- a/internal/proxy/lives_test.go
+++ b/internal/proxy/lives_test.go
@@ -13,17 +13,15 @@
 	"testing"
 	"time"
 
-	"example.org/madderdrum/allowance"
 	"example.org/madderdrum/catalog"
 )
 
 // lives is a world of servers and clients that do what they may at any point of a request's life.
 type lives struct {
 	*testProxy
-	mu      sync.Mutex
-	random  *rand.Rand
-	ran     map[string]int // how often servers began with a request
-	servers sync.WaitGroup
+	mu     sync.Mutex
+	random *rand.Rand
+	ran    map[string]int // how often servers began with a request
 }
 
 const (
@@ -42,28 +40,11 @@
 
 // server answers each request in a way that is drawn for it.
 func (w *lives) server(id string) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		w.t.Fatal(err)
-	}
-	w.t.Cleanup(func() { l.Close() })
-	w.servers.Add(1)
-	go func() {
-		defer w.servers.Done()
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			w.servers.Add(1)
-			go func() {
-				defer w.servers.Done()
-				defer c.Close()
-				w.converse(id, c)
-			}()
-		}
-	}()
-	w.book.Beat(0, catalog.Record{ID: id, Service: "s", Address: l.Addr().String(), Zone: "z", Sequence: 1, Slots: 8})
+	address := listen(w.t, func(c net.Conn) {
+		defer c.Close()
+		w.converse(id, c)
+	})
+	w.book.Beat(0, catalog.Record{ID: id, Service: "s", Address: address, Zone: "z", Sequence: 1, Slots: 8})
 }
 
 // converse answers the requests of a connection until it ends or is cut.
@@ -193,13 +174,7 @@
 				w.server(fmt.Sprintf("i-%d", i))
 			}
 			w.tell(nil)
-			w.Proxy.mu.Lock()
-			tries := &allowance.Tries{}
-			for range 100 {
-				tries.Earn(w.rules, 1)
-			}
-			w.budget["s"] = tries
-			w.Proxy.mu.Unlock()
+			w.earnTries(100)
 			before := runtime.NumGoroutine()
 			var all sync.WaitGroup
 			for i := range clients {
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -24,6 +24,7 @@
 	"example.org/madderdrum/internal/nodesettings"
 	"example.org/madderdrum/internal/registry"
 	"example.org/madderdrum/internal/rpc"
+	"example.org/madderdrum/internal/sockets"
 	"example.org/madderdrum/loadreports"
 	"example.org/madderdrum/membership"
 	"example.org/madderdrum/places"
@@ -65,6 +66,29 @@
 	y.take(time.Now(), &registry.Pulled{Register: reg, Records: y.book.Since(0, y.Proxy.book.Vector()), Vector: y.book.Vector(), Proven: true, ProofMs: 1})
 }
 
+// earnTries gives the service so many requests' worth of further tries.
+func (y *testProxy) earnTries(requests int) {
+	y.mu.Lock()
+	defer y.mu.Unlock()
+	tries := &allowance.Tries{}
+	for range requests {
+		tries.Earn(y.rules, 1)
+	}
+	y.budget["s"] = tries
+}
+
+// listen has each connection to an address of its own served, in a goroutine of its own, until the test ends.
+func listen(t testing.TB, serve func(net.Conn)) (address string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go sockets.Accept(context.Background(), l, serve)
+	return l.Addr().String()
+}
+
 // server is a stand-in that answers each request with the next of its ways, the last for good.
 type server struct {
 	id, address string
@@ -74,21 +98,8 @@
 }
 
 func (y *testProxy) server(id string, warmMs uint64, ways ...string) *server {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		y.t.Fatal(err)
-	}
-	y.t.Cleanup(func() { l.Close() })
-	s := &server{id: id, address: l.Addr().String(), ways: ways}
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go s.conn(c)
-		}
-	}()
+	s := &server{id: id, ways: ways}
+	s.address = listen(y.t, s.conn)
 	y.book.Beat(0, catalog.Record{ID: id, Service: "s", Address: s.address, Zone: "z", Sequence: 1, WarmMs: warmMs})
 	return s
 }
@@ -194,13 +205,7 @@
 				all = append(all, y.server(fmt.Sprintf("i-%d", i), 0, x.way, "ok"))
 			}
 			y.tell(nil)
-			y.mu.Lock()
-			b := &allowance.Tries{}
-			for range 10 {
-				b.Earn(y.rules, 1)
-			}
-			y.budget["s"] = b
-			y.mu.Unlock()
+			y.earnTries(10)
 			method, path, want := "GET", "/read/1", x.read
 			if send {
 				method, path, want = "POST", "/send/1", x.send
@@ -248,13 +253,7 @@
 	y := newTestProxy(t)
 	servers := []*server{y.server("i-0", 0, "cut", "ok"), y.server("i-1", 0, "cut", "ok")}
 	y.tell(nil)
-	y.mu.Lock()
-	b := &allowance.Tries{}
-	for range 10 {
-		b.Earn(y.rules, 1)
-	}
-	y.budget["s"] = b
-	y.mu.Unlock()
+	y.earnTries(10)
 	y.client(request("GET", "/read/1", "id-1", "", ""), 1)
 	runs := 0
 	for _, s := range servers {
