--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -191,6 +191,7 @@
 	}
 	r.run()
 	until(t, "the list is known", func() bool {
+		r.stillRuns()
 		r.node.mu.Lock()
 		defer r.node.mu.Unlock()
 		return r.node.life.Phase() != lifecycle.Starting || len(items) == 0
@@ -228,6 +229,16 @@
 	})
 }
 
+// stillRuns fails the test if the limiter has ended by itself.
+func (r *rig) stillRuns() {
+	r.t.Helper()
+	select {
+	case err := <-r.ended:
+		r.t.Fatalf("the limiter has ended: %v", err)
+	default:
+	}
+}
+
 func start(t *testing.T, items ...serverItem) *rig { t.Helper(); return startWith(t, nil, items...) }
 
 // until waits for a condition.
--- a/internal/node/upgrade_test.go
+++ b/internal/node/upgrade_test.go
@@ -24,12 +24,7 @@
 	t.Helper()
 	return startWith(t, func(c *Config) {
 		withAdmin(c)
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		c.Listen = ln.Addr().String()
-		ln.Close()
+		c.Listen = reservePort(t)
 		if change != nil {
 			change(c)
 		}
