node: an ending limiter closes no connection under a request that is being read

http.Server.Shutdown takes a connection for idle until the head of its next request has been read whole. The limiter ends its connections itself now, by the guarded way.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -310,8 +310,13 @@
 	return nil
 }
 
-// finishUp ends the service without losing a request. http.Server.Shutdown alone
-// would close the listener at once and reset what is on its way to it.
+const (
+	drainStep  = 10 * time.Millisecond  // between two looks at connections that are to end
+	closeSlack = 100 * time.Millisecond // in which the last answers are written
+)
+
+// finishUp ends the service without losing a request. Connections are accepted for a while: closing the
+// listener at once would reset what is on its way to it.
 func (n *Node) finishUp() error {
 	begun := time.Now()
 	n.live(func(l *lifecycle.Life) error { l.Stop(begun, n.version.Load().settings.Longest); return nil })
@@ -322,16 +327,29 @@
 	time.Sleep(lifecycle.KeepAccepting) // answers say Connection: close by now
 	expire := time.AfterFunc(time.Until(stopBy), n.expire)
 	defer expire.Stop()
-	ctx, cancel := context.WithDeadline(context.Background(), stopBy.Add(100*time.Millisecond))
-	defer cancel()
-	n.conns.dropUnused(0, 0)
-	if err := n.web.Shutdown(ctx); err != nil {
-		n.log.Warn("stopped with connections open", "err", err)
+	for _, ln := range n.listeners {
+		ln.Close()
+	}
+	if open := n.drainConns(stopBy.Add(closeSlack)); open > 0 {
+		n.log.Warn("stopped with connections open", "open", open)
 	}
 	n.log.Info("stopped", "after", time.Since(begun).Round(time.Millisecond).String(), "admitted_after_handover", n.late())
 	return nil
 }
 
+// drainConns ends clients' connections as they come to stand between two requests, and returns how many are open
+// when there is none left or time is up. It is not http.Server.Shutdown's work, which closes a connection under a
+// request that is being read: that would run without an answer.
+func (n *Node) drainConns(until time.Time) (open int) {
+	for {
+		n.conns.dropUnused(0, 0)
+		if open = n.conns.count(); open == 0 || !time.Now().Before(until) {
+			return open
+		}
+		time.Sleep(drainStep)
+	}
+}
+
 // now is the module's clock: Unix milliseconds at the start, from there on the
 // monotonic clock, so that a server's born_ms is on the same clock.
 func (n *Node) now() float64 { return n.startMs + float64(time.Since(n.start).Microseconds())/1000 }
