limiter: spending that a peer tells of is spread over the time since its last word

Keepers in large sets hear of spending every 4.8 s and drew it as if all had been spent at that moment, though the full bucket had let its refill go. It is set against that refill now, bounded by the peer's own level.

--- a/internal/testring/places_test.go
+++ b/internal/testring/places_test.go
@@ -19,12 +19,16 @@
 	}
 }
 
-// The same by the seeds of 60 with the most refusals in one of these seconds. What others have spent reaches a
-// customer's keepers every 4.8 s here, and sometimes most of it within the same second or two.
+// Requests within their quotas were refused for a second or two, up to one in ten, while all places were held. What
+// others have spent reaches an account's keepers every 4.8 s here, by chance most of it within the same second or two,
+// and each word was drawn as if all had been spent at that moment, though the keeper's bucket had stood full meanwhile
+// and let its refill go. Evidence: what one keeper heard, by sender and time, as one account's level fell (seed 56); of
+// seeds 1 to 60 these failed on the code as it was.
 func TestHalfLeaveUnevenNews(t *testing.T) {
-	for _, seed := range []uint64{5, 21, 56} {
+	for _, seed := range []uint64{5, 21, 29, 35, 53, 56, 60} {
 		halfLeave(t, seed, 27)
 	}
+	halfLeave(t, 1, 9)
 }
 
 func halfLeave(t *testing.T, seed uint64, limiters int) {
--- a/limiter/spending.go
+++ b/limiter/spending.go
@@ -55,14 +55,18 @@
 	}
 }
 
-// draw takes from a balance the units that a peer has spent, of which some are fresh and
-// the rest came late: it told of them before, and that was lost. A bucket that was full
-// meanwhile let refill go that would have repaid them had they been heard in time.
-// Guards against a split that heals: each side would repay all that the other passed in
-// it, however little that was, while its own bucket had stood full all the time.
+// draw takes from a balance the units that a peer has spent since its last word. They were spent over that
+// time, as far as is known here, and a bucket that was full meanwhile let refill go that would have repaid them
+// had they been heard as they were spent. Guards against a split that heals, and against words that come seldom and
+// by chance at once: each counted as if all had been spent at this moment, and what is within a quota was refused. Of
+// a peer's first word the fresh units count as new.
 func (l *Limiter) draw(now float64, c *customer, v *view, units, fresh, level float64) {
 	burst := l.cfg.Plans[c.plan].Burst
-	repaid := peering.Repaid(units-fresh, c.idle-v.idle, level-(c.balance-units))
+	late := units
+	if v.heardAt == 0 {
+		late -= fresh
+	}
+	repaid := peering.Repaid(late, c.idle-v.idle, level-(c.balance-units))
 	c.idle -= repaid // once: what other peers told of can't be repaid by it
 	c.balance = max(c.balance-(units-repaid), min(c.balance, l.floor(c)))
 	c.fade(now)
--- a/peering/spending.go
+++ b/peering/spending.go
@@ -1,7 +1,7 @@
 package peering
 
-// Repaid is how much of the spending that a peer tells of late (units that it told of
-// before, in messages that did not arrive) refill has repaid already. idle is the refill
+// Repaid is how much of the spending that a peer tells of late (units that it spent before this
+// moment) refill has repaid already. idle is the refill
 // that the full bucket here let go since the peer was last heard: had the units been
 // drawn in time, it would have been kept. room is how far the peer's own level lies above
 // the balance that is left with all the units drawn: a bucket that hears of more spending
