proxy: what is in hand at the end is answered; a stall moves neither the intake's end nor SIGTERM

The end of the intake was an event of a loop, SIGTERM counted from when it was heard, and what was in hand at the exit got no answer. Readers go by the time; SIGTERM counts from when the process had last run, if it has just gone on; 0.5 s before the end of the grace period 503 or 504 tell what became of each request. The soak has long bodies and answers as well.

--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -217,6 +217,9 @@
 		if !unrun(rep.result) {
 			c.ran = true
 		}
+		if !c.ran {
+			c.takeBack()
+		}
 		if failure(rep.result) {
 			c.saw(s.server)
 		}
--- a/internal/proxy/clientconn.go
+++ b/internal/proxy/clientconn.go
@@ -45,7 +45,7 @@
 	l := newPipeline(c)
 	y.clients.add(l)
 	defer y.clients.remove(l)
-	if y.intakeOver.Load() { // it was stopped before this connection was known
+	if y.intakeIsOver() { // it was stopped before this connection was known
 		l.stopIntake()
 	}
 	defer l.client.end()
@@ -89,7 +89,7 @@
 func (y *Proxy) writeAnswers(c net.Conn, l *pipeline) {
 	over := false
 	for s := range l.slots {
-		a := <-s.done
+		a := y.awaitAnswer(s)
 		if after, left := l.client.since(); left {
 			y.countRanOn(after)
 			over = true
@@ -111,6 +111,26 @@
 	}
 }
 
+// awaitAnswer waits for a request's answer. At the end of the process it is one that tells so.
+func (y *Proxy) awaitAnswer(s *slot) *answer {
+	select {
+	case a := <-s.done:
+		return a
+	case <-y.exiting:
+	}
+	select {
+	case a := <-s.done:
+		return a
+	default:
+	}
+	if s.handOff == nil {
+		return <-s.done // it was answered at once
+	}
+	a := s.handOff.answerAtExit()
+	y.countCutOff(a)
+	return a
+}
+
 // hangUp tells a client that nothing more comes. What it sends behind that is taken in for a while: closing
 // with bytes unread would take the answer with it.
 func hangUp(c net.Conn) {
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -132,6 +132,10 @@
 		st.put(r)
 		return reply{abandoned: true}, false
 	}
+	if !c.send() {
+		st.put(r)
+		return reply{abandoned: true}, false
+	}
 	detach := c.attach(r)
 	rep, keep := c.converse(r, st)
 	if rep.answer != nil && rep.answer.stream != nil {
--- a/internal/proxy/figures.go
+++ b/internal/proxy/figures.go
@@ -47,6 +47,7 @@
 	all = append(all, metrics.One("madderdrum_proxy_client_connections", "Connections of clients that are open.", metrics.Gauge, float64(y.clients.count())))
 	all = append(all, y.disconnects.figures()...)
 	all = append(all, y.departure.figures()...)
+	all = append(all, y.stalls.figures()...)
 	return append(all, y.attemptFigure(), metrics.Instances("madderdrum_proxy_instances", y.book.Counts(y.now())))
 }
 
--- a/internal/proxy/pipeline.go
+++ b/internal/proxy/pipeline.go
@@ -25,6 +25,8 @@
 	end  bool // the connection closes behind it
 	id   string
 	read time.Time // when the request had been read whole
+	// handOff is the request's; nil: it is answered at once.
+	handOff *handOff
 }
 
 // pipeline is the order of a connection's requests. An answer that says that the connection closes
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -43,9 +43,11 @@
 	darkCores []string // those to ask when no other one answers
 	peers     net.PacketConn
 	link      *link
+	stalls    stallWatch
 
 	leaving    atomic.Bool   // SIGTERM has come
-	intakeOver atomic.Bool   // no further request is taken
+	intakeEnds atomic.Int64  // in ns since the beginning: no further request is taken then; 0: SIGTERM has not come
+	exiting    chan struct{} // closed when what is in hand is answered as it stands
 	inHand     atomic.Int64  // requests
 	clients    connections   // of clients, that are open
 	nudge      chan struct{} // ends a pull that is held
@@ -123,7 +125,10 @@
 	go sockets.Accept(life, front, y.serveConnection)
 	go y.tally(life)
 	go again(life, probeEvery, y.probeMembers)
-	go again(life, loadEvery, y.tellLoad)
+	go again(life, loadEvery, func() {
+		y.tickStalls()
+		y.tellLoad()
+	})
 	go set.Follow(life, func(next *nodesettings.Settings) {
 		log.WithField("seeds", len(next.Seeds)).Info("settings have changed")
 		y.mu.Lock()
@@ -141,7 +146,7 @@
 // newProxy returns a limiter that knows nothing yet.
 func newProxy(set *nodesettings.Settings, log logrus.FieldLogger) *Proxy {
 	y := &Proxy{set: set, log: log, link: newLink(set.LinkMbps), caller: rpc.NewCaller(), begun: time.Now(), self: fmt.Sprintf("%s#%08x", set.Node, rand.Uint32()),
-		seeds: set.Cores(), cores: set.Cores(), nudge: make(chan struct{}, 1), book: catalog.New(""), reg: &controlstate.Register{},
+		seeds: set.Cores(), cores: set.Cores(), nudge: make(chan struct{}, 1), exiting: make(chan struct{}), book: catalog.New(""), reg: &controlstate.Register{},
 		evacuate: map[string]bool{}, coldTo: map[string]time.Time{}, gone: map[string]bool{},
 		upstreams: map[string]*upstream{}, budget: map[string]*allowance.Tries{}, ended: map[ending]int{}, asks: map[uint64]chan tokenAnswer{}, asking: map[uint64]*allowance.Asks{},
 		memberIPs: map[string]string{}, unreachable: map[string]bool{}}
--- a/internal/proxy/requestreader.go
+++ b/internal/proxy/requestreader.go
@@ -87,6 +87,7 @@
 	*http.Request
 	body []byte  // or what is held of it
 	rest *upload // the rest of a long body; nil: none
+	handOff
 }
 
 // requestReader reads the requests of a connection.
@@ -137,7 +138,7 @@
 		return nil, readsNoMore
 	}
 	if r.ContentLength == 0 {
-		return &clientRequest{Request: r}, 0
+		return &clientRequest{Request: r}, readsNoMore
 	}
 	return q.readBody(r, limits.body)
 }
@@ -165,13 +166,13 @@
 	case err != nil:
 		return nil, endOf(err)
 	case int64(len(body)) <= held:
-		return &clientRequest{Request: r, body: body}, 0
+		return &clientRequest{Request: r, body: body}, readsNoMore
 	case held == most:
 		q.y.turnAway(q.l, 413, errBodyTooLong.Error())
 		return nil, readsNoMore
 	}
 	q.l.upload = newUpload(r, q.l.conn, most-int64(len(body)))
-	return &clientRequest{r, body, q.l.upload}, 0
+	return &clientRequest{Request: r, body: body, rest: q.l.upload}, readsNoMore
 }
 
 // begin has a request served, once fewer are in hand than may be. It tells whether another one may
@@ -185,12 +186,13 @@
 		y.count(unheard())
 		return clientGone, false
 	}
-	if y.intakeOver.Load() {
+	y.awaitSettled()
+	if y.intakeIsOver() {
 		q.refuse(r)
 		return readsNoMore, false
 	}
 	// Behind a long body the connection closes: how far it is read is not known when the answer is due.
-	s := &slot{done: make(chan *answer, 1), end: r.Close || r.rest != nil, id: r.Header.Get(headerAttempt), read: time.Now()}
+	s := &slot{done: make(chan *answer, 1), end: r.Close || r.rest != nil, id: r.Header.Get(headerAttempt), read: time.Now(), handOff: &r.handOff}
 	y.inHand.Add(1)
 	if !l.enter(s) {
 		y.inHand.Add(-1)
@@ -202,7 +204,9 @@
 		if r.rest != nil {
 			r.rest.finish()
 		}
-		y.count(a)
+		if !r.revoked() {
+			y.count(a)
+		}
 		s.done <- a
 	}()
 	if s.end {
--- a/internal/smallsystem/soak_clients_test.go
+++ b/internal/smallsystem/soak_clients_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -82,16 +83,51 @@
 	}
 }
 
+// soakKind is what a request is.
+type soakKind int
+
+const (
+	soakRead     soakKind = iota // a short one, which can be repeated
+	soakOnce                     // a short one, which can't
+	soakDownload                 // with a long answer
+	soakUpload                   // with a long body; it can't be repeated
+)
+
+func (k soakKind) String() string { return []string{"read", "once", "download", "upload"}[k] }
+
+const (
+	soakUploadPiece   = 64 << 10
+	soakUploadPieces  = 32      // more than the limiter holds of a body
+	soakDownloadLines = 1 << 18 // of an answer: more than the limiter holds
+	soakDownloadPiece = 1 << 14 // lines that are written or read at once
+)
+
+// soakLine is one of many that a long answer is made of.
+func soakLine(id string) string { return fmt.Sprintf("%-15s\n", id) }
+
+// readOrOnce draws a kind of short requests.
+func (c *soakClient) readOrOnce() soakKind {
+	if c.below(3) == 0 {
+		return soakOnce
+	}
+	return soakRead
+}
+
 // send writes a request, and notes it.
-func (c *soakClient) send(to *soakConn, once bool) (*soakRequest, error) {
+func (c *soakClient) send(to *soakConn, kind soakKind) (*soakRequest, error) {
 	c.sends++
-	sent := &soakRequest{id: fmt.Sprintf("%s-%d", c.name, c.sends), once: once, life: to.life, deadline: soakDeadline}
-	if c.below(4) == 0 {
+	sent := &soakRequest{id: fmt.Sprintf("%s-%d", c.name, c.sends), kind: kind, life: to.life, deadline: soakDeadline}
+	if c.below(4) == 0 || kind >= soakDownload {
 		sent.deadline = soakLongDeadline
 	}
 	method, path, body := "GET", "/a/1", ""
-	if once {
+	switch kind {
+	case soakOnce:
 		method, path, body = "POST", "/b/1", "payload"
+	case soakDownload:
+		path = "/c/1"
+	case soakUpload:
+		method, path, body = "POST", "/b/1", strings.Repeat("u", soakUploadPiece*soakUploadPieces)
 	}
 	text := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: model.example\r\nX-Madderdrum-Attempt-Id: %s\r\nX-Madderdrum-Deadline-Ms: %d\r\nX-Madderdrum-Credential: key-1\r\nContent-Length: %d\r\n\r\n%s",
 		method, path, sent.id, sent.deadline.Milliseconds(), len(body), body)
@@ -100,17 +136,56 @@
 	c.requests[sent.id] = sent
 	c.order = append(c.order, sent)
 	c.mu.Unlock()
-	_, err := io.WriteString(to, text)
+	err := c.write(to, text)
+	if err == nil {
+		c.mu.Lock()
+		sent.whole = time.Now()
+		c.mu.Unlock()
+	}
 	return sent, err
 }
 
+// write writes a text, a long one in pieces with pauses.
+func (c *soakClient) write(to *soakConn, text string) error {
+	for len(text) > 0 {
+		n := min(len(text), soakUploadPiece)
+		if _, err := io.WriteString(to, text[:n]); err != nil {
+			return err
+		}
+		if text = text[n:]; text != "" {
+			c.pause(30)
+		}
+	}
+	return nil
+}
+
+// read reads the body of an answer, a long one in pieces with pauses. Of the lines of a download it returns one.
+func (c *soakClient) read(from io.Reader, sent *soakRequest) (string, error) {
+	if sent.kind != soakDownload {
+		body, err := io.ReadAll(from)
+		return string(body), err
+	}
+	line := soakLine(sent.id)
+	piece, rest := strings.Repeat(line, soakDownloadPiece), make([]byte, len(line)*soakDownloadPiece)
+	for n := 0; n < soakDownloadLines; n += soakDownloadPiece {
+		if _, err := io.ReadFull(from, rest); err != nil {
+			return "", err
+		}
+		if string(rest) != piece {
+			return "another answer", nil
+		}
+		c.pause(60)
+	}
+	return sent.id, nil
+}
+
 // receive reads the answer to a request, and tells whether the connection goes on.
 func (c *soakClient) receive(from *soakConn, sent *soakRequest) bool {
 	from.SetReadDeadline(sent.sent.Add(sent.deadline + 5*time.Second))
 	r, err := http.ReadResponse(from.in, nil)
-	var body []byte
+	var body string
 	if err == nil {
-		body, err = io.ReadAll(r.Body)
+		body, err = c.readAnswer(r, sent)
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -120,10 +195,37 @@
 		sent.gaveUp = errors.Is(err, os.ErrDeadlineExceeded)
 		return false
 	}
-	sent.status, sent.body = r.StatusCode, string(body)
+	sent.status, sent.body = r.StatusCode, body
 	return !r.Close
 }
 
+// readAnswer reads the rest of an answer.
+func (c *soakClient) readAnswer(r *http.Response, sent *soakRequest) (string, error) {
+	if r.StatusCode == http.StatusOK {
+		return c.read(r.Body, sent)
+	}
+	body, err := io.ReadAll(r.Body)
+	return string(body), err
+}
+
+// long sends requests with long bodies or answers, one after the other on a connection until it ends.
+func (c *soakClient) long(kind soakKind) {
+	for c.ctx.Err() == nil {
+		to := c.open()
+		if to == nil {
+			continue
+		}
+		for c.ctx.Err() == nil {
+			sent, _ := c.send(to, kind) // an answer may come before all is written
+			if !c.receive(to, sent) || sent.whole.IsZero() {
+				break
+			}
+			c.pause(300)
+		}
+		to.Close()
+	}
+}
+
 // kept sends one request after the other, on one connection until it ends.
 func (c *soakClient) kept(pause int) {
 	for c.ctx.Err() == nil {
@@ -132,7 +234,7 @@
 			continue
 		}
 		for c.ctx.Err() == nil {
-			sent, err := c.send(to, c.below(3) == 0)
+			sent, err := c.send(to, c.readOrOnce())
 			if !c.receive(to, sent) || err != nil {
 				break
 			}
@@ -146,7 +248,7 @@
 func (c *soakClient) single() {
 	for c.ctx.Err() == nil {
 		if to := c.open(); to != nil {
-			if sent, err := c.send(to, c.below(3) == 0); err == nil {
+			if sent, err := c.send(to, c.readOrOnce()); err == nil {
 				c.receive(to, sent)
 			}
 			to.Close()
@@ -172,7 +274,7 @@
 	go func() {
 		defer close(under)
 		for c.ctx.Err() == nil {
-			sent, err := c.send(to, false)
+			sent, err := c.send(to, soakRead)
 			select {
 			case under <- sent:
 			case <-over:
@@ -217,7 +319,7 @@
 			continue
 		}
 		for c.ctx.Err() == nil {
-			sent, err := c.send(to, false)
+			sent, err := c.send(to, soakRead)
 			if !c.receive(to, sent) || err != nil {
 				break
 			}
@@ -230,6 +332,9 @@
 // work is what a server does: it is at work for a time that is drawn, unless its caller leaves, and answers.
 func (s *soak) work(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("X-Madderdrum-Attempt-Id")
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		return // it did not come whole: it is not run
+	}
 	takes := time.Duration(20+s.below(200)) * time.Millisecond
 	switch draw := s.below(100); {
 	case draw < 2: // until its caller leaves
@@ -257,5 +362,15 @@
 		s.mu.Unlock()
 	}
 	w.Header().Set("X-Madderdrum-Server-Seal", "model")
-	fmt.Fprint(w, id)
+	if sent == nil || sent.kind != soakDownload {
+		fmt.Fprint(w, id)
+		return
+	}
+	piece := strings.Repeat(soakLine(id), soakDownloadPiece)
+	w.Header().Set("Content-Length", strconv.Itoa(len(piece)*soakDownloadLines/soakDownloadPiece))
+	for n := 0; n < soakDownloadLines; n += soakDownloadPiece {
+		if _, err := io.WriteString(w, piece); err != nil {
+			return
+		}
+	}
 }
--- a/internal/smallsystem/soak_test.go
+++ b/internal/smallsystem/soak_test.go
@@ -40,6 +40,7 @@
 	soakTakenWithin    = 3 * time.Second         // after SIGTERM; what is sent later is not taken
 	soakExitMargin     = 50 * time.Millisecond
 	soakStallMargin    = 600 * time.Millisecond // a process that goes on so shortly before the end of its grace may miss it
+	soakSettles        = 200 * time.Millisecond // after which a process that has gone on counts as running
 	soakCloseWithin    = time.Second            // a request that meets a close is told of it
 	soakNetFirst       = 80
 )
@@ -59,6 +60,17 @@
 // soakStall is a time in which a process stands still. A zero end: it has not gone on yet.
 type soakStall struct{ from, to time.Time }
 
+// countsFrom is from when a process may count its grace period: SIGTERM or, where it stood still then, when it had last
+// run, as it can't tell when the signal was sent.
+func (l *soakLife) countsFrom() time.Time {
+	for _, s := range l.stalls {
+		if s.from.Before(l.sigterm) && (s.to.IsZero() || s.to.After(l.sigterm.Add(-soakSettles))) {
+			return s.from
+		}
+	}
+	return l.sigterm
+}
+
 // stood tells that the process stood still within some time.
 func (l *soakLife) stood(from, to time.Time) bool {
 	return slices.ContainsFunc(l.stalls, func(s soakStall) bool {
@@ -69,9 +81,10 @@
 // soakRequest is one try of a client.
 type soakRequest struct {
 	id       string
-	once     bool // it can't be repeated
+	kind     soakKind
 	life     *soakLife
-	sent     time.Time
+	sent     time.Time // its first byte
+	whole    time.Time // its last one; zero: it could not be written
 	deadline time.Duration
 	ended    time.Time // the answer was read whole, or the connection had ended
 	status   int       // 0: no answer
@@ -82,6 +95,9 @@
 	runs     []soakRun
 }
 
+// once tells that it can't be repeated.
+func (r *soakRequest) once() bool { return r.kind == soakOnce || r.kind == soakUpload }
+
 // soakRun is one run of a request at a server.
 type soakRun struct{ begun, ended time.Time }
 
@@ -118,10 +134,11 @@
 }
 
 func soakConfiguration(version, base int) []byte {
-	return fmt.Appendf(nil, `{"config_version":"r%d","base_revision":"r%d","limits":{"max_header_bytes":16384,"max_body_bytes":1048576,"header_timeout":"3s","idle_timeout":"15s"},`+
+	return fmt.Appendf(nil, `{"config_version":"r%d","base_revision":"r%d","limits":{"max_header_bytes":16384,"max_body_bytes":8388608,"header_timeout":"3s","idle_timeout":"15s"},`+
 		`"tenants":[{"name":"till","api_keys":["key-1"],"rate_per_s":2000,"burst_size":2000}],`+
 		`"listeners":[{"hostname":"model.example","policy":[`+
 		`{"name":"read","route_type":"idempotent","target_latency":"%dms","priority":1,"match_criteria":{"path_prefix":"/a/"},"forward_action":{"service":"engines","timeout":"6s","max_attempts":2}},`+
+		`{"name":"fetch","route_type":"download","target_latency":"3s","priority":2,"match_criteria":{"path_prefix":"/c/"},"forward_action":{"service":"engines","timeout":"6s","max_attempts":2}},`+
 		`{"name":"send","route_type":"non_idempotent","target_latency":"1500ms","priority":1,"match_criteria":{"path_prefix":"/b/"},"forward_action":{"service":"engines","timeout":"6s","max_attempts":2}}]}],`+
 		`"clusters":[{"name":"engines","health_path":"/health","max_connections":200,"warmup":"1s","cold_per_s":50}]}`, version, base, 1500+version%7)
 }
@@ -176,7 +193,7 @@
 	if !life.sigterm.IsZero() {
 		afterSIGTERM = r.sent.Sub(life.sigterm)
 	}
-	if ran && r.once && len(r.runs) > 1 {
+	if ran && r.once() && len(r.runs) > 1 {
 		return "it can't be repeated and ran more than once"
 	}
 	if ran && afterSIGTERM > 0 {
@@ -191,14 +208,14 @@
 	case r.status == 200:
 		tally.answered++
 		return ""
-	case (r.status == 429 || r.status == 503) && ran && r.once:
+	case (r.status == 429 || r.status == 503) && ran && r.once():
 		return "it was promised that it has not run"
 	case r.status != 0 && !slices.Contains([]int{429, 503, 502, 504}, r.status):
 		return "it is a proper request"
 	case r.status == 502 && !life.sigterm.IsZero():
 		return "it was broken off behind SIGTERM"
 	case r.status == 504 && !life.sigterm.IsZero() && r.ended.Sub(r.sent) < r.deadline-soakDeadlineMargin:
-		if r.ended.Sub(life.sigterm) < soakGrace*5/6 {
+		if r.ended.Sub(life.countsFrom()) < soakGrace*5/6 {
 			return "it was given up early behind SIGTERM"
 		}
 		tally.atTheEnd++
@@ -224,7 +241,7 @@
 		if life.sigterm.IsZero() {
 			return "its connection was closed by a limiter that does not leave"
 		}
-		if r.ended.Sub(r.sent) > soakCloseWithin && !life.stood(r.sent, r.ended) {
+		if !r.whole.IsZero() && r.ended.Sub(r.whole) > soakCloseWithin && !life.stood(r.sent, r.ended) {
 			return "its connection was closed long after it had been sent"
 		}
 		return ""
@@ -234,7 +251,7 @@
 
 // describe tells the story of a request.
 func (s *soak) describe(r *soakRequest) string {
-	text := fmt.Sprintf("%s once=%v at edge-%d, sent %.3f", r.id, r.once, r.life.edge+1, r.sent.Sub(s.begun).Seconds())
+	text := fmt.Sprintf("%s %v at edge-%d, sent %.3f", r.id, r.kind, r.life.edge+1, r.sent.Sub(s.begun).Seconds())
 	for name, at := range map[string]time.Time{"SIGTERM": r.life.sigterm, "SIGKILL": r.life.killed, "end of the process": r.life.ended} {
 		if !at.IsZero() {
 			text += fmt.Sprintf(", %s %.3f", name, at.Sub(s.begun).Seconds())
@@ -283,7 +300,7 @@
 		if i%3 == 0 {
 			c.keeps = 3 * soakTTL
 		}
-		behave := []func(){func() { c.kept(150) }, func() { c.pipelined(3) }, c.single, c.quiet, func() { c.pipelined(8) }, func() { c.kept(5) }}[i%6]
+		behave := []func(){func() { c.kept(150) }, func() { c.pipelined(3) }, c.single, c.quiet, func() { c.pipelined(8) }, func() { c.kept(5) }, func() { c.long(soakDownload) }, func() { c.long(soakUpload) }}[i%8]
 		clients.Add(1)
 		go func() {
 			defer clients.Done()
--- a/traffic/shutdown/shutdown.go
+++ b/traffic/shutdown/shutdown.go
@@ -5,6 +5,9 @@
 // run out, and some keep using the connections that they have open until these are closed, so that the end
 // of intake is the proxy's to decide. It comes in the first half of the grace period: what has been taken by
 // then has the other half to be answered in.
+//
+// The platform counts the grace period from when it sends SIGTERM, and a process that stands still hears of that
+// late. See StallDetector.
 package shutdown
 
 import "time"
@@ -15,6 +18,9 @@
 	DirectoryMargin = 500 * time.Millisecond
 	// ExitMargin is how long before the end of the grace period, when SIGKILL comes, the process ends by itself.
 	ExitMargin = 300 * time.Millisecond
+	// AnswerMargin is how long before the process ends whatever is still in hand is answered: nobody else can tell
+	// its client what became of it.
+	AnswerMargin = 200 * time.Millisecond
 	// DefaultGrace is the grace period where the settings name none.
 	DefaultGrace = 6 * time.Second
 )
@@ -43,12 +49,18 @@
 // ExitBy is when the process ends whatever it has in hand.
 func (p Plan) ExitBy() time.Duration { return p.grace - min(ExitMargin, p.grace/8) }
 
+// AnswerBy is when whatever is in hand is answered as it stands. It lies in the last sixth of the grace period:
+// until then a server that is at work may still answer.
+func (p Plan) AnswerBy() time.Duration { return p.ExitBy() - min(AnswerMargin, p.grace/24) }
+
 // Progress is how far a shutdown has come.
 type Progress struct {
 	Since         time.Duration // SIGTERM
 	Requests      int           // in hand
 	Connections   int           // of clients, that are open
 	PlaceReturned bool          // the control plane knows that the proxy holds nothing any more
+	Answered      bool          // what was in hand at the end has been given its answer
+	AnsweredFor   time.Duration // how long ago
 }
 
 // TakesRequests tells that connections and requests are still taken.
@@ -57,12 +69,25 @@
 // Drained tells that nothing is in hand and nothing can come: what the proxy holds may be returned.
 func (p Plan) Drained(at Progress) bool { return !p.TakesRequests(at) && at.Requests == 0 }
 
+// MustAnswer tells that what is in hand gets its answer now, whatever it waits for.
+func (p Plan) MustAnswer(at Progress) bool { return at.Since >= p.AnswerBy() }
+
 // MayExit tells that the process may end: nothing is left to do, or time is up. It does not stay longer than
-// it is of use, as its successor can't start before.
+// it is of use, as its successor can't start before. One that has stood still until after its exit time still writes
+// the answers of what it has in hand.
 func (p Plan) MayExit(at Progress) bool {
 	if at.Since >= p.ExitBy() {
-		return true
+		return at.Connections == 0 || !at.Answered && at.Requests == 0 || at.AnsweredFor >= AnswerMargin/2 && at.Answered
 	}
 	idle := at.Requests == 0 && at.Connections == 0 && at.PlaceReturned
 	return idle && !p.TakesRequests(at)
 }
+
+// LookAgain is when to look at the progress anew, after step at most: at the end of the intake just then, so that
+// the listener takes no connection that is not served.
+func (p Plan) LookAgain(at Progress, step time.Duration) time.Duration {
+	if !p.TakesRequests(at) {
+		return step
+	}
+	return min(step, p.IntakeEnd()-at.Since)
+}
