--- a/cmd/smallsystem/scale.go
+++ b/cmd/smallsystem/scale.go
@@ -8,8 +8,8 @@
 
 	"github.com/spf13/cobra"
 
-	"example.org/madderdrum/allowance"
 	"example.org/madderdrum/internal/testring"
+	"example.org/madderdrum/traffic/allowance"
 )
 
 // scale plays the control state at several sizes in virtual time and prints what one limiter says.
--- a/internal/proxy/asks.go
+++ b/internal/proxy/asks.go
@@ -6,12 +6,12 @@
 	"strconv"
 	"time"
 
-	"example.org/madderdrum/allowance"
 	"example.org/madderdrum/configuration"
 	"example.org/madderdrum/internal/nodesettings"
 	"example.org/madderdrum/internal/rpc"
 	"example.org/madderdrum/limiter"
-	"example.org/madderdrum/quotaloan"
+	"example.org/madderdrum/traffic/allowance"
+	"example.org/madderdrum/traffic/quotaloan"
 )
 
 // Where a tenant's ceiling divided by all limiters comes to less than a few requests, no part
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -7,9 +7,9 @@
 	"strings"
 	"time"
 
-	"example.org/madderdrum/allowance"
 	"example.org/madderdrum/configuration"
 	"example.org/madderdrum/limiter"
+	"example.org/madderdrum/traffic/allowance"
 )
 
 // call is a request in hand.
--- a/internal/proxy/engine.go
+++ b/internal/proxy/engine.go
@@ -8,13 +8,13 @@
 
 	"github.com/sirupsen/logrus"
 
-	"example.org/madderdrum/allowance"
 	"example.org/madderdrum/catalog"
 	"example.org/madderdrum/configuration"
 	"example.org/madderdrum/internal/nodesettings"
 	"example.org/madderdrum/limiter"
-	"example.org/madderdrum/loadreports"
-	"example.org/madderdrum/quotaloan"
+	"example.org/madderdrum/traffic/allowance"
+	"example.org/madderdrum/traffic/loadreports"
+	"example.org/madderdrum/traffic/quotaloan"
 )
 
 // engine drives the decisions of one limiter.Limiter: as many limiters stand in its set as
--- a/internal/proxy/lease.go
+++ b/internal/proxy/lease.go
@@ -5,8 +5,8 @@
 
 	"github.com/sirupsen/logrus"
 
-	"example.org/madderdrum/allowance"
 	"example.org/madderdrum/places"
+	"example.org/madderdrum/traffic/allowance"
 )
 
 // A limiter's place in the register is a lease (see package places): it stands as long as there is young
--- a/internal/proxy/link.go
+++ b/internal/proxy/link.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"example.org/madderdrum/pacing"
+	"example.org/madderdrum/traffic/pacing"
 )
 
 // link is the limiter's own link, on which long bodies keep a distance: see package pacing.
--- a/internal/proxy/loans.go
+++ b/internal/proxy/loans.go
@@ -8,9 +8,9 @@
 	"example.org/madderdrum/internal/nodesettings"
 	"example.org/madderdrum/internal/rpc"
 	"example.org/madderdrum/limiter"
-	"example.org/madderdrum/loadreports"
 	"example.org/madderdrum/places"
-	"example.org/madderdrum/quotaloan"
+	"example.org/madderdrum/traffic/loadreports"
+	"example.org/madderdrum/traffic/quotaloan"
 )
 
 // Datagrams between limiters begin with what they are.
--- a/internal/proxy/membership.go
+++ b/internal/proxy/membership.go
@@ -9,12 +9,12 @@
 	"github.com/sirupsen/logrus"
 
 	"example.org/madderdrum/catalog"
-	"example.org/madderdrum/failurereports"
 	"example.org/madderdrum/internal/nodesettings"
 	"example.org/madderdrum/internal/rpc"
 	"example.org/madderdrum/limiter"
-	"example.org/madderdrum/loadreports"
-	"example.org/madderdrum/membership"
+	"example.org/madderdrum/traffic/failurereports"
+	"example.org/madderdrum/traffic/loadreports"
+	"example.org/madderdrum/traffic/membership"
 )
 
 const probeEvery = 100 * time.Millisecond
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -14,20 +14,20 @@
 
 	"github.com/sirupsen/logrus"
 
-	"example.org/madderdrum/allowance"
 	"example.org/madderdrum/catalog"
 	"example.org/madderdrum/configuration"
 	"example.org/madderdrum/controlstate"
-	"example.org/madderdrum/failurereports"
 	"example.org/madderdrum/internal/metrics"
 	"example.org/madderdrum/internal/nodesettings"
 	"example.org/madderdrum/internal/rpc"
 	"example.org/madderdrum/internal/sockets"
 	"example.org/madderdrum/internal/wait"
-	"example.org/madderdrum/loadreports"
-	"example.org/madderdrum/membership"
 	"example.org/madderdrum/places"
-	"example.org/madderdrum/quotaloan"
+	"example.org/madderdrum/traffic/allowance"
+	"example.org/madderdrum/traffic/failurereports"
+	"example.org/madderdrum/traffic/loadreports"
+	"example.org/madderdrum/traffic/membership"
+	"example.org/madderdrum/traffic/quotaloan"
 )
 
 // Proxy is one limiter of the system.
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -17,18 +17,18 @@
 	"github.com/google/go-cmp/cmp"
 	"github.com/sirupsen/logrus"
 
-	"example.org/madderdrum/allowance"
 	"example.org/madderdrum/catalog"
 	"example.org/madderdrum/controlstate"
-	"example.org/madderdrum/failurereports"
 	"example.org/madderdrum/internal/nodesettings"
 	"example.org/madderdrum/internal/registry"
 	"example.org/madderdrum/internal/rpc"
 	"example.org/madderdrum/internal/sockets"
-	"example.org/madderdrum/loadreports"
-	"example.org/madderdrum/membership"
 	"example.org/madderdrum/places"
-	"example.org/madderdrum/quotaloan"
+	"example.org/madderdrum/traffic/allowance"
+	"example.org/madderdrum/traffic/failurereports"
+	"example.org/madderdrum/traffic/loadreports"
+	"example.org/madderdrum/traffic/membership"
+	"example.org/madderdrum/traffic/quotaloan"
 )
 
 // testProxy is a limiter without its listeners, told directly what a core machine would tell.
--- a/internal/proxy/pull.go
+++ b/internal/proxy/pull.go
@@ -14,11 +14,11 @@
 	"example.org/madderdrum/catalog"
 	"example.org/madderdrum/configdelta"
 	"example.org/madderdrum/configuration"
-	"example.org/madderdrum/directory"
 	"example.org/madderdrum/freshness"
 	"example.org/madderdrum/internal/nodesettings"
 	"example.org/madderdrum/internal/registry"
 	"example.org/madderdrum/internal/wait"
+	"example.org/madderdrum/traffic/directory"
 )
 
 const (
--- a/internal/testring/places.go
+++ b/internal/testring/places.go
@@ -6,12 +6,12 @@
 	"strconv"
 	"time"
 
-	"example.org/madderdrum/allowance"
 	"example.org/madderdrum/catalog"
 	"example.org/madderdrum/controlstate"
 	"example.org/madderdrum/internal/registry"
 	"example.org/madderdrum/internal/rpc"
 	"example.org/madderdrum/places"
+	"example.org/madderdrum/traffic/allowance"
 )
 
 const (
--- a/internal/testring/requests.go
+++ b/internal/testring/requests.go
@@ -3,10 +3,10 @@
 import (
 	"fmt"
 
-	"example.org/madderdrum/allowance"
 	"example.org/madderdrum/limiter"
-	"example.org/madderdrum/membership"
-	"example.org/madderdrum/quotaloan"
+	"example.org/madderdrum/traffic/allowance"
+	"example.org/madderdrum/traffic/membership"
+	"example.org/madderdrum/traffic/quotaloan"
 )
 
 // arrive has a tenant's next request come.
--- a/internal/testring/rush.go
+++ b/internal/testring/rush.go
@@ -9,7 +9,7 @@
 
 	"example.org/madderdrum/internal/rpc"
 	"example.org/madderdrum/limiter"
-	"example.org/madderdrum/loadreports"
+	"example.org/madderdrum/traffic/loadreports"
 )
 
 // View is what limiters go by in a rush.
--- a/internal/testring/testring.go
+++ b/internal/testring/testring.go
@@ -15,13 +15,13 @@
 	"strings"
 	"time"
 
-	"example.org/madderdrum/allowance"
 	"example.org/madderdrum/catalog"
 	"example.org/madderdrum/internal/rpc"
 	"example.org/madderdrum/limiter"
-	"example.org/madderdrum/membership"
 	"example.org/madderdrum/places"
-	"example.org/madderdrum/quotaloan"
+	"example.org/madderdrum/traffic/allowance"
+	"example.org/madderdrum/traffic/membership"
+	"example.org/madderdrum/traffic/quotaloan"
 )
 
 // Options say what is played.
--- a/internal/testring/testring_test.go
+++ b/internal/testring/testring_test.go
@@ -5,8 +5,8 @@
 	"testing"
 	"time"
 
-	"example.org/madderdrum/allowance"
 	"example.org/madderdrum/catalog"
+	"example.org/madderdrum/traffic/allowance"
 )
 
 var rules = allowance.Rules{QuotaWindow: 5 * time.Second, QuotaOvershoot: 0.1, QuotaSlack: 20, RetryRatio: 0.2, RetrySlack: 200, WarmupOvershoot: 1.5, WarmupSlack: 8}
--- a/quotaloan/holding.go
+++ b/traffic/quotaloan/holding.go
@@ -4,7 +4,7 @@
 	"maps"
 	"slices"
 
-	"example.org/madderdrum/allowance"
+	"example.org/madderdrum/traffic/allowance"
 )
 
 // Demand is what was asked for at this limiter of one account with a ceiling.
