control/: the agreed state stands in one folder; only moves

paxos, replica, coremembers, controlstate, configuration, configdelta, catalog, places and freshness.

--- a/controlstate/controlstate.go
+++ b/control/controlstate/controlstate.go
@@ -11,8 +11,8 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"example.org/madderdrum/configuration"
-	"example.org/madderdrum/places"
+	"example.org/madderdrum/control/configuration"
+	"example.org/madderdrum/control/places"
 )
 
 // Register is one version of the agreed state. Its zero value is that before any order.
--- a/controlstate/controlstate_test.go
+++ b/control/controlstate/controlstate_test.go
@@ -1,7 +1,7 @@
 package controlstate
 
 import (
-	"example.org/madderdrum/places"
+	"example.org/madderdrum/control/places"
 	"fmt"
 	"testing"
 
--- a/controlstate/places_test.go
+++ b/control/controlstate/places_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"testing"
 
-	"example.org/madderdrum/places"
+	"example.org/madderdrum/control/places"
 )
 
 // A register of 760 limiters, of whom 1,900 are replaced a day, is no larger after 30 days than after one hour.
--- a/controlstate/size_test.go
+++ b/control/controlstate/size_test.go
@@ -5,8 +5,8 @@
 	"fmt"
 	"testing"
 
-	"example.org/madderdrum/configdelta"
-	"example.org/madderdrum/configuration"
+	"example.org/madderdrum/control/configdelta"
+	"example.org/madderdrum/control/configuration"
 )
 
 // sizes are numbers of tenants; routes and services grow with them to 1,700 and 240.
--- a/controlstate/voters_test.go
+++ b/control/controlstate/voters_test.go
@@ -6,7 +6,7 @@
 	"slices"
 	"testing"
 
-	"example.org/madderdrum/paxos"
+	"example.org/madderdrum/control/paxos"
 )
 
 // The model of a change of voters: proposers change the register by rounds, one of them lets
--- a/coremembers/coremembers.go
+++ b/control/coremembers/coremembers.go
@@ -18,7 +18,7 @@
 	"strings"
 	"time"
 
-	"example.org/madderdrum/controlstate"
+	"example.org/madderdrum/control/controlstate"
 )
 
 const (
--- a/freshness/freshness.go
+++ b/control/freshness/freshness.go
@@ -9,7 +9,7 @@
 import (
 	"time"
 
-	"example.org/madderdrum/paxos"
+	"example.org/madderdrum/control/paxos"
 )
 
 // Contacts is when other machines were last heard, by IP number.
--- a/replica/attempt.go
+++ b/control/replica/attempt.go
@@ -4,8 +4,8 @@
 	"fmt"
 	"slices"
 
-	"example.org/madderdrum/controlstate"
-	"example.org/madderdrum/paxos"
+	"example.org/madderdrum/control/controlstate"
+	"example.org/madderdrum/control/paxos"
 )
 
 // Step is what is to be done after an answer in a round.
--- a/replica/model_test.go
+++ b/control/replica/model_test.go
@@ -8,8 +8,8 @@
 	"testing"
 	"time"
 
-	"example.org/madderdrum/controlstate"
-	"example.org/madderdrum/paxos"
+	"example.org/madderdrum/control/controlstate"
+	"example.org/madderdrum/control/paxos"
 )
 
 // The model: stores with their disks, of which one is replaced and one loses its disk, and messages
--- a/replica/refusal_test.go
+++ b/control/replica/refusal_test.go
@@ -4,8 +4,8 @@
 	"fmt"
 	"testing"
 
-	"example.org/madderdrum/controlstate"
-	"example.org/madderdrum/paxos"
+	"example.org/madderdrum/control/controlstate"
+	"example.org/madderdrum/control/paxos"
 )
 
 // replaceOrder is an order for a whole configuration.
--- a/replica/replica.go
+++ b/control/replica/replica.go
@@ -11,8 +11,8 @@
 	"slices"
 	"time"
 
-	"example.org/madderdrum/controlstate"
-	"example.org/madderdrum/paxos"
+	"example.org/madderdrum/control/controlstate"
+	"example.org/madderdrum/control/paxos"
 )
 
 // resolveAfter is how long another proposer's value that is accepted and not known to be chosen is
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -16,7 +16,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/spf13/cobra"
 
-	"example.org/madderdrum/configuration"
+	"example.org/madderdrum/control/configuration"
 	_ "example.org/madderdrum/internal/hangup" // SIGHUP must not end a process that starts
 	"example.org/madderdrum/internal/metrics"
 	"example.org/madderdrum/internal/nodesettings"
--- a/internal/configstore/acceptor.go
+++ b/internal/configstore/acceptor.go
@@ -4,10 +4,10 @@
 	"context"
 	"time"
 
-	"example.org/madderdrum/configdelta"
-	"example.org/madderdrum/coremembers"
+	"example.org/madderdrum/control/configdelta"
+	"example.org/madderdrum/control/coremembers"
+	"example.org/madderdrum/control/paxos"
 	"example.org/madderdrum/internal/wait"
-	"example.org/madderdrum/paxos"
 )
 
 // keepAgain is the pause before a disk that took no record is tried again.
--- a/internal/configstore/calls.go
+++ b/internal/configstore/calls.go
@@ -7,10 +7,10 @@
 	"slices"
 	"time"
 
-	"example.org/madderdrum/controlstate"
+	"example.org/madderdrum/control/controlstate"
+	"example.org/madderdrum/control/paxos"
+	"example.org/madderdrum/control/replica"
 	"example.org/madderdrum/internal/rpc"
-	"example.org/madderdrum/paxos"
-	"example.org/madderdrum/replica"
 )
 
 // Calls of a store. Those with a capital are made by other packages. Each is safe to be carried out
--- a/internal/configstore/confirm.go
+++ b/internal/configstore/confirm.go
@@ -7,11 +7,11 @@
 
 	"github.com/sirupsen/logrus"
 
-	"example.org/madderdrum/controlstate"
-	"example.org/madderdrum/coremembers"
+	"example.org/madderdrum/control/controlstate"
+	"example.org/madderdrum/control/coremembers"
+	"example.org/madderdrum/control/replica"
 	"example.org/madderdrum/internal/nodesettings"
 	"example.org/madderdrum/internal/wait"
-	"example.org/madderdrum/replica"
 )
 
 const (
--- a/internal/configstore/disk.go
+++ b/internal/configstore/disk.go
@@ -15,8 +15,8 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/tidwall/wal"
 
-	"example.org/madderdrum/configdelta"
-	"example.org/madderdrum/paxos"
+	"example.org/madderdrum/control/configdelta"
+	"example.org/madderdrum/control/paxos"
 )
 
 // A log is begun anew once it holds so much: all that counts is its last record, and the
--- a/internal/configstore/disk_test.go
+++ b/internal/configstore/disk_test.go
@@ -8,8 +8,8 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"example.org/madderdrum/configdelta"
-	"example.org/madderdrum/paxos"
+	"example.org/madderdrum/control/configdelta"
+	"example.org/madderdrum/control/paxos"
 )
 
 // logFile is the one file of the newest log.
--- a/internal/configstore/figures.go
+++ b/internal/configstore/figures.go
@@ -1,8 +1,8 @@
 package configstore
 
 import (
+	"example.org/madderdrum/control/replica"
 	"example.org/madderdrum/internal/metrics"
-	"example.org/madderdrum/replica"
 )
 
 // figures are what this store tells of itself to those who collect metrics.
--- a/internal/configstore/proposer.go
+++ b/internal/configstore/proposer.go
@@ -6,12 +6,12 @@
 	"slices"
 	"time"
 
-	"example.org/madderdrum/configdelta"
-	"example.org/madderdrum/controlstate"
+	"example.org/madderdrum/control/configdelta"
+	"example.org/madderdrum/control/controlstate"
+	"example.org/madderdrum/control/paxos"
+	"example.org/madderdrum/control/replica"
 	"example.org/madderdrum/internal/nodesettings"
 	"example.org/madderdrum/internal/wait"
-	"example.org/madderdrum/paxos"
-	"example.org/madderdrum/replica"
 )
 
 const (
--- a/internal/configstore/store.go
+++ b/internal/configstore/store.go
@@ -16,13 +16,13 @@
 
 	"github.com/sirupsen/logrus"
 
-	"example.org/madderdrum/controlstate"
-	"example.org/madderdrum/coremembers"
+	"example.org/madderdrum/control/controlstate"
+	"example.org/madderdrum/control/coremembers"
+	"example.org/madderdrum/control/paxos"
+	"example.org/madderdrum/control/replica"
 	"example.org/madderdrum/internal/metrics"
 	"example.org/madderdrum/internal/nodesettings"
 	"example.org/madderdrum/internal/rpc"
-	"example.org/madderdrum/paxos"
-	"example.org/madderdrum/replica"
 )
 
 const (
--- a/internal/configstore/store_test.go
+++ b/internal/configstore/store_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/sirupsen/logrus"
 
-	"example.org/madderdrum/controlstate"
+	"example.org/madderdrum/control/controlstate"
 	"example.org/madderdrum/internal/nodesettings"
 	"example.org/madderdrum/internal/rpc"
 )
--- a/internal/configstore/voters.go
+++ b/internal/configstore/voters.go
@@ -8,7 +8,7 @@
 
 	"github.com/spf13/cobra"
 
-	"example.org/madderdrum/controlstate"
+	"example.org/madderdrum/control/controlstate"
 	"example.org/madderdrum/internal/rpc"
 )
 
--- a/internal/controlsim/controlsim.go
+++ b/internal/controlsim/controlsim.go
@@ -15,10 +15,10 @@
 	"slices"
 	"time"
 
-	"example.org/madderdrum/controlstate"
-	"example.org/madderdrum/coremembers"
-	"example.org/madderdrum/paxos"
-	"example.org/madderdrum/replica"
+	"example.org/madderdrum/control/controlstate"
+	"example.org/madderdrum/control/coremembers"
+	"example.org/madderdrum/control/paxos"
+	"example.org/madderdrum/control/replica"
 )
 
 // Spans that the hosts keep too.
--- a/internal/controlsim/controlsim_test.go
+++ b/internal/controlsim/controlsim_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"example.org/madderdrum/controlstate"
+	"example.org/madderdrum/control/controlstate"
 )
 
 var seeds = flag.Int("controlsim.seeds", 40, "random days to play")
--- a/internal/controlsim/limiters.go
+++ b/internal/controlsim/limiters.go
@@ -4,9 +4,9 @@
 	"slices"
 	"time"
 
-	"example.org/madderdrum/controlstate"
-	"example.org/madderdrum/freshness"
-	"example.org/madderdrum/replica"
+	"example.org/madderdrum/control/controlstate"
+	"example.org/madderdrum/control/freshness"
+	"example.org/madderdrum/control/replica"
 )
 
 // Spans that the hosts of registries and limiters keep too.
--- a/internal/controlsim/loops.go
+++ b/internal/controlsim/loops.go
@@ -4,10 +4,10 @@
 	"slices"
 	"time"
 
-	"example.org/madderdrum/controlstate"
-	"example.org/madderdrum/coremembers"
-	"example.org/madderdrum/paxos"
-	"example.org/madderdrum/replica"
+	"example.org/madderdrum/control/controlstate"
+	"example.org/madderdrum/control/coremembers"
+	"example.org/madderdrum/control/paxos"
+	"example.org/madderdrum/control/replica"
 )
 
 // report has the store hold a confirmation at once, besides those that it holds at intervals.
--- a/internal/controlsim/operator.go
+++ b/internal/controlsim/operator.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"example.org/madderdrum/controlstate"
+	"example.org/madderdrum/control/controlstate"
 )
 
 // callerPatience is how long an operator waits for an answer before it asks another machine.
--- a/internal/metrics/instances.go
+++ b/internal/metrics/instances.go
@@ -1,6 +1,6 @@
 package metrics
 
-import "example.org/madderdrum/catalog"
+import "example.org/madderdrum/control/catalog"
 
 // Instances tells how many lives of servers and limiters stand how, by service.
 func Instances(name string, counts []catalog.ServiceCount) Figure {
--- a/internal/nodesettings/nodesettings.go
+++ b/internal/nodesettings/nodesettings.go
@@ -15,7 +15,7 @@
 
 	"github.com/valyala/fastjson"
 
-	"example.org/madderdrum/configuration"
+	"example.org/madderdrum/control/configuration"
 )
 
 // Variable names the environment variable that holds the path of the settings file.
--- a/internal/proxy/asks.go
+++ b/internal/proxy/asks.go
@@ -6,7 +6,7 @@
 	"strconv"
 	"time"
 
-	"example.org/madderdrum/configuration"
+	"example.org/madderdrum/control/configuration"
 	"example.org/madderdrum/internal/nodesettings"
 	"example.org/madderdrum/internal/rpc"
 	"example.org/madderdrum/limiter"
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -7,7 +7,7 @@
 	"strings"
 	"time"
 
-	"example.org/madderdrum/configuration"
+	"example.org/madderdrum/control/configuration"
 	"example.org/madderdrum/limiter"
 	"example.org/madderdrum/traffic/allowance"
 )
--- a/internal/proxy/departure_test.go
+++ b/internal/proxy/departure_test.go
@@ -11,7 +11,7 @@
 	"testing"
 	"time"
 
-	"example.org/madderdrum/catalog"
+	"example.org/madderdrum/control/catalog"
 	"example.org/madderdrum/internal/sockets"
 )
 
--- a/internal/proxy/disconnect_test.go
+++ b/internal/proxy/disconnect_test.go
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"example.org/madderdrum/catalog"
+	"example.org/madderdrum/control/catalog"
 )
 
 // patientRoutes hold requests for longer than any test waits: what ends before that was broken off.
--- a/internal/proxy/engine.go
+++ b/internal/proxy/engine.go
@@ -8,8 +8,8 @@
 
 	"github.com/sirupsen/logrus"
 
-	"example.org/madderdrum/catalog"
-	"example.org/madderdrum/configuration"
+	"example.org/madderdrum/control/catalog"
+	"example.org/madderdrum/control/configuration"
 	"example.org/madderdrum/internal/nodesettings"
 	"example.org/madderdrum/limiter"
 	"example.org/madderdrum/traffic/allowance"
--- a/internal/proxy/lease.go
+++ b/internal/proxy/lease.go
@@ -5,7 +5,7 @@
 
 	"github.com/sirupsen/logrus"
 
-	"example.org/madderdrum/places"
+	"example.org/madderdrum/control/places"
 	"example.org/madderdrum/traffic/allowance"
 )
 
--- a/internal/proxy/lease_test.go
+++ b/internal/proxy/lease_test.go
@@ -6,10 +6,10 @@
 	"testing"
 	"time"
 
-	"example.org/madderdrum/controlstate"
+	"example.org/madderdrum/control/controlstate"
+	"example.org/madderdrum/control/places"
 	"example.org/madderdrum/internal/registry"
 	"example.org/madderdrum/internal/rpc"
-	"example.org/madderdrum/places"
 )
 
 // placed is a register with places of its own, so many settled.
--- a/internal/proxy/lives_test.go
+++ b/internal/proxy/lives_test.go
@@ -13,7 +13,7 @@
 	"testing"
 	"time"
 
-	"example.org/madderdrum/catalog"
+	"example.org/madderdrum/control/catalog"
 )
 
 // lives is a world of servers and clients that do what they may at any point of a request's life.
--- a/internal/proxy/load.go
+++ b/internal/proxy/load.go
@@ -7,10 +7,10 @@
 
 	"github.com/sirupsen/logrus"
 
+	"example.org/madderdrum/control/places"
 	"example.org/madderdrum/internal/nodesettings"
 	"example.org/madderdrum/internal/rpc"
 	"example.org/madderdrum/limiter"
-	"example.org/madderdrum/places"
 )
 
 const (
--- a/internal/proxy/loans.go
+++ b/internal/proxy/loans.go
@@ -5,10 +5,10 @@
 	"slices"
 	"time"
 
+	"example.org/madderdrum/control/places"
 	"example.org/madderdrum/internal/nodesettings"
 	"example.org/madderdrum/internal/rpc"
 	"example.org/madderdrum/limiter"
-	"example.org/madderdrum/places"
 	"example.org/madderdrum/traffic/loadreports"
 	"example.org/madderdrum/traffic/quotaloan"
 )
--- a/internal/proxy/membership.go
+++ b/internal/proxy/membership.go
@@ -8,7 +8,7 @@
 
 	"github.com/sirupsen/logrus"
 
-	"example.org/madderdrum/catalog"
+	"example.org/madderdrum/control/catalog"
 	"example.org/madderdrum/internal/nodesettings"
 	"example.org/madderdrum/internal/rpc"
 	"example.org/madderdrum/limiter"
--- a/internal/proxy/pull.go
+++ b/internal/proxy/pull.go
@@ -11,10 +11,10 @@
 
 	"github.com/sirupsen/logrus"
 
-	"example.org/madderdrum/catalog"
-	"example.org/madderdrum/configdelta"
-	"example.org/madderdrum/configuration"
-	"example.org/madderdrum/freshness"
+	"example.org/madderdrum/control/catalog"
+	"example.org/madderdrum/control/configdelta"
+	"example.org/madderdrum/control/configuration"
+	"example.org/madderdrum/control/freshness"
 	"example.org/madderdrum/internal/nodesettings"
 	"example.org/madderdrum/internal/registry"
 	"example.org/madderdrum/internal/wait"
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"example.org/madderdrum/catalog"
+	"example.org/madderdrum/control/catalog"
 	"example.org/madderdrum/internal/rpc"
 	"example.org/madderdrum/internal/sockets"
 	"example.org/madderdrum/internal/wait"
--- a/internal/registry/limiters.go
+++ b/internal/registry/limiters.go
@@ -8,11 +8,11 @@
 	"strings"
 	"time"
 
-	"example.org/madderdrum/catalog"
-	"example.org/madderdrum/controlstate"
+	"example.org/madderdrum/control/catalog"
+	"example.org/madderdrum/control/controlstate"
+	"example.org/madderdrum/control/places"
 	"example.org/madderdrum/internal/nodesettings"
 	"example.org/madderdrum/internal/wait"
-	"example.org/madderdrum/places"
 )
 
 const (
--- a/internal/registry/outside.go
+++ b/internal/registry/outside.go
@@ -10,9 +10,9 @@
 	"github.com/sirupsen/logrus"
 	"github.com/valyala/fastjson"
 
-	"example.org/madderdrum/catalog"
-	"example.org/madderdrum/configuration"
-	"example.org/madderdrum/controlstate"
+	"example.org/madderdrum/control/catalog"
+	"example.org/madderdrum/control/configuration"
+	"example.org/madderdrum/control/controlstate"
 	"example.org/madderdrum/internal/configstore"
 	"example.org/madderdrum/internal/httpapi"
 )
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -16,17 +16,17 @@
 
 	"github.com/sirupsen/logrus"
 
-	"example.org/madderdrum/catalog"
-	"example.org/madderdrum/configdelta"
-	"example.org/madderdrum/controlstate"
-	"example.org/madderdrum/freshness"
+	"example.org/madderdrum/control/catalog"
+	"example.org/madderdrum/control/configdelta"
+	"example.org/madderdrum/control/controlstate"
+	"example.org/madderdrum/control/freshness"
+	"example.org/madderdrum/control/places"
 	"example.org/madderdrum/internal/configstore"
 	"example.org/madderdrum/internal/httpapi"
 	"example.org/madderdrum/internal/metrics"
 	"example.org/madderdrum/internal/nodesettings"
 	"example.org/madderdrum/internal/rpc"
 	"example.org/madderdrum/internal/wait"
-	"example.org/madderdrum/places"
 )
 
 const (
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -11,9 +11,9 @@
 
 	"github.com/sirupsen/logrus"
 
-	"example.org/madderdrum/catalog"
-	"example.org/madderdrum/controlstate"
-	"example.org/madderdrum/freshness"
+	"example.org/madderdrum/control/catalog"
+	"example.org/madderdrum/control/controlstate"
+	"example.org/madderdrum/control/freshness"
 	"example.org/madderdrum/internal/nodesettings"
 	"example.org/madderdrum/internal/rpc"
 )
--- a/internal/testring/cores.go
+++ b/internal/testring/cores.go
@@ -6,7 +6,7 @@
 	"math"
 	"strings"
 
-	"example.org/madderdrum/catalog"
+	"example.org/madderdrum/control/catalog"
 	"example.org/madderdrum/internal/registry"
 	"example.org/madderdrum/internal/rpc"
 )
--- a/internal/testring/places.go
+++ b/internal/testring/places.go
@@ -6,11 +6,11 @@
 	"strconv"
 	"time"
 
-	"example.org/madderdrum/catalog"
-	"example.org/madderdrum/controlstate"
+	"example.org/madderdrum/control/catalog"
+	"example.org/madderdrum/control/controlstate"
+	"example.org/madderdrum/control/places"
 	"example.org/madderdrum/internal/registry"
 	"example.org/madderdrum/internal/rpc"
-	"example.org/madderdrum/places"
 	"example.org/madderdrum/traffic/allowance"
 )
 
--- a/internal/testring/testring.go
+++ b/internal/testring/testring.go
@@ -15,10 +15,10 @@
 	"strings"
 	"time"
 
-	"example.org/madderdrum/catalog"
+	"example.org/madderdrum/control/catalog"
+	"example.org/madderdrum/control/places"
 	"example.org/madderdrum/internal/rpc"
 	"example.org/madderdrum/limiter"
-	"example.org/madderdrum/places"
 	"example.org/madderdrum/traffic/allowance"
 	"example.org/madderdrum/traffic/membership"
 	"example.org/madderdrum/traffic/quotaloan"
--- a/internal/testring/testring_test.go
+++ b/internal/testring/testring_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"example.org/madderdrum/catalog"
+	"example.org/madderdrum/control/catalog"
 	"example.org/madderdrum/traffic/allowance"
 )
 
--- a/traffic/allowance/allowance.go
+++ b/traffic/allowance/allowance.go
@@ -9,7 +9,7 @@
 	"slices"
 	"time"
 
-	"example.org/madderdrum/places"
+	"example.org/madderdrum/control/places"
 )
 
 // Rules are the figures of the rules in force.
