--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -218,7 +218,7 @@
 			c.ran = true
 		}
 		if !c.ran {
-			c.takeBack()
+			c.handOff.takeBack()
 		}
 		if failure(rep.result) {
 			c.saw(s.server)
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -132,7 +132,7 @@
 		st.put(r)
 		return reply{abandoned: true}, false
 	}
-	if !c.send() {
+	if !c.handOff.send() {
 		st.put(r)
 		return reply{abandoned: true}, false
 	}
--- a/internal/proxy/requestreader.go
+++ b/internal/proxy/requestreader.go
@@ -87,7 +87,8 @@
 	*http.Request
 	body []byte  // or what is held of it
 	rest *upload // the rest of a long body; nil: none
-	handOff
+	// handOff says whether a server may have it.
+	handOff handOff
 }
 
 // requestReader reads the requests of a connection.
@@ -204,7 +205,7 @@
 		if r.rest != nil {
 			r.rest.finish()
 		}
-		if !r.revoked() {
+		if !r.handOff.revoked() {
 			y.count(a)
 		}
 		s.done <- a
