--- /dev/null
+++ b/tenure/refused_test.go
@@ -0,0 +1,68 @@
+package tenure
+
+import (
+	"testing"
+	"time"
+)
+
+// An owner that is cut off from what is agreed carries nothing out under its epoch once another owner has used a
+// higher one, so that a receiver never has to refuse it a second time: its own term is over before the other's begins.
+// An effect that it sent before may still arrive behind that, and is refused once.
+func TestCutOffOwnerDoesNotGoOnUnderItsEpoch(t *testing.T) {
+	cfg := DefaultSettings()
+	const duty = "rollout"
+	const tick = 10 * time.Millisecond
+	limiters := []string{"a", "b"}
+	for name, late := range map[string]time.Duration{"effects arrive at once": 0, "effects arrive a term late": cfg.Term} {
+		registry, fence := &Registry{}, NewFence(nil)
+		cutOff := NewCandidate(Process{Limiter: "a"}, cfg, []string{duty}, limiters)
+		other := NewCandidate(Process{Limiter: "b"}, cfg, []string{duty}, limiters)
+		type effect struct {
+			token    Token
+			sent, at time.Duration
+		}
+		var onTheWay []effect
+		admitted := map[string]int{}
+		var lastSent, refusedAt time.Duration // by the one that is cut off
+		act := func(c *Candidate, now, arrives time.Duration) {
+			if token, owns := c.Owns(now, duty); owns {
+				onTheWay = append(onTheWay, effect{token, now, arrives})
+			}
+		}
+		cut := 10 * cfg.Term
+		for now := time.Duration(0); now < 40*cfg.Term; now += tick {
+			candidate := cutOff
+			if now >= cut {
+				act(cutOff, now, now+late)
+				candidate = other
+			}
+			candidate.Observe(now, registry)
+			for _, cmd := range candidate.Step(now) {
+				registry.Apply(cmd)
+			}
+			act(candidate, now, now)
+			rest := onTheWay[:0]
+			for _, e := range onTheWay {
+				if e.at > now {
+					rest = append(rest, e)
+					continue
+				}
+				if _, err := fence.Admit(e.token); err != nil {
+					refusedAt, lastSent = now, max(lastSent, e.sent)
+					continue
+				}
+				admitted[e.token.String()]++
+			}
+			onTheWay = rest
+		}
+		if len(admitted) < 2 {
+			t.Errorf("%s: the other one never owned the duty: %v", name, admitted)
+		}
+		if late == 0 && refusedAt > 0 {
+			t.Errorf("%s: an effect under the epoch before is carried out at %v", name, lastSent)
+		}
+		if lastSent > cut+cfg.Term {
+			t.Errorf("%s: an effect under the epoch before was sent %v after the last renewal", name, lastSent-cut)
+		}
+	}
+}
