--- a/internal/smallsystem/soak_operator_test.go
+++ b/internal/smallsystem/soak_operator_test.go
@@ -35,6 +35,7 @@
 	s.mu.Unlock()
 	s.note("%s gets %v", name, sig)
 	s.system.Signal(name, sig)
+	s.signalled(life, sig)
 	platform := time.AfterFunc(soakGrace, func() { s.killOverdue(life) })
 	err := s.system.Await(name)
 	platform.Stop()
@@ -65,6 +66,16 @@
 	s.mu.Unlock()
 }
 
+// signalled notes that a limiter has its signal. The soak may stand still between drawing it and sending it.
+func (s *soak) signalled(life *soakLife, sig syscall.Signal) {
+	at := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if sig == syscall.SIGTERM {
+		life.sigterm = at
+	}
+}
+
 // served tells that a client was connected to a limiter. One that gets SIGTERM before its program handles signals ends by
 // it at once, and has nothing to end in order: it listens later than that.
 func (s *soak) served(life *soakLife) bool {
--- a/traffic/shutdown/shutdown.go
+++ b/traffic/shutdown/shutdown.go
@@ -18,9 +18,12 @@
 	DirectoryMargin = 500 * time.Millisecond
 	// ExitMargin is how long before the end of the grace period, when SIGKILL comes, the process ends by itself.
 	ExitMargin = 300 * time.Millisecond
-	// AnswerMargin is how long before the process ends whatever is still in hand is answered: nobody else can tell
-	// its client what became of it.
-	AnswerMargin = 200 * time.Millisecond
+	// answerPart is the part of the grace period, at its end, in which whatever is still in hand is answered: nobody
+	// else can tell its client what became of it. It is longer than writing answers takes, as a busy machine may have
+	// the process hear SIGTERM late.
+	answerPart = 7
+	// FlushWithin is how long answers that are given after the exit time may take to be written.
+	FlushWithin = 100 * time.Millisecond
 	// DefaultGrace is the grace period where the settings name none.
 	DefaultGrace = 6 * time.Second
 )
@@ -51,7 +54,7 @@
 
 // AnswerBy is when whatever is in hand is answered as it stands. It lies in the last sixth of the grace period:
 // until then a server that is at work may still answer.
-func (p Plan) AnswerBy() time.Duration { return p.ExitBy() - min(AnswerMargin, p.grace/24) }
+func (p Plan) AnswerBy() time.Duration { return p.grace - p.grace/answerPart }
 
 // Progress is how far a shutdown has come.
 type Progress struct {
@@ -77,7 +80,7 @@
 // the answers of what it has in hand.
 func (p Plan) MayExit(at Progress) bool {
 	if at.Since >= p.ExitBy() {
-		return at.Connections == 0 || !at.Answered && at.Requests == 0 || at.AnsweredFor >= AnswerMargin/2 && at.Answered
+		return at.Connections == 0 || !at.Answered && at.Requests == 0 || at.Answered && at.AnsweredFor >= FlushWithin
 	}
 	idle := at.Requests == 0 && at.Connections == 0 && at.PlaceReturned
 	return idle && !p.TakesRequests(at)
