node: tests that need a server which is gone keep its port

TestRefusedConnectGoesToAnother sends such requests to a port that it had closed, which any server of the package may get.

--- a/internal/node/ports_test.go
+++ b/internal/node/ports_test.go
@@ -36,8 +36,16 @@
 // 2.5 s later, once the hanging process has not answered, and anybody may have the port by then. It ended at once
 // ("address already in use"), which the rig did not look at. Evidence: with the port taken 1 s after the start the
 // test fails with the very message, and 2 of 48 plays of the package's upgrades beside 16 busy processes did.
+//
+// A server of another test got a request that its limiter had not sent, with no body (TestBodiesGoOnUnchanged, "the server
+// got 0 bytes, and 1 further times", with one try of its own limiter): it had the port of a server that was to refuse
+// connections, and whose port had been closed.
 func TestReservedPortIsNobodyElses(t *testing.T) {
 	address := reservePort(t)
+	if refused, err := net.Dial("tcp", address); err == nil {
+		refused.Close()
+		t.Errorf("%s takes connections while nobody listens", address)
+	}
 	if taken, err := net.Listen("tcp", address); err == nil {
 		taken.Close()
 		t.Errorf("%s can be had by others", address)
--- a/internal/node/servers_test.go
+++ b/internal/node/servers_test.go
@@ -170,10 +170,9 @@
 // A connect that fails proves that nothing ran: another server is tried.
 func TestRefusedConnectGoesToAnother(t *testing.T) {
 	t.Parallel()
-	dead := newRawServer(t)
-	dead.ln.Close()
+	dead := reservePort(t) // nobody listens there, and no server of another test gets it
 	srv := newRawServer(t)
-	r := start(t, server("s-dead", dead.addr), server("s-2", srv.addr))
+	r := start(t, server("s-dead", dead), server("s-2", srv.addr))
 	go func() {
 		for {
 			conn, err := srv.ln.Accept()
--- a/internal/node/upgrade_test.go
+++ b/internal/node/upgrade_test.go
@@ -277,11 +277,7 @@
 // Without a sound note of a process that answers, a start is as any other.
 func TestUpgradeFromNothing(t *testing.T) {
 	t.Parallel()
-	gone, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	gone.Close()
+	gone := reservePort(t)
 	deaf := newRawServer(t) // accepts by its queue and never answers
 	other := serveHTTP(t, func(http.ResponseWriter, *http.Request) {})
 	for name, note := range map[string]func(handover.Who) []byte{
@@ -289,7 +285,7 @@
 			return handover.Note{Who: w, Admin: "127.0.0.1:1", Token: "x"}.Encode()[:20]
 		},
 		"of a process that is gone": func(w handover.Who) []byte {
-			return handover.Note{Who: w, Admin: gone.Addr().String(), Token: "x"}.Encode()
+			return handover.Note{Who: w, Admin: gone, Token: "x"}.Encode()
 		},
 		"of another program": func(w handover.Who) []byte { return handover.Note{Who: w, Admin: other, Token: "x"}.Encode() },
 		"of one that hangs":  func(w handover.Who) []byte { return handover.Note{Who: w, Admin: deaf.addr, Token: "x"}.Encode() },
