--- a/review/2/main.go
+++ b/review/2/main.go
@@ -1,5 +1,6 @@
 // Command case2 sends messages with long bodies, which can't be repeated. With the disruption the servers answer
-// before they have read the body, keep the connection, and read on later.
+// before they have read the body, keep the connection, and read on later. With MODE=crash they read on at once, but
+// the first one that gets a message crashes before it has read it all.
 package main
 
 import (
@@ -13,6 +14,7 @@
 	"os"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -21,7 +23,7 @@
 
 const (
 	edges     = 2
-	servers   = 3
+	servers   = 8
 	requests  = 12
 	bodyBytes = 1 << 20
 	deadline  = 1200 * time.Millisecond // of send-sms at bluebird-sms
@@ -46,6 +48,8 @@
 	record *lab.Record
 	mu     *sync.Mutex
 	runs   map[string][]string // instances that ran a request, by attempt id
+	crash  *atomic.Bool        // the next server that has answered crashes; nil: none does
+	end    func()              // ends the server's listener and heartbeats
 }
 
 // listen listens like a machine on an Ethernet with the small windows that DEPLOY.md tells of: the segments of the
@@ -110,8 +114,17 @@
 		body := "accepted " + id + "\n"
 		_, err = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Madderdrum-Attempt-Id: %s\r\nX-Madderdrum-Server-Seal: seal-%s\r\nContent-Length: %d\r\n\r\n%s", id, s.id, len(body), body)
 		s.record.Printf("server %s has answered %s: 200, %v", s.id, id, err)
+		if s.crash != nil && s.crash.CompareAndSwap(true, false) {
+			time.Sleep(50 * time.Millisecond)
+			s.record.Printf("server %s crashes while it reads the body of %s", s.id, id)
+			s.end()
+			c.(*net.TCPConn).SetLinger(0) // as the end of a process does with input that it has not read
+			return
+		}
 		if s.early {
-			time.Sleep(readOn)
+			if s.crash == nil {
+				time.Sleep(readOn)
+			}
 			n, err := io.Copy(io.Discard, r.Body)
 			s.record.Printf("server %s has read on: %d bytes of the body of %s, %v", s.id, n, id, err)
 			if err != nil {
@@ -163,8 +176,8 @@
 	}
 	var mu sync.Mutex
 	runs := map[string][]string{}
-	stop := make(chan struct{})
-	defer close(stop)
+	crashMode := os.Getenv("MODE") == "crash"
+	var crash atomic.Bool
 	for i := range servers {
 		s := &server{id: fmt.Sprintf("i-%08x", i+1), early: l.Trouble, record: record, mu: &mu, runs: runs}
 		listener, err := listen(l.ServerAddress(i))
@@ -172,8 +185,16 @@
 			record.Printf("%v", err)
 			return lab.NotRun
 		}
+		gone := make(chan struct{})
+		s.end = func() {
+			listener.Close()
+			close(gone)
+		}
+		if crashMode && l.Trouble {
+			s.crash = &crash
+		}
 		go s.accept(listener)
-		go l.KeepBeating(s.id, "senddesk", l.ServerAddress(i), stop)
+		go l.KeepBeating(s.id, "senddesk", l.ServerAddress(i), gone)
 	}
 	if status, err := l.Order("/config/replace", configuration()); err != nil || status != 200 {
 		record.Printf("no configuration: %d, %v", status, err)
@@ -185,6 +206,7 @@
 	}
 	time.Sleep(5 * time.Second) // all is in touch
 
+	crash.Store(crashMode && l.Trouble)
 	body := bytes.Repeat([]byte("0123456789abcde\n"), bodyBytes/16)
 	broken, served := 0, 0
 	for n := range requests {
