Update of a rule no longer removes the rule of that name from another host

Callers saw: with rules of one name on two hosts (valid), an update of one host's rule took the other host's route away, and its requests got 404. Cause: an update took a rule that is replaced in its own host for one that is moved from another. A rule that its host has is replaced there now; one that its host does not have is moved, as before.

TestUpdateOfSharedNames: failed before ([3s 0s 0s] in place of [3s 2s 0s]), passes now.

--- a/control/configuration/configuration_test.go
+++ b/control/configuration/configuration_test.go
@@ -150,3 +150,41 @@
 		t.Error("a host without routes is restricted to regions")
 	}
 }
+
+// Guards against the loss of a route whose rule shares its name with one that an update replaces on another host. A
+// rule that its host does not have yet is moved there, as before.
+func TestUpdateOfSharedNames(t *testing.T) {
+	rule := func(timeout string) string {
+		return `{"name":"reads","route_type":"idempotent","match_criteria":{"path_prefix":"/z/"},"forward_action":{"service":"s","timeout":"` + timeout + `"}}`
+	}
+	before := []byte(`{"config_version":"r1","listeners":[{"hostname":"a","policy":[` + rule("1s") + `]},{"hostname":"b","policy":[]},{"hostname":"b","policy":[` + rule("2s") + `]},{"hostname":"b","policy":[]}],"clusters":[{"name":"s"}]}`)
+	timeouts := func(current []byte, host string) (all [3]time.Duration, next []byte) {
+		c, fault := ParseChange([]byte(`{"config_version":"r2","base_revision":"r1","upsert":{"listeners":[{"hostname":"`+host+`","policy":[`+rule("3s")+`]}]}}`), true)
+		if fault != nil {
+			t.Fatal(fault)
+		}
+		next, fault = Apply(current, 1, c)
+		if fault != nil {
+			t.Fatal(fault)
+		}
+		table, fault := Parse(next)
+		if fault != nil {
+			t.Fatal(fault)
+		}
+		for i, host := range []string{"a", "b", "c"} {
+			if r := table.FindRoute(host, "/z/1"); r != nil {
+				all[i] = r.Timeout
+			}
+		}
+		return all, next
+	}
+	for host, want := range map[string][3]time.Duration{
+		"a": {3 * time.Second, 2 * time.Second, 0},
+		"b": {time.Second, 3 * time.Second, 0},
+		"c": {0, 0, 3 * time.Second},
+	} {
+		if got, _ := timeouts(before, host); got != want {
+			t.Errorf("update on %s: timeouts %v on a, b and c, want %v", host, got, want)
+		}
+	}
+}
--- a/control/configuration/merge.go
+++ b/control/configuration/merge.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"slices"
 
 	"github.com/valyala/fastjson"
 )
@@ -87,28 +88,50 @@
 	}
 }
 
-// rule adds a rule to a host or replaces the rule of the same name. A rule of that name under
-// another host is removed, so that a rule can be moved between hosts.
+// rule replaces the rule of the same name of a host. If the host has none, the rule is added, and rules of that name
+// under other hosts are removed, so that a rule can be moved between hosts.
 func (m *merger) rule(host []byte, rule *fastjson.Value) {
 	name := rule.GetStringBytes("name")
-	var listener *fastjson.Value
-	for _, candidate := range m.doc.GetArray("listeners") {
-		if bytes.Equal(candidate.GetStringBytes("hostname"), host) {
-			listener = candidate
+	listener := m.listenerWithRule(host, name)
+	if listener == nil {
+		for _, other := range m.doc.GetArray("listeners") {
+			m.removeItem(other, "policy", "name", name)
+		}
+		listener = m.listenerOrNew(host)
+	}
+	m.upsertItems(listener, "policy", "name", []*fastjson.Value{rule})
+}
+
+// listenerWithRule returns the first listener of a host that has a rule with a name, or nil.
+func (m *merger) listenerWithRule(host, name []byte) *fastjson.Value {
+	for _, listener := range m.doc.GetArray("listeners") {
+		if !bytes.Equal(listener.GetStringBytes("hostname"), host) {
 			continue
 		}
-		m.removeItem(candidate, "policy", "name", name)
+		for _, rule := range listener.GetArray("policy") {
+			if bytes.Equal(rule.GetStringBytes("name"), name) {
+				return listener
+			}
+		}
 	}
-	if listener == nil {
-		listener = m.arena.NewObject()
-		listener.Set("hostname", m.arena.NewStringBytes(host))
-		listener.Set("policy", m.arena.NewArray())
-		if m.doc.Get("listeners") == nil {
-			m.doc.Set("listeners", m.arena.NewArray())
+	return nil
+}
+
+// listenerOrNew returns the last listener of a host. It is added if there is none.
+func (m *merger) listenerOrNew(host []byte) *fastjson.Value {
+	for _, listener := range slices.Backward(m.doc.GetArray("listeners")) {
+		if bytes.Equal(listener.GetStringBytes("hostname"), host) {
+			return listener
 		}
-		m.doc.Get("listeners").SetArrayItem(len(m.doc.GetArray("listeners")), listener)
 	}
-	m.upsertItems(listener, "policy", "name", []*fastjson.Value{rule})
+	listener := m.arena.NewObject()
+	listener.Set("hostname", m.arena.NewStringBytes(host))
+	listener.Set("policy", m.arena.NewArray())
+	if m.doc.Get("listeners") == nil {
+		m.doc.Set("listeners", m.arena.NewArray())
+	}
+	m.doc.Get("listeners").SetArrayItem(len(m.doc.GetArray("listeners")), listener)
+	return listener
 }
 
 // upsertItems adds items to a list of parent, or replaces those with the same value of key.
