node: mapping of classes and plans has an entry for each index

Same class of fault as in the proxy: the mapping was sized by the number of names. The configuration of the limiter in service refuses a name that is there twice, so that it was not seen there. TestIndexMappingOfSharedNames.

--- a/internal/node/version.go
+++ b/internal/node/version.go
@@ -4,6 +4,7 @@
 	"hash/fnv"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -138,8 +139,8 @@
 	s.ConnIdle, s.ConnTimeout, s.MaxRequests = old.settings.ConnIdle, old.settings.ConnTimeout, old.settings.MaxRequests
 	s.Module.Caps.Peers = old.settings.Module.Caps.Peers
 	n.handle(limiter.Reconfigure{Settings: s.Module,
-		Classes: indexMapping(old.settings.ClassIndex, s.ClassIndex),
-		Plans:   indexMapping(old.settings.PlanIndex, s.PlanIndex)})
+		Classes: indexMapping(len(old.settings.Module.Classes), old.settings.ClassIndex, s.ClassIndex),
+		Plans:   indexMapping(len(old.settings.Module.Plans), old.settings.PlanIndex, s.PlanIndex)})
 	n.revision.Store(n.newRevision(s, d.Routes))
 	if onSwitch != nil {
 		onSwitch()
@@ -148,11 +149,11 @@
 	n.applyListLocked(limiter.Complete, cfg.InitialServers)
 }
 
-// indexMapping returns, for each index in from, the index of the same name in to, or -1.
-func indexMapping(from, to map[string]int) []int {
-	mapping := make([]int, len(from))
+// indexMapping returns, for each of count indexes in from, the index of the same name in to, or -1. Indexes that no name
+// in from has, as another one took its name, are -1.
+func indexMapping(count int, from, to map[string]int) []int {
+	mapping := slices.Repeat([]int{-1}, count)
 	for name, i := range from {
-		mapping[i] = -1
 		if k, still := to[name]; still {
 			mapping[i] = k
 		}
--- a/internal/node/version_test.go
+++ b/internal/node/version_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -209,3 +210,11 @@
 		t.Fatal(err)
 	}
 }
+
+// Guards against an index beyond the mapping where two classes have one name: the mapping has an entry for each index.
+func TestIndexMappingOfSharedNames(t *testing.T) {
+	got := indexMapping(3, map[string]int{"bulk": 2, "paid": 0}, map[string]int{"bulk": 1})
+	if want := []int{-1, -1, 1}; !slices.Equal(got, want) {
+		t.Errorf("%v, want %v", got, want)
+	}
+}
