Rules of one name on two hosts no longer end every limiter at the next change

Cause: updateEngine sized the mapping of old classes to new ones by the number of names, and classes are one for each route. The same held for plans and tenants of one name.

Change: items of an old version are found in a new one by RoutePositions and TenantPositions (host, name and repeatability, equal ones in their order), one position each; the engine finds classes and plans by the route and tenant themselves. Tenants of one name share an account under the strictest of their limits. Token requests and reports of failures name a route by host and name.

Why it works: no index comes from the number of names any more, and no two routes share a class.

--- a/control/configuration/configuration.go
+++ b/control/configuration/configuration.go
@@ -398,6 +398,17 @@
 	return nil
 }
 
+// RouteByName returns the first route of a host with a name, or nil. Without a host, it returns the first route of
+// that name.
+func (t *Table) RouteByName(host, name string) *Route {
+	for i := range t.Routes {
+		if r := &t.Routes[i]; r.Name == name && (host == "" || r.Host == host) {
+			return r
+		}
+	}
+	return nil
+}
+
 // HostRegions returns the regions that may serve all routes of a host. restricted is false if none of the
 // routes is restricted to regions. host may include a port.
 func (t *Table) HostRegions(host string) (regions []string, restricted bool) {
--- a/internal/proxy/asks.go
+++ b/internal/proxy/asks.go
@@ -6,7 +6,6 @@
 	"strconv"
 	"time"
 
-	"example.org/madderdrum/control/configuration"
 	"example.org/madderdrum/internal/nodesettings"
 	"example.org/madderdrum/internal/rpc"
 	"example.org/madderdrum/limiter"
@@ -26,6 +25,7 @@
 	Account uint64 `cbor:"2,keyasint"`
 	Route   string `cbor:"3,keyasint"`
 	Service string `cbor:"4,keyasint"`
+	Host    string `cbor:"5,keyasint,omitempty"` // of the route; empty: from a version that names the route alone
 }
 
 // tokenReply is the reply to a tokenRequest.
@@ -76,7 +76,7 @@
 	ip := proxy.register.Places[place].IP
 	proxy.mu.Unlock()
 	proxy.sendDatagram(proxy.settings.InternalAddress(ip, nodesettings.ProxyPort), datagramTokenRequest,
-		rpc.Encode(tokenRequest{tokenSerial, accountID(c.tenant.Name), c.route.Name, c.service}))
+		rpc.Encode(tokenRequest{tokenSerial, accountID(c.tenant.Name), c.route.Name, c.service, c.route.Host}))
 	return tokenSerial
 }
 
@@ -123,18 +123,8 @@
 
 // answerTokenRequest answers another limiter's request from this limiter's part. The mutex is held.
 func (e *engine) answerTokenRequest(request tokenRequest) tokenReply {
-	proxy := e.proxy
 	reply := tokenReply{Serial: request.Serial}
-	config := proxy.configSnapshot.Load()
-	if config == nil {
-		return reply
-	}
-	var route *configuration.Route
-	for i := range config.table.Routes {
-		if config.table.Routes[i].Name == request.Route {
-			route = &config.table.Routes[i]
-		}
-	}
+	route := e.table.RouteByName(request.Host, request.Route)
 	plan, known := e.planByAccount[request.Account]
 	if route == nil || !known {
 		return reply
@@ -144,7 +134,7 @@
 	e.applyDueParts()
 	e.handle(limiter.Ask{Submit: limiter.Submit{ID: tokenRequestPrefix + strconv.Itoa(e.requestCount),
 		ExpiresMs: deadlineStretch * ms(route.Timeout), Units: 1,
-		Class: e.classIndex[route.Name], Plan: plan, Account: request.Account, Spread: e.slotCount,
+		Class: e.classes[route], Plan: plan, Account: request.Account, Spread: e.slotCount,
 		Pool: e.poolID(request.Service, route, nil)}})
 	e.pendingReply = nil
 	return reply
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -144,10 +144,10 @@
 	proxy, route, tenant := c.proxy, c.route, c.tenant
 	c.assignedEngine.calls[c.id] = c
 	ev := limiter.Submit{ID: c.id, ExpiresMs: deadlineStretch * ms(timeLeft), Units: 1,
-		Class: c.assignedEngine.classIndex[route.Name], Spread: c.assignedEngine.slotCount,
+		Class: c.assignedEngine.classes[route], Spread: c.assignedEngine.slotCount,
 		Pool: c.assignedEngine.poolID(c.service, route, tenant)}
 	if tenant != nil {
-		ev.Plan, ev.Account = c.assignedEngine.planIndex[tenant.Name], accountID(tenant.Name)
+		ev.Plan, ev.Account = c.assignedEngine.plans[tenant], accountID(tenant.Name)
 	}
 	if prepaid {
 		ev.Leased, c.needsShare = 1, false
--- a/internal/proxy/engine.go
+++ b/internal/proxy/engine.go
@@ -28,8 +28,9 @@
 	events            []limiter.Event
 	handlingEvents    bool
 	calls             map[string]*call
-	classIndex        map[string]int // by route name
-	planIndex         map[string]int // by tenant name
+	table             *configuration.Table          // that the classes and plans belong to
+	classes           map[*configuration.Route]int  // class index by route of the table
+	plans             map[*configuration.Tenant]int // plan index by tenant of the table
 	pools             map[poolKey]*pool
 	memberIDs         map[poolMember]uint64 // IDs that the limiter.Limiter knows servers by
 	servers           map[uint64]*serverEntry
@@ -90,16 +91,17 @@
 	otherRegionDownloadPenalty = 4.0
 )
 
-// limiterSettings returns the limiter.Settings for a configuration, and the indices of classes by route and of
-// plans by tenant.
-func (e *engine) limiterSettings(table *configuration.Table, slot int) (settings limiter.Settings, classIndex,
-	planIndex map[string]int) {
-	settings = limiter.Settings{Position: slot, Balancers: e.slotCount, Zone: 0, PeerInPerS: peerMessagesPerSecond,
+// useTable makes the classes and plans of a configuration those of the engine. It returns the limiter.Settings for
+// them.
+func (e *engine) useTable(table *configuration.Table, slot int) limiter.Settings {
+	settings := limiter.Settings{Position: slot, Balancers: e.slotCount, Zone: 0, PeerInPerS: peerMessagesPerSecond,
 		MaxEjectionMs: maxExclusionMs,
 		Caps: limiter.Caps{Attempts: 8, Peers: e.slotCount > 1, Probes: true, RetryAfter: true, MaxWaitMs: 1000,
 			ConnectMs: 300},
 		Rules: limiter.Rules{FallMs: 1000}}
-	classIndex, planIndex = map[string]int{}, map[string]int{}
+	e.table = table
+	e.classes = make(map[*configuration.Route]int, len(table.Routes))
+	e.plans = make(map[*configuration.Tenant]int, len(table.Tenants))
 	e.classByRouteID = map[uint64]int{}
 	for i := range table.Routes {
 		route := &table.Routes[i]
@@ -107,8 +109,8 @@
 		if !route.Kind.Repeatable() {
 			repeat = limiter.Unsafe
 		}
-		classIndex[route.Name] = len(settings.Classes)
-		e.classByRouteID[routeID(route.Name)] = len(settings.Classes)
+		e.classes[route] = len(settings.Classes)
+		e.classByRouteID[routeID(route)] = len(settings.Classes)
 		aim := route.TargetLatency
 		if aim == 0 {
 			aim = route.Timeout
@@ -122,25 +124,39 @@
 		settings.Classes = []limiter.Class{{AimMs: 1000, DeadlineMs: 1000, Worth: 1}}
 	}
 	settings.Plans = []limiter.Plan{{Price: 1}} // index 0: requests without a tenant
-	held := e.quota
-	held.Clear()
+	e.useCeilings(table)
 	e.planByAccount = map[uint64]int{}
-	placeSets := e.proxy.placeSets()
-	e.places = placeSets[len(placeSets)-1]
 	for i := range table.Tenants {
 		tenant := &table.Tenants[i]
-		planIndex[tenant.Name] = len(settings.Plans)
+		e.plans[tenant] = len(settings.Plans)
 		// The bucket subtracts what other limiters report as spent. The ceiling holds even when limiters cannot
 		// reach each other, because each limiter owns a part of it.
-		ceiling := e.proxy.rules.Ceiling(tenant.Rate, tenant.Burst)
+		ceiling := e.quota.Ceilings[accountID(tenant.Name)]
 		plan := limiter.Plan{Price: 1, Rate: ceiling.Rate, Burst: ceiling.Burst, CeilingRate: ceiling.Rate,
 			CeilingBurst: ceiling.Burst}
 		e.planByAccount[accountID(tenant.Name)] = len(settings.Plans)
 		settings.Plans = append(settings.Plans, plan)
-		held.Ceilings[accountID(tenant.Name)] = ceiling
-		held.SetKeeperShares(accountID(tenant.Name), allowance.KeeperShares(tenant.Name, ceiling, placeSets))
 	}
-	return settings, classIndex, planIndex
+	return settings
+}
+
+// useCeilings sets the tenants' ceilings and this limiter's parts of them. Tenants of one name share an account,
+// which is bound by the strictest of their ceilings.
+func (e *engine) useCeilings(table *configuration.Table) {
+	held := e.quota
+	held.Clear()
+	placeSets := e.proxy.placeSets()
+	e.places = placeSets[len(placeSets)-1]
+	for i := range table.Tenants {
+		tenant := &table.Tenants[i]
+		account := accountID(tenant.Name)
+		ceiling := e.proxy.rules.Ceiling(tenant.Rate, tenant.Burst)
+		if sameName, ok := held.Ceilings[account]; ok {
+			ceiling = ceiling.Strictest(sameName)
+		}
+		held.Ceilings[account] = ceiling
+		held.SetKeeperShares(account, allowance.KeeperShares(tenant.Name, ceiling, placeSets))
+	}
 }
 
 // exportAccounts returns the accounts' remaining balances when another engine replaces this one, which gets no new
@@ -163,13 +179,13 @@
 // other limiters hold it. The mutex is held.
 func (e *engine) importAccounts(settings limiter.Settings, slot int, previous map[uint64]limiter.AccountMemory) {
 	handover := &limiter.Handover{Position: slot, Balancers: e.slotCount, Plans: settings.Plans, HeadMs: 1e-6}
-	for tenant, i := range e.planIndex {
-		ceiling := e.quota.Ceilings[accountID(tenant)]
+	for id, i := range e.planByAccount {
+		ceiling := e.quota.Ceilings[id]
 		if ceiling.Rate <= 0 {
 			continue
 		}
-		account := limiter.AccountMemory{ID: accountID(tenant), Plan: i, Spread: e.slotCount, Balance: ceiling.Burst,
-			Share: e.quota.RestartBurst(e.proxy.rules, accountID(tenant))}
+		account := limiter.AccountMemory{ID: id, Plan: i, Spread: e.slotCount, Balance: ceiling.Burst,
+			Share: e.quota.RestartBurst(e.proxy.rules, id)}
 		if old, ok := previous[account.ID]; ok {
 			account.Balance, account.Share, account.Flow = min(ceiling.Burst, old.Balance), old.Share, old.Flow
 		} else if e.proxy.register.Places[slot].Incarnation == e.proxy.instanceID {
@@ -179,9 +195,9 @@
 	}
 	e.handle(limiter.Recall{Memory: &limiter.Memory{Handover: handover}})
 	// Open all accounts now: an account opened after the next configuration would start empty.
-	for tenant, i := range e.planIndex {
+	for id, i := range e.planByAccount {
 		e.handle(limiter.Ask{Submit: limiter.Submit{ID: openAccountID, ExpiresMs: 1, Plan: i,
-			Account: accountID(tenant), Spread: e.slotCount}})
+			Account: id, Spread: e.slotCount}})
 	}
 }
 
@@ -215,13 +231,13 @@
 			pools: map[poolKey]*pool{}, memberIDs: map[poolMember]uint64{}, servers: map[uint64]*serverEntry{},
 			inFlight: map[uint64]int{}}
 		e.label(table)
-		settings, classIndex, planIndex := e.limiterSettings(table, newSlot)
+		settings := e.useTable(table, newSlot)
 		decider, err := limiter.New(settings, uint64(time.Now().UnixNano()))
 		if err != nil {
 			proxy.log.WithField("err", err).Error("cannot configure the engine")
 			return
 		}
-		e.decider, e.classIndex, e.planIndex = decider, classIndex, planIndex
+		e.decider = decider
 		proxy.engine = e
 		proxy.applyShare()
 		e.applyParts()
@@ -232,22 +248,31 @@
 	}
 	proxy.applyShare()
 	e.label(table)
-	settings, classIndex, planIndex := e.limiterSettings(table, e.slot)
-	indexMap := func(old, now map[string]int, n int) []int {
-		indices := slices.Repeat([]int{-1}, n)
-		for label, i := range old {
-			if k, ok := now[label]; ok {
-				indices[i] = k
-			}
+	classes, plans := newClassIndexes(e.table, table), newPlanIndexes(e.table, table)
+	e.handle(limiter.Reconfigure{Settings: e.useTable(table, e.slot), Classes: classes, Plans: plans})
+	e.applyParts()
+}
+
+// newClassIndexes returns the index in the new configuration's classes for each class of the old one; -1: removed.
+// Each route has a class, in the order of the table; a configuration without routes has one that no request names.
+func newClassIndexes(old, new *configuration.Table) []int {
+	if len(old.Routes) == 0 {
+		return []int{-1}
+	}
+	return configuration.RoutePositions(old, new)
+}
+
+// newPlanIndexes is newClassIndexes for plans. The plan of requests without a tenant comes before those of the
+// tenants and is never removed.
+func newPlanIndexes(old, new *configuration.Table) []int {
+	indexes := []int{0}
+	for _, position := range configuration.TenantPositions(old, new) {
+		if position >= 0 {
+			position++
 		}
-		return indices
+		indexes = append(indexes, position)
 	}
-	planAt := indexMap(e.planIndex, planIndex, len(e.planIndex)+1)
-	planAt[0] = 0
-	classAt := indexMap(e.classIndex, classIndex, max(1, len(e.classIndex)))
-	e.handle(limiter.Reconfigure{Settings: settings, Classes: classAt, Plans: planAt})
-	e.classIndex, e.planIndex = classIndex, planIndex
-	e.applyParts()
+	return indexes
 }
 
 // label assigns IDs to the pools for the services and home regions of a configuration.
@@ -339,7 +364,7 @@
 }
 
 // routeID returns the number that identifies a route's class in messages between limiters.
-func routeID(name string) uint64 { return hash64(name) >> 32 }
+func routeID(route *configuration.Route) uint64 { return hash64(route.Host+"/"+route.Name) >> 32 }
 
 // distancePenalty returns the extra cost of answers from a zone, relative to their latency.
 func (proxy *Proxy) distancePenalty(zone string, download bool) float64 {
--- a/internal/proxy/membership.go
+++ b/internal/proxy/membership.go
@@ -119,7 +119,7 @@
 func (c *call) reportFailure(server uint64) {
 	c.proxy.mu.Lock()
 	defer c.proxy.mu.Unlock()
-	c.proxy.failureReports.Observe(c.proxy.now(), server, routeID(c.route.Name))
+	c.proxy.failureReports.Observe(c.proxy.now(), server, routeID(c.route))
 }
 
 // updateMembers sets the members of the region from the catalog. The mutex is held.
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -655,7 +655,7 @@
 
 // No datagram makes a limiter crash or use more than its parts.
 func FuzzDatagrams(f *testing.F) {
-	f.Add(datagramTokenRequest, rpc.Encode(tokenRequest{1, 2, "read", "s"}))
+	f.Add(datagramTokenRequest, rpc.Encode(tokenRequest{1, 2, "read", "s", "h"}))
 	f.Add(datagramTokenReply, rpc.Encode(tokenReply{Serial: 1, OK: true}))
 	f.Add(datagramLoans, rpc.Encode(quotaloan.Message{Serial: 1,
 		Items: []quotaloan.AccountPart{{ID: 1, Part: -1}, {ID: 2, Part: 1e300}}}))
--- a/traffic/allowance/allowance.go
+++ b/traffic/allowance/allowance.go
@@ -40,6 +40,17 @@
 	Burst float64
 }
 
+// Strictest returns the ceiling that keeps requests within both ceilings.
+func (c Ceiling) Strictest(other Ceiling) Ceiling {
+	switch {
+	case c.Rate <= 0:
+		return other
+	case other.Rate <= 0:
+		return c
+	}
+	return Ceiling{Rate: min(c.Rate, other.Rate), Burst: min(c.Burst, other.Burst)}
+}
+
 // Ceiling returns the ceiling for a tenant's quota: what the rules allow, less a reserve for requests in
 // flight at either end of a window.
 func (r Rules) Ceiling(rate, burst float64) Ceiling {
