httpapi: a body that is refused is read on, so that its 413 is not lost

Callers saw: who sends a body that is too long (or a request that can't be read) got a reset in place of the 413 or 400, since the connection was closed with unread input. Same class of fault as in the proxy: a peer is written to and not read.

The proxy's reading on behind a last answer moves to sockets.Linger, for both. TestRefusedBodyIsReadOn: 'connection reset by peer' before, passes now.

--- a/internal/httpapi/httpapi.go
+++ b/internal/httpapi/httpapi.go
@@ -95,7 +95,7 @@
 	c.SetReadDeadline(time.Now().Add(headTimeout))
 	r, err := http.ReadRequest(in)
 	if err != nil {
-		writeAnswer(c, Answer{Status: 400, Body: []byte(`{"error":"the request can't be read"}`)}, true)
+		refuse(ctx, c, Answer{Status: 400, Body: []byte(`{"error":"the request can't be read"}`)})
 		return false
 	}
 	c.SetReadDeadline(time.Now().Add(bodyTimeout))
@@ -104,7 +104,7 @@
 		return false
 	}
 	if int64(len(body)) > s.MaxBody {
-		writeAnswer(c, Answer{Status: 413, Body: []byte(`{"error":"the body is too long"}`)}, true)
+		refuse(ctx, c, Answer{Status: 413, Body: []byte(`{"error":"the body is too long"}`)})
 		return false
 	}
 	if s.DropAbandoned != nil && s.DropAbandoned(r) && abandoned(c, in) {
@@ -123,6 +123,16 @@
 	return err != nil && !(errors.As(err, &netError) && netError.Timeout())
 }
 
+// refuse answers a request that has not been read to its end. What the caller still sends is read and discarded, so
+// that closing the connection does not lose the answer.
+func refuse(ctx context.Context, c net.Conn, a Answer) {
+	if writeAnswer(c, a, true) != nil {
+		return
+	}
+	sockets.CloseWrite(c)
+	sockets.Linger(c, func(passed time.Duration) bool { return ctx.Err() == nil && passed < bodyTimeout })
+}
+
 func writeAnswer(c net.Conn, a Answer, last bool) error {
 	out := make([]byte, 0, 256+len(a.Body))
 	out = append(out, "HTTP/1.1 "...)
--- a/internal/httpapi/httpapi_test.go
+++ b/internal/httpapi/httpapi_test.go
@@ -118,3 +118,32 @@
 	}
 	incomplete.Close()
 }
+
+// Guards against the loss of a refusal: a caller that sends a body that is too long, and reads only then, gets the 413
+// because the rest of the body is read before the connection is closed.
+func TestRefusedBodyIsReadOn(t *testing.T) {
+	s := &Server{MaxBody: 1 << 10, Handler: func(context.Context, *http.Request, []byte) Answer { return Answer{Status: 200} }}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	go s.Serve(ctx, l)
+	for range 10 {
+		c, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		c.SetDeadline(time.Now().Add(5 * time.Second))
+		body := strings.Repeat("x", 16<<20)
+		if _, err := fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", len(body), body); err != nil {
+			t.Errorf("write: %v", err)
+		}
+		answer := make([]byte, 12)
+		if _, err := io.ReadFull(c, answer); err != nil || !strings.HasSuffix(string(answer), "413") {
+			t.Errorf("answer: %q %v", answer, err)
+		}
+	}
+}
--- a/internal/proxy/clientconn.go
+++ b/internal/proxy/clientconn.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"example.org/madderdrum/internal/sockets"
 )
 
 const (
@@ -68,7 +70,13 @@
 	}
 	<-written
 	if pipe.unreadInput || pipe.isClosing() {
-		linger(c)
+		sockets.Linger(c, func(passed time.Duration) bool {
+			// The answer to an upload may have come long before the end of its body.
+			if pipe.upload != nil && !proxy.leaving.Load() {
+				return passed < bodyTimeout
+			}
+			return passed < lingerTimeout
+		})
 	}
 	c.Close()
 }
@@ -105,7 +113,7 @@
 			c.Close()
 		case last:
 			stopped = true
-			closeWrite(c)
+			sockets.CloseWrite(c)
 		}
 		proxy.inFlight.Add(-1)
 		pipe.releasePermit()
@@ -132,14 +140,6 @@
 	return a
 }
 
-// closeWrite closes the sending side of the connection. The caller then reads for a while what the client still
-// sends: closing with unread bytes would reset the connection and lose the last answer.
-func closeWrite(c net.Conn) {
-	if t, ok := c.(*net.TCPConn); ok {
-		t.CloseWrite()
-	}
-}
-
 // writeAnswer writes one answer and reports whether the connection can still be used.
 func (proxy *Proxy) writeAnswer(c net.Conn, req *pendingRequest, a *answer, closing bool) bool {
 	out := make([]byte, 0, 512+min(len(a.body), 64<<10))
--- a/internal/proxy/upload.go
+++ b/internal/proxy/upload.go
@@ -22,14 +22,21 @@
 	from      net.Conn  // the client's connection
 	length    int64     // of the whole body; negative: unknown
 	remaining int64     // bytes that may still come if the length is unknown
-	started   bool
-	tooLong   bool // the body exceeded its limit
+	started   bool      // forward has begun to read it
+	tooLong   bool      // the body exceeded its limit
 
 	finished chan struct{} // closed when nothing more of it is read
 	finish   func()        // closes finished; may be called repeatedly
+
+	mu      sync.Mutex
+	stopped bool // nothing more may be read
+	ended   bool // forward, which had started, has returned
 }
 
-var errBodyTooLong = errors.New("the body is too long")
+var (
+	errBodyTooLong   = errors.New("the body is too long")
+	errUploadStopped = errors.New("the server has answered before the body was complete")
+)
 
 // clientBodyError means that a request's body could not be read completely from the client. It says nothing about
 // the server that the body was forwarded to.
@@ -47,18 +54,58 @@
 		finished: finished, finish: sync.OnceFunc(func() { close(finished) })}
 }
 
+// beginRead sets the deadline for the next read from the client. It returns false after stop.
+func (u *upload) beginRead(until time.Time) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.stopped {
+		return false
+	}
+	u.started = true
+	u.from.SetReadDeadline(until)
+	return true
+}
+
+// endReads marks that forward has returned. If it had read anything, the client's connection is free for others.
+func (u *upload) endReads() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.started {
+		u.ended = true
+		u.finish()
+	}
+}
+
+// stop ends forward at its next read from the client, or interrupts that read.
+func (u *upload) stop() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.stopped = true
+	if u.started && !u.ended {
+		u.from.SetReadDeadline(longPast)
+	}
+}
+
+// allow allows forward again after stop.
+func (u *upload) allow() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.stopped = false
+}
+
 // forward sends the remainder to a server that has received the held part. On error the server has not received
 // the whole body.
 func (u *upload) forward(to net.Conn, l *link, deadline time.Time) error {
-	u.started = true
-	defer u.finish()
+	defer u.endReads()
 	buf := make([]byte, 16<<10)
 	for {
 		until := time.Now().Add(uploadReadTimeout)
 		if deadline.Before(until) {
 			until = deadline
 		}
-		u.from.SetReadDeadline(until)
+		if !u.beginRead(until) {
+			return errUploadStopped
+		}
 		n, err := u.rest.Read(buf[:min(len(buf), l.out.ChunkSize())])
 		if u.length < 0 {
 			if u.remaining -= int64(n); u.remaining < 0 {
@@ -88,10 +135,3 @@
 		}
 	}
 }
-
-// linger reads for a while what a client still sends after its last answer: closing with unread bytes would reset
-// the connection and lose the answer.
-func linger(c net.Conn) {
-	c.SetReadDeadline(time.Now().Add(lingerTimeout))
-	io.Copy(io.Discard, io.LimitReader(c, 64<<20))
-}
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -64,3 +64,33 @@
 }
 
 var errNotSocket = errors.New("not a socket")
+
+const (
+	// lingerIdleTimeout is how long Linger waits for further input.
+	lingerIdleTimeout = time.Second
+	lingerReadSize    = 16 << 10
+	maxLingerBytes    = 64 << 20
+)
+
+// Linger reads and discards what a peer still sends after its last answer, until it has sent nothing for
+// lingerIdleTimeout: closing a connection with unread input would reset it and lose the answer. It ends when
+// mayContinue, which gets the time that has passed, returns false.
+func Linger(c net.Conn, mayContinue func(passed time.Duration) bool) {
+	begin := time.Now()
+	ignored := make([]byte, lingerReadSize)
+	for total := 0; total < maxLingerBytes && mayContinue(time.Since(begin)); {
+		c.SetReadDeadline(time.Now().Add(lingerIdleTimeout))
+		n, err := c.Read(ignored)
+		if err != nil {
+			return
+		}
+		total += n
+	}
+}
+
+// CloseWrite closes the sending side of a TCP connection, so that the peer sees the end of the last answer.
+func CloseWrite(c net.Conn) {
+	if t, ok := c.(*net.TCPConn); ok {
+		t.CloseWrite()
+	}
+}
