A server's answer is read while its request is still being written

Cause: roundTrip wrote head and held body in one call and read nothing meanwhile; each error of that write counted as the proof that no server had run the request.

The reading decides about the attempt; 'no route' is left for a request of which no byte was written. The remainder of a longer body stops in the same way.

Why it works: no answer waits for the writing, and nothing that a server may have seen counts as not run.

--- a/internal/proxy/answerstream.go
+++ b/internal/proxy/answerstream.go
@@ -15,12 +15,23 @@
 	upstream   *upstream
 	length     int64
 	deadline   time.Time
-	detach     func() bool // returned by closeOnDisconnect
+	detach     func() bool   // returned by closeOnDisconnect
+	write      *requestWrite // of the request, which may go on while the answer is copied
 }
 
 func (s *answerStream) abort() {
 	s.detach()
 	s.serverConn.Close()
+	s.endWrite()
+}
+
+// endWrite ends the writing of the request and reports whether it was written completely.
+func (s *answerStream) endWrite() (complete bool) {
+	complete = s.write.stop()
+	if s.write.rest != nil {
+		s.write.rest.finish()
+	}
+	return complete
 }
 
 // copyTo copies the remainder to the client. It returns an error if the answer is incomplete.
@@ -41,7 +52,8 @@
 			total += int64(n)
 		}
 		if err == io.EOF && total == s.length {
-			if s.detach() && !s.resp.Close && s.serverConn.in.Buffered() == 0 {
+			complete := s.endWrite()
+			if s.detach() && complete && !s.resp.Close && s.serverConn.in.Buffered() == 0 {
 				s.upstream.putIdle(s.serverConn)
 			} else {
 				s.serverConn.Close()
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -155,40 +155,57 @@
 	return outcome, false
 }
 
-// roundTrip writes the request to a connection and reads the answer. reuse says that the connection can be reused.
+// roundTrip writes the request to a connection and reads the answer, which may come before the request has been
+// written completely. reuse says that the connection can be reused.
 func (c *call) roundTrip(conn *serverConn, server *upstream) (outcome attemptResult, reuse bool) {
 	conn.SetDeadline(c.deadline)
 	conn.used, conn.limited.remaining = true, maxAnswerHead
 	c.countSentAfterDisconnect()
-	if _, err := conn.Write(c.encodeRequest(server, time.Until(c.deadline))); err != nil {
+	write := c.startWrite(conn, c.encodeRequest(server, time.Until(c.deadline)))
+	if write.failedUnsent() {
 		return attemptResult{result: limiter.NoRoute}, false
 	}
-	if c.rest != nil {
-		if err := c.rest.forward(conn, c.proxy.link, c.deadline); err != nil {
-			return c.errorResult(conn, err), false
-		}
+	outcome, reuse, err := c.readAnswer(conn)
+	if err == nil && outcome.answer != nil && outcome.answer.stream != nil {
+		outcome.answer.stream.write = write // the server may need the rest of the body for the rest of its answer
+		return outcome, false
 	}
+	complete := write.stop()
+	switch {
+	case err == nil:
+		return outcome, reuse && complete
+	case !write.anySent:
+		return attemptResult{result: limiter.NoRoute}, false
+	case write.bodyErr != nil:
+		return c.errorResult(conn, write.bodyErr), false
+	}
+	return c.errorResult(conn, err), false
+}
+
+// readAnswer reads the answer to a request. reuse says that the connection can be reused once the request has been
+// written completely.
+func (c *call) readAnswer(conn *serverConn) (outcome attemptResult, reuse bool, err error) {
 	resp, err := http.ReadResponse(conn.in, c.Request)
 	for err == nil && resp.StatusCode < 200 {
 		resp, err = http.ReadResponse(conn.in, c.Request)
 	}
 	if err != nil {
-		return c.errorResult(conn, err), false
+		return attemptResult{}, false, err
 	}
 	h := resp.Header
 	if id := h.Get(headerAttempt); id != "" && id != c.Header.Get(headerAttempt) {
-		return attemptResult{result: limiter.Spoilt}, false
+		return attemptResult{result: limiter.Spoilt}, false, nil
 	}
 	a := &answer{status: resp.StatusCode, head: forwardedHeaders(h)}
 	conn.limited.remaining = maxBufferedAnswer + maxBufferedAnswer/8
 	if resp.ContentLength > maxBufferedAnswer {
 		if resp.StatusCode/100 != 2 || h.Get(headerSeal) == "" {
-			return attemptResult{result: limiter.Spoilt}, false
+			return attemptResult{result: limiter.Spoilt}, false, nil
 		}
 		conn.limited.remaining = resp.ContentLength + 64<<10
 		a.stream = &answerStream{link: c.proxy.link, resp: resp, serverConn: conn, length: resp.ContentLength,
 			deadline: c.deadline}
-		return attemptResult{result: limiter.Pass, answer: a}, false
+		return attemptResult{result: limiter.Pass, answer: a}, false, nil
 	}
 	if resp.ContentLength >= 0 {
 		a.body = make([]byte, resp.ContentLength)
@@ -197,11 +214,11 @@
 		a.body, err = io.ReadAll(resp.Body)
 	}
 	if err != nil {
-		return c.errorResult(conn, err), false
+		return attemptResult{}, false, err
 	}
 	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.StatusCode/100 == 2 {
 		// The body ends with the connection, so a truncated body looks complete.
-		return attemptResult{result: limiter.Spoilt}, false
+		return attemptResult{result: limiter.Spoilt}, false, nil
 	}
 	if reuse = !resp.Close && conn.in.Buffered() == 0; reuse {
 		conn.reuse = parseKeepAlive(h.Get("Keep-Alive"))
@@ -210,7 +227,7 @@
 	if outcome.result != limiter.NoRoom && outcome.result != limiter.Spoilt {
 		outcome.answer = a
 	}
-	return outcome, reuse
+	return outcome, reuse, nil
 }
 
 // classifyResponse returns the result that a complete response of a server stands for.
--- a/internal/proxy/requestreader.go
+++ b/internal/proxy/requestreader.go
@@ -204,11 +204,14 @@
 	proxy.countAccepted(pipe, req)
 	go func() {
 		a := proxy.serve(pipe.client, r)
-		if r.rest != nil {
+		if r.rest != nil && a.stream == nil { // a stream's request may still be written; its end finishes the upload
 			r.rest.finish()
 		}
-		if !r.handOff.revoked() {
+		switch {
+		case !r.handOff.revoked():
 			proxy.countAnswer(a)
+		case a.stream != nil: // nobody copies it
+			a.stream.abort()
 		}
 		req.done <- a
 	}()
