A message no longer runs twice when its route changes its name while it comes in

Cause: a request found its route in one version, waited for the mutex while the next came in force, and then looked its class up by name in the new one; what was not found was class 0, that of the first route, which is idempotent. The same while a request waits for another limiter's token, before its first and before its second submission, and when the engine is replaced meanwhile.

Change: assign gives a call to the engine in force, under the mutex, before each submission, and resolves it again if the configuration has changed; without a class of its own route a request is not sent. At the last moment the proxy itself refuses to repeat what may have run and is not repeatable.

Why it works: route, tenant, class, plan and engine of a submission are of one version, and what is missing stops the request in place of becoming index 0.

--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -14,22 +14,28 @@
 
 // call is one client request that is being served.
 type call struct {
-	proxy          *Proxy
-	assignedEngine *engine
-	client         *clientContext // of the connection that the request came on
-	id             string         // unique in the engine, because clients may reuse attempt IDs
+	proxy   *Proxy
+	client  *clientContext // of the connection that the request came on
+	arrived time.Time
 	*clientRequest
+	attemptID string // of the client, which may use one repeatedly
+	steps     chan step
+
+	// By the configuration that the call was resolved by.
+	table       *configuration.Table
 	route       *configuration.Route
 	tenant      *configuration.Tenant
 	service     string
+	timeLeft    time.Duration // for the answer, from arrived on
 	deadline    time.Time
 	maxAttempts int // number of servers that the request may be sent to
-	steps       chan step
 
 	// Guarded by the proxy's mutex.
-	attempts int
-	arrivals int // attempts that a server has received
-	finished bool
+	assignedEngine *engine
+	id             string // unique in the engine
+	attempts       int    // of the latest submission to the engine
+	arrivals       int    // attempts that a server has received
+	finished       bool
 
 	needsShare  bool // paid from this limiter's part of a ceiling, so it is sent only while the limiter holds a share
 	leaseLapsed bool // the lease had ended when the request was about to be sent
@@ -64,111 +70,184 @@
 
 // serve processes a client request and returns its final answer.
 func (proxy *Proxy) serve(client *clientContext, r *clientRequest) *answer {
-	arrived := time.Now()
 	config := proxy.configSnapshot.Load()
 	if config == nil {
 		return &answer{status: 503, retryAfterMs: 300, reason: "no configuration yet"}
 	}
-	route := config.table.FindRoute(r.Host, r.URL.EscapedPath())
+	c := &call{proxy: proxy, client: client, clientRequest: r, arrived: time.Now(), steps: make(chan step, 1)}
+	if rejection := c.resolve(config.table); rejection != nil {
+		return rejection
+	}
+	proxy.mu.Lock()
+	rejection := c.assign()
+	if rejection == nil && proxy.inFlight.Load() > maxInFlight {
+		rejection = notVouchedAnswer()
+	}
+	if rejection != nil {
+		proxy.mu.Unlock()
+		return rejection
+	}
+	proxy.retryBudgets[c.service].Earn(proxy.rules, proxy.limiterCount)
+	gathered, isKeeper := false, false
+	if c.tenant != nil {
+		account := accountID(c.tenant.Name)
+		c.needsShare = c.assignedEngine.quota.Ceilings[account].Rate > 0
+		gathered, isKeeper = c.assignedEngine.quota.KeeperStatus(account)
+	}
+	prepaid := gathered && !isKeeper
+	if prepaid {
+		proxy.mu.Unlock()
+		ok, waitMs, reason := proxy.requestToken(c)
+		if !ok {
+			return &answer{status: 429, retryAfterMs: waitMs, reason: reason}
+		}
+		proxy.mu.Lock()
+		if rejection := c.reassign(); rejection != nil {
+			proxy.mu.Unlock()
+			return rejection
+		}
+	}
+	if c.clientLeft() {
+		proxy.mu.Unlock()
+		return clientLeftAnswer()
+	}
+	return c.submit(prepaid, isKeeper)
+}
+
+// notVouchedAnswer returns the answer to a request that this limiter can't decide on.
+func notVouchedAnswer() *answer {
+	return &answer{status: 503, retryAfterMs: 300, reason: "not vouched"}
+}
+
+// resolve finds the route, the tenant and the limits of the call in a configuration. It returns the answer to a
+// request that the configuration does not allow.
+func (c *call) resolve(table *configuration.Table) (rejection *answer) {
+	route := table.FindRoute(c.Host, c.URL.EscapedPath())
 	if route == nil {
 		return &answer{status: 404, reason: "no route takes this"}
 	}
 	var tenant *configuration.Tenant
-	if config.table.RequiresKey() && !route.AuthExempt {
-		keys := r.Header[headerCredential]
+	if table.RequiresKey() && !route.AuthExempt {
+		keys := c.Header[headerCredential]
 		if len(keys) == 1 {
-			tenant = config.table.TenantByKey(keys[0])
+			tenant = table.TenantByKey(keys[0])
 		}
 		if tenant == nil {
 			return &answer{status: 401, reason: "key is missing or not known"}
 		}
 	}
-	id := r.Header.Get(headerAttempt)
-	if id == "" || len(r.Header[headerAttempt]) > 1 {
+	id := c.Header.Get(headerAttempt)
+	if id == "" || len(c.Header[headerAttempt]) > 1 {
 		return &answer{status: 400, reason: "attempt id is missing or doubled"}
 	}
 	timeout := route.Timeout
-	if text := r.Header.Get(headerDeadline); text != "" {
+	if text := c.Header.Get(headerDeadline); text != "" {
 		n, err := strconv.ParseInt(text, 10, 64)
 		if err != nil || n < 0 || n > 1<<40 {
 			return &answer{status: 400, reason: "deadline is not a number of milliseconds"}
 		}
 		timeout = min(timeout, time.Duration(n)*time.Millisecond)
 	}
-	timeLeft := timeout - min(answerMargin, timeout/8)
-	c := &call{proxy: proxy, client: client, clientRequest: r, route: route, tenant: tenant,
-		deadline:    arrived.Add(timeLeft),
-		maxAttempts: max(1, route.Attempts), steps: make(chan step, 1)}
-	proxy.mu.Lock()
-	if proxy.engine == nil || tenant != nil && !proxy.keysTrusted() || proxy.inFlight.Load() > maxInFlight {
-		proxy.mu.Unlock()
-		return &answer{status: 503, retryAfterMs: 300, reason: "not vouched"}
-	}
-	c.assignedEngine = proxy.engine
+	c.table, c.route, c.tenant, c.attemptID = table, route, tenant, id
 	c.service = pickService(route, rand.Float64())
-	c.assignedEngine.requestCount++
-	c.id = strconv.Itoa(c.assignedEngine.requestCount) + "/" + id
-	retryBudget := proxy.retryBudgets[c.service]
-	if retryBudget == nil {
-		retryBudget = &allowance.RetryBudget{}
-		if proxy.settings.Bootstrap {
-			retryBudget = proxy.rules.InitialRetryBudget(proxy.limiterCount)
+	c.timeLeft = timeout - min(answerMargin, timeout/8)
+	c.deadline = c.arrived.Add(c.timeLeft)
+	c.maxAttempts = max(1, route.Attempts)
+	return nil
+}
+
+// assign gives the call to the engine in force. Route, tenant and engine must be of one configuration, since the engine
+// decides by the route's class whether the request may be repeated; so the call is resolved again if the configuration
+// has changed since. It returns an answer if the call can't be served. The mutex is held.
+func (c *call) assign() (rejection *answer) {
+	proxy := c.proxy
+	if config := proxy.configSnapshot.Load(); config.table != c.table {
+		if rejection := c.resolve(config.table); rejection != nil {
+			return rejection
 		}
-		proxy.retryBudgets[c.service] = retryBudget
 	}
-	retryBudget.Earn(proxy.rules, proxy.limiterCount)
-	gathered, isKeeper := false, false
-	if tenant != nil {
-		c.needsShare = c.assignedEngine.quota.Ceilings[accountID(tenant.Name)].Rate > 0
-		gathered, isKeeper = c.assignedEngine.quota.KeeperStatus(accountID(tenant.Name))
+	e := proxy.engine
+	if e == nil || c.tenant != nil && !proxy.keysTrusted() {
+		return notVouchedAnswer()
 	}
-	if gathered && !isKeeper {
-		proxy.mu.Unlock()
-		ok, waitMs, reason := proxy.requestToken(c)
-		if !ok {
-			return &answer{status: 429, retryAfterMs: waitMs, reason: reason}
-		}
-		proxy.mu.Lock()
+	if !e.knows(c.route, c.tenant) { // the engine could not take the configuration over
+		return notVouchedAnswer()
 	}
-	if c.clientLeft() {
-		proxy.mu.Unlock()
-		return clientLeftAnswer()
+	e.requestCount++
+	c.assignedEngine, c.id, c.attempts = e, strconv.Itoa(e.requestCount)+"/"+c.attemptID, 0
+	if proxy.retryBudgets[c.service] == nil {
+		proxy.retryBudgets[c.service] = proxy.newRetryBudget()
+	}
+	return nil
+}
+
+// reassign is assign for a call that has waited for a token, and so has not been sent yet. The token is worth nothing
+// if the key belongs to another tenant now. The mutex is held.
+func (c *call) reassign() (rejection *answer) {
+	payer := c.tenant.Name
+	if rejection := c.assign(); rejection != nil {
+		return rejection
+	}
+	if c.tenant == nil || c.tenant.Name != payer {
+		return &answer{status: 503, retryAfterMs: defaultRetryAfterMs, reason: "tenant changed"}
+	}
+	return nil
+}
+
+// newRetryBudget returns the budget that a service begins with. The mutex is held.
+func (proxy *Proxy) newRetryBudget() *allowance.RetryBudget {
+	if proxy.settings.Bootstrap {
+		return proxy.rules.InitialRetryBudget(proxy.limiterCount)
 	}
-	return c.submit(timeLeft, gathered && !isKeeper, isKeeper)
+	return &allowance.RetryBudget{}
 }
 
 // submit lets the engine decide on the call and returns the call's answer. The mutex is held on entry and is
 // released. prepaid says that a keeper has granted the token. isKeeper says that this limiter is itself a keeper
 // of the tenant: when its part is used up, another limiter may still have a token.
-func (c *call) submit(timeLeft time.Duration, prepaid, isKeeper bool) *answer {
-	proxy, route, tenant := c.proxy, c.route, c.tenant
-	c.assignedEngine.calls[c.id] = c
-	ev := limiter.Submit{ID: c.id, ExpiresMs: deadlineStretch * ms(timeLeft), Units: 1,
-		Class: c.assignedEngine.classes[route], Spread: c.assignedEngine.slotCount,
-		Pool: c.assignedEngine.poolID(c.service, route, tenant)}
-	if tenant != nil {
-		ev.Plan, ev.Account = c.assignedEngine.plans[tenant], accountID(tenant.Name)
+func (c *call) submit(prepaid, isKeeper bool) *answer {
+	a := c.runSubmitted(prepaid)
+	mayAsk := c.tenant != nil && (isKeeper || !prepaid && a.shareShort)
+	if a.status != 429 || !mayAsk {
+		return a
+	}
+	ok, wait := c.proxy.requestTokenThrottled(c)
+	if !ok {
+		if wait > 0 {
+			a.retryAfterMs = wait
+		}
+		return a
+	}
+	c.proxy.mu.Lock()
+	if rejection := c.reassign(); rejection != nil {
+		c.proxy.mu.Unlock()
+		return rejection
+	}
+	return c.runSubmitted(true)
+}
+
+// runSubmitted submits the call to its engine and executes the steps that the engine decides on. The mutex is held on
+// entry and is released.
+func (c *call) runSubmitted(prepaid bool) *answer {
+	e := c.assignedEngine
+	e.calls[c.id] = c
+	c.finished = false
+	ev := limiter.Submit{ID: c.id, ExpiresMs: deadlineStretch * ms(c.timeLeft), Units: 1, Class: e.classes[c.route],
+		Spread: e.slotCount, Pool: e.poolID(c.service, c.route, c.tenant)}
+	if c.tenant != nil {
+		ev.Plan, ev.Account = e.plans[c.tenant], accountID(c.tenant.Name)
 	}
 	if prepaid {
 		ev.Leased, c.needsShare = 1, false
 	}
-	c.assignedEngine.applyDueParts()
-	c.assignedEngine.handle(ev)
-	proxy.mu.Unlock()
+	e.applyDueParts()
+	e.handle(ev)
+	c.proxy.mu.Unlock()
 	a := c.run()
-	if a.status == 429 && (isKeeper || tenant != nil && !prepaid && a.shareShort) {
-		if ok, wait := proxy.requestTokenThrottled(c); ok {
-			ev.Leased, c.needsShare = 1, false
-			c.assignedEngine.lockAndHandle(ev)
-			a = c.run()
-		} else if wait > 0 {
-			a.retryAfterMs = wait
-		}
-	}
-	proxy.mu.Lock()
+	c.proxy.mu.Lock()
+	defer c.proxy.mu.Unlock()
 	c.finished = true
-	delete(c.assignedEngine.calls, c.id)
-	proxy.mu.Unlock()
+	delete(e.calls, c.id)
 	return a
 }
 
--- a/internal/proxy/engine.go
+++ b/internal/proxy/engine.go
@@ -275,6 +275,18 @@
 	return indexes
 }
 
+// knows reports whether the engine has a class for a route and a plan for a tenant, which may be nil.
+func (e *engine) knows(route *configuration.Route, tenant *configuration.Tenant) bool {
+	if _, known := e.classes[route]; !known {
+		return false
+	}
+	if tenant == nil {
+		return true
+	}
+	_, known := e.plans[tenant]
+	return known
+}
+
 // label assigns IDs to the pools for the services and home regions of a configuration.
 func (e *engine) label(table *configuration.Table) {
 	for i := range table.Routes {
@@ -515,7 +527,8 @@
 		return
 	}
 	server := proxy.upstreams[entry.instanceID]
-	if server == nil || !server.usable || c.arrivals > 0 && (c.arrivals >= c.maxAttempts || !proxy.holdsShare() ||
+	repeats := c.mayHaveRun && !c.route.Kind.Repeatable() // never: the engine decides so by the route's class
+	if server == nil || !server.usable || repeats || c.arrivals > 0 && (c.arrivals >= c.maxAttempts || !proxy.holdsShare() ||
 		!proxy.retryBudgets[c.service].Take()) {
 		e.events = append(e.events, limiter.Outcome{ID: action.ID, Try: attempt, Server: action.Server,
 			Result: limiter.StaleSend})
