--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -208,7 +208,7 @@
 func (c *call) submit(prepaid, isKeeper bool) *answer {
 	a := c.runSubmitted(prepaid)
 	mayAsk := c.tenant != nil && (isKeeper || !prepaid && a.shareShort)
-	if a.status != 429 || !mayAsk {
+	if a.status != 429 || a.head != nil || !mayAsk { // with a head, it is a server's answer
 		return a
 	}
 	ok, wait := c.proxy.requestTokenThrottled(c)
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -110,7 +110,8 @@
 	return s
 }
 
-// serveConn serves one connection. The behaviours are ok, shed, misdirected, fail, cut (executes the request and
+// serveConn serves one connection. The behaviours are ok, shed, misdirected, fail, refuse (executes the request
+// and answers 429), cut (executes the request and
 // closes the connection), half (sends half an answer), other (sends the answer to another request) and twice
 // (sends a second answer after the first).
 func (s *server) serveConn(c net.Conn) {
@@ -141,6 +142,8 @@
 			io.WriteString(c, answer(421, id, "", ""))
 		case "fail":
 			io.WriteString(c, answer(500, id, seal, "no"))
+		case "refuse":
+			io.WriteString(c, answer(429, id, seal, "no"))
 		case "cut":
 			return false
 		case "half":
@@ -793,3 +796,36 @@
 		}
 	}
 }
+
+// Guards against a second run of a message whose server answers 429 itself, without saying that it has not run: only a
+// refusal of this limiter leads it to ask others for a token and to submit the request again.
+func TestServersOwnRefusalIsPassedOn(t *testing.T) {
+	proxy := newTestProxy(t)
+	s := proxy.server("i-1", 0, "refuse", "ok")
+	for version, keeper := 2, false; !keeper; version++ { // until so many limiters that this one is a keeper
+		if version == 100 {
+			t.Fatal("this limiter does not become a keeper of the tenant's ceiling")
+		}
+		proxy.deliver(&controlstate.Register{Seq: uint64(version), Version: uint64(version),
+			Config: renamedConfig(version, "send", 3), Places: placesUpTo(proxy, version)})
+		_, keeper = proxy.engine.quota.KeeperStatus(accountID("t1"))
+	}
+	status := make(chan int, 1)
+	go func() {
+		got, _ := proxy.client(request("POST", "/send/1", "once", "", "x"), 1)
+		status <- got[0].StatusCode
+	}()
+	if got := await(t, status, "an answer"); got != 429 {
+		t.Errorf("status %d", got)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.executed) != 1 {
+		t.Errorf("ran %d times", len(s.executed))
+	}
+	proxy.mu.Lock()
+	defer proxy.mu.Unlock()
+	if proxy.tokenSerial != 0 {
+		t.Errorf("%d tokens were asked for", proxy.tokenSerial)
+	}
+}
