A connection that has carried a long request is not used again

Callers saw: requests got 504 or 502 behind a server that had answered a long body early and had not read it yet.

Cause: a connection was used again once a request had been written whole, which the buffers between allow without the server reading. Change: one that has carried over 16 KiB is closed. TestNothingWaitsBehindAnUnreadBody: 504 before.

--- a/internal/proxy/answerstream.go
+++ b/internal/proxy/answerstream.go
@@ -25,13 +25,13 @@
 	s.endWrite()
 }
 
-// endWrite ends the writing of the request and reports whether it was written completely.
-func (s *answerStream) endWrite() (complete bool) {
-	complete = s.write.stop()
+// endWrite ends the writing of the request and reports whether the connection can be used for the next one.
+func (s *answerStream) endWrite() (reusable bool) {
+	reusable = s.write.stop()
 	if s.write.rest != nil {
 		s.write.rest.finish()
 	}
-	return complete
+	return reusable
 }
 
 // copyTo copies the remainder to the client. It returns an error if the answer is incomplete.
@@ -52,8 +52,8 @@
 			total += int64(n)
 		}
 		if err == io.EOF && total == s.length {
-			complete := s.endWrite()
-			if s.detach() && complete && !s.resp.Close && s.serverConn.in.Buffered() == 0 {
+			reusable := s.endWrite()
+			if s.detach() && reusable && !s.resp.Close && s.serverConn.in.Buffered() == 0 {
 				s.upstream.putIdle(s.serverConn)
 			} else {
 				s.serverConn.Close()
--- a/internal/proxy/earlyanswer_test.go
+++ b/internal/proxy/earlyanswer_test.go
@@ -129,6 +129,10 @@
 		return reset()
 	case "crashes":
 		return reset()
+	case "reads late":
+		ok := readOn(2 * readOnDelay)
+		write(1)
+		return ok
 	case "turns away":
 		fmt.Fprintf(c, "HTTP/1.1 503 x\r\n%s: %s\r\n%s: 1\r\nContent-Length: 0\r\n\r\n", headerAttempt,
 			r.Header.Get(headerAttempt), headerNotExecuted)
@@ -200,3 +204,20 @@
 		})
 	}
 }
+
+// Guards against requests that wait behind a body that their server has not read: after an answer that came early, the
+// connection is not used for the next request, also where the buffers between have taken the whole body.
+func TestNothingWaitsBehindAnUnreadBody(t *testing.T) {
+	proxy := newTestProxy(t)
+	servers := &earlyServers{behaviour: "answers"}
+	servers.start(t, proxy, "i-1")
+	proxy.deliver(nil)
+	if got, _ := proxy.client(request("POST", "/send/1", "a", "", strings.Repeat("x", 2*maxReusedBytes)), 1); got[0].StatusCode != 200 {
+		t.Errorf("the long request got %d", got[0].StatusCode)
+	}
+	begin := time.Now()
+	got, _ := proxy.client(request("POST", "/send/1", "b", "", "x"), 1)
+	if took := time.Since(begin); got[0].StatusCode != 200 || took > readOnDelay/2 {
+		t.Errorf("the next request got %d after %v", got[0].StatusCode, took)
+	}
+}
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -170,10 +170,10 @@
 		outcome.answer.stream.write = write // the server may need the rest of the body for the rest of its answer
 		return outcome, false
 	}
-	complete := write.stop()
+	reusable := write.stop()
 	switch {
 	case err == nil:
-		return outcome, reuse && complete
+		return outcome, reuse && reusable
 	case !write.anySent:
 		return attemptResult{result: limiter.NoRoute}, false
 	case write.bodyErr != nil:
--- a/internal/proxy/requestwrite.go
+++ b/internal/proxy/requestwrite.go
@@ -2,15 +2,21 @@
 
 import "errors"
 
-// shortRequestBytes is the length up to which a request is written before its answer is read. An empty send buffer
-// takes it whole, so that the write does not wait for the server.
-const shortRequestBytes = 4 << 10
+const (
+	// shortRequestBytes is the length up to which a request is written before its answer is read. An empty send buffer
+	// takes it whole, so that the write does not wait for the server.
+	shortRequestBytes = 4 << 10
+	// maxReusedBytes is the length up to which a request leaves its connection to the next one. The server may have
+	// answered without reading a longer one, which the buffers between hold, and would read the next request late.
+	maxReusedBytes = 16 << 10
+)
 
 // requestWrite writes one request to a server. A long one is written while the answer is read, because a server may
 // answer before it has read the whole body, and may then read on late or not at all.
 type requestWrite struct {
 	conn *serverConn
 	rest *upload       // remainder of the body, which is forwarded from the client; nil: none
+	long bool          // longer than maxReusedBytes
 	done chan struct{} // closed when nothing more is written; the fields below are set then
 
 	anySent  bool // at least one byte was written, so the server may have executed the request
@@ -20,7 +26,8 @@
 
 // startWrite writes a request that starts with head, or begins to.
 func (c *call) startWrite(conn *serverConn, head []byte) *requestWrite {
-	w := &requestWrite{conn: conn, rest: c.rest, done: make(chan struct{})}
+	w := &requestWrite{conn: conn, rest: c.rest, long: c.rest != nil || len(head) > maxReusedBytes,
+		done: make(chan struct{})}
 	if c.rest != nil {
 		c.rest.allow()
 	}
@@ -59,9 +66,9 @@
 	}
 }
 
-// stop ends the writing if it goes on, and reports whether the request has been written completely. If not, the
-// connection can't be used further: what comes next on it belongs to the body.
-func (w *requestWrite) stop() (complete bool) {
+// stop ends the writing if it goes on, and reports whether the connection can be used for the next request. It can't if
+// the request is long or has not been written completely, as what comes next on it then belongs to the body.
+func (w *requestWrite) stop() (reusable bool) {
 	select {
 	case <-w.done:
 	default:
@@ -71,5 +78,5 @@
 		}
 		<-w.done
 	}
-	return w.complete
+	return w.complete && !w.long
 }
