A long body whose server reads late is not broken off after 1.5 s

Callers saw: 502 for a message whose server did not read its body for over 1.5 s, though a server's silence is no reason to end an answer sooner. Cause: TCP_USER_TIMEOUT, meant for machines without power, also breaks a connection whose peer is there and does not read. TestServerReadsBodyLate: 502 after 1.8 s before.

--- a/internal/proxy/earlyanswer_test.go
+++ b/internal/proxy/earlyanswer_test.go
@@ -221,3 +221,18 @@
 		t.Errorf("the next request got %d after %v", got[0].StatusCode, took)
 	}
 }
+
+// Guards against the end of a request whose server reads its body late: that the server does not read for longer than
+// sent data may stay unacknowledged does not break the connection.
+func TestServerReadsBodyLate(t *testing.T) {
+	proxy := newTestProxy(t)
+	proxy.useLongTimeoutRoutes()
+	servers := &earlyServers{behaviour: "reads late"}
+	servers.start(t, proxy, "i-1")
+	proxy.deliver(nil)
+	text := strings.Replace(request("POST", "/send/1", "a", "", strings.Repeat("x", maxHeldBody/2)), headerDeadline+": 1000",
+		headerDeadline+": 8000", 1)
+	if got, _ := proxy.client(text, 1); got[0].StatusCode != 200 || servers.executed != 1 {
+		t.Errorf("status %d, ran %d times", got[0].StatusCode, servers.executed)
+	}
+}
--- a/internal/proxy/requestwrite.go
+++ b/internal/proxy/requestwrite.go
@@ -1,6 +1,10 @@
 package proxy
 
-import "errors"
+import (
+	"errors"
+
+	"example.org/madderdrum/internal/sockets"
+)
 
 const (
 	// shortRequestBytes is the length up to which a request is written before its answer is read. An empty send buffer
@@ -31,6 +35,11 @@
 	if c.rest != nil {
 		c.rest.allow()
 	}
+	if w.long { // a server may read late, which would break the connection; it is not used again
+		if err := sockets.SetUserTimeout(conn.Conn, 0); err != nil {
+			c.proxy.warnLimited("cannot lift the user timeout of a connection", c.attemptID, err.Error())
+		}
+	}
 	if c.rest == nil && len(head) <= shortRequestBytes {
 		w.write(c, head)
 	} else {
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -7,6 +7,8 @@
 	"net"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Accept calls serve for each connection, in a new goroutine, until the listener is closed or the
@@ -94,3 +96,21 @@
 		t.CloseWrite()
 	}
 }
+
+// SetUserTimeout sets how long data sent on a TCP connection may stay unacknowledged, or unsent as the peer does not
+// read, until the connection breaks. 0 leaves that to the system. It has no effect on other connections.
+func SetUserTimeout(c net.Conn, timeout time.Duration) error {
+	t, ok := c.(*net.TCPConn)
+	if !ok {
+		return nil
+	}
+	raw, err := t.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var optionErr error
+	err = raw.Control(func(fd uintptr) {
+		optionErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
+	})
+	return errors.Join(err, optionErr)
+}
