Soak: early and lost answers, requests turned away, renamed routes, shared names, small quotas

Servers have small windows, answer half of the long bodies before they have read them and read on late or crash, lose 3 in 100 answers, and turn 2 in 100 requests away. A fifth of the clients belong to a tenant with a small quota, whose requests wait for tokens. Bodies have 64 KiB to 2 MiB.

--- a/internal/smallsystem/smallsystem.go
+++ b/internal/smallsystem/smallsystem.go
@@ -38,6 +38,9 @@
 	Log      func(format string, args ...any)
 	Grace    time.Duration    // grace period between SIGTERM and SIGKILL; 0 means DefaultGrace
 	Work     http.HandlerFunc // how servers handle a request; nil means that they answer at once
+	// SmallWindows lets servers take little of a body that they do not read, as on a network with small windows. A
+	// peer that writes more than that waits.
+	SmallWindows bool
 }
 
 // DefaultGrace is the grace period of the programs if Options.Grace is 0.
@@ -370,7 +373,11 @@
 func (s *System) AddServer(i int) (*Server, error) {
 	x := &Server{ID: fmt.Sprintf("i-%d-%08x", i, s.nextID.Add(1)), system: s, addr: fmt.Sprintf("127.%d.3.%d:%d", s.options.Net, i+1, serverPort)}
 	x.state.Store("available")
-	l, err := net.Listen("tcp", x.addr)
+	var listen net.ListenConfig
+	if s.options.SmallWindows {
+		listen.Control = setSmallWindow
+	}
+	l, err := listen.Listen(context.Background(), "tcp", x.addr)
 	if err != nil {
 		return nil, fmt.Errorf("smallsystem: listen for a server: %w", err)
 	}
@@ -385,6 +392,24 @@
 	return x, nil
 }
 
+// Sizes of a listener's segments and receive buffer with small windows. The loopback interface's own segments would
+// let a sender put megabytes into its send buffer.
+const (
+	smallSegmentBytes = 1460
+	smallBufferBytes  = 64 << 10
+)
+
+// setSmallWindow is a net.ListenConfig's Control function that gives connections small windows.
+func setSmallWindow(_, _ string, raw syscall.RawConn) error {
+	var optionErr error
+	err := raw.Control(func(fd uintptr) {
+		optionErr = errors.Join(
+			syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_MAXSEG, smallSegmentBytes),
+			syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, smallBufferBytes))
+	})
+	return errors.Join(err, optionErr)
+}
+
 func (x *Server) close() {
 	x.stop()
 	x.httpServer.Close()
--- a/internal/smallsystem/soak_clients_test.go
+++ b/internal/smallsystem/soak_clients_test.go
@@ -17,6 +17,7 @@
 type soakClient struct {
 	*soak
 	name         string
+	key          string        // of its tenant
 	directoryTTL time.Duration // time for which it caches an answer of the directory
 	limiters     []int         // from the directory, by index
 	validUntil   time.Time     // when the cached limiters expire
@@ -90,18 +91,20 @@
 	soakRead     soakKind = iota // short, repeatable
 	soakWrite                    // short, not repeatable
 	soakDownload                 // with a long answer, repeatable
-	soakUpload                   // with a long body, not repeatable
+	soakUpload                   // with a long body of one of soakUploadSizes, not repeatable
 )
 
 func (k soakKind) String() string { return []string{"read", "once", "download", "upload"}[k] }
 
 const (
 	soakUploadPiece   = 64 << 10
-	soakUploadPieces  = 32      // more than the limiter buffers of a body
 	soakDownloadLines = 1 << 18 // of an answer: more than the limiter buffers
 	soakDownloadPiece = 1 << 14 // lines that are written or read at a time
 )
 
+// soakUploadSizes are the lengths of long bodies, in pieces. The longest is more than the limiter holds of a body.
+var soakUploadSizes = []int{1, 4, 15, 32}
+
 // soakLine returns the line that a long answer repeats.
 func soakLine(id string) string { return fmt.Sprintf("%-15s\n", id) }
 
@@ -127,10 +130,10 @@
 	case soakDownload:
 		path = "/c/1"
 	case soakUpload:
-		method, path, body = "POST", "/b/1", strings.Repeat("u", soakUploadPiece*soakUploadPieces)
+		method, path, body = "POST", "/b/1", strings.Repeat("u", soakUploadPiece*soakUploadSizes[c.randomInt(len(soakUploadSizes))])
 	}
-	text := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: model.example\r\nX-Madderdrum-Attempt-Id: %s\r\nX-Madderdrum-Deadline-Ms: %d\r\nX-Madderdrum-Credential: key-1\r\nContent-Length: %d\r\n\r\n%s",
-		method, path, sent.id, sent.deadline.Milliseconds(), len(body), body)
+	text := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: model.example\r\nX-Madderdrum-Attempt-Id: %s\r\nX-Madderdrum-Deadline-Ms: %d\r\nX-Madderdrum-Credential: %s\r\nContent-Length: %d\r\n\r\n%s",
+		method, path, sent.id, sent.deadline.Milliseconds(), c.key, len(body), body)
 	c.mu.Lock()
 	sent.sent = time.Now()
 	c.requests[sent.id] = sent
@@ -330,11 +333,20 @@
 	}
 }
 
-// serve handles a request at a server: it waits for a random time or until the caller disconnects, and answers.
+// serve handles a request at a server. It may turn the request away, answer before it has read the body, or lose the
+// answer; otherwise it waits for a random time or until the caller disconnects, and answers.
 func (s *soak) serve(w http.ResponseWriter, r *http.Request) {
+	behaviour := s.drawBehaviour(r)
+	if behaviour == soakTurnsAway {
+		w.Header().Set("X-Madderdrum-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	id := r.Header.Get("X-Madderdrum-Attempt-Id")
-	if _, err := io.Copy(io.Discard, r.Body); err != nil {
-		return // the body is incomplete: the request is not executed
+	if behaviour != soakAnswersEarly {
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return // the body is incomplete: the request is not executed
+		}
 	}
 	serviceTime := time.Duration(20+s.randomInt(200)) * time.Millisecond
 	switch draw := s.randomInt(100); {
@@ -343,6 +355,9 @@
 	case draw < 12:
 		serviceTime = time.Duration(800+s.randomInt(1600)) * time.Millisecond
 	}
+	if behaviour == soakAnswersEarly {
+		serviceTime = time.Duration(s.randomInt(100)) * time.Millisecond
+	}
 	s.mu.Lock()
 	sent := s.requests[id]
 	index := 0
@@ -360,8 +375,78 @@
 	if sent != nil {
 		s.mu.Lock()
 		sent.executions[index].ended = time.Now()
+		sent.executions[index].answerLost = behaviour == soakLosesAnswer
 		s.mu.Unlock()
 	}
+	switch behaviour {
+	case soakLosesAnswer:
+		resetConnection(w)
+	case soakAnswersEarly:
+		s.answerEarly(w, r, id)
+	default:
+		writeSoakAnswer(w, id, sent)
+	}
+}
+
+// soakBehaviour is what a server does with a request.
+type soakBehaviour int
+
+const (
+	soakAnswers      soakBehaviour = iota // reads the body, executes the request, and answers
+	soakTurnsAway                         // does not execute it, and says so before it has read the body
+	soakLosesAnswer                       // executes it, and resets the connection
+	soakAnswersEarly                      // executes it, answers before it has read the body, and reads on late
+)
+
+// drawBehaviour draws what a server does with a request. Answers are lost only where nothing of them has been written.
+func (s *soak) drawBehaviour(r *http.Request) soakBehaviour {
+	draw, long := s.randomInt(100), r.ContentLength >= soakUploadPiece
+	switch {
+	case draw < 2:
+		return soakTurnsAway
+	case draw < 5 && !strings.HasPrefix(r.URL.Path, "/c/"):
+		return soakLosesAnswer
+	case draw < 55 && long:
+		return soakAnswersEarly
+	}
+	return soakAnswers
+}
+
+// resetConnection resets the connection of a request.
+func resetConnection(w http.ResponseWriter) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return // the connection is gone already
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		tcp.SetLinger(0)
+	}
+	conn.Close()
+}
+
+// answerEarly answers a request before its body has been read. It reads on after a random time, or crashes meanwhile.
+func (s *soak) answerEarly(w http.ResponseWriter, r *http.Request, id string) {
+	control := http.NewResponseController(w)
+	if err := control.EnableFullDuplex(); err != nil {
+		s.t.Error(err)
+	}
+	w.Header().Set("X-Madderdrum-Server-Seal", "model")
+	w.Header().Set("Content-Length", strconv.Itoa(len(id)))
+	fmt.Fprint(w, id)
+	control.Flush()
+	select {
+	case <-time.After(time.Duration(s.randomInt(3000)) * time.Millisecond):
+	case <-s.ctx.Done():
+	}
+	if s.randomInt(4) == 0 {
+		resetConnection(w)
+		return
+	}
+	io.Copy(io.Discard, r.Body)
+}
+
+// writeSoakAnswer writes the answer to a request, which is long for a download.
+func writeSoakAnswer(w http.ResponseWriter, id string, sent *soakRequest) {
 	w.Header().Set("X-Madderdrum-Server-Seal", "model")
 	if sent == nil || sent.kind != soakDownload {
 		fmt.Fprint(w, id)
--- a/internal/smallsystem/soak_operator_test.go
+++ b/internal/smallsystem/soak_operator_test.go
@@ -143,7 +143,7 @@
 		version := s.version
 		s.mu.Unlock()
 		ctx, cancel := context.WithTimeout(context.Background(), 15*time.Second)
-		status, answer, err := s.system.Order(ctx, "POST", "/config/replace", soakConfiguration(version, base))
+		status, answer, err := s.system.Order(ctx, "POST", "/config/replace", s.soakConfiguration(version, base))
 		cancel()
 		s.logEvent("configuration version r%d: status %d %s %v", version, status, answer, err)
 		if status != 200 {
--- a/internal/smallsystem/soak_test.go
+++ b/internal/smallsystem/soak_test.go
@@ -113,7 +113,15 @@
 func (r *soakRequest) nonRepeatable() bool { return r.kind == soakWrite || r.kind == soakUpload }
 
 // soakExecution is one execution of a request at a server.
-type soakExecution struct{ startedAt, ended time.Time }
+type soakExecution struct {
+	startedAt, ended time.Time
+	answerLost       bool // the server reset the connection in place of its answer
+}
+
+// lostAnswer reports whether a server that executed the request broke off in place of its answer.
+func (r *soakRequest) lostAnswer() bool {
+	return slices.ContainsFunc(r.executions, func(run soakExecution) bool { return run.answerLost })
+}
 
 type soak struct {
 	t      *testing.T
@@ -180,14 +188,43 @@
 	s.events = append(s.events, fmt.Sprintf("%7.3f ", time.Since(s.startedAt).Seconds())+fmt.Sprintf(format, args...))
 }
 
-func soakConfiguration(version, base int) []byte {
+// soakManyRoutes is how many further routes the configurations of some runs have: a limiter takes some milliseconds to
+// read them, in which requests come in.
+const soakManyRoutes = 1200
+
+// soakConfiguration returns a version of the configuration. All versions serve the same requests, by routes whose names,
+// order and neighbours change: a route for the same path has another name, and another host has rules of the same names
+// that are repeatable where these are not.
+func (s *soak) soakConfiguration(version, base int) []byte {
+	rule := func(name, kind, target, prefix string) string {
+		return fmt.Sprintf(`{"name":%q,"route_type":%q,"target_latency":%q,"priority":1,"match_criteria":{"path_prefix":%q},"forward_action":{"service":"engines","timeout":"6s","max_attempts":2}}`,
+			name, kind, target, prefix)
+	}
+	send := "send"
+	if version%3 > 0 {
+		send = fmt.Sprintf("send-%d", version)
+	}
+	rules := []string{rule("read", "idempotent", fmt.Sprintf("%dms", 1500+version%7), "/a/"), rule("fetch", "download", "3s", "/c/"), rule(send, "non_idempotent", "1500ms", "/b/")}
+	if version%2 == 1 {
+		slices.Reverse(rules)
+	}
+	listeners := []string{fmt.Sprintf(`{"hostname":"model.example","policy":[%s]}`, strings.Join(rules, ","))}
+	if version%4 < 2 {
+		listeners = append(listeners, fmt.Sprintf(`{"hostname":"other.example","policy":[%s,%s]}`, rule(send, "idempotent", "1s", "/b/"), rule("read", "non_idempotent", "1s", "/a/")))
+	}
+	if version%4 == 1 {
+		slices.Reverse(listeners)
+	}
+	if s.seed%3 == 1 {
+		many := make([]string, soakManyRoutes)
+		for i := range many {
+			many[i] = rule(fmt.Sprintf("route-%d", i), "idempotent", "1s", fmt.Sprintf("/%d/", i))
+		}
+		listeners = append(listeners, fmt.Sprintf(`{"hostname":"many.example","policy":[%s]}`, strings.Join(many, ",")))
+	}
 	return fmt.Appendf(nil, `{"config_version":"r%d","base_revision":"r%d","limits":{"max_header_bytes":16384,"max_body_bytes":8388608,"header_timeout":"3s","idle_timeout":"15s"},`+
-		`"tenants":[{"name":"till","api_keys":["key-1"],"rate_per_s":2000,"burst_size":2000}],`+
-		`"listeners":[{"hostname":"model.example","policy":[`+
-		`{"name":"read","route_type":"idempotent","target_latency":"%dms","priority":1,"match_criteria":{"path_prefix":"/a/"},"forward_action":{"service":"engines","timeout":"6s","max_attempts":2}},`+
-		`{"name":"fetch","route_type":"download","target_latency":"3s","priority":2,"match_criteria":{"path_prefix":"/c/"},"forward_action":{"service":"engines","timeout":"6s","max_attempts":2}},`+
-		`{"name":"send","route_type":"non_idempotent","target_latency":"1500ms","priority":1,"match_criteria":{"path_prefix":"/b/"},"forward_action":{"service":"engines","timeout":"6s","max_attempts":2}}]}],`+
-		`"clusters":[{"name":"engines","health_path":"/health","max_connections":200,"warmup":"1s","cold_per_s":50}]}`, version, base, 1500+version%7)
+		`"tenants":[{"name":"till","api_keys":["key-1"],"rate_per_s":2000,"burst_size":2000},{"name":"stall","api_keys":["key-2"],"rate_per_s":20,"burst_size":6}],`+
+		`"listeners":[%s],"clusters":[{"name":"engines","health_path":"/health","max_connections":200,"warmup":"1s","cold_per_s":50}]}`, version, base, strings.Join(listeners, ","))
 }
 
 // process returns the current process of a limiter.
@@ -199,10 +236,10 @@
 
 // soakTally counts the outcomes of requests.
 type soakTally struct {
-	requests, answered, executed, cutByKill, abortedAtGraceEnd, afterLastAnswer, closedUnread, clientTimedOut, pastDeadline, stalls int
-	status                                                                                                                          map[int]int
-	faults                                                                                                                          map[string]int // by description
-	latestAccepted                                                                                                                  time.Duration  // longest time after SIGTERM at which an executed request was sent
+	requests, answered, executed, cutByKill, abortedAtGraceEnd, afterLastAnswer, closedUnread, clientTimedOut, pastDeadline, answersLost, stalls int
+	status                                                                                                                                       map[int]int
+	faults                                                                                                                                       map[string]int // by description
+	latestAccepted                                                                                                                               time.Duration  // longest time after SIGTERM at which an executed request was sent
 }
 
 // readLogs reads from the logs by how long limiters received SIGTERM late, and uses the maximum of each limiter.
@@ -285,6 +322,10 @@
 		return "its status says that it was not executed, but it was"
 	case r.status != 0 && !slices.Contains([]int{429, 503, 502, 504}, r.status):
 		return "unexpected status for a valid request"
+	case r.status == 502 && r.lostAnswer():
+		tally.answered++
+		tally.answersLost++
+		return ""
 	case r.status == 502 && process.leaving(r.ended):
 		return "it was aborted after SIGTERM"
 	case r.status == 504 && process.leaving(r.ended) && r.ended.Sub(r.sent) < r.deadline-soakDeadlineMargin:
@@ -376,7 +417,10 @@
 	}
 	var clients sync.WaitGroup
 	for i := range soakClients * s.edges / soakEdges {
-		c := &soakClient{soak: s, name: fmt.Sprintf("c%d", i), directoryTTL: soakDirectoryTTL}
+		c := &soakClient{soak: s, name: fmt.Sprintf("c%d", i), key: "key-1", directoryTTL: soakDirectoryTTL}
+		if i%5 == 4 {
+			c.key = "key-2" // of the tenant with a small quota, whose requests often wait for another limiter's token
+		}
 		if i%3 == 0 {
 			c.directoryTTL = 3 * soakDirectoryTTL
 		}
@@ -426,7 +470,7 @@
 				edges = manyEdges
 			}
 			s := &soak{t: t, seed: seed, edges: edges, random: rand.New(rand.NewPCG(seed, 61)), requests: map[string]*soakRequest{}, startedAt: time.Now()}
-			system, err := Start(Options{Programs: dir, Dir: folder, Net: byte(soakFirstNet + seed%100), Edges: edges, Servers: soakServers, Grace: soakGrace, Work: s.serve})
+			system, err := Start(Options{Programs: dir, Dir: folder, Net: byte(soakFirstNet + seed%100), Edges: edges, Servers: soakServers, Grace: soakGrace, Work: s.serve, SmallWindows: true})
 			defer system.Stop()
 			if err != nil {
 				t.Fatal(err)
@@ -438,7 +482,7 @@
 			s.version = 3
 			setup, done := context.WithTimeout(context.Background(), 30*time.Second)
 			defer done()
-			if status, answer, err := system.Order(setup, "POST", "/config/replace", soakConfiguration(3, 0)); status != 200 {
+			if status, answer, err := system.Order(setup, "POST", "/config/replace", s.soakConfiguration(3, 0)); status != 200 {
 				t.Fatalf("the first configuration: status %d %s %v", status, answer, err)
 			}
 			ctx, cancel := context.WithTimeout(context.Background(), soakDuration)
@@ -449,8 +493,8 @@
 				t.Fatal(err)
 			}
 			tally, failures := s.checkResults()
-			t.Logf("seed %d: %d requests, %d executed, %d answered, by status %v; %d after a last answer, %d closed unread, %d cut by SIGKILL, %d aborted at the end of the grace period, %d timed out at their clients, %d long answers past their deadline; latest accepted %v after SIGTERM; %d changes, %d limiters, %d ended processes, %d stalls, %d of the test itself",
-				seed, tally.requests, tally.executed, tally.answered, tally.status, tally.afterLastAnswer, tally.closedUnread, tally.cutByKill, tally.abortedAtGraceEnd, tally.clientTimedOut, tally.pastDeadline, tally.latestAccepted.Round(time.Millisecond), s.acknowledgedChanges, edges, len(s.endedProcesses), tally.stalls, len(s.harnessStalls))
+			t.Logf("seed %d: %d requests, %d executed, %d answered, by status %v; %d after a last answer, %d closed unread, %d cut by SIGKILL, %d aborted at the end of the grace period, %d timed out at their clients, %d long answers past their deadline; latest accepted %v after SIGTERM; %d answers lost by servers; %d changes, %d limiters, %d ended processes, %d stalls, %d of the test itself",
+				seed, tally.requests, tally.executed, tally.answered, tally.status, tally.afterLastAnswer, tally.closedUnread, tally.cutByKill, tally.abortedAtGraceEnd, tally.clientTimedOut, tally.pastDeadline, tally.latestAccepted.Round(time.Millisecond), tally.answersLost, s.acknowledgedChanges, edges, len(s.endedProcesses), tally.stalls, len(s.harnessStalls))
 			if len(failures) > 0 {
 				os.WriteFile(filepath.Join(folder, "faults.txt"), []byte(strings.Join(failures, "\n")), 0o600)
 				t.Errorf("%d failures, %v, the first of them:\n%s\n%s", len(failures), tally.faults, strings.Join(failures[:min(6, len(failures))], "\n"), strings.Join(s.events, "\n"))
