--- a/internal/smallsystem/soak_test.go
+++ b/internal/smallsystem/soak_test.go
@@ -28,7 +28,7 @@
 	soakEdgesEnv  = "SOAK_EDGES" // number of limiters in every fifth run, default soakEdges
 	soakLogDirEnv = "SOAK_KEEP"  // directory in which logs are kept, default none
 
-	soakDefaultSeeds       = 2
+	soakDefaultSeeds       = 4
 	soakEdges              = 3
 	soakServers            = 4
 	soakClients            = 30
