Soak: a request whose writing fails ends at that time

The end of a failed write is recorded now, also its error. No check changes: a failed write to a limiter that runs is a failure as before.

--- a/internal/smallsystem/soak_clients_test.go
+++ b/internal/smallsystem/soak_clients_test.go
@@ -140,10 +140,12 @@
 	c.requestList = append(c.requestList, sent)
 	c.mu.Unlock()
 	err := c.write(to, text)
-	if err == nil {
-		c.mu.Lock()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err != nil { // the connection ended; its answer, if there is one, can still be received
+		sent.ended, sent.fault = time.Now(), err.Error()
+	} else {
 		sent.fullySent = time.Now()
-		c.mu.Unlock()
 	}
 	return sent, err
 }
@@ -199,7 +201,7 @@
 		sent.clientTimedOut = errors.Is(err, os.ErrDeadlineExceeded)
 		return false
 	}
-	sent.status, sent.body = r.StatusCode, body
+	sent.status, sent.body, sent.fault = r.StatusCode, body, ""
 	return !r.Close
 }
 
