--- a/internal/proxy/departure_test.go
+++ b/internal/proxy/departure_test.go
@@ -38,6 +38,8 @@
 	sigterm  time.Time
 	requests map[string]*sentRequest
 	stopped  bool // clients send no further requests
+
+	renewing sync.Mutex // guards server and the catalog that it is in, which are renewed periodically
 }
 
 // sentRequest is a request sent by a client.
@@ -76,11 +78,21 @@
 
 // renew delivers the server's heartbeat and a proof that renews the lease, as pulls do.
 func (d *departure) renew() {
+	d.renewing.Lock()
+	defer d.renewing.Unlock()
 	d.server.Sequence++
 	d.testProxy.records.ApplyHeartbeat(d.now(), d.server)
 	d.deliver(nil)
 }
 
+// moveServer gives the server another address, and delivers it.
+func (d *departure) moveServer(address string) {
+	d.renewing.Lock()
+	d.server.Address = address
+	d.renewing.Unlock()
+	d.renew()
+}
+
 func (d *departure) renewPeriodically(stop <-chan struct{}) {
 	tick := time.NewTicker(renewInterval)
 	defer tick.Stop()
--- a/internal/proxy/exit_test.go
+++ b/internal/proxy/exit_test.go
@@ -39,12 +39,11 @@
 	d := newDeparture(t)
 	var mu sync.Mutex
 	reached := map[string]bool{}
-	d.server.Address = listen(t, unansweringServer(d.server.ID, func(attempt string) {
+	d.moveServer(listen(t, unansweringServer(d.server.ID, func(attempt string) {
 		mu.Lock()
 		defer mu.Unlock()
 		reached[attempt] = true
-	}))
-	d.renew()
+	})))
 	d.sigterm = time.Now().Add(200 * time.Millisecond)
 	texts := map[string][]string{"r": {}, "w": {longTimeoutRequest("POST", "/send/1", "w-0", "", "body")}}
 	ids := map[string][]string{"w": {"w-0"}}
