A reset answer without a length is not taken for a complete one

What callers saw: a server answered without a length, sent a part of its body and reset the connection; the client got the part as a complete answer. In the limiter in service that was any 200, with a long or a short request; in the proxy an answer other than a 2xx, where a long upload was still being written (a 2xx without a length has been 502 there all along).

Cause: the kernel returns a reset to one system call, and the next one reads the end of the stream. In internal/node the one was a Peek that looks whether the body goes on, whose error was dropped; in internal/proxy it was the write of the upload, in another goroutine. An answer without a length is complete at the end of the stream.

Change: a connection's reader returns the error that ended it on each further read. In internal/proxy an answer without a length counts only if its request was written without an error.

Why it works: no reader can see the end of the stream behind an error any more, and where the writer met the error the answer's end is not believed.

--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -78,8 +78,12 @@
 }
 
 // Read limits the size of an answer and of informational headers before it, and records connection errors, so
-// that they can be told from unreadable answers.
+// that they can be told from unreadable answers. Once the connection has ended, each further read returns its error: the
+// kernel returns a reset only once, and an answer without a length would seem complete behind it.
 func (a *answerReader) Read(b []byte) (int, error) {
+	if a.connErr != nil {
+		return 0, a.connErr
+	}
 	if a.remaining <= 0 {
 		return 0, errAnswerTooLong
 	}
--- a/internal/proxy/earlyanswer_test.go
+++ b/internal/proxy/earlyanswer_test.go
@@ -100,6 +100,15 @@
 	s.misplaced = err.Error()
 }
 
+// allowLongBodies lets clients send bodies of up to the given number of bytes.
+func (proxy *testProxy) allowLongBodies(bytes int) {
+	config := *proxy.configSnapshot.Load()
+	table := *config.table
+	table.Limits.MaxBodyBytes = int64(bytes)
+	config.table = &table
+	proxy.configSnapshot.Store(&config)
+}
+
 // takeBehaviour returns what to do with a request, and counts it if it is executed.
 func (s *earlyServers) takeBehaviour() (behaviour string) {
 	s.mu.Lock()
@@ -189,11 +198,7 @@
 			t.Parallel()
 			proxy := newTestProxy(t)
 			proxy.useLongTimeoutRoutes()
-			config := *proxy.configSnapshot.Load()
-			table := *config.table
-			table.Limits.MaxBodyBytes = 2 * longer
-			config.table = &table
-			proxy.configSnapshot.Store(&config)
+			proxy.allowLongBodies(2 * longer)
 			proxy.earnRetries(1000)
 			servers := &earlyServers{behaviour: test.behaviour}
 			servers.start(t, proxy, "i-1")
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -19,6 +19,8 @@
 	spentMs float64
 	// abandoned is set if the attempt was aborted or not started because the client has disconnected.
 	abandoned bool
+	// untilClose is set if the answer had no length and ended with its connection.
+	untilClose bool
 }
 
 // attempt sends a call to a server once and returns the outcome. Stale idle connections are skipped.
@@ -172,6 +174,9 @@
 	}
 	reusable := write.stop()
 	switch {
+	case err == nil && outcome.untilClose && !write.complete:
+		// The connection may have been reset: the writer gets that error, and the reader then sees a regular end.
+		return attemptResult{result: limiter.Cut}, false
 	case err == nil:
 		return outcome, reuse && reusable
 	case !write.anySent:
@@ -216,8 +221,8 @@
 	if err != nil {
 		return attemptResult{}, false, err
 	}
-	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.StatusCode/100 == 2 {
-		// The body ends with the connection, so a truncated body looks complete.
+	outcome.untilClose = resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+	if outcome.untilClose && resp.StatusCode/100 == 2 { // a truncated body looks complete
 		return attemptResult{result: limiter.Spoilt}, false, nil
 	}
 	if reuse = !resp.Close && conn.in.Buffered() == 0; reuse {
@@ -255,7 +260,7 @@
 	switch {
 	case errors.As(err, &body):
 		return attemptResult{result: limiter.Spoilt}
-	case conn.broken:
+	case conn.readErr != nil:
 		return attemptResult{result: limiter.Cut}
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return attemptResult{result: limiter.TooSlow}
--- a/internal/proxy/probe.go
+++ b/internal/proxy/probe.go
@@ -43,7 +43,7 @@
 	}
 	resp, err := http.ReadResponse(conn.in, nil)
 	switch {
-	case err != nil && conn.broken:
+	case err != nil && conn.readErr != nil:
 		return limiter.Cut
 	case err != nil:
 		return limiter.TooSlow
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -53,13 +53,18 @@
 	idleAt  time.Time
 	reuse   time.Duration // how long it may be reused after it has become idle
 	used    bool          // a request has been sent on it
-	broken  bool          // a read failed, other than by a timeout
+	readErr error         // ended reading, other than by a timeout; nil: the connection is not known to be broken
 }
 
+// Read reads from the connection. Once it has ended, each further read returns its error: the kernel returns a reset only
+// once, and an answer without a length would seem complete behind it.
 func (conn *serverConn) Read(b []byte) (int, error) {
+	if conn.readErr != nil {
+		return 0, conn.readErr
+	}
 	n, err := conn.Conn.Read(b)
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
-		conn.broken = true
+		conn.readErr = err
 	}
 	return n, err
 }
