Answers of servers are read by one strict reader, which accepts no HTTP that is forbidden

What callers saw: a server in trouble sent a head in which a field's name held a blank; the client got the answer, with that line ("Transfer-Encoding : chunked" beside a length) passed on by the proxy, and with a body that was not the server's. Also passed on: a status over 599, a second answer behind one of status 000 or behind a 101, interim answers with bodies, folded lines, both lengths, and more.

Cause: http.ReadResponse accepts heads that RFC 9110 and 9112 forbid, so that the limiter and the server may differ about status, fields and the end of the body. A reader laxer than the protocol stood in internal/proxy (answers, interim and health answers) and in internal/node (answers, interim and health answers, early answers).

Change: internal/httpresponse reads status line, fields, framing, chunks and trailer, and returns a ProtocolError for what HTTP/1.1 forbids; both read by it. Such an answer is 502, as the request may have run. A gateway may also take the blank behind a name out (RFC 9112, 5.1), but a server that sends it may mean another framing. A 204 with Content-Length 0 is accepted, as all read it alike.

Why it works: what is forbidden has no meaning that could be got wrong, and there is one reader.

--- a/internal/node/attempts.go
+++ b/internal/node/attempts.go
@@ -12,6 +12,7 @@
 	"strings"
 	"time"
 
+	"example.org/madderdrum/internal/httpresponse"
 	"example.org/madderdrum/limiter"
 )
 
@@ -212,8 +213,8 @@
 		if err := c.SetReadDeadline(nextByteDeadline(deadline)); err != nil {
 			return nil, err
 		}
-		resp, err := http.ReadResponse(c.reader, req)
-		if err != nil || resp.StatusCode >= 200 {
+		resp, err := httpresponse.Read(c.reader, req.Method)
+		if err != nil || !httpresponse.IsInterim(resp.StatusCode) {
 			return resp, err
 		}
 	}
--- a/internal/node/brokenanswer_test.go
+++ b/internal/node/brokenanswer_test.go
@@ -11,6 +11,52 @@
 	"time"
 )
 
+const soundAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nanswered"
+
+// Guards against answers that reach the client although HTTP forbids them: a server in trouble sends a head that is no
+// HTTP, which may hide where its body ends. The request may have run, so its answer is neither 429 nor 503.
+func TestBrokenAnswersDoNotReachClients(t *testing.T) {
+	t.Parallel()
+	withFields := func(fields string) string {
+		return "HTTP/1.1 200 OK\r\n" + fields + "Content-Length: 8\r\n\r\nanswered"
+	}
+	withStatus := func(line string) string { return strings.Replace(soundAnswer, "HTTP/1.1 200 OK", line, 1) }
+	for name, text := range map[string]string{
+		"blank behind a name":        withFields("X-Note : a\r\n"),
+		"blank in a name":            withFields("X Note: a\r\n"),
+		"control byte in a name":     withFields("X-\x01Note: a\r\n"),
+		"control byte in a value":    withFields("X-Note: a\x01b\r\n"),
+		"folded line":                withFields("X-Note: a\r\n b\r\n"),
+		"line feeds alone":           strings.ReplaceAll(soundAnswer, "\r\n", "\n"),
+		"hidden chunks":              withFields("Transfer-Encoding : chunked\r\n"),
+		"hidden length":              "HTTP/1.1 200 OK\r\nContent-Length : 4\r\n\r\nanswered",
+		"both lengths":               "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n0\r\n\r\n",
+		"blank in a trailer's name":  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n0\r\nX Sum: 1\r\n\r\n",
+		"status 000":                 withStatus("HTTP/1.1 000 OK"),
+		"status 000 before another":  "HTTP/1.1 000 OK\r\n\r\n" + soundAnswer,
+		"status 600":                 withStatus("HTTP/1.1 600 OK"),
+		"another version":            withStatus("HTTP/2.0 200 OK"),
+		"other protocol":             "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n" + soundAnswer,
+		"interim answer with a body": "HTTP/1.1 103 Early Hints\r\nContent-Length: 9\r\n\r\n" + soundAnswer,
+		"blank in an interim answer": "HTTP/1.1 103 Early Hints\r\nX Note: a\r\n\r\n" + soundAnswer,
+		"turned away in no HTTP":     "HTTP/1.1 503 Service Unavailable\r\nX-Not-Processed: 1\r\nX Note: a\r\nContent-Length: 0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			srv := newRawServer(t)
+			r := start(t, server("s-1", srv.addr))
+			out := r.send(r.newRequest("send-bulk-paid", "enterprise", "pay"))
+			c := srv.accept()
+			c.request()
+			io.WriteString(c, text)
+			c.Close()
+			if res := r.received(out); res.status != http.StatusBadGateway {
+				t.Errorf("answer %d %q, want 502", res.status, res.body)
+			}
+		})
+	}
+}
+
 // writeUpload writes a request with a body of the given size; a slow client pauses between the pieces of the body.
 func writeUpload(c net.Conn, req *http.Request, size int, slow bool) {
 	req.Body, req.ContentLength = nil, 0
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"example.org/madderdrum/internal/httpresponse"
 	"example.org/madderdrum/limiter"
 )
 
@@ -190,10 +191,7 @@
 // readAnswer reads the answer to a request. reuse says that the connection can be reused once the request has been
 // written completely.
 func (c *call) readAnswer(conn *serverConn) (outcome attemptResult, reuse bool, err error) {
-	resp, err := http.ReadResponse(conn.in, c.Request)
-	for err == nil && resp.StatusCode < 200 {
-		resp, err = http.ReadResponse(conn.in, c.Request)
-	}
+	resp, err := httpresponse.ReadFinal(conn.in, c.Method)
 	if err != nil {
 		return attemptResult{}, false, err
 	}
--- a/internal/proxy/probe.go
+++ b/internal/proxy/probe.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"example.org/madderdrum/internal/httpresponse"
 	"example.org/madderdrum/limiter"
 )
 
@@ -41,7 +42,7 @@
 	if _, err := conn.Write(append(out, "Connection: close\r\n\r\n"...)); err != nil {
 		return limiter.NoRoute
 	}
-	resp, err := http.ReadResponse(conn.in, nil)
+	resp, err := httpresponse.ReadFinal(conn.in, http.MethodGet)
 	switch {
 	case err != nil && conn.readErr != nil:
 		return limiter.Cut
