--- a/internal/proxy/brokenanswer_test.go
+++ b/internal/proxy/brokenanswer_test.go
@@ -195,6 +195,7 @@
 		"blank in a name":       {"HTTP/1.1 200 OK\r\n" + instanceField + "X Note: a\r\nContent-Length: 0\r\n\r\n", false},
 		"both lengths":          {"HTTP/1.1 200 OK\r\n" + instanceField + "Content-Length: 0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", false},
 		"status +20":            {"HTTP/1.1 +20 OK\r\n" + instanceField + "\r\n", false},
+		"breaks off":            {"HTTP/1.1 200 OK\r\n" + instanceField + "Content-Length: 9\r\n\r\nwell", false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			address := listen(t, func(c net.Conn) {
--- a/internal/proxy/probe.go
+++ b/internal/proxy/probe.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"io"
 	"net/http"
 	"time"
 
@@ -43,6 +44,9 @@
 		return limiter.NoRoute
 	}
 	resp, err := httpresponse.ReadFinal(conn.in, http.MethodGet)
+	if err == nil {
+		_, err = io.Copy(io.Discard, resp.Body)
+	}
 	switch {
 	case err != nil && conn.readErr != nil:
 		return limiter.Cut
