An early answer that is broken counts as one that may have run

What callers saw: a server answered a long body early, with a success, a plain failure, a part of an answer, or a head that is no HTTP, and reset the connection; the client got 429 ("trying again is harmless"), although such an answer proves nothing.

Cause: in internal/node whatever came before the request's last byte counted as "not run", a failed write with an answer behind it too. Only an answer that says so, whole and sound, proves it.

Change: an early answer is read to its end and classified as any other. Not sound or not whole, or without a length where the write met the error that ended the connection: may have run, 502. So is an early 200. A connection that ends without a byte of an answer still proves that the request was not run, as the protocol says.

Why it works: there is one classification for all answers, and nothing but a whole answer that states it leads to a refusal.

--- a/internal/node/attempts.go
+++ b/internal/node/attempts.go
@@ -132,8 +132,8 @@
 		case rep.requestErr != nil: // doesn't count against the server
 			rep.result = limiter.Undone
 			return rep, connDiscard
-		case errors.Is(err, errEarlyAnswer):
-			return c.readEarlyAnswer(req, rep)
+		case err != nil && !c.quiet(): // also where the server reset the connection behind an answer
+			return c.readEarlyAnswer(req, rep, !errors.Is(err, errEarlyAnswer))
 		case err != nil:
 			return rep, connBroken
 		}
@@ -152,51 +152,81 @@
 			defer resp.Body.Close()
 		}
 	}
+	if err != nil {
+		return c.answerFailed(rep, err)
+	}
+	rep.load = parseLoad(resp.Header.Get("X-Server-Load"))
+	rep.contentType = resp.Header.Get("Content-Type")
+	rep.result = classifyAnswer(resp)
 	switch {
-	case c.src.connErr != nil && err != nil:
+	case rep.stream != nil:
+		outcome = connStreaming
+	case !resp.Close && c.reader.Buffered() == 0:
+		outcome = connReusable
+	}
+	return rep, outcome
+}
+
+// answerFailed returns the result of an attempt whose answer could not be read. The request may have been executed.
+func (c *conn) answerFailed(rep reply, err error) (reply, connOutcome) {
+	switch {
+	case c.src.connErr != nil:
 		rep.result, rep.err = limiter.Cut, err
 		return rep, connBroken
 	case err == errNoAnswer:
 		rep.result = limiter.TooSlow
 		return rep, connDiscard
-	case err != nil:
-		// The request may have been executed. This doesn't count against the server: any server may send such
-		// answers, and its next one may be good.
-		rep.result, rep.err = limiter.Spoilt, err
-		return rep, connDiscard
 	}
-	rep.load = parseLoad(resp.Header.Get("X-Server-Load"))
-	rep.contentType = resp.Header.Get("Content-Type")
+	// This doesn't count against the server: any server may send such answers, and its next one may be good.
+	rep.result, rep.err = limiter.Spoilt, err
+	return rep, connDiscard
+}
+
+// classifyAnswer returns the result that a complete answer of a server stands for.
+func classifyAnswer(resp *http.Response) limiter.Result {
 	switch code := resp.StatusCode; {
 	case code == http.StatusOK:
-		rep.result = limiter.Pass
+		return limiter.Pass
 	case (code == http.StatusServiceUnavailable || code == http.StatusGatewayTimeout) &&
 		resp.Header.Get("X-Not-Processed") == "1":
-		rep.result = limiter.NoRoom
-	default:
-		rep.result = limiter.Fault
+		return limiter.NoRoom
 	}
-	switch {
-	case rep.stream != nil:
-		outcome = connStreaming
-	case !resp.Close && c.reader.Buffered() == 0:
-		outcome = connReusable
-	}
-	return rep, outcome
+	return limiter.Fault
 }
 
-// readEarlyAnswer reads the answer of a server that did not wait for the complete request. Whatever its status,
-// the request was rejected and not executed.
-func (c *conn) readEarlyAnswer(req *http.Request, rep reply) (reply, connOutcome) {
-	resp, err := c.readHead(req, time.Now().Add(nextByteTimeout))
-	if err != nil {
+// errEarlySuccess is the error of an answer that claims success before the server had the complete request.
+var errEarlySuccess = errors.New("the server answered 200 before it had the complete request")
+
+// readEarlyAnswer reads the answer of a server that did not wait for the complete request. Only a complete answer proves
+// that the request was rejected and not executed. writeFailed says that the request could not be written, so that the
+// error that ended the connection is known already and reading may not meet it again.
+func (c *conn) readEarlyAnswer(req *http.Request, rep reply, writeFailed bool) (reply, connOutcome) {
+	deadline := time.Now().Add(nextByteTimeout * nextByteDivisor)
+	resp, err := c.readHead(req, deadline)
+	if c.src.remaining == maxAnswerBytes { // the connection ended without an answer
 		return rep, connBroken
 	}
-	resp.Body.Close()
-	rep.result, rep.load = limiter.NoRoom, parseLoad(resp.Header.Get("X-Server-Load"))
+	if err == nil {
+		err = c.dropAnswer(resp, deadline)
+	}
+	if err == nil && writeFailed && endsWithConnection(resp) {
+		err = io.ErrUnexpectedEOF
+	}
+	if err != nil {
+		return c.answerFailed(rep, err)
+	}
+	rep.load = parseLoad(resp.Header.Get("X-Server-Load"))
+	if rep.result = classifyAnswer(resp); rep.result == limiter.Pass {
+		rep.result, rep.err = limiter.Spoilt, errEarlySuccess
+	}
 	return rep, connDiscard
 }
 
+// endsWithConnection reports whether the body of an answer has no length, so that it ends with its connection.
+func endsWithConnection(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
 // errNoAnswer is returned when no answer has begun in time.
 var errNoAnswer = errors.New("no answer")
 
--- a/internal/node/brokenanswer_test.go
+++ b/internal/node/brokenanswer_test.go
@@ -57,6 +57,56 @@
 	}
 }
 
+// Guards against a part of an answer that is taken for the whole, and against a refusal of what may have run: a server
+// answers a long body at once, without a length or in no HTTP, and resets the connection while the body is being written,
+// or soon after.
+func TestAnswerIsResetDuringAnUpload(t *testing.T) {
+	t.Parallel()
+	const (
+		short = 2 * maxHeldBody // the socket buffers take it, so that it is written completely
+		long  = 8 << 20         // exceeds the socket buffers
+	)
+	for name, text := range map[string]string{
+		"success without length": "HTTP/1.1 200 OK\r\n\r\npart",
+		"failure without length": "HTTP/1.1 500 Internal Server Error\r\n\r\npart",
+		"blank in a name":        "HTTP/1.1 503 Service Unavailable\r\nX-Not-Processed: 1\r\nX Note: a\r\nContent-Length: 0\r\n\r\n",
+		"status 000":             "HTTP/1.1 000 OK\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n",
+		"no end":                 "HTTP/1.1 503 Service Unavailable\r\nX-Not-Processed: 1\r\n",
+	} {
+		for _, upload := range []struct {
+			size       int
+			slow       bool
+			resetAfter time.Duration
+		}{
+			{short, false, streamAfter / 4}, {short, false, streamAfter / 2}, {short, false, 3 * streamAfter},
+			{long, false, streamAfter / 2}, {long, true, streamAfter / 2},
+		} {
+			t.Run(fmt.Sprintf("%s, %+v", name, upload), func(t *testing.T) {
+				t.Parallel()
+				srv := newRawServer(t)
+				r := startWith(t, withAdmin, server("s-1", srv.addr))
+				c, in := r.dial()
+				go writeUpload(c, r.newRequest("send-bulk-paid", "enterprise", ""), upload.size, upload.slow)
+				s := srv.accept()
+				if _, err := s.in.Peek(1); err != nil {
+					t.Fatal(err)
+				}
+				io.WriteString(s, text)
+				resetLater(s.Conn, upload.resetAfter)
+				resp, err := http.ReadResponse(in, nil)
+				if err != nil {
+					t.Fatal(err)
+				}
+				body, err := io.ReadAll(resp.Body)
+				brokeOff := resp.StatusCode == http.StatusOK && err != nil
+				if resp.StatusCode != http.StatusBadGateway && !brokeOff {
+					t.Errorf("answer %d %q, want 502 or an answer that breaks off", resp.StatusCode, body)
+				}
+			})
+		}
+	}
+}
+
 // writeUpload writes a request with a body of the given size; a slow client pauses between the pieces of the body.
 func writeUpload(c net.Conn, req *http.Request, size int, slow bool) {
 	req.Body, req.ContentLength = nil, 0
