A request whose field name holds a blank is refused with 400

What was seen, looking for the cause of the broken answers elsewhere: the proxy passed "Transfer-Encoding : chunked" and "Content-Length : 9" of a client on to a server, which may take them for the framing; a request can be smuggled in a body that way.

Cause: the same as for answers: http.ReadRequest lets blanks in names pass. net/http's own server, which internal/node and the other interfaces use, refuses them itself.

Change: such a request gets 400, as RFC 9112, 5.1 demands, and its connection ends.

--- a/internal/proxy/requestreader.go
+++ b/internal/proxy/requestreader.go
@@ -294,12 +294,25 @@
 		return "HTTP/1.1 is needed"
 	case len(r.TransferEncoding) > 0 && watch.HasBothLengths():
 		return "Content-Length and Transfer-Encoding exclude each other"
+	case hasBlankInName(r.Header):
+		return "a field's name holds a blank"
 	case !strings.HasPrefix(r.RequestURI, "/"):
 		return "the target is not a path"
 	}
 	return ""
 }
 
+// hasBlankInName reports whether a field's name holds a blank, the one forbidden byte that net/http lets pass (RFC 9112,
+// section 5.1). A server may read such a line as Content-Length or Transfer-Encoding.
+func hasBlankInName(fields http.Header) bool {
+	for name := range fields {
+		if strings.Contains(name, " ") {
+			return true
+		}
+	}
+	return false
+}
+
 // reject answers input that is not a valid request; the connection closes after the answer.
 func (proxy *Proxy) reject(pipe *pipeline, status int, reason string) {
 	pipe.unreadInput = true
