Soak: servers break answers, also before they have read a long body

The soak's servers now send answers that must not reach a client: a blank in a field's name, statuses 000 and 600, an interim answer with a body, and answers that are reset on the way, with a length, without, and one that says "not executed". All checks are as they were; a 502 is allowed where the server broke the answer, as where it lost it, because the request may have run.

--- a/internal/smallsystem/soak_clients_test.go
+++ b/internal/smallsystem/soak_clients_test.go
@@ -335,8 +335,8 @@
 	}
 }
 
-// serve handles a request at a server. It may turn the request away, answer before it has read the body, or lose the
-// answer; otherwise it waits for a random time or until the caller disconnects, and answers.
+// serve handles a request at a server. It may turn the request away, answer before it has read the body, lose the answer
+// or break it; otherwise it waits for a random time or until the caller disconnects, and answers.
 func (s *soak) serve(w http.ResponseWriter, r *http.Request) {
 	behaviour := s.drawBehaviour(r)
 	if behaviour == soakTurnsAway {
@@ -345,7 +345,7 @@
 		return
 	}
 	id := r.Header.Get("X-Madderdrum-Attempt-Id")
-	if behaviour != soakAnswersEarly {
+	if behaviour != soakAnswersEarly && behaviour != soakBreaksEarly {
 		if _, err := io.Copy(io.Discard, r.Body); err != nil {
 			return // the body is incomplete: the request is not executed
 		}
@@ -357,7 +357,7 @@
 	case draw < 12:
 		serviceTime = time.Duration(800+s.randomInt(1600)) * time.Millisecond
 	}
-	if behaviour == soakAnswersEarly {
+	if behaviour == soakAnswersEarly || behaviour == soakBreaksEarly {
 		serviceTime = time.Duration(s.randomInt(100)) * time.Millisecond
 	}
 	s.mu.Lock()
@@ -377,7 +377,8 @@
 	if sent != nil {
 		s.mu.Lock()
 		sent.executions[index].ended = time.Now()
-		sent.executions[index].answerLost = behaviour == soakLosesAnswer
+		sent.executions[index].answerLost = behaviour == soakLosesAnswer || behaviour == soakBreaksAnswer ||
+			behaviour == soakBreaksEarly
 		s.mu.Unlock()
 	}
 	switch behaviour {
@@ -385,6 +386,8 @@
 		resetConnection(w)
 	case soakAnswersEarly:
 		s.answerEarly(w, r, id)
+	case soakBreaksAnswer, soakBreaksEarly:
+		s.breakAnswer(w, id)
 	default:
 		writeSoakAnswer(w, id, sent)
 	}
@@ -398,6 +401,8 @@
 	soakTurnsAway                         // does not execute it, and says so before it has read the body
 	soakLosesAnswer                       // executes it, and resets the connection
 	soakAnswersEarly                      // executes it, answers before it has read the body, and reads on late
+	soakBreaksAnswer                      // executes it, and sends a broken answer
+	soakBreaksEarly                       // executes it, and sends a broken answer before it has read the body
 )
 
 // drawBehaviour draws what a server does with a request. Answers are lost only where nothing of them has been written.
@@ -408,6 +413,10 @@
 		return soakTurnsAway
 	case draw < 5 && !strings.HasPrefix(r.URL.Path, "/c/"):
 		return soakLosesAnswer
+	case draw < 8 && !strings.HasPrefix(r.URL.Path, "/c/"):
+		return soakBreaksAnswer
+	case draw < 15 && long:
+		return soakBreaksEarly
 	case draw < 55 && long:
 		return soakAnswersEarly
 	}
@@ -426,6 +435,36 @@
 	conn.Close()
 }
 
+// soakBrokenAnswers are answers that must not reach a client: HTTP forbids them, or they end before they are complete,
+// as the connection is reset behind them. FIELDS stands for the fields of a sound answer, ID for the attempt ID.
+var soakBrokenAnswers = []string{
+	"HTTP/1.1 200 OK\r\nFIELDSX Note: a\r\nContent-Length: 4\r\n\r\npart",
+	"HTTP/1.1 200 OK\r\nFIELDSTransfer-Encoding : chunked\r\nContent-Length: 4\r\n\r\npart",
+	"HTTP/1.1 000 OK\r\nFIELDS\r\nHTTP/1.1 200 OK\r\nFIELDSContent-Length: 4\r\n\r\npart",
+	"HTTP/1.1 600 OK\r\nFIELDSContent-Length: 4\r\n\r\npart",
+	"HTTP/1.1 103 Early Hints\r\nContent-Length: 9\r\n\r\nHTTP/1.1 200 OK\r\nFIELDSContent-Length: 4\r\n\r\npart",
+	"HTTP/1.1 200 OK\r\nFIELDSContent-Length: 9\r\n\r\npart",
+	"HTTP/1.1 200 OK\r\nFIELDS\r\npart",
+	"HTTP/1.1 404 Not Found\r\nFIELDS\r\npart",
+	"HTTP/1.1 503 Service Unavailable\r\nX-Madderdrum-Attempt-Id: ID\r\nX-Madderdrum-Not-Executed: 1\r\n\r\npart",
+}
+
+// breakAnswer sends a broken answer to a request and resets the connection soon after.
+func (s *soak) breakAnswer(w http.ResponseWriter, id string) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return // the connection is gone already
+	}
+	defer conn.Close()
+	fields := "X-Madderdrum-Attempt-Id: " + id + "\r\nX-Madderdrum-Server-Seal: model\r\n"
+	text := soakBrokenAnswers[s.randomInt(len(soakBrokenAnswers))]
+	io.WriteString(conn, strings.NewReplacer("FIELDS", fields, "ID", id).Replace(text))
+	time.Sleep(time.Duration(s.randomInt(200)) * time.Millisecond)
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		tcp.SetLinger(0)
+	}
+}
+
 // answerEarly answers a request before its body has been read. It reads on after a random time, or crashes meanwhile.
 func (s *soak) answerEarly(w http.ResponseWriter, r *http.Request, id string) {
 	control := http.NewResponseController(w)
--- a/internal/smallsystem/soak_test.go
+++ b/internal/smallsystem/soak_test.go
@@ -115,10 +115,10 @@
 // soakExecution is one execution of a request at a server.
 type soakExecution struct {
 	startedAt, ended time.Time
-	answerLost       bool // the server reset the connection in place of its answer
+	answerLost       bool // the server reset the connection in place of its answer, or behind a broken one
 }
 
-// lostAnswer reports whether a server that executed the request broke off in place of its answer.
+// lostAnswer reports whether a server that executed the request broke off in place of its answer, or within it.
 func (r *soakRequest) lostAnswer() bool {
 	return slices.ContainsFunc(r.executions, func(run soakExecution) bool { return run.answerLost })
 }
