A long answer with a Content-Encoding is not passed on as a success

Cause: long answers, which are streamed, were checked for their seal by lines of their own.

Change: both are judged by classifyResponse.

Evidence: TestBrokenAnswersDoNotReachClients/encoded,_long got 200 before, 502 now; /encoded passed before.

--- a/internal/proxy/brokenanswer_test.go
+++ b/internal/proxy/brokenanswer_test.go
@@ -88,6 +88,8 @@
 		return "HTTP/1.1 200 OK\r\n" + soundFields + fields + "Content-Length: 8\r\n\r\nanswered"
 	}
 	withStatus := func(line string) string { return strings.Replace(soundAnswer, "HTTP/1.1 200 OK", line, 1) }
+	encodedLong := fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Encoding: gzip\r\nContent-Length: %d\r\n\r\n%s", soundFields,
+		2*maxBufferedAnswer, strings.Repeat("x", 2*maxBufferedAnswer))
 	for name, text := range map[string]string{
 		"blank behind a name":              sealed("X-Note : a\r\n"),
 		"tab behind a name":                sealed("X-Note\t: a\r\n"),
@@ -115,6 +117,8 @@
 		"another version":                  withStatus("HTTP/2.0 200 OK"),
 		"other protocol":                   "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n" + soundAnswer,
 		"interim answer with a body":       "HTTP/1.1 103 Early Hints\r\nContent-Length: 9\r\n\r\n" + soundAnswer,
+		"encoded":                          sealed("Content-Encoding: gzip\r\n"),
+		"encoded, long":                    encodedLong,
 		"blank in an interim answer":       "HTTP/1.1 103 Early Hints\r\nX Note: a\r\n\r\n" + soundAnswer,
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -202,7 +202,7 @@
 	a := &answer{status: resp.StatusCode, head: forwardedHeaders(h)}
 	conn.limited.remaining = maxBufferedAnswer + maxBufferedAnswer/8
 	if resp.ContentLength > maxBufferedAnswer {
-		if resp.StatusCode/100 != 2 || h.Get(headerSeal) == "" {
+		if resp.StatusCode/100 != 2 || classifyResponse(resp) != limiter.Pass {
 			return attemptResult{result: limiter.Spoilt}, false, nil
 		}
 		conn.limited.remaining = resp.ContentLength + 64<<10
@@ -233,7 +233,7 @@
 	return outcome, reuse, nil
 }
 
-// classifyResponse returns the result that a complete response of a server stands for.
+// classifyResponse returns the result that a response of a server stands for if its body is complete.
 func classifyResponse(resp *http.Response) limiter.Result {
 	h := resp.Header
 	sealed := h.Get(headerSeal) != ""
