TestReloadUnderLoad: the load lasts long enough on a fast machine

The load lasts as long as the thousand reloads, and a fast machine is done with them in 2.5 to 3.3 s.

Reloads begin 4 ms apart at the earliest now, so that all of the load is still under reloads.

--- a/cmd/madderdrum/reload_test.go
+++ b/cmd/madderdrum/reload_test.go
@@ -175,7 +175,12 @@
 	bin, dir := buildProgram(t), t.TempDir()
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Minute)
 	defer cancel()
-	const reloads = 1000
+	const (
+		reloads = 1000
+		// reloadInterval is the shortest time from one reload to the next, so that the load, which lasts as long as they
+		// do, asks enough on a fast machine too.
+		reloadInterval = 4 * time.Millisecond
+	)
 	limiters := make([]*reloadedLimiter, 3)
 	writeModules(t, dir, map[string]plugintest.Module{"first": plugintest.WithAdvice(advice.Advice{Label: "one", Priority: 0.5}), "second": {Imports: []plugintest.Import{plugintest.Count},
 		Advise: plugintest.Join(plugintest.ConstI32(0), plugintest.ConstI32(8), plugintest.ConstF64(1), plugintest.ConstF64(500), plugintest.Call(0), plugintest.Drop, plugintest.None)}})
@@ -192,7 +197,9 @@
 		go func() {
 			defer close(over)
 			reloaded <- func() error {
+				begin := time.Now()
 				for i := 1; i <= reloads; i++ {
+					time.Sleep(time.Until(begin.Add(time.Duration(i) * reloadInterval)))
 					for _, s := range limiters {
 						if err := os.WriteFile(s.file+"~", []byte(s.text(i)), 0o600); err != nil {
 							return err
