TestSmallDay: a held request that was refused is sent again

The limiter's log has one answer of each of 200, 401, 404 and 429 ("ceiling") and nothing in hand, so the held request, which the test sends once, got the 429.

Refusals come with a time to try again, and clients do; the test's does now. Its other requests did already.

--- a/internal/smallsystem/smallsystem_test.go
+++ b/internal/smallsystem/smallsystem_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -104,7 +105,13 @@
 	}
 	// When a client disconnects, its request at the server is cancelled at once, not at its deadline.
 	leaving, leave := context.WithCancel(ctx)
-	go s.Send(leaving, 0, "/a"+HoldPath, "key-1")
+	go func() {
+		// Like any client, it sends a request again that was refused, as happens right after the limiters have started:
+		// what the tenant may spend has only begun to grow then.
+		for status := http.StatusTooManyRequests; status == http.StatusTooManyRequests; {
+			status, _, _ = s.Send(leaving, 0, "/a"+HoldPath, "key-1")
+		}
+	}()
 	held := func() (n int64) {
 		for _, x := range s.servers {
 			n += x.Held.Load()
