Both limiters ask the shared reader whether an answer ends with its connection

The check stood twice, in internal/node and in internal/proxy. httpresponse.EndsWithConnection takes its place; behaviour is the same. Tests of answers of the three packages pass.

--- a/internal/httpresponse/response.go
+++ b/internal/httpresponse/response.go
@@ -62,6 +62,12 @@
 // IsInterim reports whether a final response follows one with the given status.
 func IsInterim(status int) bool { return status < minFinalStatus }
 
+// EndsWithConnection reports whether a response has neither a length nor chunks, so that its body ends with its connection
+// and seems complete wherever that is.
+func EndsWithConnection(response *http.Response) bool {
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
+}
+
 const (
 	minStatus      = 100
 	minFinalStatus = 200
--- a/internal/node/attempts.go
+++ b/internal/node/attempts.go
@@ -209,7 +209,7 @@
 	if err == nil {
 		err = c.dropAnswer(resp, deadline)
 	}
-	if err == nil && writeFailed && endsWithConnection(resp) {
+	if err == nil && writeFailed && httpresponse.EndsWithConnection(resp) {
 		err = io.ErrUnexpectedEOF
 	}
 	if err != nil {
@@ -222,11 +222,6 @@
 	return rep, connDiscard
 }
 
-// endsWithConnection reports whether the body of an answer has no length, so that it ends with its connection.
-func endsWithConnection(resp *http.Response) bool {
-	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
-}
-
 // errNoAnswer is returned when no answer has begun in time.
 var errNoAnswer = errors.New("no answer")
 
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -219,7 +219,7 @@
 	if err != nil {
 		return attemptResult{}, false, err
 	}
-	outcome.untilClose = resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+	outcome.untilClose = httpresponse.EndsWithConnection(resp)
 	if outcome.untilClose && resp.StatusCode/100 == 2 { // a truncated body looks complete
 		return attemptResult{result: limiter.Spoilt}, false, nil
 	}
